--- /dev/null
+++ b/internal/version/version_test.go
@@ -0,0 +1,12 @@
+package version
+
+import (
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReleaseIsSemantic(t *testing.T) {
+	require.Regexp(t, regexp.MustCompile(`^\d+\.\d+\.\d+$`), Release)
+}
