--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,24 @@
+package verdict
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func TestUnknownErrorsMayHaveRun(t *testing.T) {
+	require.Equal(t, MayHaveRun, Of(errors.New("broken pipe")).Verdict)
+	wrapped := errors.Wrap(New(NotRun, CodeLeaving, "agent is leaving"), "dispatch")
+	require.Equal(t, NotRun, Of(wrapped).Verdict)
+}
+
+func TestParseReadsWhatStringWrites(t *testing.T) {
+	for v := range names {
+		got, err := Parse(v.String())
+		require.NoError(t, err)
+		require.Equal(t, v, got)
+	}
+	_, err := Parse("perhaps")
+	require.Error(t, err)
+}
