Add the messages between processes and the peer sessions

Cause: every role needs one typed, versioned encoding and one session a pair of hosts. A sender must know for certain when a message never left, since that is what makes the verdict not-run true. A queued message can be withdrawn until the writer begins it; Send and Call report which of both happened. Ruled out: a timer after the write (proves nothing), a request id check at the receiver only (tells too late).

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const testSecret = "a secret of the processes"
+
+type host struct {
+	pool    *Pool
+	address string
+	got     chan wire.Message
+}
+
+func startHost(t *testing.T, name string, h Handler) *host {
+	t.Helper()
+	out := &host{got: make(chan wire.Message, 16)}
+	if h == nil {
+		h = HandlerFunc(func(_ *Session, _ uint64, m wire.Message) { out.got <- m })
+	}
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	out.address = strings.TrimPrefix(srv.URL, "http://")
+	out.pool = NewPool(Config{Hello: wire.Hello{Host: name, Address: out.address}, Secret: testSecret, Handler: h})
+	t.Cleanup(out.pool.Close)
+	mux.Handle(Path, NewServer(out.pool))
+	return out
+}
+
+func TestMessagesTravelBothWaysOnOneSession(t *testing.T) {
+	a, b := startHost(t, "a", nil), startHost(t, "b", nil)
+	ctx := context.Background()
+	s, err := a.pool.Get(ctx, b.address)
+	require.NoError(t, err)
+	require.Equal(t, "b", s.Remote().Host)
+	require.NoError(t, s.Send(ctx, &wire.Cancel{Attempt: wire.AttemptID{1}}))
+	require.Equal(t, &wire.Cancel{Attempt: wire.AttemptID{1}}, <-b.got)
+
+	back, err := b.pool.Get(ctx, a.address)
+	require.NoError(t, err)
+	require.NoError(t, back.Post(&wire.Credit{Bytes: 7}))
+	require.Equal(t, &wire.Credit{Bytes: 7}, <-a.got)
+	require.Len(t, a.pool.Sessions(), 1, "the accepted session is used, none is dialled back")
+}
+
+func TestCallGetsItsOwnReply(t *testing.T) {
+	b := startHost(t, "b", HandlerFunc(func(s *Session, call uint64, m wire.Message) {
+		q := m.(*wire.OrderQuery)
+		if q.Pool == "" {
+			_ = s.Reply(call, NewFailure(verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no leader").After(time.Second)))
+			return
+		}
+		go func() { _ = s.Reply(call, &wire.OrderAnswer{Nonce: q.Nonce}) }()
+	}))
+	a := startHost(t, "a", nil)
+	s, err := a.pool.Get(context.Background(), b.address)
+	require.NoError(t, err)
+	for i := byte(1); i < 20; i++ {
+		reply, _, err := s.Call(context.Background(), &wire.OrderQuery{Pool: "p", Nonce: [16]byte{i}})
+		require.NoError(t, err)
+		require.Equal(t, [16]byte{i}, reply.(*wire.OrderAnswer).Nonce)
+	}
+	_, _, err = s.Call(context.Background(), &wire.OrderQuery{})
+	e := verdict.Of(err)
+	require.Equal(t, verdict.NotRun, e.Verdict)
+	require.Equal(t, time.Second, e.RetryAfter)
+}
+
+func TestWrongSecretIsRefused(t *testing.T) {
+	b := startHost(t, "b", nil)
+	p := NewPool(Config{Hello: wire.Hello{Host: "x"}, Secret: "another secret", Handler: HandlerFunc(nil)})
+	_, err := p.Get(context.Background(), b.address)
+	require.Error(t, err)
+	require.Empty(t, b.pool.Sessions())
+}
+
+func TestAnotherVersionEndsTheSessionAndNotTheProcess(t *testing.T) {
+	a, b := startHost(t, "a", nil), startHost(t, "b", nil)
+	s, err := a.pool.Get(context.Background(), b.address)
+	require.NoError(t, err)
+	data, err := wire.Marshal(wire.Envelope{Version: wire.Version + 1, Kind: wire.KindPing})
+	require.NoError(t, err)
+	require.NoError(t, s.conn.Write(context.Background(), websocket.MessageBinary, data))
+	require.Eventually(t, func() bool { return !s.Alive() }, 10*time.Second, time.Millisecond)
+	_, err = a.pool.Get(context.Background(), b.address)
+	require.NoError(t, err, "a new session can begin")
+}
+
+func TestMessageThatWasNotBegunCanBeWithdrawn(t *testing.T) {
+	s := newSession(nil, wire.Hello{}) // no writer runs: nothing is ever begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, s.Send(ctx, &wire.Ping{}), context.Canceled)
+	_, sent, err := s.Call(ctx, &wire.Ping{})
+	require.Error(t, err)
+	require.False(t, sent)
+	for len(s.queue) > 0 {
+		require.Equal(t, itemWithdrawn, (<-s.queue).state.Load())
+	}
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,222 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// redialDelay is how long a failed address is left alone, so that callers on
+	// their way to a dead host fail at once instead of each waiting for a dial.
+	redialDelay = 200 * time.Millisecond
+)
+
+// Config is what a Pool needs.
+type Config struct {
+	Hello   wire.Hello
+	Secret  string
+	Handler Handler
+	// TLS is the client side of the peer listeners; nil means no TLS.
+	TLS *tls.Config
+	// OnUp, if set, is called once for each session that begins, dialled or accepted.
+	OnUp func(*Session)
+}
+
+// Pool holds the live sessions by the address of the other host.
+type Pool struct {
+	cfg    Config
+	client *http.Client
+
+	// mu guards sessions, dials and closed. It is not held while dialling.
+	mu       sync.Mutex
+	sessions map[string]*Session
+	dials    map[string]*dial
+	closed   bool
+}
+
+// dial is one attempt to reach an address, shared by all who wait for it.
+type dial struct {
+	done chan struct{}
+	s    *Session
+	err  error
+	at   time.Time
+}
+
+// NewPool returns an empty Pool.
+func NewPool(cfg Config) *Pool {
+	transport := &http.Transport{TLSClientConfig: cfg.TLS}
+	return &Pool{
+		cfg:      cfg,
+		client:   &http.Client{Transport: transport},
+		sessions: make(map[string]*Session),
+		dials:    make(map[string]*dial),
+	}
+}
+
+// Get returns the live session with the host at address, and dials where there
+// is none. An error means that nothing was sent.
+func (p *Pool) Get(ctx context.Context, address string) (*Session, error) {
+	if s := p.Live(address); s != nil {
+		return s, nil
+	}
+	d, err := p.join(address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-d.done:
+		return d.s, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Live returns the live session with the host at address, or nil.
+func (p *Pool) Live(address string) *Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sessions[address]
+	if s == nil || !s.Alive() {
+		return nil
+	}
+	return s
+}
+
+// Sessions returns all live sessions.
+func (p *Pool) Sessions() []*Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*Session, 0, len(p.sessions))
+	for _, s := range p.sessions {
+		if s.Alive() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// join returns the running dial to address, or starts one.
+func (p *Pool) join(address string) (*dial, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if d := p.dials[address]; d != nil && (!d.finished() || time.Since(d.at) < redialDelay && d.err != nil) {
+		return d, nil
+	}
+	d := &dial{done: make(chan struct{})}
+	p.dials[address] = d
+	go p.dial(address, d)
+	return d, nil
+}
+
+func (d *dial) finished() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Pool) dial(address string, d *dial) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	s, err := p.open(ctx, address)
+	if err == nil {
+		p.register(address, s)
+		go s.run(p.cfg.Handler)
+		p.notify(s)
+	}
+	d.s, d.err, d.at = s, err, time.Now()
+	close(d.done)
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*Session, error) {
+	opts := &websocket.DialOptions{
+		HTTPClient:      p.client,
+		HTTPHeader:      http.Header{"Authorization": {"Bearer " + p.cfg.Secret}},
+		CompressionMode: websocket.CompressionDisabled,
+	}
+	conn, _, err := websocket.Dial(ctx, p.url(address), opts)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: dial %s", address)
+	}
+	conn.SetReadLimit(wire.MaxMessageBytes)
+	if err := sendHello(ctx, conn, p.cfg.Hello); err != nil {
+		_ = conn.CloseNow()
+		return nil, errors.Wrapf(err, "peer: greet %s", address)
+	}
+	remote, err := receiveHello(ctx, conn)
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, errors.Wrapf(err, "peer: greeting of %s", address)
+	}
+	return newSession(conn, remote), nil
+}
+
+func (p *Pool) url(address string) string {
+	if p.cfg.TLS != nil {
+		return "wss://" + address + Path
+	}
+	return "ws://" + address + Path
+}
+
+// adopt registers an accepted session under the address that the host names.
+func (p *Pool) adopt(s *Session) {
+	p.register(s.remote.Address, s)
+	p.notify(s)
+}
+
+func (p *Pool) register(address string, s *Session) {
+	if address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		s.Close()
+		return
+	}
+	p.sessions[address] = s
+	go p.removeWhenDone(address, s)
+}
+
+func (p *Pool) removeWhenDone(address string, s *Session) {
+	<-s.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sessions[address] == s {
+		delete(p.sessions, address)
+	}
+}
+
+func (p *Pool) notify(s *Session) {
+	if p.cfg.OnUp != nil {
+		p.cfg.OnUp(s)
+	}
+}
+
+// Close ends all sessions and refuses new ones.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	open := make([]*Session, 0, len(p.sessions))
+	for _, s := range p.sessions {
+		open = append(open, s)
+	}
+	p.mu.Unlock()
+	for _, s := range open {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,299 @@
+// Package peer keeps the long-lived sessions between the processes of the
+// system: one WebSocket a pair of hosts, on which encoded wire messages travel in
+// both directions.
+//
+// A message that a session took but did not begin to write can be withdrawn.
+// That is how a sender knows for certain that a message never left.
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	queueLength  = 1024
+	pingInterval = time.Second
+	// silenceLimit is how long a session may be silent before it counts as dead.
+	silenceLimit = 4 * time.Second
+	writeTimeout = 4 * time.Second
+)
+
+// ErrClosed tells that the session has ended.
+var ErrClosed = errors.New("peer: session closed")
+
+// ErrBusy tells that the session's queue is full; the message was not taken.
+var ErrBusy = errors.New("peer: session queue full")
+
+// Handler takes the messages of a session in the order in which they came.
+type Handler interface {
+	// ServePeer must not block: the session reads on only after it returns. A call
+	// other than zero wants an answer by Session.Reply.
+	ServePeer(s *Session, call uint64, m wire.Message)
+}
+
+// HandlerFunc is a Handler made of a function.
+type HandlerFunc func(s *Session, call uint64, m wire.Message)
+
+// ServePeer implements Handler.
+func (f HandlerFunc) ServePeer(s *Session, call uint64, m wire.Message) { f(s, call, m) }
+
+// states of an item in a session's queue.
+const (
+	itemQueued int32 = iota
+	itemStarted
+	itemWithdrawn
+)
+
+type item struct {
+	data    []byte
+	state   atomic.Int32
+	started chan struct{}
+}
+
+// Session is one end of a live WebSocket.
+type Session struct {
+	conn   *websocket.Conn
+	remote wire.Hello
+	queue  chan *item
+	done   chan struct{}
+	once   sync.Once
+	err    error
+
+	lastCall atomic.Uint64
+
+	// mu guards calls.
+	mu    sync.Mutex
+	calls map[uint64]chan wire.Message
+}
+
+func newSession(conn *websocket.Conn, remote wire.Hello) *Session {
+	return &Session{
+		conn:   conn,
+		remote: remote,
+		queue:  make(chan *item, queueLength),
+		done:   make(chan struct{}),
+		calls:  make(map[uint64]chan wire.Message),
+	}
+}
+
+// Remote returns what the other end said of itself.
+func (s *Session) Remote() wire.Hello { return s.remote }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.done }
+
+// Alive reports whether the session has not ended.
+func (s *Session) Alive() bool {
+	select {
+	case <-s.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Close ends the session.
+func (s *Session) Close() { s.fail(ErrClosed) }
+
+func (s *Session) fail(err error) {
+	s.once.Do(func() {
+		s.err = err
+		close(s.done)
+		_ = s.conn.CloseNow()
+	})
+}
+
+// Post queues m without waiting. Errors: ErrBusy and ErrClosed, after which the
+// message certainly was not sent.
+func (s *Session) Post(m wire.Message) error {
+	_, err := s.enqueue(0, false, m)
+	return err
+}
+
+// Send queues m and waits until the session begins to write it. Where it returns
+// an error, the message never left.
+func (s *Session) Send(ctx context.Context, m wire.Message) error {
+	it, err := s.enqueueWait(ctx, m)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-it.started:
+		return nil
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-s.done:
+		err = ErrClosed
+	}
+	if it.state.CompareAndSwap(itemQueued, itemWithdrawn) {
+		return err
+	}
+	return nil
+}
+
+// Call sends m and waits for the reply. A reply that is a wire.Failure comes back
+// as a *verdict.Error. sent tells whether the message may have left.
+func (s *Session) Call(ctx context.Context, m wire.Message) (reply wire.Message, sent bool, err error) {
+	id := s.lastCall.Add(1)
+	ch := make(chan wire.Message, 1)
+	s.mu.Lock()
+	s.calls[id] = ch
+	s.mu.Unlock()
+	defer s.forget(id)
+
+	it, err := s.enqueue(id, false, m)
+	if err != nil {
+		return nil, false, err
+	}
+	select {
+	case reply = <-ch:
+		return unwrapFailure(reply)
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-s.done:
+		err = ErrClosed
+	}
+	withdrawn := it.state.CompareAndSwap(itemQueued, itemWithdrawn)
+	return nil, !withdrawn, err
+}
+
+func (s *Session) forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, id)
+}
+
+// Reply answers the call with m. It does not wait; a reply to a session that has
+// ended is dropped.
+func (s *Session) Reply(call uint64, m wire.Message) error {
+	_, err := s.enqueue(call, true, m)
+	return err
+}
+
+func (s *Session) enqueue(call uint64, isReply bool, m wire.Message) (*item, error) {
+	it, err := newItem(call, isReply, m)
+	if err != nil {
+		return nil, err
+	}
+	if !s.Alive() {
+		return nil, ErrClosed
+	}
+	select {
+	case s.queue <- it:
+		return it, nil
+	default:
+		return nil, ErrBusy
+	}
+}
+
+func (s *Session) enqueueWait(ctx context.Context, m wire.Message) (*item, error) {
+	it, err := newItem(0, false, m)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case s.queue <- it:
+		return it, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.done:
+		return nil, ErrClosed
+	}
+}
+
+func newItem(call uint64, isReply bool, m wire.Message) (*item, error) {
+	data, err := wire.Encode(call, isReply, m)
+	if err != nil {
+		return nil, err
+	}
+	return &item{data: data, started: make(chan struct{})}, nil
+}
+
+// run reads and writes until the session ends.
+func (s *Session) run(h Handler) {
+	go s.writeLoop()
+	s.fail(s.readLoop(h))
+}
+
+func (s *Session) writeLoop() {
+	ping := time.NewTicker(pingInterval)
+	defer ping.Stop()
+	for {
+		select {
+		case it := <-s.queue:
+			if !it.state.CompareAndSwap(itemQueued, itemStarted) {
+				continue
+			}
+			close(it.started)
+			if err := s.write(it.data); err != nil {
+				s.fail(err)
+				return
+			}
+		case <-ping.C:
+			if err := s.Post(&wire.Ping{}); err != nil && !errors.Is(err, ErrBusy) {
+				return
+			}
+		case <-s.done:
+			return
+		}
+	}
+}
+
+func (s *Session) write(data []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	return s.conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (s *Session) readLoop(h Handler) error {
+	for {
+		data, err := s.read()
+		if err != nil {
+			return err
+		}
+		env, m, err := wire.Decode(data)
+		if err != nil {
+			_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
+			return err
+		}
+		if env.IsReply {
+			s.deliver(env.Call, m)
+			continue
+		}
+		if _, isPing := m.(*wire.Ping); isPing {
+			continue
+		}
+		h.ServePeer(s, env.Call, m)
+	}
+}
+
+func (s *Session) read() ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), silenceLimit)
+	defer cancel()
+	kind, data, err := s.conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("peer: text message refused")
+	}
+	return data, nil
+}
+
+func (s *Session) deliver(call uint64, m wire.Message) {
+	s.mu.Lock()
+	ch := s.calls[call]
+	delete(s.calls, call)
+	s.mu.Unlock()
+	if ch != nil {
+		ch <- m
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,136 @@
+// Package wire defines every message that the processes of the system send to
+// one another, and their encoding: CBOR in a versioned envelope.
+//
+// It is the one place that defines them. Field keys are small integers; a key is
+// never given a new meaning. Durations are milliseconds, since the processes
+// share no clock.
+package wire
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Version is the version of the envelope and of the messages that this build speaks.
+const Version = 1
+
+// MaxMessageBytes bounds one encoded message.
+const MaxMessageBytes = 16 << 20
+
+// Kind identifies the type of a message in its envelope.
+type Kind uint16
+
+// Message is implemented by every type that may travel in an envelope.
+type Message interface {
+	// Kind returns the identity of the message's type.
+	Kind() Kind
+}
+
+// Envelope is the frame around a message.
+type Envelope struct {
+	Version uint8  `cbor:"1,keyasint"`
+	Kind    Kind   `cbor:"2,keyasint"`
+	Call    uint64 `cbor:"3,keyasint,omitempty"`
+	IsReply bool   `cbor:"4,keyasint,omitempty"`
+	// Body is the encoded message.
+	Body cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+}
+
+// VersionError tells that the other process speaks another version.
+type VersionError struct{ Got uint8 }
+
+// Error names both versions.
+func (e *VersionError) Error() string {
+	return errors.Errorf("wire: message version %d, this build speaks %d", e.Got, Version).Error()
+}
+
+// KindError tells that no message has this kind.
+type KindError struct{ Got Kind }
+
+// Error names the kind.
+func (e *KindError) Error() string {
+	return errors.Errorf("wire: unknown message kind %d", e.Got).Error()
+}
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+	types   = registry()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	opts := cbor.DecOptions{
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 20,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}
+	m, err := opts.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Marshal encodes v in the deterministic form used on the wire.
+func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
+
+// Unmarshal decodes data into v under the limits of the wire.
+func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
+
+// Encode puts m into an envelope. A call of zero means that no reply is expected.
+func Encode(call uint64, isReply bool, m Message) ([]byte, error) {
+	body, err := Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "wire: encode message")
+	}
+	return Marshal(Envelope{Version: Version, Kind: m.Kind(), Call: call, IsReply: isReply, Body: body})
+}
+
+// Decode reads an envelope and the message in it. The message is a pointer to
+// its type. Errors: *VersionError, *KindError, or a malformed encoding.
+func Decode(data []byte) (Envelope, Message, error) {
+	var e Envelope
+	if err := Unmarshal(data, &e); err != nil {
+		return e, nil, errors.Wrap(err, "wire: decode envelope")
+	}
+	if e.Version != Version {
+		return e, nil, &VersionError{Got: e.Version}
+	}
+	t, ok := types[e.Kind]
+	if !ok {
+		return e, nil, &KindError{Got: e.Kind}
+	}
+	m := reflect.New(t).Interface().(Message)
+	if err := Unmarshal(e.Body, m); err != nil {
+		return e, nil, errors.Wrapf(err, "wire: decode message of kind %d", e.Kind)
+	}
+	return e, m, nil
+}
+
+func registry() map[Kind]reflect.Type {
+	all := []Message{
+		&Hello{}, &Ping{}, &Failure{},
+		&Dispatch{}, &Cancel{}, &Credit{}, &Head{}, &Frame{}, &End{}, &Refused{},
+		&Announce{}, &AnnounceAck{}, &Subscribe{}, &Delta{}, &DigestNotice{},
+		&Consensus{}, &Propose{}, &Proposed{}, &Watch{}, &Changes{}, &InForce{},
+		&ClaimRequest{}, &ClaimReply{}, &FinishRequest{}, &FinishReply{},
+		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &Join{}, &Ack{},
+		&StatusQuery{}, &StatusAnswer{},
+	}
+	m := make(map[Kind]reflect.Type, len(all))
+	for _, msg := range all {
+		m[msg.Kind()] = reflect.TypeOf(msg).Elem()
+	}
+	return m
+}
