--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -99,7 +99,7 @@
 }
 
 func TestMessageThatWasNotBegunCanBeWithdrawn(t *testing.T) {
-	s := newSession(nil, wire.Hello{}) // no writer runs: nothing is ever begun
+	s := newSession(nil, wire.Hello{}, DefaultPingInterval) // no writer runs: nothing is ever begun
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	require.ErrorIs(t, s.Send(ctx, &wire.Ping{}), context.Canceled)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -29,6 +29,9 @@
 	TLS *tls.Config
 	// OnUp, if set, is called once for each session that begins, dialled or accepted.
 	OnUp func(*Session)
+	// PingInterval is the longest silence of a live session; DefaultPingInterval
+	// if zero. A host with many sessions takes a longer one.
+	PingInterval time.Duration
 }
 
 // Pool holds the live sessions by the address of the other host.
@@ -53,6 +56,10 @@
 
 // NewPool returns an empty Pool.
 func NewPool(cfg Config) *Pool {
+	if cfg.PingInterval <= 0 {
+		cfg.PingInterval = DefaultPingInterval
+	}
+	cfg.Hello.PingMS = uint64(cfg.PingInterval / time.Millisecond)
 	transport := &http.Transport{TLSClientConfig: cfg.TLS}
 	return &Pool{
 		cfg:      cfg,
@@ -162,7 +169,7 @@
 		_ = conn.CloseNow()
 		return nil, errors.Wrapf(err, "peer: greeting of %s", address)
 	}
-	return newSession(conn, remote), nil
+	return newSession(conn, remote, p.cfg.PingInterval), nil
 }
 
 func (p *Pool) url(address string) string {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	queueLength  = 1024
-	pingInterval = time.Second
-	// silenceLimit is how long a session may be silent before it counts as dead.
-	silenceLimit = 4 * time.Second
+	queueLength = 1024
+	// DefaultPingInterval is the longest silence that a host keeps by default.
+	DefaultPingInterval = time.Second
+	// silentPings is how many missed pings end a session.
+	silentPings  = 4
 	writeTimeout = 4 * time.Second
 )
 
@@ -62,6 +63,7 @@
 type Session struct {
 	conn   *websocket.Conn
 	remote wire.Hello
+	ping   time.Duration
 	queue  chan *item
 	done   chan struct{}
 	once   sync.Once
@@ -74,10 +76,12 @@
 	calls map[uint64]chan wire.Message
 }
 
-func newSession(conn *websocket.Conn, remote wire.Hello) *Session {
+// newSession pings after each interval of own silence.
+func newSession(conn *websocket.Conn, remote wire.Hello, ping time.Duration) *Session {
 	return &Session{
 		conn:   conn,
 		remote: remote,
+		ping:   ping,
 		queue:  make(chan *item, queueLength),
 		done:   make(chan struct{}),
 		calls:  make(map[uint64]chan wire.Message),
@@ -224,11 +228,12 @@
 }
 
 func (s *Session) writeLoop() {
-	ping := time.NewTicker(pingInterval)
+	ping := time.NewTimer(s.ping)
 	defer ping.Stop()
 	for {
 		select {
 		case it := <-s.queue:
+			ping.Reset(s.ping)
 			if !it.state.CompareAndSwap(itemQueued, itemStarted) {
 				continue
 			}
@@ -238,6 +243,7 @@
 				return
 			}
 		case <-ping.C:
+			ping.Reset(s.ping)
 			if err := s.Post(&wire.Ping{}); err != nil && !errors.Is(err, ErrBusy) {
 				return
 			}
@@ -276,7 +282,7 @@
 }
 
 func (s *Session) read() ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), silenceLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), s.silenceLimit())
 	defer cancel()
 	kind, data, err := s.conn.Read(ctx)
 	if err != nil {
@@ -288,6 +294,15 @@
 	return data, nil
 }
 
+// silenceLimit is how long the other end may be silent before it counts as dead.
+func (s *Session) silenceLimit() time.Duration {
+	ping := time.Duration(s.remote.PingMS) * time.Millisecond
+	if ping <= 0 {
+		ping = DefaultPingInterval
+	}
+	return silentPings * ping
+}
+
 func (s *Session) deliver(call uint64, m wire.Message) {
 	s.mu.Lock()
 	ch := s.calls[call]
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -103,8 +103,20 @@
 	Upserts     []Upstream `cbor:"4,keyasint,omitempty"`
 	// Forgotten names upstreams that the directory host no longer holds.
 	Forgotten []string `cbor:"5,keyasint,omitempty"`
-	// Events are cache events by upstream, in the order of Upserts' names.
+	// Events are cache events by upstream.
 	Events []UpstreamEvents `cbor:"6,keyasint,omitempty"`
+	// Loads are reports of upstreams whose records are otherwise unchanged.
+	Loads []UpstreamLoad `cbor:"7,keyasint,omitempty"`
+	// Silent and Heard name upstreams that the directory host stopped, or began
+	// again, to hear from.
+	Silent []string `cbor:"8,keyasint,omitempty"`
+	Heard  []string `cbor:"9,keyasint,omitempty"`
+}
+
+// UpstreamLoad is a load report by upstream.
+type UpstreamLoad struct {
+	Name string `cbor:"1,keyasint"`
+	Load Load   `cbor:"2,keyasint"`
 }
 
 // UpstreamEvents are the cache events of one upstream.
@@ -120,8 +132,6 @@
 type DigestNotice struct {
 	Incarnation uint64 `cbor:"1,keyasint"`
 	Version     uint64 `cbor:"2,keyasint"`
-	// Digest is the xxHash64 over name, incarnation and state of all records, sorted by name.
-	Digest uint64 `cbor:"3,keyasint"`
 }
 
 // Kind implements Message.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -18,6 +18,8 @@
 	Incarnation uint64 `cbor:"4,keyasint"`
 	// Replica is the consensus.ReplicaID of a control host, else empty.
 	Replica string `cbor:"5,keyasint,omitempty"`
+	// PingMS is the longest time that the sender leaves a live session silent.
+	PingMS uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Kind implements Message.
