Add the directory of upstreams

Cause: upstreams announce themselves and nobody lists them; a full mesh of 330 by 600 costs more than 5 KB/s a node. Agents announce to two owners by rendezvous hashing, owners send deltas to the entry hosts of the data centre, only the first owner passes on load reports. Ruled out: gossip among all (message rate grows with both sides). First run of the takeover test failed: sessions of hosts without an address of their own were not ended by Pool.Close; the pool now tracks every session.

--- /dev/null
+++ b/internal/directory/announcer.go
@@ -0,0 +1,169 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// Replicas is how many owners an agent announces to.
+	Replicas = 2
+	// avoidSpan is how long an agent passes over an owner that did not answer.
+	avoidSpan       = 5 * time.Second
+	announceTimeout = 700 * time.Millisecond
+)
+
+// AnnouncerConfig is what an Announcer needs.
+type AnnouncerConfig struct {
+	// Hosts are the entry hosts of the agent's data centre.
+	Hosts    []Host
+	Pool     *peer.Pool
+	Interval time.Duration
+	// Record returns the present record and the cache events not yet announced.
+	Record func() (wire.Upstream, []wire.CacheEvent)
+	Now    func() time.Duration
+	Log    *slog.Logger
+}
+
+// Announcer tells the owners of an upstream about it.
+type Announcer struct {
+	cfg   AnnouncerConfig
+	now   chan struct{}
+	avoid map[string]time.Duration
+	seq   uint64
+
+	incarnation atomic.Uint64
+	heard       atomic.Bool
+}
+
+// NewAnnouncer returns an Announcer that Run starts. The incarnation is the
+// agent's first proposal; owners that know a later start raise it.
+func NewAnnouncer(cfg AnnouncerConfig, incarnation uint64) *Announcer {
+	a := &Announcer{cfg: cfg, now: make(chan struct{}, 1), avoid: make(map[string]time.Duration)}
+	a.incarnation.Store(incarnation)
+	return a
+}
+
+// Incarnation returns the number of this start of the agent.
+func (a *Announcer) Incarnation() uint64 { return a.incarnation.Load() }
+
+// Heard reports whether an owner holds this start's record.
+func (a *Announcer) Heard() bool { return a.heard.Load() }
+
+// Wake announces at once, without waiting for the interval.
+func (a *Announcer) Wake() {
+	select {
+	case a.now <- struct{}{}:
+	default:
+	}
+}
+
+// Run announces until ctx ends.
+func (a *Announcer) Run(ctx context.Context) {
+	ticker := time.NewTicker(a.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		a.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.now:
+		}
+	}
+}
+
+// round announces to the first owners that answer.
+func (a *Announcer) round(ctx context.Context) {
+	up, events := a.cfg.Record()
+	a.seq++
+	up.Seq = a.seq
+	up.Incarnation = a.incarnation.Load()
+	owners := a.candidates(up.Name)
+	need := Replicas
+	for len(owners) > 0 && need > 0 {
+		batch := owners[:min(need, len(owners))]
+		owners = owners[len(batch):]
+		need -= a.announceAll(ctx, batch, up, events, Replicas-need)
+	}
+	if was := a.heard.Swap(need < Replicas); was != (need < Replicas) {
+		a.cfg.Log.Info("directory contact changed", "heard", !was)
+	}
+}
+
+// candidates returns the owners in order; those that lately failed come last.
+func (a *Announcer) candidates(upstream string) []Host {
+	now := a.cfg.Now()
+	var good, bad []Host
+	for _, h := range Owners(a.cfg.Hosts, upstream) {
+		if until, ok := a.avoid[h.Name]; ok && now < until {
+			bad = append(bad, h)
+			continue
+		}
+		good = append(good, h)
+	}
+	return append(good, bad...)
+}
+
+// announceAll returns how many of the hosts took the record. taken is how many
+// owners hold it already; only the first passes on load reports.
+func (a *Announcer) announceAll(ctx context.Context, hosts []Host, up wire.Upstream, events []wire.CacheEvent, taken int) int {
+	ok := make([]bool, len(hosts))
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		m := &wire.Announce{Upstream: up, Standby: taken+i > 0}
+		if !m.Standby {
+			m.Events = events
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ok[i] = a.announce(ctx, h, m)
+		}()
+	}
+	wg.Wait()
+	count := 0
+	for i, h := range hosts {
+		if ok[i] {
+			count++
+			delete(a.avoid, h.Name)
+			continue
+		}
+		a.avoid[h.Name] = a.cfg.Now() + avoidSpan
+	}
+	return count
+}
+
+func (a *Announcer) announce(ctx context.Context, h Host, m *wire.Announce) bool {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	s, err := a.cfg.Pool.Get(ctx, h.Address)
+	if err != nil {
+		return false
+	}
+	reply, _, err := s.Call(ctx, m)
+	if err != nil {
+		return false
+	}
+	ack, isAck := reply.(*wire.AnnounceAck)
+	if isAck && ack.Incarnation > m.Upstream.Incarnation {
+		a.raise(ack.Incarnation + 1)
+		a.Wake()
+	}
+	return isAck
+}
+
+func (a *Announcer) raise(to uint64) {
+	for {
+		have := a.incarnation.Load()
+		if have >= to || a.incarnation.CompareAndSwap(have, to) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/directory/service.go
@@ -0,0 +1,275 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	flushInterval  = 100 * time.Millisecond
+	loadInterval   = 2 * time.Second
+	noticeInterval = 10 * time.Second
+	retryDelay     = 500 * time.Millisecond
+)
+
+// ServiceConfig is what a Service needs.
+type ServiceConfig struct {
+	// Self is the name of this entry host, Hosts all of its data centre, itself included.
+	Self  string
+	Hosts []Host
+	// Incarnation identifies this start of the process.
+	Incarnation uint64
+	Pool        *peer.Pool
+	Spans       Spans
+	// Now returns the time since any fixed point, by a monotonic clock.
+	Now     func() time.Duration
+	Log     *slog.Logger
+	Metrics metrics.Registry
+	// OnEvents, if set, gets cache events as they come in.
+	OnEvents func(upstream string, events []wire.CacheEvent)
+}
+
+// Service is the directory of one entry host: an owner for some upstreams and a
+// subscriber of all other owners. Lock order: mu alone; nothing is sent under it
+// but by Session.Post, which does not wait.
+type Service struct {
+	cfg ServiceConfig
+
+	// mu guards table, view, version and subscribers.
+	mu          sync.Mutex
+	table       *Table
+	view        *View
+	version     uint64
+	subscribers map[*peer.Session]bool
+
+	entries  atomic.Pointer[[]Entry]
+	sent     metrics.Counter
+	gaps     metrics.Counter
+	announce metrics.Counter
+}
+
+// NewService returns a Service that Run starts.
+func NewService(cfg ServiceConfig) *Service {
+	if cfg.Spans == (Spans{}) {
+		cfg.Spans = DefaultSpans
+	}
+	d := &Service{
+		cfg:         cfg,
+		table:       NewTable(cfg.Spans),
+		view:        NewView(),
+		subscribers: make(map[*peer.Session]bool),
+		sent:        metrics.GetOrRegisterCounter("directory.deltas.sent", cfg.Metrics),
+		gaps:        metrics.GetOrRegisterCounter("directory.gaps", cfg.Metrics),
+		announce:    metrics.GetOrRegisterCounter("directory.announcements", cfg.Metrics),
+	}
+	d.entries.Store(&[]Entry{})
+	return d
+}
+
+// Entries returns the upstreams known now. The slice is shared: read only.
+func (d *Service) Entries() []Entry { return *d.entries.Load() }
+
+// Run keeps the directory until ctx ends.
+func (d *Service) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, h := range d.cfg.Hosts {
+		if h.Name == d.cfg.Self {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.follow(ctx, h)
+		}()
+	}
+	d.flushLoop(ctx)
+	wg.Wait()
+}
+
+func (d *Service) flushLoop(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	var lastLoads, lastNotice time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := d.cfg.Now()
+		loadsDue := now-lastLoads >= loadInterval
+		if loadsDue {
+			lastLoads = now
+		}
+		noticeDue := now-lastNotice >= noticeInterval
+		if noticeDue {
+			lastNotice = now
+		}
+		d.flush(now, loadsDue, noticeDue)
+	}
+}
+
+func (d *Service) flush(now time.Duration, withLoads, withNotice bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Expire(now)
+	d.view.Expire(now)
+	delta := d.table.Flush(withLoads)
+	if delta != nil {
+		d.version++
+		delta.Incarnation, delta.Version = d.cfg.Incarnation, d.version
+		d.broadcast(delta)
+		d.applyOwn(delta, now)
+	}
+	if withNotice {
+		d.broadcast(&wire.DigestNotice{Incarnation: d.cfg.Incarnation, Version: d.version})
+	}
+	d.publish()
+}
+
+// applyOwn merges what this host owns itself. The caller holds mu.
+func (d *Service) applyOwn(delta *wire.Delta, now time.Duration) {
+	if !d.view.Apply(d.cfg.Self, delta, now) {
+		full := d.table.Full()
+		full.Incarnation, full.Version = d.cfg.Incarnation, d.version
+		d.view.Apply(d.cfg.Self, full, now)
+	}
+	d.passEvents(delta)
+}
+
+func (d *Service) passEvents(delta *wire.Delta) {
+	if d.cfg.OnEvents == nil {
+		return
+	}
+	for _, e := range delta.Events {
+		d.cfg.OnEvents(e.Name, e.Events)
+	}
+}
+
+// publish makes the view readable without a lock. The caller holds mu.
+func (d *Service) publish() {
+	entries := d.view.Entries()
+	d.entries.Store(&entries)
+}
+
+// broadcast posts m to all subscribers; one whose queue is full notices the gap
+// by itself. The caller holds mu.
+func (d *Service) broadcast(m wire.Message) {
+	for s := range d.subscribers {
+		if !s.Alive() {
+			delete(d.subscribers, s)
+			continue
+		}
+		if s.Post(m) == nil {
+			d.sent.Inc(1)
+		}
+	}
+}
+
+// HandlePeer takes a message if it concerns the directory.
+func (d *Service) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	switch m := m.(type) {
+	case *wire.Announce:
+		d.handleAnnounce(s, call, m)
+	case *wire.Subscribe:
+		d.handleSubscribe(s)
+	case *wire.Delta:
+		d.handleDelta(s, m)
+	case *wire.DigestNotice:
+		d.handleNotice(s, m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *Service) handleAnnounce(s *peer.Session, call uint64, m *wire.Announce) {
+	d.announce.Inc(1)
+	now := d.cfg.Now()
+	d.mu.Lock()
+	urgent := d.table.Announce(m, now)
+	known := d.table.Incarnation(m.Upstream.Name)
+	d.mu.Unlock()
+	if urgent {
+		d.flush(now, false, false)
+	}
+	_ = s.Reply(call, &wire.AnnounceAck{Incarnation: known})
+}
+
+func (d *Service) handleSubscribe(s *peer.Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	full := d.table.Full()
+	full.Incarnation, full.Version = d.cfg.Incarnation, d.version
+	if s.Post(full) == nil {
+		d.subscribers[s] = true
+	}
+}
+
+func (d *Service) handleDelta(s *peer.Session, m *wire.Delta) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.view.Apply(s.Remote().Host, m, d.cfg.Now()) {
+		d.resubscribe(s)
+		return
+	}
+	d.passEvents(m)
+	d.publish()
+}
+
+func (d *Service) handleNotice(s *peer.Session, m *wire.DigestNotice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.view.IsCurrent(s.Remote().Host, m) {
+		d.resubscribe(s)
+	}
+}
+
+func (d *Service) resubscribe(s *peer.Session) {
+	d.gaps.Inc(1)
+	_ = s.Post(&wire.Subscribe{})
+}
+
+// follow subscribes to one owner, again after each loss, until ctx ends.
+func (d *Service) follow(ctx context.Context, h Host) {
+	for ctx.Err() == nil {
+		s, err := d.cfg.Pool.Get(ctx, h.Address)
+		if err == nil {
+			err = s.Post(&wire.Subscribe{})
+		}
+		if err != nil {
+			wait(ctx, retryDelay)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Done():
+			d.lost(h.Name)
+		}
+	}
+}
+
+func (d *Service) lost(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Lost(name, d.cfg.Now())
+	d.publish()
+	d.cfg.Log.Info("directory host lost", "host", name)
+}
+
+func wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/directory/service_test.go
@@ -0,0 +1,146 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	testSecret = "a secret of the processes"
+	testWait   = 20 * time.Second
+)
+
+var start = time.Now()
+
+func since() time.Duration { return time.Since(start) }
+
+type entryHost struct {
+	service *Service
+	pool    *peer.Pool
+	server  *http.Server
+	cancel  context.CancelFunc
+}
+
+func (e *entryHost) stop() {
+	e.cancel()
+	_ = e.server.Close()
+	e.pool.Close()
+}
+
+// startEntries runs n entry hosts of one data centre on loopback.
+func startEntries(t *testing.T, n int) ([]*entryHost, []Host) {
+	t.Helper()
+	var hosts []Host
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, l)
+		hosts = append(hosts, Host{Name: string(rune('a' + i)), Address: l.Addr().String()})
+	}
+	var out []*entryHost
+	for i, l := range listeners {
+		out = append(out, startEntry(t, hosts, i, l))
+	}
+	return out, hosts
+}
+
+func startEntry(t *testing.T, hosts []Host, i int, l net.Listener) *entryHost {
+	e := &entryHost{}
+	handler := peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) { e.service.HandlePeer(s, call, m) })
+	e.pool = peer.NewPool(peer.Config{
+		Hello:  wire.Hello{Host: hosts[i].Name, Address: hosts[i].Address},
+		Secret: testSecret, Handler: handler,
+	})
+	e.service = NewService(ServiceConfig{
+		Self: hosts[i].Name, Hosts: hosts, Incarnation: 1, Pool: e.pool,
+		Now: since, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peer.NewServer(e.pool))
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.service.Run(ctx)
+	t.Cleanup(e.stop)
+	return e
+}
+
+func startAnnouncer(t *testing.T, hosts []Host, name string, state *atomic.Uint32, incarnation uint64) *Announcer {
+	t.Helper()
+	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: name}, Secret: testSecret,
+		Handler: peer.HandlerFunc(func(*peer.Session, uint64, wire.Message) {})})
+	a := NewAnnouncer(AnnouncerConfig{
+		Hosts: hosts, Pool: pool, Interval: 200 * time.Millisecond, Now: since, Log: slog.New(slog.DiscardHandler),
+		Record: func() (wire.Upstream, []wire.CacheEvent) {
+			return wire.Upstream{Name: name, State: wire.UpstreamState(state.Load())}, nil
+		},
+	}, incarnation)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); pool.Close() })
+	go a.Run(ctx)
+	return a
+}
+
+func allSee(entries []*entryHost, ok func(Entry) bool) func() bool {
+	return func() bool {
+		for _, e := range entries {
+			got := e.service.Entries()
+			if len(got) != 1 || !ok(got[0]) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestAnnouncedUpstreamIsKnownEverywhereAndSurvivesItsOwners(t *testing.T) {
+	entries, hosts := startEntries(t, 4)
+	var state atomic.Uint32
+	state.Store(uint32(wire.UpstreamReady))
+	a := startAnnouncer(t, hosts, "w", &state, 1)
+	ready := func(e Entry) bool { return e.Upstream.State == wire.UpstreamReady && !e.Suspect }
+	require.Eventually(t, allSee(entries, ready), testWait, 5*time.Millisecond)
+
+	var rest []*entryHost
+	owners := Owners(hosts, "w")
+	for i, h := range hosts {
+		if h == owners[0] || h == owners[1] {
+			entries[i].stop()
+			continue
+		}
+		rest = append(rest, entries[i])
+	}
+	require.Eventually(t, allSee(rest, ready), testWait, 5*time.Millisecond, "the next owners take over")
+
+	state.Store(uint32(wire.UpstreamLeaving))
+	a.Wake()
+	leaving := func(e Entry) bool { return e.Upstream.State == wire.UpstreamLeaving }
+	require.Eventually(t, allSee(rest, leaving), testWait, 5*time.Millisecond)
+}
+
+func TestRestartedAgentTakesAHigherIncarnation(t *testing.T) {
+	entries, hosts := startEntries(t, 2)
+	var state atomic.Uint32
+	state.Store(uint32(wire.UpstreamLeaving))
+	startAnnouncer(t, hosts, "w", &state, 50)
+	require.Eventually(t, allSee(entries, func(e Entry) bool { return e.Upstream.Incarnation == 50 }), testWait, 5*time.Millisecond)
+	var restarted atomic.Uint32
+	restarted.Store(uint32(wire.UpstreamReady))
+	startAnnouncer(t, hosts, "w", &restarted, 7) // its clock was set back
+	require.Eventually(t, allSee(entries, func(e Entry) bool {
+		return e.Upstream.Incarnation > 50 && e.Upstream.State == wire.UpstreamReady
+	}), testWait, 5*time.Millisecond)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,10 @@
 	cfg    Config
 	client *http.Client
 
-	// mu guards sessions, dials and closed. It is not held while dialling.
-	mu       sync.Mutex
+	// mu guards the fields below. It is not held while dialling.
+	mu sync.Mutex
+	// all holds every live session, sessions the last one by address.
+	all      map[*Session]bool
 	sessions map[string]*Session
 	dials    map[string]*dial
 	closed   bool
@@ -64,6 +68,7 @@
 	return &Pool{
 		cfg:      cfg,
 		client:   &http.Client{Transport: transport},
+		all:      make(map[*Session]bool),
 		sessions: make(map[string]*Session),
 		dials:    make(map[string]*dial),
 	}
@@ -102,8 +107,8 @@
 func (p *Pool) Sessions() []*Session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]*Session, 0, len(p.sessions))
-	for _, s := range p.sessions {
+	out := make([]*Session, 0, len(p.all))
+	for s := range p.all {
 		if s.Alive() {
 			out = append(out, s)
 		}
@@ -186,16 +191,16 @@
 }
 
 func (p *Pool) register(address string, s *Session) {
-	if address == "" {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		s.Close()
 		return
 	}
-	p.sessions[address] = s
+	p.all[s] = true
+	if address != "" {
+		p.sessions[address] = s
+	}
 	go p.removeWhenDone(address, s)
 }
 
@@ -203,6 +208,7 @@
 	<-s.Done()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.all, s)
 	if p.sessions[address] == s {
 		delete(p.sessions, address)
 	}
@@ -218,10 +224,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	open := make([]*Session, 0, len(p.sessions))
-	for _, s := range p.sessions {
-		open = append(open, s)
-	}
+	open := slices.Collect(maps.Keys(p.all))
 	p.mu.Unlock()
 	for _, s := range open {
 		s.Close()
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -71,6 +71,8 @@
 type Announce struct {
 	Upstream Upstream     `cbor:"1,keyasint"`
 	Events   []CacheEvent `cbor:"2,keyasint,omitempty"`
+	// Standby tells that another owner passes on the load reports.
+	Standby bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
@@ -78,7 +80,9 @@
 
 // AnnounceAck tells the agent that the directory host holds its record.
 type AnnounceAck struct {
-	Seq uint64 `cbor:"1,keyasint"`
+	// Incarnation is the highest start of the agent that the directory host knows.
+	// An agent that sees a higher one than its own takes the next.
+	Incarnation uint64 `cbor:"1,keyasint"`
 }
 
 // Kind implements Message.
