Read the daemon's settings and tell every fault at once

The INI library stops at no unknown key and gives no line numbers, so a thin reader above it (inifile) collects faults by section, key and line, and counts what no reader asked for as a fault. Ruled out: the library's struct mapping, which drops unknown keys and reports one fault only.

--- /dev/null
+++ b/internal/inifile/lines.go
@@ -0,0 +1,83 @@
+package inifile
+
+import (
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// position names a key of a section; an empty key stands for the header.
+type position struct{ section, key string }
+
+// lineIndex holds where headers and keys stand, which the INI library does not
+// tell. It reads headers and keys only.
+type lineIndex struct {
+	text     []string
+	lines    map[position]int
+	repeated []Problem
+}
+
+func indexLines(text []byte) lineIndex {
+	x := lineIndex{
+		text:  strings.Split(string(text), "\n"),
+		lines: map[position]int{},
+	}
+	section := ""
+	for i, line := range x.text {
+		line = strings.TrimSpace(strings.TrimPrefix(line, "\ufeff"))
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case line[0] == '[':
+			section = header(line)
+			x.note(position{section: section}, i+1)
+		default:
+			key, _, _ := strings.Cut(line, "=")
+			x.note(position{section: section, key: strings.TrimSpace(key)}, i+1)
+		}
+	}
+	return x
+}
+
+// header returns what stands between the brackets.
+func header(line string) string {
+	line = line[1:]
+	if end := strings.LastIndexByte(line, ']'); end >= 0 {
+		line = line[:end]
+	}
+	return strings.TrimSpace(line)
+}
+
+func (x *lineIndex) note(p position, line int) {
+	if _, ok := x.lines[p]; !ok {
+		x.lines[p] = line
+		return
+	}
+	text := "stands twice"
+	if p.key == "" {
+		text = "section stands twice"
+	}
+	x.repeated = append(x.repeated, Problem{Section: p.section, Key: p.key, Line: line, Text: text})
+}
+
+// key returns the line of a key, that of its section where the key is missing,
+// or zero.
+func (x *lineIndex) key(section, key string) int {
+	if line, ok := x.lines[position{section, key}]; ok {
+		return line
+	}
+	return x.lines[position{section: section}]
+}
+
+// lineOfError finds the line that the library could not read.
+func (x *lineIndex) lineOfError(err error) int {
+	missing, ok := err.(ini.ErrDelimiterNotFound)
+	if !ok {
+		return 0
+	}
+	for i, line := range x.text {
+		if strings.TrimSpace(line) == strings.TrimSpace(missing.Line) {
+			return i + 1
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,300 @@
+package settings
+
+import (
+	"bytes"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/inifile"
+)
+
+// Bounds of numbers, wide enough for any host.
+const (
+	maxCount = 1 << 24
+	maxRanks = 1024
+)
+
+// Parse checks the text of a settings file. The only I/O is to read the file that
+// secret-file names. The error is an *inifile.Error that holds every fault.
+func Parse(text []byte) (*Settings, error) {
+	f, err := inifile.Parse("settings", text, MaxSize)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{
+		Host:    parseHost(f.Section("host")),
+		Log:     parseLog(f.Section("log")),
+		Peer:    parsePeer(f.Section("peer")),
+		Metrics: Metrics{Listen: optionalAddr(f.Section("metrics"), "listen")},
+	}
+	if role(f, s, RoleControl) {
+		s.Control = parseControl(f.Section("control"))
+		s.Operators = parseOperators(f)
+	}
+	if role(f, s, RoleEntry) {
+		s.Entry = parseEntry(f.Section("entry"))
+	}
+	if role(f, s, RoleAgent) {
+		s.Agent = parseAgent(f.Section("agent"))
+	}
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// role reports whether the section of a role is to be read. A section without its
+// role would be ignored in silence, so it is a fault.
+func role(f *inifile.File, s *Settings, r Role) bool {
+	section := f.Section(string(r))
+	if s.HasRole(r) {
+		return true
+	}
+	section.Ignore()
+	if section.Present() && len(s.Host.Roles) > 0 {
+		section.Fail("", "the host does not have the role %s", r)
+	}
+	return false
+}
+
+func parseHost(s *inifile.Section) Host {
+	return Host{
+		Name:          inifile.Need(s, "name", inifile.Name),
+		DataCentre:    inifile.Need(s, "data-centre", inifile.Name),
+		Roles:         inifile.Need(s, "roles", inifile.List(inifile.OneOf(RoleEntry, RoleControl, RoleAgent))),
+		ShutdownGrace: inifile.Get(s, "shutdown-grace", 30*time.Second, inifile.Duration),
+	}
+}
+
+func parseLog(s *inifile.Section) Log {
+	return Log{
+		Format: inifile.Get(s, "format", LogJSON, inifile.OneOf(LogJSON, LogText)),
+		Level:  inifile.Get(s, "level", slog.LevelInfo, level),
+	}
+}
+
+func level(text string) (slog.Level, error) {
+	switch text {
+	case "debug":
+		return slog.LevelDebug, nil
+	case "info":
+		return slog.LevelInfo, nil
+	case "warn":
+		return slog.LevelWarn, nil
+	case "error":
+		return slog.LevelError, nil
+	}
+	return 0, errors.Errorf("%q is not one of debug, info, warn, error", text)
+}
+
+func parsePeer(s *inifile.Section) Peer {
+	p := Peer{
+		Listen: inifile.Need(s, "listen", inifile.AddrPort),
+		Secret: parseSecret(s),
+		TLS:    parseTLS(s, "tls-certificate", "tls-key"),
+		CAFile: inifile.Get(s, "tls-ca", "", inifile.String),
+	}
+	p.Advertise = inifile.Get(s, "advertise", p.Listen, inifile.AddrPort)
+	if p.Advertise.IsValid() && p.Advertise.Addr().IsUnspecified() {
+		s.Fail("advertise", "%s is not an address that others can reach", p.Advertise)
+	}
+	if p.CAFile != "" && !p.TLS.Enabled() {
+		s.Fail("tls-ca", "has no effect without tls-certificate")
+	}
+	return p
+}
+
+func parseSecret(s *inifile.Section) Secret {
+	secret := inifile.Get(s, "secret", "", inifile.String)
+	file := inifile.Get(s, "secret-file", "", inifile.String)
+	switch {
+	case secret != "" && file != "":
+		s.Fail("secret-file", "only one of secret and secret-file may be set")
+		return ""
+	case file != "":
+		secret = inifile.Get(s, "secret-file", "", readSecret)
+		if secret == "" {
+			return ""
+		}
+	case secret == "":
+		s.Fail("secret", "one of secret and secret-file is required")
+		return ""
+	}
+	if len(secret) < MinSecret {
+		s.Fail("secret", "is shorter than %d characters", MinSecret)
+	}
+	return Secret(secret)
+}
+
+func readSecret(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	text = bytes.TrimSpace(text)
+	if len(text) == 0 {
+		return "", errors.New("the file is empty")
+	}
+	return string(text), nil
+}
+
+func parseTLS(s *inifile.Section, certificate, key string) TLS {
+	t := TLS{
+		CertificateFile: inifile.Get(s, certificate, "", inifile.String),
+		KeyFile:         inifile.Get(s, key, "", inifile.String),
+	}
+	if (t.CertificateFile == "") != (t.KeyFile == "") {
+		s.Fail(certificate, "%s and %s must be set together", certificate, key)
+	}
+	return t
+}
+
+func optionalAddr(s *inifile.Section, key string) netip.AddrPort {
+	return inifile.Get(s, key, netip.AddrPort{}, inifile.AddrPort)
+}
+
+func needAddrs(s *inifile.Section, key string) []netip.AddrPort {
+	return inifile.Need(s, key, inifile.List(inifile.AddrPort))
+}
+
+func parseControl(s *inifile.Section) Control {
+	return Control{
+		DataFolder:      inifile.Need(s, "data-folder", inifile.String),
+		Tick:            inifile.Get(s, "tick", 100*time.Millisecond, inifile.Duration),
+		SnapshotEntries: inifile.Get(s, "snapshot-entries", 4096, inifile.Int(1, maxCount)),
+		ClaimRetention:  inifile.Get(s, "claim-retention", 24*time.Hour, inifile.Duration),
+		APIListen:       inifile.Need(s, "api-listen", inifile.AddrPort),
+		APITLS:          parseTLS(s, "api-tls-certificate", "api-tls-key"),
+		Peers:           needAddrs(s, "peers"),
+	}
+}
+
+func parseEntry(s *inifile.Section) Entry {
+	return Entry{
+		Listen:            inifile.Need(s, "listen", inifile.AddrPort),
+		TLS:               parseTLS(s, "tls-certificate", "tls-key"),
+		Control:           needAddrs(s, "control"),
+		Entries:           inifile.Need(s, "entries", entryHosts),
+		MaxBody:           inifile.Get(s, "max-body", inifile.MiB, inifile.Size),
+		MaxHeader:         inifile.Get(s, "max-header", 32*inifile.KiB, inifile.Size),
+		QueueLimit:        inifile.Get(s, "queue-limit", 1024, inifile.Int(1, maxCount)),
+		RequestTimeout:    inifile.Get(s, "request-timeout", 2*time.Minute, inifile.Duration),
+		IdleTimeout:       inifile.Get(s, "idle-timeout", time.Minute, inifile.Duration),
+		MaxSessions:       inifile.Get(s, "max-sessions", 10000, inifile.Int(1, maxCount)),
+		DirectoryReplicas: inifile.Get(s, "directory-replicas", 2, inifile.Int(1, 16)),
+		PrefixCacheSize:   inifile.Get(s, "prefix-cache-size", 100000, inifile.Int(1, maxCount)),
+		RetryBudget:       inifile.Get(s, "retry-budget", 0.1, inifile.Number(0)),
+	}
+}
+
+// entryHosts reads a list of name=ip:port; neither name nor address may repeat.
+func entryHosts(text string) ([]EntryHost, error) {
+	hosts, err := inifile.List(entryHost)(text)
+	if err != nil {
+		return nil, err
+	}
+	names := map[string]bool{}
+	addrs := map[netip.AddrPort]bool{}
+	for _, h := range hosts {
+		if names[h.Name] || addrs[h.Addr] {
+			return nil, errors.Errorf("%s=%s repeats a name or an address", h.Name, h.Addr)
+		}
+		names[h.Name] = true
+		addrs[h.Addr] = true
+	}
+	return hosts, nil
+}
+
+func entryHost(text string) (EntryHost, error) {
+	name, addr, ok := strings.Cut(text, "=")
+	if !ok {
+		return EntryHost{}, errors.Errorf("%q is not of the form name=ip:port", text)
+	}
+	var h EntryHost
+	var err error
+	if h.Name, err = inifile.Name(strings.TrimSpace(name)); err != nil {
+		return EntryHost{}, err
+	}
+	if h.Addr, err = inifile.AddrPort(strings.TrimSpace(addr)); err != nil {
+		return EntryHost{}, err
+	}
+	return h, nil
+}
+
+func parseAgent(s *inifile.Section) Agent {
+	a := Agent{
+		UpstreamURL:      inifile.Need(s, "upstream-url", upstreamURL),
+		Kind:             inifile.Need(s, "kind", inifile.OneOf(UpstreamModel, UpstreamService)),
+		Pool:             inifile.Need(s, "pool", inifile.Name),
+		Entries:          needAddrs(s, "entries"),
+		Control:          needAddrs(s, "control"),
+		Capacity:         inifile.Get(s, "capacity", 64, inifile.Int(1, maxCount)),
+		Group:            inifile.Get(s, "group", "", inifile.Name),
+		FirstRank:        inifile.Get(s, "first-rank", 0, inifile.Int(0, maxRanks-1)),
+		Ranks:            inifile.Get(s, "ranks", 0, inifile.Int(1, maxRanks)),
+		AnnounceInterval: inifile.Get(s, "announce-interval", time.Second, inifile.Duration),
+	}
+	checkRanks(s, &a)
+	return a
+}
+
+func checkRanks(s *inifile.Section, a *Agent) {
+	if a.Group == "" {
+		if a.Ranks != 0 || a.FirstRank != 0 {
+			s.Fail("ranks", "ranks are served by a group only")
+		}
+		return
+	}
+	if a.Kind == UpstreamService {
+		s.Fail("group", "a plain service has no group")
+	}
+	if a.Ranks == 0 {
+		a.Ranks = 1
+	}
+	if a.FirstRank+a.Ranks > maxRanks {
+		s.Fail("ranks", "ranks beyond %d", maxRanks-1)
+	}
+}
+
+func upstreamURL(text string) (string, error) {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		return "", errors.Errorf("%q is not an http or https URL", text)
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		return "", errors.Errorf("%q does not hold an IP number and port", text)
+	}
+	if u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return "", errors.Errorf("%q holds more than scheme, address and path", text)
+	}
+	return strings.TrimSuffix(text, "/"), nil
+}
+
+func parseOperators(f *inifile.File) []Operator {
+	var operators []Operator
+	owners := map[inifile.SHA256]string{}
+	for _, s := range f.Named("operator") {
+		op := Operator{
+			Name:      s.Name(),
+			TokenHash: inifile.Need(s, "token-sha256", inifile.ParseSHA256),
+			Admin:     inifile.Get(s, "admin", false, inifile.Bool),
+		}
+		if all := inifile.Get(s, "documents", "", inifile.String); all == "*" {
+			op.AllDocuments = true
+		} else {
+			op.Documents = inifile.Get(s, "documents", nil, inifile.List(inifile.Name))
+		}
+		if owner, ok := owners[op.TokenHash]; ok && op.TokenHash != (inifile.SHA256{}) {
+			s.Fail("token-sha256", "is the token of operator %q too", owner)
+		}
+		owners[op.TokenHash] = s.Name()
+		operators = append(operators, op)
+	}
+	return operators
+}
