--- /dev/null
+++ b/internal/document/references.go
@@ -0,0 +1,73 @@
+package document
+
+import (
+	"github.com/sassafraspost/sassafraspost/internal/inifile"
+)
+
+// checkReferences finds names that the document does not define.
+func (p *parser) checkReferences() {
+	for i, g := range p.doc.Groups {
+		if g.Model != "" && p.doc.Model(g.Model) == nil {
+			p.groups[i].Fail("model", "unknown model %q", g.Model)
+		}
+	}
+	for i, c := range p.doc.Calls {
+		p.checkCall(p.calls[i], c)
+	}
+	p.checkRepeatedCalls()
+	for i, w := range p.doc.Workspaces {
+		p.checkWorkspace(p.workspaces[i], w)
+	}
+}
+
+func (p *parser) checkCall(s *inifile.Section, c *Call) {
+	if c.Service == "" {
+		return
+	}
+	service := p.doc.PlainService(c.Service)
+	if service == nil {
+		s.Fail("service", "unknown plain service %q", c.Service)
+		return
+	}
+	if c.Path == "" || service.PathPrefix == "" {
+		return
+	}
+	if !under(c.Path, service.PathPrefix) {
+		s.Fail("path", "%q does not lie under the prefix %q of its service", c.Path, service.PathPrefix)
+		return
+	}
+	if owner := p.doc.PlainServiceFor(c.Path); owner != service {
+		s.Fail("path", "%q lies under the longer prefix of plain service %q", c.Path, owner.Name)
+	}
+}
+
+// checkRepeatedCalls refuses two calls with one method and path, of which one
+// could never be found.
+func (p *parser) checkRepeatedCalls() {
+	type endpoint struct{ method, path string }
+	owners := map[endpoint]string{}
+	for i, c := range p.doc.Calls {
+		at := endpoint{c.Method, c.Path}
+		if owner, ok := owners[at]; ok && c.Path != "" {
+			p.calls[i].Fail("path", "call %q has the same method and path", owner)
+			continue
+		}
+		owners[at] = c.Name
+	}
+}
+
+func (p *parser) checkWorkspace(s *inifile.Section, w *Workspace) {
+	if w.Priority != "" && p.doc.Priority(w.Priority) == nil {
+		s.Fail("priority", "unknown priority %q", w.Priority)
+	}
+	for _, name := range w.Models.Names {
+		if p.doc.Model(name) == nil {
+			s.Fail("models", "unknown model %q", name)
+		}
+	}
+	for _, name := range w.Services.Names {
+		if p.doc.PlainService(name) == nil {
+			s.Fail("services", "unknown plain service %q", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/document/together.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"slices"
+	"strings"
+)
+
+// Conflict is a name or path that two documents claim.
+type Conflict struct {
+	// What is the kind of the name, such as "workspace".
+	What string
+	// Value is the name or path as the later document spells it.
+	Value string
+	// Owner is the document that came first in the list.
+	Owner string
+	// Claimant is the document that came later.
+	Claimant string
+}
+
+// String returns the conflict on one line.
+func (c Conflict) String() string {
+	return c.Claimant + ": " + c.What + " " + c.Value + " belongs to document " + c.Owner
+}
+
+// ConflictError holds every conflict between documents.
+type ConflictError struct{ Conflicts []Conflict }
+
+// Error returns one line for each conflict.
+func (e *ConflictError) Error() string {
+	lines := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		lines[i] = c.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// claim is a name that a document takes for itself.
+type claim struct{ what, value string }
+
+// CheckTogether looks for names that more than one of the documents takes: those
+// of the service, workspaces, their tokens, models, groups, pools, plain services
+// and path prefixes, of which none may lie under one of another document. Earlier
+// documents own what they name. The error is a *ConflictError.
+func CheckTogether(docs []*Document) error {
+	var conflicts []Conflict
+	owners := map[claim]string{}
+	for i, d := range docs {
+		for _, c := range d.claims() {
+			if owner, ok := owners[c]; ok {
+				conflicts = append(conflicts, Conflict{What: c.what, Value: c.value, Owner: owner, Claimant: d.Service.Name})
+			}
+		}
+		for _, c := range d.claims() {
+			if _, ok := owners[c]; !ok {
+				owners[c] = d.Service.Name
+			}
+		}
+		conflicts = append(conflicts, prefixConflicts(docs[:i], d)...)
+	}
+	if len(conflicts) == 0 {
+		return nil
+	}
+	return &ConflictError{Conflicts: conflicts}
+}
+
+// claims lists each name once, in the order of the text.
+func (d *Document) claims() []claim {
+	list := []claim{{"service", d.Service.Name}}
+	add := func(what, value string) {
+		c := claim{what, value}
+		if what != "pool" || !slices.Contains(list, c) {
+			list = append(list, c)
+		}
+	}
+	for _, m := range d.Models {
+		add("model", m.Name)
+		add("pool", m.Pool)
+	}
+	for _, g := range d.Groups {
+		add("group", g.Name)
+	}
+	for _, s := range d.Services {
+		add("plain-service", s.Name)
+		add("pool", s.Pool)
+	}
+	for _, w := range d.Workspaces {
+		add("workspace", w.Name)
+		for _, t := range w.Tokens {
+			add("token", t.String())
+		}
+	}
+	return list
+}
+
+func prefixConflicts(earlier []*Document, d *Document) []Conflict {
+	var conflicts []Conflict
+	for _, s := range d.Services {
+		for _, other := range earlier {
+			if other.overlaps(s.PathPrefix) {
+				conflicts = append(conflicts, Conflict{
+					What: "path-prefix", Value: s.PathPrefix,
+					Owner: other.Service.Name, Claimant: d.Service.Name,
+				})
+			}
+		}
+	}
+	return conflicts
+}
+
+func (d *Document) overlaps(prefix string) bool {
+	for _, s := range d.Services {
+		if under(prefix, s.PathPrefix) || under(s.PathPrefix, prefix) {
+			return true
+		}
+	}
+	return false
+}
