--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,239 @@
+// Package answer receives the messages of one attempt and gives its answer on
+// only as far as it is certainly the right one, in order, and whole.
+//
+// A message of another attempt and a repeated frame are dropped. A gap, a wrong
+// count or digest and a missing end fail the answer; it never ends short.
+package answer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// ErrOtherAttempt tells that a message belongs to another attempt; it was dropped.
+var ErrOtherAttempt = errors.New("answer: message of another attempt")
+
+// ErrRepeated tells that a message had come before; it was dropped.
+var ErrRepeated = errors.New("answer: repeated message")
+
+// Receiver holds what has come of one attempt's answer and was not read yet.
+type Receiver struct {
+	attempt wire.AttemptID
+	window  uint64
+	changed chan struct{}
+
+	// mu guards the rest.
+	mu     sync.Mutex
+	head   *wire.Head
+	frames [][]byte
+	held   uint64
+	seq    uint64
+	bytes  uint64
+	digest *xxhash.Digest
+	ended  bool
+	err    error
+}
+
+// New returns a Receiver that holds at most window unread body bytes.
+func New(attempt wire.AttemptID, window uint64) *Receiver {
+	return &Receiver{
+		attempt: attempt,
+		window:  window,
+		changed: make(chan struct{}, 1),
+		digest:  xxhash.New(),
+	}
+}
+
+// Take adds a message. It never blocks. The error tells why m was dropped or that
+// it failed the answer.
+func (r *Receiver) Take(m wire.Message) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if of(m) != r.attempt {
+		return ErrOtherAttempt
+	}
+	if r.ended || r.err != nil {
+		return ErrRepeated
+	}
+	err := r.take(m)
+	if err != nil && !errors.Is(err, ErrRepeated) {
+		r.err = err
+	}
+	r.signal()
+	return err
+}
+
+func of(m wire.Message) wire.AttemptID {
+	switch m := m.(type) {
+	case *wire.Head:
+		return m.Attempt
+	case *wire.Frame:
+		return m.Attempt
+	case *wire.End:
+		return m.Attempt
+	case *wire.Refused:
+		return m.Attempt
+	}
+	return wire.AttemptID{}
+}
+
+// take requires mu.
+func (r *Receiver) take(m wire.Message) error {
+	switch m := m.(type) {
+	case *wire.Head:
+		return r.takeHead(m)
+	case *wire.Frame:
+		return r.takeFrame(m)
+	case *wire.End:
+		return r.takeEnd(m)
+	case *wire.Refused:
+		return r.takeRefused(m)
+	}
+	return broken("message of an unexpected type")
+}
+
+func (r *Receiver) takeHead(h *wire.Head) error {
+	if r.head != nil {
+		return ErrRepeated
+	}
+	r.head = h
+	return nil
+}
+
+func (r *Receiver) takeFrame(f *wire.Frame) error {
+	if r.head == nil {
+		return broken("frame before head")
+	}
+	if f.Seq <= r.seq {
+		return ErrRepeated
+	}
+	if f.Seq != r.seq+1 {
+		return broken("gap between frames")
+	}
+	if r.held+uint64(len(f.Data)) > r.window {
+		return broken("more bytes than allowed")
+	}
+	r.seq = f.Seq
+	r.held += uint64(len(f.Data))
+	r.bytes += uint64(len(f.Data))
+	_, _ = r.digest.Write(f.Data)
+	r.frames = append(r.frames, f.Data)
+	return nil
+}
+
+func (r *Receiver) takeEnd(e *wire.End) error {
+	if e.Broken {
+		return broken("upstream ended early: " + e.Text)
+	}
+	if r.head == nil {
+		return broken("end before head")
+	}
+	if e.Frames != r.seq || e.Bytes != r.bytes || e.Digest != r.digest.Sum64() {
+		return broken("count or digest differs")
+	}
+	r.ended = true
+	return nil
+}
+
+func (r *Receiver) takeRefused(m *wire.Refused) error {
+	v := verdict.Verdict(m.Verdict)
+	if v > verdict.Ran || r.head != nil {
+		v = verdict.MayHaveRun
+	}
+	return &verdict.Error{
+		Verdict:    v,
+		Code:       verdict.Code(m.Code),
+		Text:       m.Text,
+		RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
+	}
+}
+
+func broken(text string) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, text)
+}
+
+// signal requires mu.
+func (r *Receiver) signal() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Head waits for the head. lost is closed when the session that carries the
+// answer ends. Errors are *verdict.Error.
+func (r *Receiver) Head(ctx context.Context, lost <-chan struct{}) (*wire.Head, error) {
+	err := r.wait(ctx, lost, func() bool { return r.head != nil })
+	if err != nil {
+		return nil, err
+	}
+	return r.head, nil
+}
+
+// Next waits for the next piece of the body. After the last piece of an answer
+// that is whole it returns io.EOF; other errors are *verdict.Error. It is called
+// by one goroutine, after Head.
+func (r *Receiver) Next(ctx context.Context, lost <-chan struct{}) ([]byte, error) {
+	err := r.wait(ctx, lost, func() bool { return len(r.frames) > 0 || r.ended })
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.frames) == 0 {
+		return nil, io.EOF
+	}
+	data := r.frames[0]
+	r.frames = r.frames[1:]
+	r.held -= uint64(len(data))
+	return data, nil
+}
+
+// wait returns nil once ready, which is called under mu, holds.
+func (r *Receiver) wait(ctx context.Context, lost <-chan struct{}, ready func() bool) error {
+	for {
+		if done, err := r.check(ready); done || err != nil {
+			return err
+		}
+		select {
+		case <-r.changed:
+		case <-ctx.Done():
+			return contextError(ctx)
+		case <-lost:
+			return r.afterLoss(ready)
+		}
+	}
+}
+
+func (r *Receiver) check(ready func() bool) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ready() {
+		return true, nil
+	}
+	return false, r.err
+}
+
+// afterLoss looks once more: what came before the loss counts.
+func (r *Receiver) afterLoss(ready func() bool) error {
+	done, err := r.check(ready)
+	if done || err != nil {
+		return err
+	}
+	return broken("session lost")
+}
+
+func contextError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeDeadline, Text: "no whole answer in time", Cause: ctx.Err()}
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeCancelled, Text: "caller has gone", Cause: ctx.Err()}
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// call is one caller's request on its way through the Server.
+type call struct {
+	s    *Server
+	w    http.ResponseWriter
+	r    *http.Request
+	q    *request
+	plan Plan
+	out  *output
+}
+
+func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
+	return &call{s: s, w: w, r: r, q: &request{id: requestID(r)}}
+}
+
+func (c *call) serve() {
+	if err := c.prepare(); err != nil {
+		c.fail(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline())
+	defer cancel()
+	release, err := c.s.cfg.Admission.Admit(ctx, c.admitRequest())
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	defer release()
+	if c.plan.Idempotent {
+		c.serveIdempotent(ctx)
+		return
+	}
+	c.serveOnce(ctx)
+}
+
+// prepare reads the request and finds its plan.
+func (c *call) prepare() error {
+	id := c.q.id
+	q, err := readHeader(c.r)
+	c.q = q
+	c.q.id = id
+	if err != nil {
+		return err
+	}
+	if err := q.readBody(c.w, c.r, c.s.cfg.MaxBody); err != nil {
+		return err
+	}
+	c.plan, err = c.s.cfg.Catalog.Resolve(Lookup{
+		TokenHash: q.token,
+		Method:    q.method,
+		Path:      q.path,
+		Model:     q.completion.Model,
+	})
+	if err != nil {
+		return err
+	}
+	if !q.urgencySet || q.urgency < c.plan.Urgency {
+		q.urgency = c.plan.Urgency
+	}
+	c.out = newOutput(c)
+	return nil
+}
+
+func (c *call) deadline() time.Duration {
+	if c.plan.Deadline <= 0 {
+		return c.s.cfg.MaxDeadline
+	}
+	return min(c.plan.Deadline, c.s.cfg.MaxDeadline)
+}
+
+func (c *call) admitRequest() AdmitRequest {
+	return AdmitRequest{
+		Workspace: c.plan.Workspace,
+		Service:   c.plan.Service,
+		Pool:      c.plan.Pool,
+		Urgency:   c.q.urgency,
+		Cost:      uint64(len(c.q.body)) + c.q.completion.MaxTokens,
+		Deadline:  c.deadline(),
+	}
+}
+
+// problem is an RFC 9457 problem document.
+type problem struct {
+	Type      string       `json:"type"`
+	Title     string       `json:"title"`
+	Status    int          `json:"status"`
+	Detail    string       `json:"detail,omitempty"`
+	Verdict   string       `json:"verdict"`
+	Code      verdict.Code `json:"code"`
+	RequestID string       `json:"request_id"`
+}
+
+// ProblemType is the media type of error bodies.
+const ProblemType = "application/problem+json"
+
+// fail writes the final error of a call whose answer has not begun.
+func (c *call) fail(err error) {
+	e := verdict.Of(err)
+	if e.RetryAfter == 0 && retriable(e) {
+		e = e.After(c.s.cfg.RetryAfter)
+	}
+	status := statusOf(e)
+	body, _ := json.Marshal(problem{
+		Type:      "about:blank",
+		Title:     http.StatusText(status),
+		Status:    status,
+		Detail:    e.Text,
+		Verdict:   e.Verdict.String(),
+		Code:      e.Code,
+		RequestID: c.q.id,
+	})
+	h := c.w.Header()
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+	}
+	h.Set("Content-Type", ProblemType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.writeHead(status, e.Verdict)
+	_, _ = c.w.Write(body)
+}
+
+func (c *call) writeHead(status int, v verdict.Verdict) {
+	c.s.counters.byVerdict[v].Inc(1)
+	h := c.w.Header()
+	h.Set(RequestIDHeader, c.q.id)
+	h.Set(verdict.Header, v.String())
+	c.w.WriteHeader(status)
+}
+
+func seconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
+
+// retriable tells whether asking again later may help.
+func retriable(e *verdict.Error) bool {
+	switch e.Code {
+	case verdict.CodeOverloaded, verdict.CodeLimited, verdict.CodeNoUpstream, verdict.CodeNoQuorum,
+		verdict.CodeLeaving, verdict.CodeInProgress:
+		return true
+	case verdict.CodeDeadline, verdict.CodeUpstreamFailed, verdict.CodeInternal:
+		return e.Verdict != verdict.Ran
+	}
+	return false
+}
+
+var statuses = map[verdict.Code]int{
+	verdict.CodeBadRequest:     http.StatusBadRequest,
+	verdict.CodeUnauthorized:   http.StatusUnauthorized,
+	verdict.CodeForbidden:      http.StatusForbidden,
+	verdict.CodeNotFound:       http.StatusNotFound,
+	verdict.CodeConflict:       http.StatusConflict,
+	verdict.CodeInProgress:     http.StatusConflict,
+	verdict.CodeKeyReused:      http.StatusUnprocessableEntity,
+	verdict.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	verdict.CodeLimited:        http.StatusTooManyRequests,
+	verdict.CodeOverloaded:     http.StatusServiceUnavailable,
+	verdict.CodeNoUpstream:     http.StatusServiceUnavailable,
+	verdict.CodeNoQuorum:       http.StatusServiceUnavailable,
+	verdict.CodeLeaving:        http.StatusServiceUnavailable,
+	verdict.CodeDeadline:       http.StatusGatewayTimeout,
+	verdict.CodeUpstreamFailed: http.StatusBadGateway,
+	verdict.CodeCancelled:      http.StatusServiceUnavailable,
+}
+
+func statusOf(e *verdict.Error) int {
+	status, ok := statuses[e.Code]
+	if !ok {
+		return http.StatusInternalServerError
+	}
+	if status == http.StatusBadGateway && e.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
+// serveIdempotent tries upstreams until one has answered whole. It is the only
+// place that tries again.
+func (c *call) serveIdempotent(ctx context.Context) {
+	var tried []string
+	for {
+		name, err := c.tryOne(ctx, tried)
+		if err == nil {
+			return
+		}
+		tried = append(tried, name)
+		if !c.mayGoOn(ctx, err, name, len(tried)) {
+			c.giveUp(err)
+			return
+		}
+		c.s.counters.retries.Inc(1)
+	}
+}
+
+// mayGoOn decides whether an idempotent call is tried once more after err.
+func (c *call) mayGoOn(ctx context.Context, err error, name string, attempts int) bool {
+	if name == "" || ctx.Err() != nil || attempts >= c.s.cfg.MaxAttempts || !c.out.canGoOn() {
+		return false
+	}
+	return verdict.Of(err).Verdict == verdict.NotRun || c.s.mayRetry()
+}
+
+// tryOne makes one attempt. The name is empty where no upstream could be chosen.
+func (c *call) tryOne(ctx context.Context, tried []string) (string, error) {
+	pick, err := c.pick(tried)
+	if err != nil {
+		return "", err
+	}
+	name := pick.Upstream.Name
+	a := newAttempt(c, pick.Upstream)
+	err = a.run(ctx, c.out)
+	if err == nil {
+		err = c.out.finish()
+	}
+	pick.Done(a.outcome(err))
+	return name, err
+}
+
+func (c *call) pick(tried []string) (Pick, error) {
+	return c.s.cfg.Router.Pick(PickRequest{
+		Pool:     c.plan.Pool,
+		Version:  c.plan.Version,
+		Prefixes: PrefixHashes(c.q.completion.text()),
+		Tried:    tried,
+	})
+}
+
+// giveUp ends the call with err. An answer that has begun is cut off in a way that
+// the caller can tell from its end.
+func (c *call) giveUp(err error) {
+	if errors.Is(c.r.Context().Err(), context.Canceled) {
+		c.s.counters.cancelled.Inc(1)
+	}
+	if c.out.begun {
+		c.s.counters.aborted.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	c.fail(err)
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// serveOnce claims a non-idempotent call and dispatches it once.
+//
+// The outcome is recorded before the caller gets the answer: callers resend just
+// when an answer breaks off on its way, and then find it. That costs one commit of
+// latency, at most Config.FinishTimeout. Where recording fails the caller gets the
+// answer all the same; a resend finds that the call may have run.
+//
+// From the claim on, the call does not depend on the caller's connection: a call
+// that is cut in the middle helps nobody, and a resend finds the answer.
+func (c *call) serveOnce(ctx context.Context) {
+	if c.q.key == "" {
+		c.fail(notRun(verdict.CodeBadRequest, "this call may not repeat: "+KeyHeader+" is missing"))
+		return
+	}
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+
+	a := newAttempt(c, wire.Upstream{})
+	reply, err := c.claim(ctx, a)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if reply.State != wire.ClaimGranted {
+		c.answerClaim(reply)
+		return
+	}
+	c.dispatchOnce(ctx, a)
+}
+
+// claim asks for the right to dispatch. Without it nothing of this request runs.
+func (c *call) claim(ctx context.Context, a *attempt) (*wire.ClaimReply, error) {
+	reply, err := c.s.cfg.Claims.Claim(ctx, &wire.ClaimRequest{
+		Workspace: c.plan.Workspace,
+		Key:       c.q.key,
+		Digest:    c.q.digest(),
+		Attempt:   a.id,
+		TimeoutMS: millisecondsLeft(ctx),
+	})
+	if err == nil {
+		return reply, nil
+	}
+	e := *verdict.Of(err)
+	if e.Verdict != verdict.NotRun {
+		// The claim may be held; this attempt will never use it.
+		c.finish(a, verdict.NotRun, nil)
+		e.Verdict = verdict.NotRun
+		e.Code = verdict.CodeNoQuorum
+	}
+	e.Text = "claim was not committed, so this request was not dispatched: " + e.Text
+	return nil, &e
+}
+
+// answerClaim answers a call that another attempt has claimed.
+func (c *call) answerClaim(reply *wire.ClaimReply) {
+	switch reply.State {
+	case wire.ClaimInProgress:
+		c.fail(verdict.New(verdict.MayHaveRun, verdict.CodeInProgress, "another request with this key is in progress"))
+	case wire.ClaimFinished:
+		c.replay(reply.Answer)
+	case wire.ClaimKeyReused:
+		c.fail(notRun(verdict.CodeKeyReused, "this key belongs to another request"))
+	case wire.ClaimRefused:
+		c.fail(notRun(verdict.CodeOverloaded, "workspace holds too many claims"))
+	default:
+		c.fail(verdict.New(verdict.MayHaveRun, verdict.CodeConflict, "the call of this key may have run and will not run again"))
+	}
+}
+
+func (c *call) replay(answer *wire.Answer) {
+	if answer == nil {
+		c.fail(verdict.New(verdict.Ran, verdict.CodeConflict, "the call of this key has run; its answer was not kept"))
+		return
+	}
+	c.s.counters.replayed.Inc(1)
+	h := c.w.Header()
+	setFields(h, answer.Header)
+	h.Set(ReplayedHeader, "true")
+	if bodyAllowed(c.q.method, answer.Status) {
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	c.writeHead(answer.Status, verdict.Ran)
+	if bodyAllowed(c.q.method, answer.Status) {
+		_, _ = c.w.Write(answer.Body)
+	}
+}
+
+func (c *call) dispatchOnce(ctx context.Context, a *attempt) {
+	pick, err := c.pick(nil)
+	if err != nil {
+		c.endOnce(a, err)
+		return
+	}
+	a.upstream = pick.Upstream
+	err = a.run(ctx, c.out)
+	pick.Done(a.outcome(err))
+	if err != nil {
+		c.endOnce(a, err)
+		return
+	}
+	c.finish(a, verdict.Ran, c.out.answer(c.s.cfg.MaxRecorded))
+	if c.out.finish() != nil {
+		c.s.counters.aborted.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// endOnce records that a claimed call has failed and tells the caller. NotRun frees
+// the key; the caller asks again.
+func (c *call) endOnce(a *attempt, err error) {
+	c.finish(a, verdict.Of(err).Verdict, nil)
+	c.fail(err)
+}
+
+// finish records the outcome. A failure is counted only: the claim then ends as unknown.
+func (c *call) finish(a *attempt, v verdict.Verdict, answer *wire.Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.s.cfg.FinishTimeout)
+	defer cancel()
+	err := c.s.cfg.Claims.Finish(ctx, &wire.FinishRequest{
+		Workspace: c.plan.Workspace,
+		Key:       c.q.key,
+		Attempt:   a.id,
+		Verdict:   uint8(v),
+		Answer:    answer,
+	})
+	if err != nil {
+		c.s.counters.unrecorded.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/entry/output.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// errTooLarge tells that an answer is larger than what may be held back.
+var errTooLarge = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "answer is too large to be held until it is whole")
+
+// output is the answer on its way to the caller. It holds the answer back while it
+// may, so that a broken attempt leaves no trace.
+type output struct {
+	c *call
+	// hold is how many bytes are held back until the answer is whole; a stream has none.
+	hold int
+	// whole tells that nothing is ever written before the answer is whole.
+	whole bool
+
+	head  *wire.Head
+	held  []byte
+	begun bool
+	// delivered counts the body bytes written to the caller.
+	delivered uint64
+}
+
+func newOutput(c *call) *output {
+	o := &output{c: c, hold: c.s.cfg.MaxAnswer, whole: !c.plan.Idempotent}
+	if c.plan.Idempotent && c.q.completion.Stream {
+		o.hold = 0
+	}
+	return o
+}
+
+// canGoOn tells whether another attempt can make the answer whole.
+func (o *output) canGoOn() bool {
+	return o.delivered == 0 && !o.begun || o.c.plan.Resumable
+}
+
+// offset is where the next attempt has to begin.
+func (o *output) offset() uint64 { return o.delivered }
+
+// start takes the head of an attempt. After a resumed start the head has to be the
+// same kind of answer.
+func (o *output) start(h *wire.Head) error {
+	if o.begun && h.Status != o.head.Status {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "resumed answer has another status")
+	}
+	if !o.begun {
+		o.head = h
+	}
+	o.held = o.held[:0]
+	return nil
+}
+
+// write adds a piece of the body.
+func (o *output) write(data []byte) error {
+	if !o.begun && len(o.held)+len(data) <= o.hold {
+		o.held = append(o.held, data...)
+		return nil
+	}
+	if o.whole {
+		return errTooLarge
+	}
+	o.begin()
+	if err := o.flushHeld(); err != nil {
+		return err
+	}
+	return o.deliver(data)
+}
+
+func (o *output) flushHeld() error {
+	if len(o.held) == 0 {
+		return nil
+	}
+	held := o.held
+	o.held = nil
+	return o.deliver(held)
+}
+
+// finish writes the rest of an answer that is whole.
+func (o *output) finish() error {
+	if !o.begun {
+		o.c.w.Header().Set("Content-Length", strconv.Itoa(len(o.held)))
+		if !bodyAllowed(o.c.q.method, o.head.Status) {
+			o.c.w.Header().Del("Content-Length")
+			o.held = nil
+		}
+	}
+	o.begin()
+	return o.flushHeld()
+}
+
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (o *output) begin() {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	setFields(o.c.w.Header(), o.head.Header)
+	o.c.writeHead(o.head.Status, verdict.Ran)
+}
+
+// deliver gives data to the caller at once. A caller that takes nothing for
+// Config.WriteTimeout is given up.
+func (o *output) deliver(data []byte) error {
+	rc := http.NewResponseController(o.c.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(o.c.s.cfg.WriteTimeout))
+	n, err := o.c.w.Write(data)
+	o.delivered += uint64(n)
+	if err == nil {
+		err = rc.Flush()
+	}
+	if err != nil {
+		return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeCancelled, Text: "caller takes no more", Cause: err}
+	}
+	return nil
+}
+
+// answer is what is recorded of a whole answer; the body is left out over limit bytes.
+func (o *output) answer(limit int) *wire.Answer {
+	if len(o.held) > limit {
+		return nil
+	}
+	return &wire.Answer{Status: o.head.Status, Header: o.head.Header, Body: slices.Clone(o.held)}
+}
--- /dev/null
+++ b/internal/entry/prefix.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlock is the length of the prompt blocks that prefixes are made of, in bytes.
+const PrefixBlock = 256
+
+// MaxPrefixes bounds the prefixes of one prompt.
+const MaxPrefixes = 64
+
+// PrefixHashes returns the hashes of the prompt's prefixes that are whole blocks,
+// shortest first. Each is the xxHash64 of the hash before it and its last block, so
+// that equal hashes mean equal prefixes.
+func PrefixHashes(prompt []byte) []uint64 {
+	n := min(len(prompt)/PrefixBlock, MaxPrefixes)
+	out := make([]uint64, 0, n)
+	buf := make([]byte, 8+PrefixBlock)
+	var last uint64
+	for i := range n {
+		binary.LittleEndian.PutUint64(buf, last)
+		copy(buf[8:], prompt[i*PrefixBlock:(i+1)*PrefixBlock])
+		last = xxhash.Sum64(buf)
+		out = append(out, last)
+	}
+	return out
+}
--- /dev/null
+++ b/test/cmd/standin/main.go
@@ -0,0 +1,58 @@
+// Command standin runs a stand-in for a model engine or a plain service.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+type flags struct {
+	listen, kind string
+	delay        time.Duration
+	engine       standin.EngineConfig
+}
+
+func main() {
+	var f flags
+	cmd := &cobra.Command{
+		Use:          "standin",
+		Short:        "Run a stand-in for a model engine or a plain service",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(*cobra.Command, []string) error { return f.run() },
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&f.listen, "listen", "127.0.0.1:8000", "address to listen on")
+	fs.StringVar(&f.kind, "kind", "engine", "engine or service")
+	fs.DurationVar(&f.delay, "delay", 0, "time of one booking of a service")
+	fs.DurationVar(&f.engine.Step, "step", 5*time.Millisecond, "time of one engine step")
+	fs.IntVar(&f.engine.Concurrency, "concurrency", 64, "requests that an engine runs at once")
+	fs.DurationVar(&f.engine.Lag, "lag", 100*time.Millisecond, "age of load reports")
+	fs.DurationVar(&f.engine.EventDelay, "event-delay", 50*time.Millisecond, "lateness of cache events")
+	fs.Uint64Var(&f.engine.EventGap, "event-gap", 0, "drop each cache event whose number this divides")
+	fs.BoolVar(&f.engine.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	fs.StringVar(&f.engine.Version, "version", "", "version that an engine has loaded at its start")
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func (f *flags) run() error {
+	var h http.Handler
+	switch f.kind {
+	case "engine":
+		h = standin.NewEngine(f.engine)
+	case "service":
+		h = standin.NewService(f.delay)
+	default:
+		return errors.Errorf("unknown kind %q", f.kind)
+	}
+	srv := &http.Server{Addr: f.listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	return srv.ListenAndServe()
+}
