--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -304,6 +304,15 @@
 	}
 }
 
+// Raise takes a start number above the one known, which belongs to a later start of
+// the same name: the clock that the number came from was set back. Dispatches to
+// the former number are refused.
+func (a *Agent) Raise(known uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cfg.Identity.Incarnation = max(a.cfg.Identity.Incarnation, known+1)
+}
+
 // Leave refuses all new work from now on. What was taken goes on.
 func (a *Agent) Leave() {
 	a.mu.Lock()
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -156,7 +156,8 @@
 	case *wire.Changes:
 		f.handleChanges(s, m)
 	case *wire.Watch:
-		_ = s.Reply(call, f.cfg.Store.Since(m.Since))
+		c, _ := f.cfg.Store.Since(m.Since)
+		_ = s.Reply(call, c)
 	default:
 		return false
 	}
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -28,9 +28,9 @@
 	Revision uint64
 }
 
-// newIndex indexes documents in rising order of revision. Where two documents
-// claim one token or pool, the earlier accepted one keeps it: a later document
-// can't take over another team's callers.
+// newIndex indexes documents, sorted by name. A submission that claims another
+// document's token or pool is refused; where two such raced past that check, the
+// first by name keeps it on every host, through all later revisions.
 func newIndex(docs []held, revision uint64) *Index {
 	x := &Index{
 		revision:  revision,
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -18,6 +19,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
+// maxChangesBytes bounds the texts in one message.
+const maxChangesBytes = 4 << 20
+
 // held is one document with its parsed form.
 type held struct {
 	wire.Document
@@ -98,18 +102,22 @@
 
 // publish makes the documents readable and wakes who waits. The caller holds mu.
 func (s *Store) publish() {
-	s.index.Store(newIndex(s.sorted(), s.revision))
+	s.index.Store(newIndex(s.sorted(byName), s.revision))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// sorted returns the documents in rising order of revision. The caller holds mu.
-func (s *Store) sorted() []held {
+func byName(a, b held) int { return strings.Compare(a.Name, b.Name) }
+
+func byRevision(a, b held) int { return cmp.Compare(a.Revision, b.Revision) }
+
+// sorted returns the documents in an order. The caller holds mu.
+func (s *Store) sorted(order func(a, b held) int) []held {
 	out := make([]held, 0, len(s.held))
 	for _, h := range s.held {
 		out = append(out, h)
 	}
-	slices.SortFunc(out, func(a, b held) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(out, order)
 	return out
 }
 
@@ -138,15 +146,23 @@
 	return s.changed
 }
 
-// Since returns the documents above a revision, in rising order.
-func (s *Store) Since(revision uint64) *wire.Changes {
+// Since returns the documents above a revision, in rising order, as many as one
+// message should carry. isAll tells that none is left out.
+func (s *Store) Since(revision uint64) (c *wire.Changes, isAll bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &wire.Changes{Revision: s.revision}
-	for _, h := range s.sorted() {
-		if h.Revision > revision {
-			c.Documents = append(c.Documents, h.Document)
+	c = &wire.Changes{Revision: max(revision, s.revision)}
+	size := 0
+	for _, h := range s.sorted(byRevision) {
+		if h.Revision <= revision {
+			continue
+		}
+		if size > 0 && size+len(h.Text) > maxChangesBytes {
+			c.Revision = c.Documents[len(c.Documents)-1].Revision
+			return c, false
 		}
+		size += len(h.Text)
+		c.Documents = append(c.Documents, h.Document)
 	}
-	return c
+	return c, true
 }
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -42,15 +42,19 @@
 	})
 }
 
-func TestLaterDocumentCannotTakeAnotherTeamsCallers(t *testing.T) {
+func TestContestedTokenStaysWithOneDocumentThroughLaterRevisions(t *testing.T) {
 	s := newStore()
 	s.Offer([]wire.Document{
 		{Name: "late", Revision: 9, Text: text("late", "v1", "shared token")},
 		{Name: "early", Revision: 3, Text: text("early", "v1", "shared token")},
 	})
-	b, ok := s.Index().ByToken(sha256.Sum256([]byte("shared token")))
-	require.True(t, ok)
-	require.Equal(t, "early-w", b.Workspace.Name)
+	for revision := uint64(20); revision < 23; revision++ {
+		b, ok := s.Index().ByToken(sha256.Sum256([]byte("shared token")))
+		require.True(t, ok)
+		require.Equal(t, "early-w", b.Workspace.Name)
+		name := []string{"early", "late"}[revision%2]
+		s.Offer([]wire.Document{{Name: name, Revision: revision, Text: text(name, "v2", "shared token")}})
+	}
 }
 
 func TestUnreadableDocumentHoldsBackWhatIsInForce(t *testing.T) {
@@ -63,5 +67,7 @@
 	require.Equal(t, "v1", s.Index().Document("a").Models[0].Version)
 	require.Equal(t, uint64(7), s.Revision())
 	require.Equal(t, uint64(4), s.InForce())
-	require.Len(t, s.Since(2).Documents, 1)
+	c, isAll := s.Since(2)
+	require.True(t, isAll)
+	require.Len(t, c.Documents, 1)
 }
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// clientTimeout bounds one question to the leader, elections included.
+	clientTimeout = 3 * time.Second
+	// attemptTimeout bounds the wait for one control host, so that a frozen one is
+	// passed over.
+	attemptTimeout = 800 * time.Millisecond
+	clientDelay    = 50 * time.Millisecond
+	// noLeaderRetryAfter is what a refused caller is told to wait: an election's time.
+	noLeaderRetryAfter = 2 * time.Second
+)
+
+// Client asks the leader of the control hosts, wherever it is. The messages that
+// it carries must be safe to resend: each names its attempt, change or nonce.
+type Client struct {
+	pool      *peer.Pool
+	addresses []string
+
+	// mu guards leader and next.
+	mu     sync.Mutex
+	leader string
+	next   int
+}
+
+// NewClient returns a Client of the control hosts at these peer addresses.
+func NewClient(pool *peer.Pool, addresses []string) *Client {
+	return &Client{pool: pool, addresses: addresses}
+}
+
+// Claim asks for the right to dispatch a non-idempotent call.
+func (c *Client) Claim(ctx context.Context, m *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return ask[*wire.ClaimReply](ctx, c, m)
+}
+
+// Finish records the outcome of a claimed call.
+func (c *Client) Finish(ctx context.Context, m *wire.FinishRequest) error {
+	_, err := ask[*wire.FinishReply](ctx, c, m)
+	return err
+}
+
+// Ask pulls the order to an engine. The question goes out once: each has a nonce.
+func (c *Client) Ask(ctx context.Context, m *wire.OrderQuery) (*wire.OrderAnswer, error) {
+	return ask[*wire.OrderAnswer](ctx, c, m)
+}
+
+// Join asks the leader to add a replica.
+func (c *Client) Join(ctx context.Context, m *wire.Join) error {
+	_, err := ask[*wire.Ack](ctx, c, m)
+	return err
+}
+
+// Propose hands an encoded command to the leader.
+func (c *Client) Propose(ctx context.Context, m *wire.Propose) (*wire.Proposed, error) {
+	return ask[*wire.Proposed](ctx, c, m)
+}
+
+func ask[R wire.Message](ctx context.Context, c *Client, m wire.Message) (R, error) {
+	var none R
+	reply, err := c.call(ctx, m)
+	if err != nil {
+		return none, err
+	}
+	r, ok := reply.(R)
+	if !ok {
+		return none, errors.Errorf("control: reply of kind %d", reply.Kind())
+	}
+	return r, nil
+}
+
+// call tries the leader, then the others, until one answers with something else
+// than that it does not lead.
+func (c *Client) call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	maySent := false
+	var last error
+	for leaderless := 0; ctx.Err() == nil && leaderless < len(c.addresses); {
+		address := c.target()
+		reply, sent, err := c.callOne(ctx, address, m)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+		failure, isFailure := reply.(*wire.Failure)
+		switch {
+		case isFailure && failure.Leader != "" && failure.Leader != address:
+			c.setLeader(failure.Leader)
+		case isFailure && verdict.Of(err).Code == verdict.CodeNoQuorum && verdict.Of(err).Verdict == verdict.NotRun:
+			leaderless++
+			c.forget(address)
+		case isFailure:
+			return nil, err
+		default:
+			leaderless++
+			maySent = maySent || sent
+			c.forget(address)
+		}
+		pause(ctx, clientDelay)
+	}
+	return nil, unreachable(maySent, last)
+}
+
+func unreachable(maySent bool, cause error) error {
+	e := verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no leader among the control hosts")
+	if maySent {
+		e = verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "control hosts did not answer")
+	}
+	e.Cause = cause
+	return e.After(noLeaderRetryAfter)
+}
+
+func (c *Client) callOne(ctx context.Context, address string, m wire.Message) (wire.Message, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	s, err := c.pool.Get(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	return s.Call(ctx, m)
+}
+
+func (c *Client) target() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	return c.addresses[c.next%len(c.addresses)]
+}
+
+func (c *Client) setLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// forget goes on from a host that does not lead or answer.
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address || c.leader == "" {
+		c.leader = ""
+		c.next++
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/catalog"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// currencyInterval is how often watchers are told that this host is current.
+const currencyInterval = time.Second
+
+// watchers passes documents on to the hosts that watch this one.
+type watchers struct {
+	store *catalog.Store
+
+	// mu guards the fields below. Nothing is sent under it but by Session.Post,
+	// which does not wait.
+	mu sync.Mutex
+	// since holds the revision up to which each watcher has been sent everything.
+	since map[*peer.Session]uint64
+}
+
+func newWatchers(store *catalog.Store) *watchers {
+	return &watchers{store: store, since: make(map[*peer.Session]uint64)}
+}
+
+func (w *watchers) add(s *peer.Session, m *wire.Watch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.since[s] = m.Since
+	w.sendOne(s, false)
+}
+
+// send gives every watcher what it lacks. isCurrent tells that this host asked a
+// quorum since the last change that it knows.
+func (w *watchers) send(isCurrent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for s := range w.since {
+		if !s.Alive() {
+			delete(w.since, s)
+			continue
+		}
+		w.sendOne(s, isCurrent)
+	}
+}
+
+// sendOne posts the documents above the watcher's revision; the revision moves
+// only where the session took the message. The caller holds mu.
+func (w *watchers) sendOne(s *peer.Session, isCurrent bool) {
+	for isAll := false; !isAll; {
+		var c *wire.Changes
+		c, isAll = w.store.Since(w.since[s])
+		c.Linearizable = isCurrent && isAll
+		if len(c.Documents) == 0 && !c.Linearizable {
+			return
+		}
+		if s.Post(c) != nil {
+			return
+		}
+		w.since[s] = c.Revision
+	}
+}
--- /dev/null
+++ b/internal/daemon/agent.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/agent"
+	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/directory"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	pollInterval  = time.Second
+	orderInterval = 2 * time.Second
+	upstreamRetry = 500 * time.Millisecond
+)
+
+// agentRole stands in front of one upstream.
+type agentRole struct {
+	agent     *agent.Agent
+	announcer *directory.Announcer
+	orders    *agent.Orders
+	// upstream is where the upstream accepts connections, "ip:port".
+	upstream string
+}
+
+func (d *Daemon) buildAgent() (role, error) {
+	set := d.set.Agent
+	a, err := agent.New(agent.Config{
+		Identity: wire.Upstream{
+			Name:        d.set.Host.Name,
+			DataCentre:  d.set.Host.DataCentre,
+			Address:     d.set.Peer.Advertise.String(),
+			Incarnation: d.incarnation,
+			Pool:        set.Pool,
+			Group:       set.Group,
+		},
+		URL:      set.UpstreamURL,
+		Engine:   set.Kind == settings.UpstreamModel,
+		Capacity: set.Capacity,
+		Metrics:  d.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	base, err := url.Parse(set.UpstreamURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream-url")
+	}
+	r := &agentRole{agent: a, upstream: base.Host}
+	r.announcer = directory.NewAnnouncer(directory.AnnouncerConfig{
+		Hosts:    hostsByAddress(set),
+		Pool:     d.pool,
+		Interval: set.AnnounceInterval,
+		Record:   a.Record,
+		Raise:    a.Raise,
+		Now:      d.now,
+		Log:      d.log,
+	})
+	if set.Kind == settings.UpstreamModel {
+		r.orders = agent.NewOrders(agent.OrdersConfig{
+			Upstream: d.set.Host.Name,
+			Pool:     set.Pool,
+			URL:      set.UpstreamURL,
+			Asker:    control.NewClient(d.pool, addresses(set.Control)),
+			Clock:    d.now,
+			Metrics:  d.metrics,
+		})
+	}
+	return r, nil
+}
+
+// hostsByAddress names the entry hosts by their addresses, which are all that an
+// agent knows of them.
+func hostsByAddress(set settings.Agent) []directory.Host {
+	var hosts []directory.Host
+	for _, a := range addresses(set.Entries) {
+		hosts = append(hosts, directory.Host{Name: a, Address: a})
+	}
+	return hosts
+}
+
+func (r *agentRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	return r.agent.HandlePeer(s, call, m)
+}
+
+func (r *agentRole) run(ctx context.Context) error {
+	if r.orders != nil {
+		go r.orders.Run(ctx, orderInterval)
+	}
+	go r.agent.Poll(ctx, pollInterval)
+	go r.awaitUpstream(ctx)
+	r.announcer.Run(ctx)
+	return nil
+}
+
+// awaitUpstream lets the agent take work once its upstream accepts connections.
+func (r *agentRole) awaitUpstream(ctx context.Context) {
+	ticker := time.NewTicker(upstreamRetry)
+	defer ticker.Stop()
+	for {
+		conn, err := net.DialTimeout("tcp", r.upstream, upstreamRetry)
+		if err == nil {
+			_ = conn.Close()
+			r.agent.Ready()
+			r.announcer.Wake()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain announces that the upstream leaves. The agent refuses new work by itself
+// from the first moment, whether or not the announcement arrives.
+func (r *agentRole) drain(ctx context.Context) error {
+	r.agent.Leave()
+	r.announcer.Wake()
+	return r.agent.Drained(ctx)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,200 @@
+// Package daemon assembles the roles of one host from its settings and runs them
+// until it is told to stop.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// role is one part that a daemon plays.
+type role interface {
+	// handlePeer takes a message if it concerns the role.
+	handlePeer(s *peer.Session, call uint64, m wire.Message) bool
+	// run does the role's background work until ctx ends, which is after drain.
+	// An error ends the daemon.
+	run(ctx context.Context) error
+	// drain stops new work and waits until what runs has ended, or ctx has.
+	drain(ctx context.Context) error
+}
+
+// Daemon is one host of the system.
+type Daemon struct {
+	set     *settings.Settings
+	log     *slog.Logger
+	metrics metrics.Registry
+	// start and incarnation place this start of the process.
+	start       time.Time
+	incarnation uint64
+
+	pool    *peer.Pool
+	roles   []role
+	servers []*server
+	unknown metrics.Counter
+}
+
+// New assembles a daemon. Its listeners are open when it returns; an error names
+// what could not be had.
+func New(set *settings.Settings, log *slog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		set:         set,
+		log:         log.With("host", set.Host.Name),
+		metrics:     metrics.NewRegistry(),
+		start:       time.Now(),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+	d.unknown = metrics.GetOrRegisterCounter("peer.messages.unknown", d.metrics)
+	if err := d.build(); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	if err := d.buildPool(); err != nil {
+		return err
+	}
+	builders := map[settings.Role]func() (role, error){
+		settings.RoleControl: d.buildControl,
+		settings.RoleEntry:   d.buildEntry,
+		settings.RoleAgent:   d.buildAgent,
+	}
+	for _, name := range []settings.Role{settings.RoleControl, settings.RoleEntry, settings.RoleAgent} {
+		if !slices.Contains(d.set.Host.Roles, name) {
+			continue
+		}
+		r, err := builders[name]()
+		if err != nil {
+			return errors.Wrapf(err, "role %s", name)
+		}
+		d.roles = append(d.roles, r)
+	}
+	if !d.set.Metrics.Listen.IsValid() {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", telemetry.Handler(d.metrics))
+	return d.serve("metrics", d.set.Metrics.Listen.String(), mux, settings.TLS{})
+}
+
+// now is the host's monotonic clock.
+func (d *Daemon) now() time.Duration { return time.Since(d.start) }
+
+func (d *Daemon) buildPool() error {
+	p := d.set.Peer
+	tlsConfig, err := peerTLS(p)
+	if err != nil {
+		return err
+	}
+	d.pool = peer.NewPool(peer.Config{
+		Hello: wire.Hello{
+			Host:        d.set.Host.Name,
+			DataCentre:  d.set.Host.DataCentre,
+			Address:     p.Advertise.String(),
+			Incarnation: d.incarnation,
+		},
+		Secret:  string(p.Secret),
+		Handler: peer.HandlerFunc(d.handlePeer),
+		TLS:     tlsConfig,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peer.NewServer(d.pool))
+	return d.serve("peer", p.Listen.String(), mux, p.TLS)
+}
+
+// handlePeer hands a message to the role that it concerns.
+func (d *Daemon) handlePeer(s *peer.Session, call uint64, m wire.Message) {
+	for _, r := range d.roles {
+		if r.handlePeer(s, call, m) {
+			return
+		}
+	}
+	d.unknown.Inc(1)
+}
+
+// serve opens a listener; Run begins to accept.
+func (d *Daemon) serve(name, address string, h http.Handler, t settings.TLS) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", name)
+	}
+	s, err := newServer(name, l, h, t)
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	d.servers = append(d.servers, s)
+	return nil
+}
+
+// Run serves until ctx ends, then shuts down gracefully: no request in progress is
+// cut within the settings' grace. The error tells what failed, or what was cut.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, len(d.roles)+len(d.servers))
+	for _, s := range d.servers {
+		go func() { failed <- s.run() }()
+	}
+	for _, r := range d.roles {
+		go func() {
+			if err := r.run(work); err != nil {
+				failed <- err
+			}
+		}()
+	}
+	d.log.Info("started", "roles", d.set.Host.Roles, "data_centre", d.set.Host.DataCentre)
+	select {
+	case err := <-failed:
+		d.log.Error("stopped by a failure", "error", err)
+		d.close()
+		return err
+	case <-ctx.Done():
+	}
+	err := d.shutdown()
+	stop()
+	d.close()
+	return err
+}
+
+// shutdown drains the roles in the order in which requests pass them: entry hosts
+// stop taking callers before agents and control hosts go.
+func (d *Daemon) shutdown() error {
+	d.log.Info("shutting down", "grace", d.set.Host.ShutdownGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.Host.ShutdownGrace)
+	defer cancel()
+	var first error
+	for _, r := range slices.Backward(d.roles) {
+		if err := r.drain(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		d.log.Error("shutdown cut work", "error", first)
+		return first
+	}
+	d.log.Info("shut down")
+	return nil
+}
+
+func (d *Daemon) close() {
+	if d.pool != nil {
+		d.pool.Close()
+	}
+	for _, s := range d.servers {
+		s.close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/catalog"
+	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/directory"
+	"github.com/sassafraspost/sassafraspost/internal/entry"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/routing"
+	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// balancerDelay is how long an entry host that shuts down goes on taking callers
+// after it said that it is not ready, so that the platform's balancer moves on.
+const balancerDelay = time.Second
+
+// entryRole serves callers.
+type entryRole struct {
+	server    *entry.Server
+	directory *directory.Service
+	follower  *catalog.Follower
+}
+
+func (d *Daemon) buildEntry() (role, error) {
+	set := d.set.Entry
+	r := &entryRole{}
+	store := catalog.NewStore(d.log, d.metrics)
+	router := routing.NewRouter(routing.Config{
+		Policy:       routing.DefaultPolicy(),
+		Entries:      func() []directory.Entry { return r.directory.Entries() },
+		Now:          d.now,
+		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		HistoryLimit: set.PrefixCacheSize,
+	})
+	hosts, mates := entryHosts(d.set.Host.Name, set.Entries)
+	r.directory = directory.NewService(directory.ServiceConfig{
+		Self:        d.set.Host.Name,
+		Hosts:       hosts,
+		Incarnation: d.incarnation,
+		Pool:        d.pool,
+		Now:         d.now,
+		Log:         d.log,
+		Metrics:     d.metrics,
+		OnEvents:    router.CacheEvents,
+	})
+	r.follower = catalog.NewFollower(catalog.FollowerConfig{
+		Store:   store,
+		Pool:    d.pool,
+		Control: addresses(set.Control),
+		Mates:   mates,
+		Self:    wire.HostInForce{Host: d.set.Host.Name, DataCentre: d.set.Host.DataCentre, Role: "entry"},
+		Log:     d.log,
+		Metrics: d.metrics,
+	})
+	r.server = entry.New(entry.Config{
+		Catalog:     resolver{store},
+		Admission:   newAdmission(),
+		Router:      routerAdapter{router},
+		Claims:      control.NewClient(d.pool, addresses(set.Control)),
+		Sessions:    d.pool,
+		Metrics:     d.metrics,
+		MaxInFlight: set.MaxSessions,
+		MaxBody:     int64(set.MaxBody),
+		MaxDeadline: set.RequestTimeout,
+		RetryShare:  set.RetryBudget,
+	})
+	r.server.SetReady(false)
+	return r, d.serve("callers", set.Listen.String(), r.server, set.TLS)
+}
+
+func entryHosts(self string, entries []settings.EntryHost) (hosts []directory.Host, mates []string) {
+	for _, e := range entries {
+		hosts = append(hosts, directory.Host{Name: e.Name, Address: e.Addr.String()})
+		if e.Name != self {
+			mates = append(mates, e.Addr.String())
+		}
+	}
+	return hosts, mates
+}
+
+func (r *entryRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	return r.server.HandlePeer(s, m) || r.directory.HandlePeer(s, call, m) || r.follower.HandlePeer(s, call, m)
+}
+
+func (r *entryRole) run(ctx context.Context) error {
+	go r.follower.Run(ctx)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-r.follower.Ready():
+			r.server.SetReady(true)
+		}
+	}()
+	r.directory.Run(ctx)
+	return nil
+}
+
+func (r *entryRole) drain(ctx context.Context) error {
+	r.server.SetReady(false)
+	select {
+	case <-time.After(balancerDelay):
+	case <-ctx.Done():
+	}
+	return r.server.Drain(ctx)
+}
+
+// routerAdapter lets the entry's server use a routing.Router.
+type routerAdapter struct{ router *routing.Router }
+
+// Pick implements entry.Router.
+func (a routerAdapter) Pick(r entry.PickRequest) (entry.Pick, error) {
+	up, done, err := a.router.Pick(&routing.Request{
+		Pool:     r.Pool,
+		Version:  r.Version,
+		Prefixes: r.Prefixes,
+		Tried:    r.Tried,
+	})
+	if err != nil {
+		return entry.Pick{}, err
+	}
+	return entry.Pick{Upstream: up, Done: func(o entry.Outcome) {
+		done(routing.Outcome{HasFailed: !o.OK})
+	}}, nil
+}
+
+func addresses(list []netip.AddrPort) []string {
+	out := make([]string, 0, len(list))
+	for _, a := range list {
+		out = append(out, a.String())
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/server.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/settings"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// server is one HTTP listener of the daemon.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func newServer(name string, l net.Listener, h http.Handler, t settings.TLS) (*server, error) {
+	s := &server{name: name, listener: l, http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
+	if !t.Enabled() {
+		return s, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.CertificateFile, t.KeyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "certificate for %s", name)
+	}
+	s.http.TLSConfig = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	return s, nil
+}
+
+// run serves until close; it returns nil then.
+func (s *server) run() error {
+	var err error
+	if s.http.TLSConfig != nil {
+		err = s.http.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.http.Serve(s.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", s.name)
+}
+
+func (s *server) close() {
+	_ = s.http.Close()
+	_ = s.listener.Close()
+}
+
+// peerTLS returns the client side of the peer sessions, nil where TLS is off.
+func peerTLS(p settings.Peer) (*tls.Config, error) {
+	if !p.TLS.Enabled() {
+		return nil, nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if p.CAFile == "" {
+		return config, nil
+	}
+	pem, err := os.ReadFile(p.CAFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer certificates")
+	}
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("no certificate in %s", p.CAFile)
+	}
+	return config, nil
+}
--- a/internal/directory/announcer.go
+++ b/internal/directory/announcer.go
@@ -25,10 +25,14 @@
 	Hosts    []Host
 	Pool     *peer.Pool
 	Interval time.Duration
-	// Record returns the present record and the cache events not yet announced.
+	// Record returns the present record and the cache events not yet announced. Its
+	// Seq is set by the Announcer.
 	Record func() (wire.Upstream, []wire.CacheEvent)
-	Now    func() time.Duration
-	Log    *slog.Logger
+	// Raise tells the agent to take a start number above the one given, since an
+	// owner knows a later start of the same name.
+	Raise func(known uint64)
+	Now   func() time.Duration
+	Log   *slog.Logger
 }
 
 // Announcer tells the owners of an upstream about it.
@@ -38,21 +42,14 @@
 	avoid map[string]time.Duration
 	seq   uint64
 
-	incarnation atomic.Uint64
-	heard       atomic.Bool
+	heard atomic.Bool
 }
 
-// NewAnnouncer returns an Announcer that Run starts. The incarnation is the
-// agent's first proposal; owners that know a later start raise it.
-func NewAnnouncer(cfg AnnouncerConfig, incarnation uint64) *Announcer {
-	a := &Announcer{cfg: cfg, now: make(chan struct{}, 1), avoid: make(map[string]time.Duration)}
-	a.incarnation.Store(incarnation)
-	return a
+// NewAnnouncer returns an Announcer that Run starts.
+func NewAnnouncer(cfg AnnouncerConfig) *Announcer {
+	return &Announcer{cfg: cfg, now: make(chan struct{}, 1), avoid: make(map[string]time.Duration)}
 }
 
-// Incarnation returns the number of this start of the agent.
-func (a *Announcer) Incarnation() uint64 { return a.incarnation.Load() }
-
 // Heard reports whether an owner holds this start's record.
 func (a *Announcer) Heard() bool { return a.heard.Load() }
 
@@ -84,7 +81,6 @@
 	up, events := a.cfg.Record()
 	a.seq++
 	up.Seq = a.seq
-	up.Incarnation = a.incarnation.Load()
 	owners := a.candidates(up.Name)
 	need := Replicas
 	for len(owners) > 0 && need > 0 {
@@ -153,17 +149,8 @@
 	}
 	ack, isAck := reply.(*wire.AnnounceAck)
 	if isAck && ack.Incarnation > m.Upstream.Incarnation {
-		a.raise(ack.Incarnation + 1)
+		a.cfg.Raise(ack.Incarnation)
 		a.Wake()
 	}
 	return isAck
 }
-
-func (a *Announcer) raise(to uint64) {
-	for {
-		have := a.incarnation.Load()
-		if have >= to || a.incarnation.CompareAndSwap(have, to) {
-			return
-		}
-	}
-}
--- a/internal/directory/service_test.go
+++ b/internal/directory/service_test.go
@@ -82,12 +82,15 @@
 	t.Helper()
 	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: name}, Secret: testSecret,
 		Handler: peer.HandlerFunc(func(*peer.Session, uint64, wire.Message) {})})
+	var number atomic.Uint64
+	number.Store(incarnation)
 	a := NewAnnouncer(AnnouncerConfig{
 		Hosts: hosts, Pool: pool, Interval: 200 * time.Millisecond, Now: since, Log: slog.New(slog.DiscardHandler),
 		Record: func() (wire.Upstream, []wire.CacheEvent) {
-			return wire.Upstream{Name: name, State: wire.UpstreamState(state.Load())}, nil
+			return wire.Upstream{Name: name, Incarnation: number.Load(), State: wire.UpstreamState(state.Load())}, nil
 		},
-	}, incarnation)
+		Raise: func(known uint64) { number.Store(known + 1) },
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); pool.Close() })
 	go a.Run(ctx)
--- a/internal/document/lookup.go
+++ b/internal/document/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"path"
+	"slices"
 	"strings"
 
 	"github.com/sassafraspost/sassafraspost/internal/inifile"
@@ -61,6 +62,9 @@
 	return best
 }
 
+// IsIdempotentMethod reports whether RFC 9110 defines the method as idempotent.
+func IsIdempotentMethod(method string) bool { return slices.Contains(idempotentMethods, method) }
+
 const (
 	anySegment  = "*"
 	anySegments = "**"
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,81 @@
+// Package telemetry gives the daemon its log and serves its counters and timers.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the media type of the text form that scrapers read.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+const namePrefix = "sassafraspost_"
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// NewLogger returns a logger that writes JSON or text lines to w.
+func NewLogger(w io.Writer, isJSON bool, level slog.Level) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: level}
+	if isJSON {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
+
+// Handler serves the registry in the text form that scrapers read.
+func Handler(reg metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", ContentType)
+		_, _ = io.WriteString(w, Text(reg))
+	})
+}
+
+// Text returns all metrics of the registry, sorted by name.
+func Text(reg metrics.Registry) string {
+	var lines []string
+	reg.Each(func(name string, metric any) {
+		lines = append(lines, format(clean(name), metric))
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
+func clean(name string) string {
+	return namePrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
+}
+
+func format(name string, metric any) string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case metrics.Gauge:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, m.Value())
+	case metrics.GaugeFloat64:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %g\n", name, name, m.Value())
+	case metrics.Meter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case metrics.Histogram:
+		s := m.Snapshot()
+		return summary(name, s.Percentiles(quantiles), s.Sum(), s.Count())
+	case metrics.Timer:
+		s := m.Snapshot()
+		return summary(name, s.Percentiles(quantiles), s.Sum(), s.Count())
+	}
+	return ""
+}
+
+func summary(name string, values []float64, sum, count int64) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# TYPE %s summary\n", name)
+	for i, q := range quantiles {
+		fmt.Fprintf(&b, "%s{quantile=\"%g\"} %g\n", name, q, values[i])
+	}
+	fmt.Fprintf(&b, "%s_sum %d\n%s_count %d\n", name, sum, name, count)
+	return b.String()
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -17,6 +17,8 @@
 	KindJoin          Kind = 72
 	KindStatusQuery   Kind = 73
 	KindStatusAnswer  Kind = 74
+	KindReadQuery     Kind = 75
+	KindReadAnswer    Kind = 76
 	KindMapRequest    Kind = 80
 	KindMapReply      Kind = 81
 )
@@ -211,6 +213,21 @@
 // Kind implements Message.
 func (*Join) Kind() Kind { return KindJoin }
 
+// ReadQuery asks the leader for the log index up to which a read has to see. The
+// reply is ReadAnswer or Failure.
+type ReadQuery struct{}
+
+// Kind implements Message.
+func (*ReadQuery) Kind() Kind { return KindReadQuery }
+
+// ReadAnswer answers a ReadQuery, after a quorum round that began after it came in.
+type ReadAnswer struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*ReadAnswer) Kind() Kind { return KindReadAnswer }
+
 // StatusQuery asks a control host what it knows of its cluster. The reply is StatusAnswer.
 type StatusQuery struct{}
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -126,7 +126,7 @@
 		&Consensus{}, &Propose{}, &Proposed{}, &Watch{}, &Changes{}, &InForce{},
 		&ClaimRequest{}, &ClaimReply{}, &FinishRequest{}, &FinishReply{},
 		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &Join{}, &Ack{},
-		&StatusQuery{}, &StatusAnswer{},
+		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
 	for _, msg := range all {
--- /dev/null
+++ b/test/local/faults.go
@@ -0,0 +1,82 @@
+package local
+
+import (
+	"github.com/sassafraspost/sassafraspost/test/faultproxy"
+)
+
+// crossing returns the proxies on the links between the named hosts and all others.
+func (s *System) crossing(isInside func(host string) bool) []*faultproxy.TCP {
+	var out []*faultproxy.TCP
+	for k, p := range s.links {
+		if isInside(k.from) != isInside(k.to) {
+			out = append(out, p)
+		}
+	}
+	for name, p := range s.inbound {
+		if isInside(name) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func only(h *Host) func(string) bool {
+	return func(name string) bool { return name == h.Name }
+}
+
+// Cut ends all links of a host and refuses new ones until Heal.
+func (s *System) Cut(h *Host) {
+	for _, p := range s.crossing(only(h)) {
+		p.Cut()
+	}
+}
+
+// FreezeLinks holds all bytes to and from a host until Heal, which lets them go on.
+func (s *System) FreezeLinks(h *Host) {
+	for _, p := range s.crossing(only(h)) {
+		p.Freeze()
+	}
+}
+
+// Heal lifts the faults on all links of a host.
+func (s *System) Heal(h *Host) {
+	for _, p := range s.crossing(only(h)) {
+		p.Heal()
+	}
+}
+
+// CutDataCentre ends all links between a data centre and the rest.
+func (s *System) CutDataCentre(dc string) {
+	for _, p := range s.betweenCentres(dc) {
+		p.Cut()
+	}
+}
+
+// HealDataCentre lifts the faults on the links between a data centre and the rest.
+func (s *System) HealDataCentre(dc string) {
+	for _, p := range s.betweenCentres(dc) {
+		p.Heal()
+	}
+}
+
+func (s *System) betweenCentres(dc string) []*faultproxy.TCP {
+	inside := make(map[string]bool)
+	for _, h := range s.Daemons() {
+		inside[h.Name] = h.DataCentre == dc
+	}
+	var out []*faultproxy.TCP
+	for k, p := range s.links {
+		if inside[k.from] != inside[k.to] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Link returns the proxy on the link by which from reaches to, nil without proxies.
+func (s *System) Link(from, to *Host) *faultproxy.TCP {
+	return s.links[linkKey{from.Name, to.Name}]
+}
+
+// Inbound returns the proxy before an agent, nil without proxies.
+func (s *System) Inbound(h *Host) *faultproxy.TCP { return s.inbound[h.Name] }
--- /dev/null
+++ b/test/local/process.go
@@ -0,0 +1,120 @@
+// Package local runs a whole system as real processes on loopback, with stand-in
+// upstreams and, where asked for, a fault-injecting proxy on each link. The
+// integration tests and the demonstration use it; the product does not.
+package local
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// Process is one running program of the system.
+type Process struct {
+	Name string
+	path string
+	args []string
+	log  string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+func newProcess(dir, name, path string, args ...string) *Process {
+	return &Process{Name: name, path: path, args: args, log: filepath.Join(dir, name+".log")}
+}
+
+// Start starts the program; its output goes to the end of its log file.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+		return errors.Wrapf(err, "start %s", p.Name)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		err := cmd.Wait()
+		_ = out.Close()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the program at once, as a crash does, and waits until it is gone.
+func (p *Process) Kill() {
+	if !p.IsRunning() {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.Done()
+}
+
+// Freeze stops the program without ending it, until Thaw.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen program go on.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks the program to shut down gracefully.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Done is closed when the program has ended.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// IsRunning reports whether the program was started and has not ended.
+func (p *Process) IsRunning() bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Err is how the program ended, nil for exit status 0.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Log returns what the program has written.
+func (p *Process) Log() string {
+	data, _ := os.ReadFile(p.log)
+	return string(data)
+}
