--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -189,20 +189,35 @@
 // place that tries again.
 func (c *call) serveIdempotent(ctx context.Context) {
 	var tried []string
+	var last *verdict.Error
 	for {
 		name, err := c.tryOne(ctx, tried)
 		if err == nil {
 			return
 		}
+		last = worse(last, verdict.Of(err), name)
 		tried = append(tried, name)
 		if !c.mayGoOn(ctx, err, name, len(tried)) {
-			c.giveUp(err)
+			c.giveUp(last)
 			return
 		}
 		c.s.counters.retries.Inc(1)
 	}
 }
 
+// worse is what the caller is told after a further attempt failed: that no upstream
+// is left says less than the failure before, and a call of which any attempt may
+// have run may have run.
+func worse(last, next *verdict.Error, name string) *verdict.Error {
+	if last == nil {
+		return next
+	}
+	if name == "" || next.Verdict == verdict.NotRun && last.Verdict != verdict.NotRun {
+		return last
+	}
+	return next
+}
+
 // mayGoOn decides whether an idempotent call is tried once more after err.
 func (c *call) mayGoOn(ctx context.Context, err error, name string, attempts int) bool {
 	if name == "" || ctx.Err() != nil || attempts >= c.s.cfg.MaxAttempts || !c.out.canGoOn() {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -158,7 +158,7 @@
 		metrics: metrics.NewRegistry(),
 	}
 	p.pool = peer.NewPool(peer.Config{
-		Hello:   wire.Hello{Host: "entry"},
+		Hello:   wire.Hello{Host: "entry", Address: "127.0.0.1:1"},
 		Secret:  secret,
 		Handler: peer.HandlerFunc(func(s *peer.Session, _ uint64, m wire.Message) { p.server.HandlePeer(s, m) }),
 	})
--- /dev/null
+++ b/internal/entry/pure_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRetryBudget(0.2)
+		requests, retries := 0, 0
+		for _, isRequest := range rapid.SliceOfN(rapid.Bool(), 0, 300).Draw(t, "events") {
+			if isRequest {
+				requests++
+				b.Deposit()
+			} else if b.Withdraw() {
+				retries++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), retryReserve+0.2*float64(requests)+1e-6)
+	})
+}
+
+func TestEqualHashesMeanEqualPrefixes(t *testing.T) {
+	a := make([]byte, 3*PrefixBlock+10)
+	b := append([]byte{}, a...)
+	b[PrefixBlock] = 1
+	ha, hb := PrefixHashes(a), PrefixHashes(b)
+	require.Len(t, ha, 3)
+	require.Equal(t, ha[0], hb[0])
+	require.NotEqual(t, ha[1], hb[1])
+	require.NotEqual(t, ha[2], hb[2], "equal blocks after different ones")
+	require.Len(t, PrefixHashes(make([]byte, 100*PrefixBlock)), MaxPrefixes)
+}
+
+func TestUrgency(t *testing.T) {
+	for header, want := range map[string]uint8{"u=1": 1, "i, u=7": 7, "u=8": defaultUrgency, "u=": defaultUrgency, "": defaultUrgency} {
+		got, _ := parseUrgency(header)
+		require.Equal(t, want, got, header)
+	}
+}
