Serve the administration API over commands and queries

The handler authenticates, bounds and checks a submission before the commands see it, so whatever it refuses itself is truly not run; errors of the commands keep their verdict, and an error without one counts as possibly run. Texts are taken as UTF-8 only, so that JSON carries them byte for byte.

--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -134,6 +134,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -273,6 +310,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -438,6 +512,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -577,6 +688,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -716,6 +864,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -855,6 +1040,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -994,6 +1216,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
@@ -1159,6 +1418,43 @@
 					return res, errors.Wrap(err, "parse Retry-After header")
 				}
 			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
 			return &wrapper, nil
 		default:
 			return res, validate.InvalidContentType(ct)
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -152,7 +152,7 @@
 
 func encodeErrorResponse(response *ProblemStatusCodeWithHeaders, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/problem+json")
-	w.Header().Set("Access-Control-Expose-Headers", "Retry-After")
+	w.Header().Set("Access-Control-Expose-Headers", "Retry-After,Www-Authenticate")
 	// Encoding response headers.
 	{
 		h := uri.NewHeaderEncoder(w.Header())
@@ -171,6 +171,21 @@
 				return errors.Wrap(err, "encode Retry-After header")
 			}
 		}
+		// Encode "WWW-Authenticate" header.
+		{
+			cfg := uri.HeaderParameterEncodingConfig{
+				Name:    "WWW-Authenticate",
+				Explode: false,
+			}
+			if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+				if val, ok := response.WWWAuthenticate.Get(); ok {
+					return e.EncodeValue(conv.StringToString(val))
+				}
+				return nil
+			}); err != nil {
+				return errors.Wrap(err, "encode WWW-Authenticate header")
+			}
+		}
 	}
 	code := response.StatusCode
 	if code == 0 {
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -890,9 +890,10 @@
 
 // ProblemStatusCodeWithHeaders wraps Problem with status code and response headers.
 type ProblemStatusCodeWithHeaders struct {
-	StatusCode int
-	RetryAfter OptInt
-	Response   Problem
+	StatusCode      int
+	RetryAfter      OptInt
+	WWWAuthenticate OptString
+	Response        Problem
 }
 
 // GetStatusCode returns the value of StatusCode.
@@ -905,6 +906,11 @@
 	return s.RetryAfter
 }
 
+// GetWWWAuthenticate returns the value of WWWAuthenticate.
+func (s *ProblemStatusCodeWithHeaders) GetWWWAuthenticate() OptString {
+	return s.WWWAuthenticate
+}
+
 // GetResponse returns the value of Response.
 func (s *ProblemStatusCodeWithHeaders) GetResponse() Problem {
 	return s.Response
@@ -920,6 +926,11 @@
 	s.RetryAfter = val
 }
 
+// SetWWWAuthenticate sets the value of WWWAuthenticate.
+func (s *ProblemStatusCodeWithHeaders) SetWWWAuthenticate(val OptString) {
+	s.WWWAuthenticate = val
+}
+
 // SetResponse sets the value of Response.
 func (s *ProblemStatusCodeWithHeaders) SetResponse(val Problem) {
 	s.Response = val
--- /dev/null
+++ b/internal/adminapi/security.go
@@ -0,0 +1,34 @@
+package adminapi
+
+import (
+	"context"
+
+	"github.com/sassafraspost/sassafraspost/api/oas"
+	"github.com/sassafraspost/sassafraspost/internal/auth"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// security finds the operator of each request.
+type security struct{ operators *auth.Table }
+
+type identityKey struct{}
+
+// HandleBearer puts the identity of a valid token into the context.
+func (s *security) HandleBearer(ctx context.Context, _ oas.OperationName, t oas.Bearer) (context.Context, error) {
+	identity, ok := s.operators.Find(t.Token)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown token")
+	}
+	return context.WithValue(ctx, identityKey{}, identity), nil
+}
+
+// identityOf returns the operator that HandleBearer found. Without one it returns
+// an identity that may do nothing.
+func identityOf(ctx context.Context) auth.Identity {
+	identity, _ := ctx.Value(identityKey{}).(auth.Identity)
+	return identity
+}
+
+func forbidden(text string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeForbidden, text)
+}
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -187,6 +187,8 @@
 func TestTextIsBounded(t *testing.T) {
 	_, err := Parse([]byte(strings.Repeat("#", MaxSize+1)))
 	require.ErrorContains(t, err, "exceeds the limit")
+	_, err = Parse([]byte("[service]\nname = a\n# \xff\n"))
+	require.ErrorContains(t, err, "not UTF-8")
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
@@ -39,6 +40,10 @@
 		f.fail(Problem{Text: fmt.Sprintf("text of %d bytes exceeds the limit of %d", len(text), limit)})
 		return nil, f.Err()
 	}
+	if !utf8.Valid(text) {
+		f.fail(Problem{Text: "text is not UTF-8"})
+		return nil, f.Err()
+	}
 	f.lines = indexLines(text)
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
