--- /dev/null
+++ b/cmd/sassafraspost/main.go
@@ -0,0 +1,18 @@
+// Command sassafraspost is the tool of operators and teams: it submits service
+// documents, reads them back and shows their status and history.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sassafraspost/sassafraspost/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)))
+}
