--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -16,21 +16,30 @@
 func TestSafety(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
-		w := newWorld(t, voters)
-		w.bootstrap(voters)
+		steps := rapid.IntRange(1, 2000).Draw(t, "steps") + minSteps
+		seed := rapid.Uint64().Draw(t, "seed")
 		// A drawn number is biased to small ones; the schedule must not be.
-		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		for i := range rapid.IntRange(1, 2000).Draw(t, "steps") + 500 {
-			w.randomStep(rng)
-			if i%checkLogsEvery == 0 {
-				w.checkLogs()
-			}
+		for i := range uint64(worldsPerCheck) {
+			runWorld(t, voters, steps, rand.New(rand.NewPCG(seed, i)))
 		}
-		w.heal()
 	})
 }
 
+func runWorld(t tester, voters, steps int, rng *rand.Rand) {
+	w := newWorld(t, voters)
+	w.bootstrap(voters)
+	for i := range steps {
+		w.randomStep(rng)
+		if i%checkLogsEvery == 0 {
+			w.checkLogs()
+		}
+	}
+	w.heal()
+}
+
 const (
+	minSteps       = 500
+	worldsPerCheck = 5
 	checkLogsEvery = 20
 	// reorder is how far behind its turn a message may be taken.
 	reorder = 12
