--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 		last = err
 		failure, isFailure := reply.(*wire.Failure)
 		switch {
-		case isFailure && failure.Leader != "" && failure.Leader != address:
+		case isFailure && c.isConfigured(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
 		case isFailure && verdict.Of(err).Code == verdict.CodeNoQuorum && verdict.Of(err).Verdict == verdict.NotRun:
 			leaderless++
@@ -141,6 +142,10 @@
 	return c.addresses[c.next%len(c.addresses)]
 }
 
+// isConfigured reports whether a hint is one of the settings' addresses; others are
+// not followed.
+func (c *Client) isConfigured(address string) bool { return slices.Contains(c.addresses, address) }
+
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/control/transport.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const redialInterval = 200 * time.Millisecond
+
+// Transport carries consensus messages over the sessions between control hosts. A
+// replica is found by what its host says of itself when a session begins: a host
+// whose disk is new is another replica, and gets no message meant for the old one.
+type Transport struct {
+	dropped metrics.Counter
+
+	// mu guards sessions.
+	mu       sync.Mutex
+	sessions map[consensus.ReplicaID]*peer.Session
+}
+
+// NewTransport returns a Transport without sessions.
+func NewTransport(reg metrics.Registry) *Transport {
+	return &Transport{
+		dropped:  metrics.GetOrRegisterCounter("consensus.messages.dropped", reg),
+		sessions: make(map[consensus.ReplicaID]*peer.Session),
+	}
+}
+
+// SessionUp takes a session that has begun, if it is with a control host.
+func (t *Transport) SessionUp(s *peer.Session) {
+	id := consensus.ReplicaID(s.Remote().Replica)
+	if id == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sessions[id] = s
+}
+
+// Send implements replica.Transport. It never waits; what can't be queued is lost,
+// which consensus allows for.
+func (t *Transport) Send(to consensus.ReplicaID, m consensus.Message) {
+	s := t.session(to)
+	if s == nil {
+		t.dropped.Inc(1)
+		return
+	}
+	data, err := wire.Marshal(m)
+	if err == nil {
+		err = s.Post(&wire.Consensus{To: string(to), Data: data})
+	}
+	if err != nil {
+		t.dropped.Inc(1)
+	}
+}
+
+// session returns the live session with a replica, or nil.
+func (t *Transport) session(id consensus.ReplicaID) *peer.Session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.sessions[id]
+	if s != nil && !s.Alive() {
+		delete(t.sessions, id)
+		return nil
+	}
+	return s
+}
+
+// address returns where the host of a replica is reached, empty if not known.
+func (t *Transport) address(id consensus.ReplicaID) string {
+	if s := t.session(id); s != nil {
+		return s.Remote().Address
+	}
+	return ""
+}
+
+// keepDialled holds a session with each control host until ctx ends.
+func keepDialled(ctx context.Context, pool *peer.Pool, addresses []string) {
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				if s, err := pool.Get(ctx, address); err == nil {
+					select {
+					case <-s.Done():
+					case <-ctx.Done():
+					}
+				}
+				pause(ctx, redialInterval)
+			}
+		}()
+	}
+	wg.Wait()
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,7 +17,7 @@
 const Version = 1
 
 // MaxMessageBytes bounds one encoded message.
-const MaxMessageBytes = 16 << 20
+const MaxMessageBytes = 64 << 20
 
 // Kind identifies the type of a message in its envelope.
 type Kind uint16
