--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,424 @@
+package journal
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+const testDir = "/data"
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func openMem(fs *memFS) (*Journal, Recovered, error) {
+	return Open(Options{Dir: testDir, FS: fs, SegmentBytes: 2000, Logger: quiet})
+}
+
+func entry(index, term uint64, size int) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Data: bytes.Repeat([]byte{byte(index) | 1}, size)}
+}
+
+// content is what a replica counts on.
+type content struct {
+	hard     consensus.HardState
+	snapshot consensus.Snapshot
+	entries  []consensus.Entry
+}
+
+func (c content) append(hs *consensus.HardState, entries []consensus.Entry) content {
+	if hs != nil {
+		c.hard = *hs
+	}
+	if len(entries) > 0 {
+		kept := c.entries[:entries[0].Index-c.snapshot.Meta.Index-1]
+		c.entries = append(append([]consensus.Entry(nil), kept...), entries...)
+	}
+	return c
+}
+
+func (c content) save(s consensus.Snapshot) content {
+	at := s.Meta.Index - c.snapshot.Meta.Index
+	if at <= uint64(len(c.entries)) && c.entries[at-1].Term == s.Meta.Term {
+		c.entries = c.entries[at:]
+	} else {
+		c.entries = nil
+	}
+	c.snapshot = s
+	return c
+}
+
+func (c content) equal(rec Recovered) bool {
+	if c.hard != rec.HardState || c.snapshot.Meta.Index != rec.Snapshot.Meta.Index ||
+		!bytes.Equal(c.snapshot.Data, rec.Snapshot.Data) || len(c.entries) != len(rec.Entries) {
+		return false
+	}
+	for i, e := range c.entries {
+		got := rec.Entries[i]
+		if e.Index != got.Index || e.Term != got.Term || !bytes.Equal(e.Data, got.Data) {
+			return false
+		}
+	}
+	return true
+}
+
+// step draws one call; it returns the call and the content after it.
+func step(t *rapid.T, c content) (func(*Journal) error, content) {
+	last := c.snapshot.Meta.Index + uint64(len(c.entries))
+	term := c.hard.Term + uint64(rapid.IntRange(0, 1).Draw(t, "term"))
+	if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+		s := consensus.Snapshot{Data: bytes.Repeat([]byte{7}, rapid.IntRange(0, 1500).Draw(t, "size"))}
+		s.Meta.Index = c.snapshot.Meta.Index + uint64(rapid.IntRange(1, len(c.entries)+2).Draw(t, "index"))
+		s.Meta.Term = term
+		if at := s.Meta.Index - c.snapshot.Meta.Index; at <= uint64(len(c.entries)) && rapid.Bool().Draw(t, "held") {
+			s.Meta.Term = c.entries[at-1].Term
+		}
+		return func(j *Journal) error { return j.SaveSnapshot(s) }, c.save(s)
+	}
+	hs := &consensus.HardState{Term: term, Vote: "a/1", Commit: c.hard.Commit}
+	if rapid.Bool().Draw(t, "without hard state") {
+		hs = nil
+	}
+	first := last + 1 - uint64(rapid.IntRange(0, min(len(c.entries), 2)).Draw(t, "back"))
+	var entries []consensus.Entry
+	for i := range rapid.IntRange(0, 4).Draw(t, "entries") {
+		entries = append(entries, entry(first+uint64(i), term, rapid.IntRange(0, 900).Draw(t, "size")))
+	}
+	return func(j *Journal) error { return j.Append(hs, entries) }, c.append(hs, entries)
+}
+
+// TestCrashKeepsWhatWasAcknowledged crashes at any point of any history: the
+// folder then holds all that was acknowledged, and at most the call that was
+// interrupted besides.
+func TestCrashKeepsWhatWasAcknowledged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := newMemFS()
+		var acked content
+		maybe := []content{acked}
+		diskID := ""
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+		for range rapid.IntRange(1, 4).Draw(t, "lives") {
+			fs.budget = rapid.IntRange(1, 60).Draw(t, "budget")
+			j, rec, err := openMem(fs)
+			if err == nil {
+				acked = matching(t, maybe, rec)
+				if diskID != "" {
+					require.Equal(t, diskID, rec.DiskID)
+				}
+				diskID = rec.DiskID
+				maybe = []content{acked}
+			}
+			for range rapid.IntRange(0, 12).Draw(t, "steps") {
+				if err != nil {
+					break
+				}
+				call, next := step(t, acked)
+				if err = call(j); err == nil {
+					acked = next
+					maybe = []content{acked}
+				} else {
+					maybe = []content{acked, next}
+				}
+			}
+			fs.restart(rapid.Bool().Draw(t, "power"), pick)
+		}
+		_, rec, err := openMem(fs)
+		require.NoError(t, err)
+		matching(t, maybe, rec)
+	})
+}
+
+func matching(t *rapid.T, maybe []content, rec Recovered) content {
+	for _, c := range maybe {
+		if c.equal(rec) {
+			return c
+		}
+	}
+	require.Fail(t, "recovered neither what was acknowledged nor that and the interrupted call",
+		"recovered %+v", rec)
+	return content{}
+}
+
+// fill writes three segments and a snapshot; it returns what must come back.
+func fill(t require.TestingT, fs *memFS) content {
+	j, _, err := openMem(fs)
+	require.NoError(t, err)
+	var c content
+	hs := &consensus.HardState{Term: 1, Vote: "a/1"}
+	for i := uint64(1); i <= 12; i++ {
+		batch := []consensus.Entry{entry(i, 1, 700)}
+		require.NoError(t, j.Append(hs, batch))
+		c = c.append(hs, batch)
+		if i == 4 {
+			s := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 3, Term: 1}, Data: []byte("tables")}
+			require.NoError(t, j.SaveSnapshot(s))
+			c = c.save(s)
+		}
+	}
+	require.NoError(t, j.Close())
+	return c
+}
+
+// TestFlippedBitIsRefused flips any one bit of any file, the last synced record
+// included.
+func TestFlippedBitIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := newMemFS()
+		fill(t, fs)
+		names, _ := fs.List(testDir)
+		name := filepath.Join(testDir, rapid.SampledFrom(names).Draw(t, "file"))
+		bit := rapid.IntRange(0, len(fs.names[name].data)*8-1).Draw(t, "bit")
+		fs.names[name].data[bit/8] ^= 1 << (bit % 8)
+		_, _, err := openMem(fs)
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt)
+	})
+}
+
+func TestMissingFileIsRefused(t *testing.T) {
+	fs := newMemFS()
+	want := fill(t, fs)
+	names, err := fs.List(testDir)
+	require.NoError(t, err)
+	require.Greater(t, len(names), 5)
+	for _, base := range names {
+		name := filepath.Join(testDir, base)
+		file := fs.names[name]
+		delete(fs.names, name)
+		_, _, err := openMem(fs)
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt, base)
+		fs.names[name] = file
+	}
+	_, rec, err := openMem(fs)
+	require.NoError(t, err)
+	require.True(t, want.equal(rec))
+	require.False(t, rec.Cut)
+}
+
+func TestCopyOfAnotherDiskIsRefused(t *testing.T) {
+	fs, other := newMemFS(), newMemFS()
+	fill(t, fs)
+	fill(t, other)
+	name := filepath.Join(testDir, segmentName(4))
+	require.Contains(t, fs.names, name)
+	fs.names[name] = other.names[name]
+	_, _, err := openMem(fs)
+	var corrupt *CorruptError
+	require.ErrorAs(t, err, &corrupt)
+	require.Equal(t, segmentName(4), corrupt.File)
+}
+
+func TestShortLastRecordIsCut(t *testing.T) {
+	fs := newMemFS()
+	want := fill(t, fs)
+	var last string
+	for name := range fs.names {
+		if _, ok := parseName(filepath.Base(name), segmentPrefix); ok && name > last {
+			last = name
+		}
+	}
+	whole := len(fs.names[last].data)
+	fs.names[last].data = append(fs.names[last].data, make([]byte, 3*sectorSize)...)
+	_, rec, err := openMem(fs)
+	require.NoError(t, err)
+	require.True(t, rec.Cut)
+	require.True(t, want.equal(rec))
+	require.Equal(t, whole, len(fs.names[last].data))
+}
+
+// TestMissingSectorsAreCut loses each set of sectors of an unsynced last record.
+func TestMissingSectorsAreCut(t *testing.T) {
+	const sectors = 4
+	for lost := 1; lost < 1<<sectors; lost++ {
+		fs := newMemFS()
+		j, _, err := openMem(fs)
+		require.NoError(t, err)
+		require.NoError(t, j.Append(nil, []consensus.Entry{entry(1, 1, 300)}))
+		fs.failSync = errSync
+		require.Error(t, j.Append(nil, []consensus.Entry{entry(2, 1, (sectors-1)*sectorSize)}))
+		file := fs.names[filepath.Join(testDir, segmentName(1))]
+		synced := len(file.disk)
+		require.Less(t, synced, sectorSize)
+		require.Equal(t, sectors, (len(file.data)+sectorSize-1)/sectorSize)
+		for at := synced; at < len(file.data); at++ {
+			if lost&(1<<(at/sectorSize)) != 0 {
+				file.data[at] = 0
+			}
+		}
+		fs.restart(false, nil)
+		_, rec, err := openMem(fs)
+		require.NoError(t, err, "lost sectors %b", lost)
+		require.True(t, rec.Cut)
+		require.Equal(t, []consensus.Entry{entry(1, 1, 300)}, rec.Entries)
+		require.Equal(t, synced, len(file.data))
+	}
+}
+
+// TestZeroedRecordIsRefused: zeros before a whole record are damage, because that
+// record was only written once the one before it was synced.
+func TestZeroedRecordIsRefused(t *testing.T) {
+	fs := newMemFS()
+	j, _, err := openMem(fs)
+	require.NoError(t, err)
+	file := fs.names[filepath.Join(testDir, segmentName(1))]
+	start := len(file.data)
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(1, 1, 300)}))
+	end := len(file.data)
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(2, 1, 300)}))
+	require.NoError(t, j.Close())
+	clear(file.data[start:end])
+	_, _, err = openMem(fs)
+	var corrupt *CorruptError
+	require.ErrorAs(t, err, &corrupt)
+	require.Equal(t, int64(start), corrupt.Offset)
+}
+
+// TestShortenedSegmentIsRefused takes the last record off a segment that another
+// follows. The record holds no entry, so only the chain of checksums tells.
+func TestShortenedSegmentIsRefused(t *testing.T) {
+	fs := newMemFS()
+	j, _, err := openMem(fs)
+	require.NoError(t, err)
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(1, 1, 1000)}))
+	file := fs.names[filepath.Join(testDir, segmentName(1))]
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(2, 1, 760)}))
+	before := len(file.data)
+	require.NoError(t, j.Append(&consensus.HardState{Term: 1, Vote: "a/1"}, nil))
+	require.Greater(t, len(file.data), before)
+	whole := file.data
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(3, 1, 1000)}))
+	require.Equal(t, len(whole), len(file.data))
+	require.NoError(t, j.Close())
+	for _, size := range []int{before, before + headerSize} {
+		file.data = whole[:size]
+		_, _, err = openMem(fs)
+		var corrupt *CorruptError
+		require.ErrorAs(t, err, &corrupt)
+	}
+}
+
+func TestFailedDiskPoisons(t *testing.T) {
+	for name, inject := range map[string]func(*memFS){
+		"sync":  func(m *memFS) { m.failSync = errSync },
+		"full":  func(m *memFS) { m.failWrite = errFull },
+		"short": func(m *memFS) { m.shortWrite = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fs := newMemFS()
+			j, _, err := openMem(fs)
+			require.NoError(t, err)
+			hs := &consensus.HardState{Term: 1}
+			require.NoError(t, j.Append(hs, []consensus.Entry{entry(1, 1, 900)}))
+			inject(fs)
+			first := j.Append(hs, []consensus.Entry{entry(2, 1, 900)})
+			require.Error(t, first)
+			fs.failSync, fs.failWrite, fs.shortWrite = nil, nil, false
+			require.Same(t, first, j.Append(hs, []consensus.Entry{entry(2, 1, 900)}))
+			require.Same(t, first, j.SaveSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}}))
+		})
+	}
+}
+
+// TestFailedSyncIsNotTakenForDurable: after a failed sync a record stands in
+// memory but not on disk. A restarted process that reads it back has to write it
+// again before it counts on it.
+func TestFailedSyncIsNotTakenForDurable(t *testing.T) {
+	fs := newMemFS()
+	j, _, err := openMem(fs)
+	require.NoError(t, err)
+	fs.failSync = errSync
+	require.Error(t, j.Append(nil, []consensus.Entry{entry(1, 1, 900)}))
+	fs.restart(false, nil)
+	_, rec, err := openMem(fs)
+	require.NoError(t, err)
+	require.Len(t, rec.Entries, 1)
+	fs.restart(true, func(int) int { return 0 })
+	_, rec, err = openMem(fs)
+	require.NoError(t, err)
+	require.Len(t, rec.Entries, 1)
+}
+
+func TestBadCallsHaveNoEffect(t *testing.T) {
+	fs := newMemFS()
+	j, rec, err := openMem(fs)
+	require.NoError(t, err)
+	require.True(t, rec.Fresh)
+	require.Error(t, j.Append(nil, []consensus.Entry{entry(2, 1, 1)}))
+	require.Error(t, j.Append(nil, []consensus.Entry{entry(1, 1, 1), entry(3, 1, 1)}))
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(1, 1, 1)}))
+	require.NoError(t, j.SaveSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}}))
+	require.Error(t, j.SaveSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}}))
+	require.Error(t, j.Append(nil, []consensus.Entry{entry(1, 1, 1)}))
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(2, 1, 1)}))
+	require.NoError(t, j.Close())
+	require.NoError(t, j.Close())
+	require.True(t, errors.Is(j.Append(nil, nil), ErrClosed))
+}
+
+func TestFolderOfMachine(t *testing.T) {
+	o := Options{Dir: filepath.Join(t.TempDir(), "control"), Logger: quiet, SegmentBytes: 100}
+	j, rec, err := Open(o)
+	require.NoError(t, err)
+	require.True(t, rec.Fresh)
+	_, _, err = Open(o)
+	require.ErrorContains(t, err, "in use")
+	require.NoError(t, j.Append(&consensus.HardState{Term: 3, Vote: "b/2"}, []consensus.Entry{entry(1, 3, 200)}))
+	require.NoError(t, j.Append(nil, []consensus.Entry{entry(2, 3, 200)}))
+	require.NoError(t, j.SaveSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 3}}))
+	require.NoError(t, j.Close())
+	j, again, err := Open(o)
+	require.NoError(t, err)
+	require.False(t, again.Fresh)
+	require.Equal(t, rec.DiskID, again.DiskID)
+	require.Equal(t, consensus.HardState{Term: 3, Vote: "b/2"}, again.HardState)
+	require.Equal(t, []consensus.Entry{entry(2, 3, 200)}, again.Entries)
+	require.NoError(t, j.Close())
+}
+
+func FuzzScanSegment(f *testing.F) {
+	fs := newMemFS()
+	fill(f, fs)
+	for name, file := range fs.names {
+		if _, ok := parseName(filepath.Base(name), segmentPrefix); ok {
+			f.Add(file.data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := scanSegment(data)
+		require.LessOrEqual(t, s.end, len(data))
+		if s.torn == "" && s.corrupt == "" {
+			require.Equal(t, len(data), s.end)
+		}
+		again := scanSegment(data[:s.end])
+		require.Equal(t, len(s.batches), len(again.batches))
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range []int{1, 16, 128} {
+		b.Run("batch="+strconv.Itoa(n), func(b *testing.B) {
+			j, _, err := Open(Options{Dir: b.TempDir(), Logger: quiet})
+			require.NoError(b, err)
+			next := uint64(1)
+			for b.Loop() {
+				entries := make([]consensus.Entry, n)
+				for i := range entries {
+					entries[i] = entry(next, 1, 256)
+					next++
+				}
+				require.NoError(b, j.Append(nil, entries))
+			}
+			b.ReportMetric(float64(next-1)/b.Elapsed().Seconds(), "entries/s")
+			require.NoError(b, j.Close())
+		})
+	}
+}
--- /dev/null
+++ b/internal/journal/memfs_test.go
@@ -0,0 +1,264 @@
+package journal
+
+import (
+	"io"
+	"path/filepath"
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errCrashed  = errors.New("crashed")
+	errSync     = errors.New("sync failed")
+	errFull     = errors.New("no space left")
+	errShort    = errors.New("short write")
+	errNotFound = errors.New("no such file")
+)
+
+// inode is a file of memFS: what readers see, what is on disk, and which sectors
+// the next sync would write.
+type inode struct {
+	data, disk []byte
+	dirty      map[int]bool
+}
+
+type nameOp struct {
+	from, to string
+	file     *inode
+}
+
+// memFS loses what was not synced. Each changing call counts against budget;
+// the call that uses it up is done in part and fails, as does all after it.
+type memFS struct {
+	names, diskNames map[string]*inode
+	pending          []nameOp
+	budget           int
+	crashed          bool
+	locked           bool
+	failSync         error
+	failWrite        error
+	shortWrite       bool
+}
+
+func newMemFS() *memFS {
+	return &memFS{names: map[string]*inode{}, diskNames: map[string]*inode{}, budget: -1}
+}
+
+func (m *memFS) spend() error {
+	if m.crashed {
+		return errCrashed
+	}
+	if m.budget == 0 {
+		m.crashed = true
+		return errCrashed
+	}
+	if m.budget > 0 {
+		m.budget--
+	}
+	return nil
+}
+
+func (m *memFS) name(op nameOp) {
+	apply(m.names, op)
+	m.pending = append(m.pending, op)
+}
+
+func apply(names map[string]*inode, op nameOp) {
+	if op.from != "" {
+		delete(names, op.from)
+	}
+	if op.to != "" {
+		names[op.to] = op.file
+	}
+}
+
+func (m *memFS) MkdirAll(string) error { return m.spend() }
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.spend(); err != nil {
+		return nil, err
+	}
+	f := &inode{dirty: map[int]bool{}}
+	m.name(nameOp{to: name, file: f})
+	return &memFile{m, f}, nil
+}
+
+func (m *memFS) Open(name string) (File, error) {
+	f, ok := m.names[name]
+	if !ok {
+		return nil, errNotFound
+	}
+	return &memFile{m, f}, nil
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	f, ok := m.names[name]
+	if !ok {
+		return nil, errNotFound
+	}
+	return append([]byte(nil), f.data...), nil
+}
+
+func (m *memFS) List(dir string) ([]string, error) {
+	var names []string
+	for name := range m.names {
+		if filepath.Dir(name) == dir {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.spend(); err != nil {
+		return err
+	}
+	m.name(nameOp{from: from, to: to, file: m.names[from]})
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.spend(); err != nil {
+		return err
+	}
+	m.name(nameOp{from: name})
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.spend(); err != nil {
+		return err
+	}
+	for _, op := range m.pending {
+		apply(m.diskNames, op)
+	}
+	m.pending = nil
+	return nil
+}
+
+func (m *memFS) Lock(string) (io.Closer, error) {
+	if m.locked {
+		return nil, errors.New("locked")
+	}
+	m.locked = true
+	return unlock{m}, nil
+}
+
+type unlock struct{ m *memFS }
+
+func (u unlock) Close() error { u.m.locked = false; return nil }
+
+// restart brings the machine back. A power cut keeps the first renames of those
+// not synced, and any sectors of those not written; a killed process loses
+// nothing that was written.
+func (m *memFS) restart(power bool, pick func(n int) int) {
+	m.crashed, m.locked, m.budget = false, false, -1
+	m.failSync, m.failWrite, m.shortWrite = nil, nil, false
+	if !power {
+		return
+	}
+	for _, op := range m.pending[:pick(len(m.pending)+1)] {
+		apply(m.diskNames, op)
+	}
+	m.pending = nil
+	m.names = map[string]*inode{}
+	for name, f := range m.diskNames {
+		m.names[name] = f
+	}
+	names := make([]string, 0, len(m.names))
+	for name := range m.names {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		m.names[name].lose(pick)
+	}
+}
+
+func (f *inode) lose(pick func(n int) int) {
+	switch pick(3) {
+	case 0:
+		f.dirty = map[int]bool{}
+	case 1:
+		for sector := 0; sector*sectorSize < len(f.data); sector++ {
+			if f.dirty[sector] && pick(2) == 0 {
+				delete(f.dirty, sector)
+			}
+		}
+	}
+	f.sync()
+	if len(f.disk) > len(f.data) {
+		f.disk = f.disk[:len(f.data)]
+	}
+	f.data = append([]byte(nil), f.disk...)
+}
+
+func (f *inode) sync() {
+	for sector := range f.dirty {
+		start := sector * sectorSize
+		end := min(start+sectorSize, len(f.data))
+		if start >= end {
+			continue
+		}
+		f.disk = grow(f.disk, end)
+		copy(f.disk[start:end], f.data[start:end])
+	}
+	f.dirty = map[int]bool{}
+}
+
+func grow(b []byte, n int) []byte {
+	if len(b) < n {
+		b = append(b, make([]byte, n-len(b))...)
+	}
+	return b
+}
+
+type memFile struct {
+	m *memFS
+	f *inode
+}
+
+func (h *memFile) WriteAt(p []byte, off int64) (int, error) {
+	n, err := len(p), h.m.spend()
+	if err == nil {
+		err = h.m.failWrite
+	}
+	if err != nil || h.m.shortWrite {
+		n /= 2
+	}
+	if err == nil && h.m.shortWrite {
+		err = errShort
+	}
+	h.f.data = grow(h.f.data, int(off)+n)
+	copy(h.f.data[off:], p[:n])
+	for at := int(off); at < int(off)+n; at++ {
+		h.f.dirty[at/sectorSize] = true
+	}
+	return n, err
+}
+
+func (h *memFile) Truncate(size int64) error {
+	if err := h.m.spend(); err != nil {
+		return err
+	}
+	h.f.data = h.f.data[:size]
+	h.f.disk = h.f.disk[:min(int(size), len(h.f.disk))]
+	return nil
+}
+
+// Sync drops the marks of unwritten sectors also where it fails, as kernels do.
+func (h *memFile) Sync() error {
+	if err := h.m.spend(); err != nil {
+		return err
+	}
+	if h.m.failSync != nil {
+		h.f.dirty = map[int]bool{}
+		return h.m.failSync
+	}
+	h.f.sync()
+	return nil
+}
+
+func (h *memFile) Close() error { return nil }
--- /dev/null
+++ b/internal/journal/open.go
@@ -0,0 +1,445 @@
+package journal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+// diskIDBytes is the length of the random identity of a disk.
+const diskIDBytes = 16
+
+// Open opens the folder and returns what it holds. It returns a *CorruptError
+// where the folder is damaged, and another error where it is in use or the disk
+// fails.
+func Open(o Options) (*Journal, Recovered, error) {
+	j := newJournal(o)
+	if err := j.fs.MkdirAll(j.dir); err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "create folder")
+	}
+	lock, err := j.fs.Lock(filepath.Join(j.dir, lockName))
+	if err != nil {
+		return nil, Recovered{}, errors.Wrap(err, "lock folder")
+	}
+	j.lock = lock
+	rec, err := j.open()
+	if err != nil {
+		if j.file != nil {
+			_ = j.file.Close()
+		}
+		_ = lock.Close()
+		return nil, Recovered{}, err
+	}
+	return j, rec, nil
+}
+
+func newJournal(o Options) *Journal {
+	j := &Journal{fs: o.FS, dir: o.Dir, segmentBytes: o.SegmentBytes, log: o.Logger}
+	if j.fs == nil {
+		j.fs = OS{}
+	}
+	if j.segmentBytes == 0 {
+		j.segmentBytes = DefaultSegmentBytes
+	}
+	if j.log == nil {
+		j.log = slog.Default()
+	}
+	return j
+}
+
+// folder is the listing of a data folder.
+type folder struct {
+	names map[string]bool
+}
+
+func (f folder) has(name string) bool { return f.names[name] }
+
+// hasData tells whether the folder holds more than a first Open makes before it
+// writes the manifest.
+func (f folder) hasData() bool {
+	for name := range f.names {
+		if _, ok := parseName(name, snapshotPrefix); ok {
+			return true
+		}
+		if number, ok := parseName(name, segmentPrefix); ok && number != 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Journal) open() (Recovered, error) {
+	files, err := j.list()
+	if err != nil {
+		return Recovered{}, err
+	}
+	// A rename whose sync failed may be visible and yet not on disk.
+	if err := j.fs.SyncDir(j.dir); err != nil {
+		return Recovered{}, errors.Wrap(err, "sync folder")
+	}
+	if !files.has(manifestName) {
+		return j.create(files)
+	}
+	return j.recover(files)
+}
+
+// list returns the files of the folder without those that a crash left half
+// written, which it removes.
+func (j *Journal) list() (folder, error) {
+	names, err := j.fs.List(j.dir)
+	if err != nil {
+		return folder{}, errors.Wrap(err, "list folder")
+	}
+	files := folder{names: map[string]bool{}}
+	for _, name := range names {
+		if !strings.HasSuffix(name, tempSuffix) {
+			files.names[name] = true
+			continue
+		}
+		if err := j.fs.Remove(filepath.Join(j.dir, name)); err != nil {
+			return folder{}, errors.Wrap(err, "remove temporary file")
+		}
+	}
+	return files, nil
+}
+
+// create fills a new folder. The manifest comes last, so that a folder without
+// one has never acknowledged anything.
+func (j *Journal) create(files folder) (Recovered, error) {
+	if files.hasData() {
+		return Recovered{}, &CorruptError{File: manifestName, Reason: "missing"}
+	}
+	if err := j.checkUnused(files, segmentName(1)); err != nil {
+		return Recovered{}, err
+	}
+	id := make([]byte, diskIDBytes)
+	if _, err := rand.Read(id); err != nil {
+		return Recovered{}, errors.Wrap(err, "draw disk id")
+	}
+	j.diskID = hex.EncodeToString(id)
+	if err := writeDurable(j.fs, j.dir, diskIDName, []byte(j.diskID+"\n")); err != nil {
+		return Recovered{}, err
+	}
+	if err := j.createSegment(1); err != nil {
+		return Recovered{}, err
+	}
+	j.segments = []segment{{number: 1}}
+	if err := j.writeManifest(); err != nil {
+		return Recovered{}, err
+	}
+	j.log.Info("journal created", "dir", j.dir, "disk", j.diskID)
+	return Recovered{DiskID: j.diskID, Fresh: true}, nil
+}
+
+// checkUnused refuses a segment that the manifest does not name and that holds
+// more than its head: records are only written once the manifest names it.
+func (j *Journal) checkUnused(files folder, name string) error {
+	if !files.has(name) {
+		return nil
+	}
+	data, err := j.fs.ReadFile(filepath.Join(j.dir, name))
+	if err != nil {
+		return errors.Wrap(err, "read segment")
+	}
+	head, state, _ := readFrame(data, 0, 0)
+	if state != frameOK || head.end != len(data) {
+		return &CorruptError{File: manifestName, Reason: "missing or older than " + name}
+	}
+	return nil
+}
+
+// recover reads a folder that has a manifest.
+func (j *Journal) recover(files folder) (Recovered, error) {
+	id, err := j.readDiskID(files)
+	if err != nil {
+		return Recovered{}, err
+	}
+	j.diskID = id
+	var m manifest
+	if err := j.readWhole(files, manifestName, kindManifest, &m); err != nil {
+		return Recovered{}, err
+	}
+	rec := Recovered{DiskID: id}
+	if m.Snapshot != 0 {
+		if err := j.readWhole(files, snapshotName(m.Snapshot), kindSnapshot, &rec.Snapshot); err != nil {
+			return Recovered{}, err
+		}
+		if rec.Snapshot.Meta.Index != m.Snapshot {
+			return Recovered{}, &CorruptError{File: snapshotName(m.Snapshot), Reason: "holds another index"}
+		}
+	}
+	r := replay{journal: j, snapshot: rec.Snapshot.Meta.Index}
+	if err := r.run(files, m); err != nil {
+		return Recovered{}, err
+	}
+	if err := j.removeUnused(files, m); err != nil {
+		return Recovered{}, err
+	}
+	rec.HardState, rec.Entries, rec.Cut = r.hard, r.entries, r.cut
+	j.hard = r.hard
+	j.snapshot = rec.Snapshot.Meta
+	for _, e := range r.entries {
+		j.terms = append(j.terms, e.Term)
+	}
+	return rec, nil
+}
+
+func (j *Journal) readDiskID(files folder) (string, error) {
+	if !files.has(diskIDName) {
+		return "", &CorruptError{File: diskIDName, Reason: "missing"}
+	}
+	data, err := j.fs.ReadFile(filepath.Join(j.dir, diskIDName))
+	if err != nil {
+		return "", errors.Wrap(err, "read disk id")
+	}
+	return strings.TrimSuffix(string(data), "\n"), nil
+}
+
+// readWhole reads a file of a single record.
+func (j *Journal) readWhole(files folder, name string, kind frameKind, v any) error {
+	if !files.has(name) {
+		return &CorruptError{File: name, Reason: "missing"}
+	}
+	data, err := j.fs.ReadFile(filepath.Join(j.dir, name))
+	if err != nil {
+		return errors.Wrapf(err, "read %s", name)
+	}
+	f, state, reason := readFrame(data, 0, 0)
+	if state != frameOK {
+		return &CorruptError{File: name, Reason: "unreadable: " + reason}
+	}
+	if f.kind != kind || f.end != len(data) {
+		return &CorruptError{File: name, Reason: "holds another kind of record"}
+	}
+	if err := decoding.Unmarshal(f.payload, v); err != nil {
+		return &CorruptError{File: name, Reason: err.Error()}
+	}
+	return nil
+}
+
+// removeUnused removes what a crash kept a snapshot or a roll from removing.
+func (j *Journal) removeUnused(files folder, m manifest) error {
+	for name := range files.names {
+		snapshot, isSnapshot := parseName(name, snapshotPrefix)
+		number, isSegment := parseName(name, segmentPrefix)
+		unused := isSnapshot && snapshot != m.Snapshot ||
+			isSegment && (number < m.First || number > m.Last)
+		if !unused {
+			continue
+		}
+		if isSegment && number > m.Last {
+			if err := j.checkUnused(files, name); err != nil {
+				return err
+			}
+		}
+		if err := j.fs.Remove(filepath.Join(j.dir, name)); err != nil {
+			return errors.Wrap(err, "remove unused file")
+		}
+	}
+	return errors.Wrap(j.fs.SyncDir(j.dir), "sync folder")
+}
+
+// parseName reads the number of a segment or snapshot.
+func parseName(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 16, 64)
+	return n, err == nil
+}
+
+// replay rebuilds the log from the segments.
+type replay struct {
+	journal  *Journal
+	snapshot uint64
+	hard     consensus.HardState
+	entries  []consensus.Entry
+	cut      bool
+	// sum is the checksum of the last record.
+	sum uint32
+}
+
+func (r *replay) run(files folder, m manifest) error {
+	for number := m.First; number <= m.Last; number++ {
+		name := segmentName(number)
+		if !files.has(name) {
+			return &CorruptError{File: name, Reason: "missing"}
+		}
+		data, err := r.journal.fs.ReadFile(filepath.Join(r.journal.dir, name))
+		if err != nil {
+			return errors.Wrap(err, "read segment")
+		}
+		if err := r.segment(name, data, number, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *replay) segment(name string, data []byte, number uint64, m manifest) error {
+	s := scanSegment(data)
+	if s.corrupt != "" {
+		return &CorruptError{File: name, Offset: int64(s.end), Reason: s.corrupt}
+	}
+	if s.torn != "" && number != m.Last {
+		return &CorruptError{File: name, Offset: int64(s.end), Reason: s.torn + " before the last segment"}
+	}
+	if err := r.head(name, s.head, number, m); err != nil {
+		return err
+	}
+	seg := segment{number: number}
+	for _, b := range s.batches {
+		if reason := r.batch(b); reason != "" {
+			return &CorruptError{File: name, Offset: int64(s.end), Reason: reason}
+		}
+		if n := len(b.Entries); n > 0 {
+			seg.highest = max(seg.highest, b.Entries[n-1].Index)
+		}
+	}
+	r.sum = s.sum
+	r.journal.segments = append(r.journal.segments, seg)
+	if number != m.Last {
+		return nil
+	}
+	return r.finish(name, data, s)
+}
+
+// head checks that a segment belongs here.
+func (r *replay) head(name string, h segmentHead, number uint64, m manifest) error {
+	switch {
+	case h.Number != number:
+		return &CorruptError{File: name, Reason: "is another segment"}
+	case h.DiskID != r.journal.diskID:
+		return &CorruptError{File: name, Reason: "belongs to another disk"}
+	case number != m.First && h.Previous != r.sum:
+		return &CorruptError{File: name, Reason: "does not follow the segment before it"}
+	}
+	r.hard = h.HardState
+	return nil
+}
+
+// batch takes one batch; it returns why it cannot follow those before it.
+func (r *replay) batch(b batch) string {
+	if b.HardState != nil {
+		r.hard = *b.HardState
+	}
+	if len(b.Entries) == 0 {
+		return ""
+	}
+	first := b.Entries[0].Index
+	if first > r.snapshot+uint64(len(r.entries))+1 {
+		return "gap in the log before entry " + strconv.FormatUint(first, 10)
+	}
+	kept := uint64(0)
+	if first > r.snapshot {
+		kept = first - r.snapshot - 1
+	}
+	r.entries = r.entries[:min(kept, uint64(len(r.entries)))]
+	for i, e := range b.Entries {
+		if e.Index != first+uint64(i) {
+			return "gap in a batch before entry " + strconv.FormatUint(e.Index, 10)
+		}
+		if e.Index > r.snapshot {
+			r.entries = append(r.entries, e)
+		}
+	}
+	return ""
+}
+
+// finish opens the last segment for appending: it cuts an unfinished record, and
+// writes the last whole one again, because after a failed sync it may stand in
+// memory and not on disk.
+func (r *replay) finish(name string, data []byte, s scan) error {
+	j := r.journal
+	f, err := j.fs.Open(filepath.Join(j.dir, name))
+	if err != nil {
+		return errors.Wrap(err, "open segment")
+	}
+	j.file = f
+	j.offset = int64(s.end)
+	j.sum = s.sum
+	if s.end < len(data) {
+		if err := f.Truncate(int64(s.end)); err != nil {
+			return errors.Wrap(err, "cut segment")
+		}
+		r.cut = true
+		j.log.Warn("journal cut an unfinished record", "file", name, "offset", s.end, "bytes", len(data)-s.end)
+	}
+	if _, err := f.WriteAt(data[s.last:s.end], int64(s.last)); err != nil {
+		return errors.Wrap(err, "write last record again")
+	}
+	return errors.Wrap(f.Sync(), "sync segment")
+}
+
+// scan is the contents of one segment.
+type scan struct {
+	head    segmentHead
+	batches []batch
+	// last and end are the offsets at which the last whole record begins and ends.
+	last, end int
+	sum       uint32
+	// torn and corrupt tell why reading ended before the end of the file.
+	torn, corrupt string
+}
+
+// scanSegment reads a segment up to its end or the first record that is not whole.
+func scanSegment(data []byte) scan {
+	var s scan
+	for {
+		f, state, reason := readFrame(data, s.end, s.sum)
+		switch state {
+		case frameEnd:
+			if s.end == 0 {
+				s.corrupt = "missing head"
+			}
+			return s
+		case frameCorrupt:
+			s.corrupt = reason
+			return s
+		case frameTorn:
+			s.setTorn(reason)
+			return s
+		}
+		if err := s.take(f); err != nil {
+			s.corrupt = err.Error()
+			return s
+		}
+		s.last, s.end, s.sum = s.end, f.end, f.sum
+	}
+}
+
+// setTorn notes an unfinished record. The head is synced before the segment gets
+// its name, so it cannot be unfinished.
+func (s *scan) setTorn(reason string) {
+	if s.end == 0 {
+		s.corrupt = "head: " + reason
+		return
+	}
+	s.torn = reason
+}
+
+func (s *scan) take(f frame) error {
+	if s.end == 0 {
+		if f.kind != kindSegment {
+			return errors.New("no segment head")
+		}
+		return errors.Wrap(decoding.Unmarshal(f.payload, &s.head), "segment head")
+	}
+	if f.kind != kindBatch {
+		return errors.New("unknown kind of record")
+	}
+	var b batch
+	if err := decoding.Unmarshal(f.payload, &b); err != nil {
+		return errors.Wrap(err, "batch")
+	}
+	s.batches = append(s.batches, b)
+	return nil
+}
