Add the replicated tables

The tables are a function of the log: no clock, an age that moves by commands, expiry by a heap of age, sorted lists in the image. Ruled out: a scan for expired claims, a FIFO (deadlines differ), and expiry that may fall when a claim finishes early, because tables restored in between would then forget it at another age. Recorded answers are bounded altogether as well as each: 100,000 answers of 64 KiB would be 6.4 GB.

--- /dev/null
+++ b/internal/state/audit.go
@@ -0,0 +1,101 @@
+package state
+
+import (
+	"slices"
+	"sort"
+	"sync"
+)
+
+// Action names what an audit record tells of.
+type Action string
+
+// The actions of the audit trail.
+const (
+	ActionSubmit       Action = "submit"
+	ActionInit         Action = "init"
+	ActionVoterAddress Action = "voter-address"
+	ActionMembership   Action = "membership"
+)
+
+// AuditRecord is one change, or one refused change, of the replicated state.
+type AuditRecord struct {
+	// Index is that of the log entry; no two records share one.
+	Index uint64 `cbor:"1,keyasint"`
+	// Age is the age of the tables.
+	Age Age `cbor:"2,keyasint,omitempty"`
+	// At is the proposer's wall clock in Unix milliseconds, for display only; zero
+	// where it is not known.
+	At      int64  `cbor:"3,keyasint,omitempty"`
+	Author  string `cbor:"4,keyasint,omitempty"`
+	Action  Action `cbor:"5,keyasint"`
+	Subject string `cbor:"6,keyasint,omitempty"`
+	Outcome string `cbor:"7,keyasint"`
+	Detail  string `cbor:"8,keyasint,omitempty"`
+}
+
+// AuditPage is a part of the audit trail.
+type AuditPage struct {
+	// Records has the newest first.
+	Records []AuditRecord
+	// Next is the value of before for the next page; zero where there is none.
+	Next uint64
+}
+
+// audit is the trail of the newest records.
+type audit struct {
+	max int
+
+	// mu guards all below.
+	mu sync.RWMutex
+	// ring holds the records; the oldest stands at start once it is full.
+	ring  []AuditRecord
+	start int
+}
+
+func (a *audit) init(n int) { a.max = n }
+
+func (a *audit) add(r AuditRecord) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.ring) < a.max {
+		a.ring = append(a.ring, r)
+		return
+	}
+	a.ring[a.start] = r
+	a.start = (a.start + 1) % len(a.ring)
+}
+
+// at returns the record at a position, the oldest at zero. The caller holds mu.
+func (a *audit) at(i int) AuditRecord { return a.ring[(a.start+i)%len(a.ring)] }
+
+// ordered returns the records, the oldest first. The caller holds mu.
+func (a *audit) ordered() []AuditRecord {
+	return slices.Concat(a.ring[a.start:], a.ring[:a.start])
+}
+
+// restore replaces the records by the newest of list. The caller holds mu.
+func (a *audit) restore(list []AuditRecord) {
+	a.ring = list[max(0, len(list)-a.max):]
+	a.start = 0
+}
+
+// History returns at most limit records with an index below before, the newest
+// first; a before of zero starts at the newest of all.
+func (m *Machine) History(before uint64, limit int) AuditPage {
+	a := &m.audit
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	end := len(a.ring)
+	if before > 0 {
+		end = sort.Search(end, func(i int) bool { return a.at(i).Index >= before })
+	}
+	first := max(0, end-max(0, limit))
+	page := AuditPage{Records: make([]AuditRecord, 0, end-first)}
+	for i := end - 1; i >= first; i-- {
+		page.Records = append(page.Records, a.at(i))
+	}
+	if first > 0 && first < end {
+		page.Next = a.at(first).Index
+	}
+	return page
+}
--- /dev/null
+++ b/internal/state/claims.go
@@ -0,0 +1,323 @@
+package state
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// claim is one claim that is held or retained.
+type claim struct {
+	key         string
+	digest      [32]byte
+	attempt     string
+	host        string
+	incarnation uint64
+	deadline    Age
+	// expires is the age at which the claim is forgotten. It never falls.
+	expires  Age
+	finished bool
+	verdict  verdict.Verdict
+	answer   *RecordedAnswer
+	// gone tells that the claim was freed and only the expiry queue holds it.
+	gone bool
+}
+
+// workspaceClaims are the claims of one workspace.
+type workspaceClaims struct {
+	name  string
+	byKey map[string]*claim
+}
+
+// claims is the table of claims.
+type claims struct {
+	perWorkspace int
+	retention    Age
+	maxAnswers   int
+
+	// mu guards all below.
+	mu         sync.RWMutex
+	workspaces map[string]*workspaceClaims
+	queue      expiryQueue
+	// answerBytes is the sum of the recorded bodies.
+	answerBytes int
+}
+
+func (t *claims) init(o Options) {
+	t.perWorkspace = o.ClaimsPerWorkspace
+	t.retention = o.ClaimRetention
+	t.maxAnswers = o.AnswerBytes
+	t.clear()
+}
+
+// clear empties the table. The caller holds mu or is the only user.
+func (t *claims) clear() {
+	t.workspaces = map[string]*workspaceClaims{}
+	t.queue = nil
+	t.answerBytes = 0
+}
+
+func (t *claims) claimBatch(b ClaimBatch, age Age) ClaimBatchResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	results := make([]ClaimResult, 0, len(b.Claims))
+	for _, c := range b.Claims {
+		results = append(results, t.claim(c, age))
+	}
+	return ClaimBatchResult{Claims: results}
+}
+
+// claim grants a key that is free, and tells the state of one that is not. The
+// caller holds mu.
+func (t *claims) claim(c Claim, age Age) ClaimResult {
+	if !validNames(c.Workspace, c.Key, c.Attempt) || len(c.Host) > MaxNameBytes {
+		return ClaimResult{Outcome: ClaimRefused, Verdict: verdict.NotRun}
+	}
+	if held := t.find(c.Workspace, c.Key); held != nil {
+		return held.answerTo(c, age)
+	}
+	if ws := t.workspaces[c.Workspace]; ws != nil && len(ws.byKey) >= t.perWorkspace {
+		return ClaimResult{Outcome: ClaimRefused, Verdict: verdict.NotRun}
+	}
+	deadline := age + min(Age(c.Deadline), MaxDeadline)
+	t.insert(c.Workspace, &claim{
+		key:         c.Key,
+		digest:      c.Digest,
+		attempt:     c.Attempt,
+		host:        c.Host,
+		incarnation: c.Incarnation,
+		deadline:    deadline,
+		expires:     deadline + t.retention,
+	})
+	return ClaimResult{Outcome: ClaimGranted}
+}
+
+// answerTo tells the state of a claim to one that asks for it. It never grants.
+func (c *claim) answerTo(asked Claim, age Age) ClaimResult {
+	switch {
+	case c.digest != asked.Digest:
+		return ClaimResult{Outcome: ClaimKeyReused, Verdict: verdict.NotRun}
+	case c.finished:
+		return ClaimResult{Outcome: ClaimFinished, Verdict: c.verdict, Answer: c.answer}
+	case age > c.deadline:
+		return ClaimResult{Outcome: ClaimUnknown, Verdict: verdict.MayHaveRun}
+	}
+	return ClaimResult{Outcome: ClaimInProgress, Verdict: verdict.MayHaveRun, Remaining: uint64(c.deadline - age)}
+}
+
+func (t *claims) finishBatch(b FinishClaims, age Age) FinishResult {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	results := make([]FinishOutcome, 0, len(b.Finishes))
+	for _, f := range b.Finishes {
+		results = append(results, t.finish(f, age))
+	}
+	return FinishResult{Finishes: results}
+}
+
+// finish ends an attempt. What has ended stays so, but for an attempt that may
+// have run and turns out to have run. The caller holds mu.
+func (t *claims) finish(f Finish, age Age) FinishOutcome {
+	c := t.find(f.Workspace, f.Key)
+	if c == nil || c.attempt != f.Attempt || f.Verdict > verdict.Ran {
+		return FinishIgnored
+	}
+	if c.finished && (c.verdict != verdict.MayHaveRun || f.Verdict != verdict.Ran) {
+		return FinishIgnored
+	}
+	if f.Verdict == verdict.NotRun {
+		t.remove(f.Workspace, c)
+		return FinishFreed
+	}
+	c.finished = true
+	c.verdict = f.Verdict
+	c.expires = max(c.expires, age+t.retention)
+	if f.Verdict == verdict.Ran {
+		t.record(c, f.Answer)
+	}
+	return FinishRecorded
+}
+
+// record keeps an answer where the bounds allow. The caller holds mu.
+func (t *claims) record(c *claim, a *RecordedAnswer) {
+	if a == nil || len(a.Body) > MaxAnswerBytes || len(a.ContentType) > MaxNameBytes {
+		return
+	}
+	if t.answerBytes+len(a.Body) > t.maxAnswers {
+		return
+	}
+	c.answer = a
+	t.answerBytes += len(a.Body)
+}
+
+// find returns a claim or nil. The caller holds mu.
+func (t *claims) find(workspace, key string) *claim {
+	ws := t.workspaces[workspace]
+	if ws == nil {
+		return nil
+	}
+	return ws.byKey[key]
+}
+
+// insert adds a claim. The caller holds mu.
+func (t *claims) insert(workspace string, c *claim) {
+	ws := t.workspaces[workspace]
+	if ws == nil {
+		ws = &workspaceClaims{name: workspace, byKey: map[string]*claim{}}
+		t.workspaces[workspace] = ws
+	}
+	ws.byKey[c.key] = c
+	if c.answer != nil {
+		t.answerBytes += len(c.answer.Body)
+	}
+	heap.Push(&t.queue, expiry{at: c.expires, workspace: ws, claim: c})
+}
+
+// remove drops a claim; its entry in the queue is dropped when it comes up. The
+// caller holds mu.
+func (t *claims) remove(workspace string, c *claim) {
+	ws := t.workspaces[workspace]
+	delete(ws.byKey, c.key)
+	if len(ws.byKey) == 0 {
+		delete(t.workspaces, workspace)
+	}
+	if c.answer != nil {
+		t.answerBytes -= len(c.answer.Body)
+		c.answer = nil
+	}
+	c.gone = true
+}
+
+// expire forgets the claims whose time has come, and returns how many. An entry
+// of the queue never lies after its claim's expiry, so a claim goes at the first
+// age that reaches it, also in tables that were restored in between.
+func (t *claims) expire(age Age) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expired := 0
+	for len(t.queue) > 0 && t.queue[0].at <= age {
+		e := heap.Pop(&t.queue).(expiry)
+		switch {
+		case e.claim.gone:
+		case e.claim.expires > age:
+			heap.Push(&t.queue, expiry{at: e.claim.expires, workspace: e.workspace, claim: e.claim})
+		default:
+			t.remove(e.workspace.name, e.claim)
+			expired++
+		}
+	}
+	return expired
+}
+
+// expiry is an entry of the expiry queue.
+type expiry struct {
+	at        Age
+	workspace *workspaceClaims
+	claim     *claim
+}
+
+// expiryQueue is a heap by age.
+type expiryQueue []expiry
+
+// Len implements heap.Interface.
+func (q expiryQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q expiryQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+
+// Swap implements heap.Interface.
+func (q expiryQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *expiryQueue) Push(x any) { *q = append(*q, x.(expiry)) }
+
+// Pop implements heap.Interface.
+func (q *expiryQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = expiry{}
+	*q = (*q)[:last]
+	return e
+}
+
+// claimImage is a claim in a snapshot.
+type claimImage struct {
+	_           struct{} `cbor:",toarray"`
+	Workspace   string
+	Key         string
+	Digest      [32]byte
+	Attempt     string
+	Host        string
+	Incarnation uint64
+	Deadline    Age
+	Expires     Age
+	Finished    bool
+	Verdict     verdict.Verdict
+	Answer      *RecordedAnswer
+}
+
+// images returns the claims by workspace and key.
+func (t *claims) images() []claimImage {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []claimImage
+	for _, ws := range t.workspaces {
+		for _, c := range ws.byKey {
+			list = append(list, c.image(ws.name))
+		}
+	}
+	slices.SortFunc(list, func(a, b claimImage) int {
+		return cmp.Or(strings.Compare(a.Workspace, b.Workspace), strings.Compare(a.Key, b.Key))
+	})
+	return list
+}
+
+func (c *claim) image(workspace string) claimImage {
+	return claimImage{
+		Workspace:   workspace,
+		Key:         c.key,
+		Digest:      c.digest,
+		Attempt:     c.attempt,
+		Host:        c.host,
+		Incarnation: c.incarnation,
+		Deadline:    c.deadline,
+		Expires:     c.expires,
+		Finished:    c.finished,
+		Verdict:     c.verdict,
+		Answer:      c.answer,
+	}
+}
+
+// restore replaces the claims. The caller holds mu.
+func (t *claims) restore(list []claimImage) {
+	t.clear()
+	for _, i := range list {
+		t.insert(i.Workspace, &claim{
+			key:         i.Key,
+			digest:      i.Digest,
+			attempt:     i.Attempt,
+			host:        i.Host,
+			incarnation: i.Incarnation,
+			deadline:    i.Deadline,
+			expires:     i.Expires,
+			finished:    i.Finished,
+			verdict:     i.Verdict,
+			answer:      i.Answer,
+		})
+	}
+}
+
+// ClaimCount returns how many claims are open or retained.
+func (m *Machine) ClaimCount() int {
+	m.claims.mu.RLock()
+	defer m.claims.mu.RUnlock()
+	n := 0
+	for _, ws := range m.claims.workspaces {
+		n += len(ws.byKey)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,251 @@
+// Package state holds the replicated tables: documents, claims of non-idempotent
+// calls, the cluster's identity and addresses, and the audit trail.
+//
+// The tables are a function of the log alone. They read no clock: their age moves
+// on by AdvanceAge commands, and all retention goes by that age. Options must be
+// the same on every replica.
+//
+// # Locks
+//
+// Apply, ApplyMembership, Snapshot and Restore are serialised by Machine.applyMu.
+// Each table has a lock of its own for concurrent readers. A goroutine that holds
+// one lock may only take a later one in the order
+//
+//	Machine.applyMu, documents.mu, claims.mu, cluster.mu, audit.mu
+//
+// Readers take one lock at a time. Nothing is called out to while a lock is held.
+package state
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+// Age is the age of the tables in milliseconds. It moves only by AdvanceAge.
+type Age uint64
+
+// The bounds of one command.
+const (
+	// MaxAdvance is the most that one AdvanceAge counts.
+	MaxAdvance Age = 60_000
+	// MaxDeadline is the longest deadline of a claim.
+	MaxDeadline Age = 3_600_000
+	// MaxAnswerBytes is the longest body that is recorded; a longer answer leaves
+	// the verdict only.
+	MaxAnswerBytes = 64 << 10
+	// MaxNameBytes bounds names, keys, authors and ids.
+	MaxNameBytes = 512
+	// MaxDocumentBytes bounds the text of a document.
+	MaxDocumentBytes = 4 << 20
+)
+
+const day Age = 24 * 3_600_000
+
+// Options bound what the tables retain. Zero means the default.
+type Options struct {
+	// ClaimRetention is how long a claim is kept after it finished or passed its
+	// deadline; the default is 24 hours.
+	ClaimRetention Age
+	// ClaimsPerWorkspace bounds open and retained claims; the default is 20,000.
+	ClaimsPerWorkspace int
+	// AnswerBytes bounds the recorded bodies altogether; an answer beyond it
+	// leaves the verdict only. The default is 64 MiB.
+	AnswerBytes int
+	// OutcomeRetention is how long the outcome of a change is kept for a resend;
+	// the default is 24 hours.
+	OutcomeRetention Age
+	// Outcomes bounds the outcomes kept; the default is 10,000.
+	Outcomes int
+	// AuditRecords bounds the audit trail; the default is 10,000.
+	AuditRecords int
+}
+
+const (
+	defaultClaimsPerWorkspace = 20_000
+	defaultAnswerBytes        = 64 << 20
+	defaultOutcomes           = 10_000
+	defaultAuditRecords       = 10_000
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ClaimRetention, day)
+	setDefault(&o.ClaimsPerWorkspace, defaultClaimsPerWorkspace)
+	setDefault(&o.AnswerBytes, defaultAnswerBytes)
+	setDefault(&o.OutcomeRetention, day)
+	setDefault(&o.Outcomes, defaultOutcomes)
+	setDefault(&o.AuditRecords, defaultAuditRecords)
+	return o
+}
+
+func setDefault[T Age | int](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Machine is the replicated tables.
+type Machine struct {
+	options Options
+
+	// applyMu serialises all changes.
+	applyMu sync.Mutex
+	// applied and age change only under applyMu.
+	applied atomic.Uint64
+	age     atomic.Uint64
+
+	documents documents
+	claims    claims
+	cluster   cluster
+	audit     audit
+}
+
+// New returns empty tables.
+func New(o Options) *Machine {
+	m := &Machine{options: o.withDefaults()}
+	m.documents.init(m.options)
+	m.claims.init(m.options)
+	m.cluster.init()
+	m.audit.init(m.options.AuditRecords)
+	return m
+}
+
+// Applied returns the index of the last entry that was applied.
+func (m *Machine) Applied() uint64 { return m.applied.Load() }
+
+// Age returns the age of the tables.
+func (m *Machine) Age() Age { return Age(m.age.Load()) }
+
+// Apply applies the command of the log entry index. The result is the typed one
+// of the command, or Rejected; it is the same on every replica.
+func (m *Machine) Apply(index uint64, data []byte) any {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	if index <= m.applied.Load() {
+		return Rejected{Reason: ReasonApplied}
+	}
+	defer m.applied.Store(index)
+	command, rejected := decode(data)
+	if rejected != nil {
+		return *rejected
+	}
+	switch c := command.(type) {
+	case Init:
+		return m.applyInit(index, c)
+	case AdvanceAge:
+		return m.advance(c)
+	case SubmitDocument:
+		return m.submit(index, c)
+	case ClaimBatch:
+		return m.claims.claimBatch(c, m.Age())
+	case FinishClaims:
+		return m.claims.finishBatch(c, m.Age())
+	case SetVoterAddress:
+		return m.setVoterAddress(index, c)
+	}
+	return Rejected{Reason: ReasonKind}
+}
+
+// ApplyMembership takes the membership of the log entry index into the tables.
+func (m *Machine) ApplyMembership(index uint64, members consensus.Membership) {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	if index <= m.applied.Load() {
+		return
+	}
+	defer m.applied.Store(index)
+	m.cluster.setMembership(members)
+	m.audit.add(AuditRecord{
+		Index:   index,
+		Age:     m.Age(),
+		Action:  ActionMembership,
+		Outcome: "applied",
+		Detail:  describe(members),
+	})
+}
+
+// advance moves the age on. The caller holds applyMu.
+func (m *Machine) advance(c AdvanceAge) AgeResult {
+	age := m.Age() + min(Age(c.Elapsed), MaxAdvance)
+	m.age.Store(uint64(age))
+	m.documents.expire(age)
+	return AgeResult{Age: age, Expired: m.claims.expire(age)}
+}
+
+// submit takes a document. The caller holds applyMu.
+func (m *Machine) submit(index uint64, c SubmitDocument) any {
+	if !validNames(c.Name, c.ChangeID, c.Author) {
+		return Rejected{Reason: ReasonName}
+	}
+	if len(c.Text) > MaxDocumentBytes {
+		return Rejected{Reason: ReasonTooLarge}
+	}
+	result := m.documents.submit(index, m.Age(), c)
+	m.audit.add(AuditRecord{
+		Index:   index,
+		Age:     m.Age(),
+		At:      c.At,
+		Author:  c.Author,
+		Action:  ActionSubmit,
+		Subject: c.Name,
+		Outcome: result.describe(),
+		Detail:  "change " + c.ChangeID,
+	})
+	return result
+}
+
+// applyInit names the cluster. The caller holds applyMu.
+func (m *Machine) applyInit(index uint64, c Init) any {
+	if !validNames(c.ClusterID) || len(c.Author) > MaxNameBytes {
+		return Rejected{Reason: ReasonName}
+	}
+	result := m.cluster.name(c.ClusterID)
+	m.audit.add(AuditRecord{
+		Index:   index,
+		Age:     m.Age(),
+		At:      c.At,
+		Author:  c.Author,
+		Action:  ActionInit,
+		Subject: c.ClusterID,
+		Outcome: acceptance(result.Accepted),
+	})
+	return result
+}
+
+// setVoterAddress takes an address. The caller holds applyMu.
+func (m *Machine) setVoterAddress(index uint64, c SetVoterAddress) any {
+	if !validNames(string(c.Replica), c.Host, c.Address) || len(c.Author) > MaxNameBytes {
+		return Rejected{Reason: ReasonName}
+	}
+	result := m.cluster.setAddress(VoterAddress{Replica: c.Replica, Host: c.Host, Address: c.Address})
+	if result.Changed {
+		m.audit.add(AuditRecord{
+			Index:   index,
+			Age:     m.Age(),
+			At:      c.At,
+			Author:  c.Author,
+			Action:  ActionVoterAddress,
+			Subject: string(c.Replica),
+			Outcome: acceptance(true),
+			Detail:  c.Host + " at " + c.Address,
+		})
+	}
+	return result
+}
+
+func acceptance(accepted bool) string {
+	if accepted {
+		return "accepted"
+	}
+	return "refused"
+}
+
+func validNames(names ...string) bool {
+	for _, n := range names {
+		if n == "" || len(n) > MaxNameBytes {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,124 @@
+package state
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+const imageVersion = 1
+
+// image is the form of the tables in a snapshot. The order of every list is fixed,
+// so equal tables give equal bytes.
+type image struct {
+	Version    uint8                `cbor:"1,keyasint"`
+	Applied    uint64               `cbor:"2,keyasint"`
+	Age        Age                  `cbor:"3,keyasint"`
+	Fence      uint64               `cbor:"4,keyasint"`
+	Documents  []Document           `cbor:"5,keyasint"`
+	Outcomes   []outcome            `cbor:"6,keyasint"`
+	Claims     []claimImage         `cbor:"7,keyasint"`
+	ClusterID  string               `cbor:"8,keyasint"`
+	Membership consensus.Membership `cbor:"9,keyasint"`
+	Addresses  []VoterAddress       `cbor:"10,keyasint"`
+	Audit      []AuditRecord        `cbor:"11,keyasint"`
+}
+
+// Snapshot returns the tables after the last applied entry. Changes wait only
+// while the tables are copied; texts and answers are shared, not copied, and are
+// encoded afterwards.
+func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := encoding.Marshal(m.capture())
+	return data, errors.Wrap(err, "encode tables")
+}
+
+// capture copies the tables.
+func (m *Machine) capture() image {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	i := image{Version: imageVersion, Applied: m.Applied(), Age: m.Age()}
+	m.documents.capture(&i)
+	i.Claims = m.claims.images()
+	m.cluster.capture(&i)
+	m.audit.capture(&i)
+	return i
+}
+
+func (d *documents) capture(i *image) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	i.Fence = d.fence
+	i.Documents = d.sorted(byName)
+	i.Outcomes = make([]outcome, 0, len(d.queue))
+	for _, o := range d.queue {
+		i.Outcomes = append(i.Outcomes, *o)
+	}
+}
+
+func (c *cluster) capture(i *image) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	i.ClusterID = c.id
+	i.Membership = c.membership.Clone()
+	i.Addresses = c.sortedAddresses()
+}
+
+func (a *audit) capture(i *image) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	i.Audit = a.ordered()
+}
+
+// Restore replaces the tables by those of a snapshot. A snapshot that cannot be
+// read, or that is older than the tables, is refused without effect.
+func (m *Machine) Restore(data []byte) error {
+	var i image
+	if err := decoding.Unmarshal(data, &i); err != nil {
+		return errors.Wrap(err, "decode tables")
+	}
+	if i.Version != imageVersion {
+		return errors.Errorf("unknown version %d of tables", i.Version)
+	}
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	if i.Applied < m.Applied() {
+		return errors.Errorf("snapshot of entry %d is older than entry %d", i.Applied, m.Applied())
+	}
+	m.lockTables()
+	defer m.unlockTables()
+	m.documents.restore(i.Documents, i.Outcomes, i.Fence)
+	m.claims.restore(i.Claims)
+	m.cluster.restore(i.ClusterID, i.Membership, i.Addresses)
+	m.audit.restore(i.Audit)
+	m.age.Store(uint64(i.Age))
+	m.applied.Store(i.Applied)
+	return nil
+}
+
+// lockTables takes the locks of all tables in their order.
+func (m *Machine) lockTables() {
+	m.documents.mu.Lock()
+	m.claims.mu.Lock()
+	m.cluster.mu.Lock()
+	m.audit.mu.Lock()
+}
+
+func (m *Machine) unlockTables() {
+	m.audit.mu.Unlock()
+	m.cluster.mu.Unlock()
+	m.claims.mu.Unlock()
+	m.documents.mu.Unlock()
+}
+
+// restore replaces the table. The caller holds mu.
+func (d *documents) restore(list []Document, outcomes []outcome, fence uint64) {
+	d.clear()
+	for _, doc := range list {
+		d.byName[doc.Name] = doc
+	}
+	for _, o := range outcomes {
+		d.retain(&o)
+	}
+	d.fence = fence
+	d.notify()
+}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,418 @@
+package state
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+var small = Options{
+	ClaimRetention:     3000,
+	ClaimsPerWorkspace: 3,
+	AnswerBytes:        40,
+	OutcomeRetention:   2000,
+	Outcomes:           4,
+	AuditRecords:       5,
+}
+
+// log applies commands at rising indexes.
+type log struct {
+	t testing.TB
+	m *Machine
+	i uint64
+}
+
+func newLog(t testing.TB, o Options) *log { return &log{t: t, m: New(o)} }
+
+func (l *log) do(c Command) any {
+	data, err := Encode(c)
+	require.NoError(l.t, err)
+	l.i++
+	return l.m.Apply(l.i, data)
+}
+
+func (l *log) claim(key, attempt string, digest byte) ClaimResult {
+	c := Claim{Workspace: "w", Key: key, Attempt: attempt, Digest: [32]byte{digest}, Deadline: 1000}
+	return l.do(ClaimBatch{Claims: []Claim{c}}).(ClaimBatchResult).Claims[0]
+}
+
+func (l *log) finish(key, attempt string, v verdict.Verdict, a *RecordedAnswer) FinishOutcome {
+	f := Finish{Workspace: "w", Key: key, Attempt: attempt, Verdict: v, Answer: a}
+	return l.do(FinishClaims{Finishes: []Finish{f}}).(FinishResult).Finishes[0]
+}
+
+func drawCommand(t *rapid.T, revisions []uint64) Command {
+	pick := func(label string, values ...string) string { return rapid.SampledFrom(values).Draw(t, label) }
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return Init{ClusterID: pick("cluster", "c1", "c2")}
+	case 1:
+		return SetVoterAddress{Replica: consensus.ReplicaID(pick("replica", "a/1", "b/2")), Host: "h", Address: pick("address", "1", "2")}
+	case 2, 3:
+		return AdvanceAge{Elapsed: rapid.Uint64Range(0, 1500).Draw(t, "elapsed")}
+	case 4, 5:
+		return SubmitDocument{
+			Name:     pick("name", "d1", "d2"),
+			Base:     rapid.SampledFrom(revisions[max(0, len(revisions)-3):]).Draw(t, "base"),
+			ChangeID: pick("change", "x", "y", "z"),
+			Author:   pick("author", "ann", "bob"),
+			Text:     pick("text", "", "one", "two"),
+		}
+	case 6, 7:
+		var b ClaimBatch
+		for range rapid.IntRange(1, 3).Draw(t, "claims") {
+			b.Claims = append(b.Claims, Claim{
+				Workspace: pick("workspace", "v", "w"),
+				Key:       pick("key", "1", "2", "3", "4"),
+				Attempt:   pick("attempt", "p", "q"),
+				Digest:    [32]byte{byte(rapid.IntRange(0, 1).Draw(t, "digest"))},
+				Deadline:  rapid.Uint64Range(0, 4000).Draw(t, "deadline"),
+			})
+		}
+		return b
+	}
+	f := Finish{
+		Workspace: pick("workspace", "v", "w"),
+		Key:       pick("key", "1", "2", "3", "4"),
+		Attempt:   pick("attempt", "p", "q"),
+		Verdict:   verdict.Verdict(rapid.IntRange(0, 3).Draw(t, "verdict")),
+	}
+	if rapid.Bool().Draw(t, "answered") {
+		f.Answer = &RecordedAnswer{Status: 200, Body: make([]byte, rapid.IntRange(0, 30).Draw(t, "body"))}
+	}
+	return FinishClaims{Finishes: []Finish{f}}
+}
+
+// TestSnapshotKeepsResultsAndState: tables that are snapshot and restored at any
+// points give the same results and end in the same state.
+func TestSnapshotKeepsResultsAndState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		straight, split := New(small), New(small)
+		revisions := []uint64{0}
+		for i := uint64(1); i <= uint64(rapid.IntRange(1, 40).Draw(t, "commands")); i++ {
+			command := drawCommand(t, revisions)
+			data, err := Encode(command)
+			require.NoError(t, err)
+			want := straight.Apply(i, data)
+			require.Equal(t, want, split.Apply(i, data))
+			if r, ok := want.(SubmitResult); ok {
+				revisions = append(revisions, r.Revision)
+			}
+			image, err := straight.Snapshot()
+			require.NoError(t, err)
+			other, err := split.Snapshot()
+			require.NoError(t, err)
+			require.Equal(t, image, other)
+			if rapid.IntRange(0, 3).Draw(t, "split") == 0 {
+				split = New(small)
+				require.NoError(t, split.Restore(other))
+				require.Equal(t, straight.Fence(), split.Fence())
+			}
+		}
+	})
+}
+
+type grant struct {
+	attempt string
+	until   Age
+}
+
+// TestRevisionsRiseAndClaimsAreGrantedOnce checks both over any history, in which
+// old entries and old snapshots come again. A key is granted again only after a
+// NotRun finish of the attempt that holds it, or once its retention has passed.
+func TestRevisionsRiseAndClaimsAreGrantedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(small)
+		revisions := []uint64{0}
+		seen := map[string]uint64{}
+		held := map[[2]string]grant{}
+		entries := [][]byte{nil}
+		images := [][]byte{nil}
+		for i := uint64(1); i <= 40; i++ {
+			again := rapid.IntRange(0, int(i)-1).Draw(t, "again")
+			if again > 0 && rapid.Bool().Draw(t, "old entry") {
+				m.Apply(uint64(again), entries[again])
+			} else if again > 0 && again < int(i)-1 {
+				require.Error(t, m.Restore(images[again]))
+			}
+			command := drawCommand(t, revisions)
+			data, err := Encode(command)
+			require.NoError(t, err)
+			switch result := m.Apply(i, data).(type) {
+			case SubmitResult:
+				revisions = append(revisions, result.Revision)
+			case ClaimBatchResult:
+				for n, c := range command.(ClaimBatch).Claims {
+					if result.Claims[n].Outcome != ClaimGranted {
+						continue
+					}
+					key := [2]string{c.Workspace, c.Key}
+					if g, ok := held[key]; ok {
+						require.GreaterOrEqual(t, m.Age(), g.until, "granted twice")
+					}
+					held[key] = grant{c.Attempt, m.Age() + Age(c.Deadline) + small.ClaimRetention}
+				}
+			case FinishResult:
+				f := command.(FinishClaims).Finishes[0]
+				key := [2]string{f.Workspace, f.Key}
+				if result.Finishes[0] == FinishFreed {
+					require.Equal(t, held[key].attempt, f.Attempt, "freed by another attempt")
+					require.Equal(t, verdict.NotRun, f.Verdict)
+					delete(held, key)
+				}
+			}
+			for _, doc := range m.Documents() {
+				require.GreaterOrEqual(t, doc.Revision, seen[doc.Name], "revision fell")
+				require.LessOrEqual(t, doc.Revision, m.Fence())
+				seen[doc.Name] = doc.Revision
+			}
+			image, err := m.Snapshot()
+			require.NoError(t, err)
+			entries, images = append(entries, data), append(images, image)
+		}
+	})
+}
+
+func TestAnyBytesAreRejectedAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOf(rapid.Byte()).Draw(t, "data")
+		if rapid.Bool().Draw(t, "wrapped") {
+			raw, err := cbor.Marshal(data)
+			require.NoError(t, err)
+			kind := commandKind(rapid.IntRange(0, 8).Draw(t, "kind"))
+			data, err = encoding.Marshal(envelope{Version: commandVersion, Kind: kind, Body: raw})
+			require.NoError(t, err)
+		}
+		a, b := New(small), New(small)
+		require.Equal(t, a.Apply(1, data), b.Apply(1, data))
+		require.Equal(t, uint64(1), a.Applied())
+	})
+}
+
+func TestRejections(t *testing.T) {
+	body, err := encoding.Marshal(AdvanceAge{Elapsed: 5})
+	require.NoError(t, err)
+	for want, e := range map[Reason]envelope{
+		ReasonVersion: {Version: commandVersion + 1, Kind: kindAdvanceAge, Body: body},
+		ReasonKind:    {Version: commandVersion, Kind: 99, Body: body},
+	} {
+		data, err := encoding.Marshal(e)
+		require.NoError(t, err)
+		require.Equal(t, Rejected{want}, New(small).Apply(1, data))
+	}
+	m := New(small)
+	require.Equal(t, Rejected{ReasonEmpty}, m.Apply(1, nil))
+	data, err := Encode(AdvanceAge{Elapsed: 5})
+	require.NoError(t, err)
+	require.Equal(t, AgeResult{Age: 5}, m.Apply(2, data))
+	require.Equal(t, Rejected{ReasonApplied}, m.Apply(2, data))
+	l := newLog(t, small)
+	require.Equal(t, Rejected{ReasonName}, l.do(SubmitDocument{Author: "ann", ChangeID: "x"}))
+	long := strings.Repeat("x", MaxDocumentBytes+1)
+	require.Equal(t, Rejected{ReasonTooLarge}, l.do(SubmitDocument{Name: "d", Author: "ann", ChangeID: "x", Text: long}))
+	require.Equal(t, AgeResult{Age: MaxAdvance}, l.do(AdvanceAge{Elapsed: 1 << 60}))
+}
+
+func TestSubmit(t *testing.T) {
+	l := newLog(t, small)
+	ann := SubmitDocument{Name: "d", ChangeID: "x", Author: "ann", Text: "one"}
+	bob := SubmitDocument{Name: "d", ChangeID: "y", Author: "bob", Text: "two"}
+	first := l.do(ann)
+	require.Equal(t, SubmitResult{Outcome: SubmitAccepted, Revision: 1}, first)
+	conflict := SubmitResult{Outcome: SubmitConflict, Revision: 1, Winner: &Winner{Revision: 1, Author: "ann", ChangeID: "x"}}
+	require.Equal(t, conflict, l.do(bob))
+	changed := l.m.Changed()
+	carl := SubmitDocument{Name: "d", Base: 1, ChangeID: "z", Author: "carl", Text: "three"}
+	require.Equal(t, SubmitResult{Outcome: SubmitAccepted, Revision: 3}, l.do(carl))
+	<-changed
+	// A resend returns the first outcome whatever happened since.
+	require.Equal(t, SubmitResult{Outcome: SubmitAccepted, Revision: 1, Repeated: true}, l.do(ann))
+	conflict.Repeated = true
+	require.Equal(t, conflict, l.do(bob))
+	bob.Text = "other"
+	require.Equal(t, SubmitResult{Outcome: SubmitChangeIDReused, Revision: 3, Repeated: true}, l.do(bob))
+	doc, ok := l.m.Document("d")
+	require.True(t, ok)
+	require.Equal(t, "three", doc.Text)
+	require.Equal(t, uint64(3), l.m.Fence())
+	require.Empty(t, l.m.Changes(3))
+	l.do(SubmitDocument{Name: "c", ChangeID: "x", Author: "ann"})
+	names := func(docs []Document) string {
+		s := ""
+		for _, d := range docs {
+			s += d.Name
+		}
+		return s
+	}
+	require.Equal(t, "dc", names(l.m.Changes(2)))
+	require.Equal(t, "c", names(l.m.Changes(3)))
+	require.Equal(t, "cd", names(l.m.Documents()))
+}
+
+func TestOutcomesAreBoundedByCountAndAge(t *testing.T) {
+	l := newLog(t, small)
+	submit := func(change string) SubmitResult {
+		return l.do(SubmitDocument{Name: "d", ChangeID: change, Author: "ann"}).(SubmitResult)
+	}
+	require.Equal(t, SubmitAccepted, submit("0").Outcome)
+	for i := range small.Outcomes {
+		submit(fmt.Sprint(i + 1))
+	}
+	require.Equal(t, SubmitConflict, submit("0").Outcome, "forgotten by count, and then judged by its base")
+	require.True(t, submit("0").Repeated)
+	l.do(AdvanceAge{Elapsed: uint64(small.OutcomeRetention)})
+	require.False(t, submit("0").Repeated)
+}
+
+func TestClaimLife(t *testing.T) {
+	l := newLog(t, small)
+	answer := &RecordedAnswer{Status: 201, ContentType: "text/plain", Body: []byte("slot 7")}
+	require.Equal(t, ClaimGranted, l.claim("k", "a", 1).Outcome)
+	require.Equal(t, ClaimResult{Outcome: ClaimInProgress, Remaining: 1000}, l.claim("k", "b", 1))
+	require.Equal(t, ClaimKeyReused, l.claim("k", "b", 2).Outcome)
+	require.Equal(t, FinishIgnored, l.finish("k", "b", verdict.NotRun, nil))
+	l.do(AdvanceAge{Elapsed: 1000})
+	require.Equal(t, ClaimInProgress, l.claim("k", "b", 1).Outcome)
+	l.do(AdvanceAge{Elapsed: 1})
+	require.Equal(t, ClaimResult{Outcome: ClaimUnknown}, l.claim("k", "b", 1))
+	require.Equal(t, FinishRecorded, l.finish("k", "a", verdict.MayHaveRun, nil))
+	require.Equal(t, ClaimResult{Outcome: ClaimFinished}, l.claim("k", "b", 1))
+	require.Equal(t, FinishIgnored, l.finish("k", "a", verdict.NotRun, nil))
+	require.Equal(t, FinishRecorded, l.finish("k", "a", verdict.Ran, answer))
+	require.Equal(t, FinishIgnored, l.finish("k", "a", verdict.MayHaveRun, nil))
+	require.Equal(t, ClaimResult{Outcome: ClaimFinished, Verdict: verdict.Ran, Answer: answer}, l.claim("k", "b", 1))
+	l.do(AdvanceAge{Elapsed: uint64(small.ClaimRetention)})
+	require.Zero(t, l.m.ClaimCount())
+	require.Equal(t, ClaimGranted, l.claim("k", "b", 1).Outcome)
+	require.Equal(t, FinishFreed, l.finish("k", "b", verdict.NotRun, nil))
+	require.Equal(t, ClaimGranted, l.claim("k", "c", 1).Outcome)
+	require.Equal(t, FinishIgnored, l.finish("k", "b", verdict.NotRun, nil))
+}
+
+// TestFreedClaimLeavesItsSuccessor: the queue still holds a freed claim, whose
+// expiry must not touch the one that took the key after it.
+func TestFreedClaimLeavesItsSuccessor(t *testing.T) {
+	l := newLog(t, small)
+	l.claim("k", "a", 1)
+	require.Equal(t, FinishFreed, l.finish("k", "a", verdict.NotRun, nil))
+	l.do(AdvanceAge{Elapsed: 2000})
+	require.Equal(t, ClaimGranted, l.claim("k", "b", 1).Outcome)
+	require.Equal(t, AgeResult{Age: 4000}, l.do(AdvanceAge{Elapsed: 2000}))
+	require.Equal(t, ClaimUnknown, l.claim("k", "c", 1).Outcome)
+	require.Equal(t, AgeResult{Age: 6000, Expired: 1}, l.do(AdvanceAge{Elapsed: 2000}))
+}
+
+// TestRestoredClaimsExpireAlike: a claim that finished long before its deadline
+// goes at the same age in tables that were restored, and bounds count alike.
+func TestRestoredClaimsExpireAlike(t *testing.T) {
+	l := newLog(t, small)
+	c := Claim{Workspace: "w", Key: "k", Attempt: "a", Deadline: 10_000}
+	l.do(ClaimBatch{Claims: []Claim{c}})
+	require.Equal(t, FinishRecorded, l.finish("k", "a", verdict.Ran, &RecordedAnswer{Body: make([]byte, 30)}))
+	image, err := l.m.Snapshot()
+	require.NoError(t, err)
+	restored := &log{t: t, m: New(small), i: l.i}
+	require.NoError(t, restored.m.Restore(image))
+	for i := range 5 {
+		advance := AdvanceAge{Elapsed: uint64(small.ClaimRetention)}
+		require.Equal(t, l.do(advance), restored.do(advance))
+		key := fmt.Sprint(i)
+		for _, other := range []*log{l, restored} {
+			require.Equal(t, ClaimGranted, other.claim(key, "a", 1).Outcome)
+			answer := &RecordedAnswer{Body: make([]byte, 30)}
+			require.Equal(t, FinishRecorded, other.finish(key, "a", verdict.Ran, answer))
+		}
+		want, err := l.m.Snapshot()
+		require.NoError(t, err)
+		got, err := restored.m.Snapshot()
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	require.Equal(t, 2, l.m.ClaimCount())
+}
+
+func TestClaimBounds(t *testing.T) {
+	l := newLog(t, small)
+	for i := range small.ClaimsPerWorkspace {
+		require.Equal(t, ClaimGranted, l.claim(fmt.Sprint(i), "a", 1).Outcome)
+	}
+	require.Equal(t, ClaimResult{Outcome: ClaimRefused, Verdict: verdict.NotRun}, l.claim("more", "a", 1))
+	require.Equal(t, ClaimInProgress, l.claim("0", "b", 1).Outcome, "a known key is answered all the same")
+	body := make([]byte, small.AnswerBytes-10)
+	require.Equal(t, FinishRecorded, l.finish("0", "a", verdict.Ran, &RecordedAnswer{Body: body}))
+	require.Equal(t, FinishRecorded, l.finish("1", "a", verdict.Ran, &RecordedAnswer{Body: body}))
+	require.NotNil(t, l.claim("0", "b", 1).Answer)
+	require.Equal(t, ClaimResult{Outcome: ClaimFinished, Verdict: verdict.Ran}, l.claim("1", "b", 1))
+	wide := newLog(t, Options{})
+	wide.claim("k", "a", 1)
+	require.Equal(t, FinishRecorded, wide.finish("k", "a", verdict.Ran, &RecordedAnswer{Body: make([]byte, MaxAnswerBytes+1)}))
+	require.Equal(t, ClaimResult{Outcome: ClaimFinished, Verdict: verdict.Ran}, wide.claim("k", "b", 1))
+}
+
+func TestClusterAndAuditTrail(t *testing.T) {
+	l := newLog(t, small)
+	require.Equal(t, InitResult{Accepted: true, ClusterID: "c1"}, l.do(Init{ClusterID: "c1", Author: "ann", At: 7}))
+	require.Equal(t, InitResult{ClusterID: "c1"}, l.do(Init{ClusterID: "c2", Author: "bob"}))
+	set := SetVoterAddress{Replica: "a/1", Host: "a", Address: "127.0.0.1:1"}
+	require.Equal(t, VoterAddressResult{Changed: true}, l.do(set))
+	require.Equal(t, VoterAddressResult{}, l.do(set))
+	l.do(SetVoterAddress{Replica: "b/2", Host: "b", Address: "127.0.0.1:2"})
+	l.i++
+	l.m.ApplyMembership(l.i, consensus.Membership{Voters: []consensus.ReplicaID{"a/1"}})
+	l.i++
+	l.m.ApplyMembership(l.i, consensus.Membership{Learners: []consensus.ReplicaID{"b/2"}})
+	c := l.m.Cluster()
+	require.Equal(t, "c1", c.ID)
+	require.Equal(t, []VoterAddress{{Replica: "b/2", Host: "b", Address: "127.0.0.1:2"}}, c.Addresses)
+	page := l.m.History(0, 2)
+	require.Equal(t, []uint64{7, 6}, []uint64{page.Records[0].Index, page.Records[1].Index})
+	var rest []uint64
+	for page.Next != 0 {
+		page = l.m.History(page.Next, 2)
+		for _, r := range page.Records {
+			rest = append(rest, r.Index)
+		}
+	}
+	require.Equal(t, []uint64{5, 3, 2}, rest, "an unchanged address leaves no record; the oldest is dropped")
+	require.Equal(t, "refused", page.Records[0].Outcome)
+}
+
+func TestRestoreRefusesAnOlderOrBadSnapshot(t *testing.T) {
+	l := newLog(t, small)
+	old, err := l.m.Snapshot()
+	require.NoError(t, err)
+	l.do(SubmitDocument{Name: "d", ChangeID: "x", Author: "ann"})
+	require.ErrorContains(t, l.m.Restore(old), "older")
+	require.Error(t, l.m.Restore([]byte{1, 2}))
+	require.Equal(t, uint64(1), l.m.Fence())
+}
+
+// TestReadersBesideChanges is for the race detector.
+func TestReadersBesideChanges(t *testing.T) {
+	l := newLog(t, small)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			l.m.Documents()
+			l.m.History(0, 3)
+			l.m.Cluster()
+			l.m.ClaimCount()
+		}
+	}()
+	for i := range 200 {
+		l.do(SubmitDocument{Name: "d", Base: l.m.Fence(), ChangeID: fmt.Sprint(i), Author: "ann"})
+		l.claim(fmt.Sprint(i), "a", 1)
+		image, err := l.m.Snapshot()
+		require.NoError(t, err)
+		require.NoError(t, l.m.Restore(image))
+	}
+	<-done
+}
