--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -53,9 +53,7 @@
 
 // elect makes c the leader with the vote of from.
 func elect(t *testing.T, c *Core, from ReplicaID) {
-	for c.role != PreCandidate {
-		c.Tick()
-	}
+	askForPreVotes(t, c)
 	work(c)
 	step(t, c, Message{Type: MessagePreVoteResponse, From: from, Term: c.hard.Term + 1})
 	work(c)
@@ -64,6 +62,15 @@
 	work(c)
 }
 
+func askForPreVotes(t *testing.T, c *Core) {
+	for range 2 * c.cfg.ElectionTicks {
+		if c.role == Follower {
+			c.Tick()
+		}
+	}
+	require.Equal(t, PreCandidate, c.role)
+}
+
 func step(t *testing.T, c *Core, m Message) {
 	m.To = c.id
 	require.NoError(t, c.Step(m))
@@ -92,7 +99,9 @@
 }
 
 func TestMembershipChangesGoOneVoterAtATime(t *testing.T) {
-	c := openCore(t, idA, restoredLog(t, abc(), 1))
+	r := restoredLog(t, abc(), 1)
+	r.HardState.Commit = 1
+	c := openCore(t, idA, r)
 	grown := Membership{Voters: []ReplicaID{idA, idB, idC, "d/1"}}
 	_, _, err := c.ProposeMembership(grown)
 	require.ErrorIs(t, err, ErrNotLeader)
@@ -172,9 +181,7 @@
 	require.Equal(t, SoftState{}, fresh.soft())
 
 	c := openCore(t, idA, restoredLog(t, abc(), 1))
-	for c.role != PreCandidate {
-		c.Tick()
-	}
+	askForPreVotes(t, c)
 	step(t, c, Message{Type: MessagePreVoteResponse, From: "c/2", Term: c.hard.Term + 1})
 	require.Equal(t, PreCandidate, c.role)
 	elect(t, c, idB)
@@ -329,3 +336,39 @@
 	_, err := New(Config{ID: idA, Rand: rand.New(rand.NewPCG(1, 2))}, r)
 	require.Error(t, err)
 }
+
+// A membership is in force while its entry is in the log, and no longer.
+func TestOverwrittenMembershipIsForgotten(t *testing.T) {
+	r := restoredLog(t, abc(), 1, 1)
+	data, err := EncodeMembership(Membership{Voters: []ReplicaID{idA, idB}})
+	require.NoError(t, err)
+	r.Entries[1] = Entry{Term: 1, Index: 2, Kind: EntryMembership, Data: data}
+	c := openCore(t, idC, r)
+	require.False(t, c.Membership().IsVoter(idC))
+	step(t, c, Message{Type: MessageAppend, From: idB, Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Term: 2, Index: 2}}})
+	require.Equal(t, abc(), c.Membership())
+}
+
+func TestSharedEntriesDoNotChange(t *testing.T) {
+	l, err := restoreLog(restoredLog(t, abc(), 1, 1, 1))
+	require.NoError(t, err)
+	shared := l.slice(2, 3)
+	l.put([]Entry{{Term: 2, Index: 2}, {Term: 2, Index: 3}})
+	require.Equal(t, []uint64{1, 1}, []uint64{shared[0].Term, shared[1].Term})
+}
+
+func TestLostSnapshotIsSentAgain(t *testing.T) {
+	r := Restored{HardState: HardState{Term: 1, Commit: 9}}
+	r.Snapshot.Meta = SnapshotMeta{Index: 9, Term: 1, Membership: abc()}
+	c := openCore(t, idA, r)
+	elect(t, c, idB)
+	sent := 0
+	for range 2 * DefaultSnapshotTicks {
+		step(t, c, Message{Type: MessageHeartbeatResponse, From: idB, Term: c.hard.Term})
+		step(t, c, Message{Type: MessageAppendResponse, From: idC, Term: c.hard.Term, Reject: true, Index: 9})
+		c.Tick()
+		sent += len(ofType(work(c), MessageSnapshot))
+	}
+	require.GreaterOrEqual(t, sent, 2)
+	require.LessOrEqual(t, sent, 4)
+}
