Run the thin whole path: control role, assembly of the daemon, demonstration

Cause: a caller's request must go through separate processes and come back whole before anything else is built. A control host joins the replica with the tables, serves claims, orders, documents and reads; a host without a vote asks to be let in; init is refused unless all control hosts answer and none knows a cluster. Claims are sent once: one that was granted twice could be given back by the host that took it first while the attempt runs by the second grant.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,8 @@
 test:
 	$(GO) test ./...
 
-demo: build
-	./scripts/demo.sh
+demo:
+	$(GO) run ./test/cmd/demo
 
 generate:
 	$(GO) generate ./api/...
--- /dev/null
+++ b/internal/control/api.go
@@ -0,0 +1,286 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/adminapi"
+	"github.com/sassafraspost/sassafraspost/internal/command"
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/document"
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// notHeardSpan is how long a host may be silent before status names it.
+	notHeardSpan = 15 * time.Second
+	clusterIDLen = 16
+)
+
+// API serves the administration API on a control host: it implements
+// adminapi.Commands and adminapi.Queries.
+type API struct{ h *Host }
+
+// API returns the commands and queries of the host.
+func (h *Host) API() API { return API{h} }
+
+// Submit implements adminapi.Commands. What a document claims that belongs to
+// another one is refused here; where two such submissions race, catalog.Index
+// decides the same way on every host.
+func (a API) Submit(ctx context.Context, req adminapi.SubmitRequest) (adminapi.SubmitResult, error) {
+	if err := a.checkTogether(ctx, req); err != nil {
+		return adminapi.SubmitResult{}, err
+	}
+	r, err := a.h.commands.Submit(ctx, state.SubmitDocument{
+		Name:     req.Name,
+		Base:     req.Base,
+		ChangeID: req.ChangeID,
+		Author:   req.Author,
+		Text:     string(req.Text),
+		At:       time.Now().UnixMilli(),
+	})
+	var conflict *command.ConflictError
+	if errors.As(err, &conflict) && conflict.Winner != nil {
+		w := conflict.Winner
+		return adminapi.SubmitResult{
+			Revision: r.Revision,
+			Conflict: &adminapi.Conflict{Revision: w.Revision, Author: w.Author, ChangeID: w.ChangeID},
+		}, nil
+	}
+	if err != nil {
+		return adminapi.SubmitResult{}, err
+	}
+	return adminapi.SubmitResult{Revision: r.Revision, Repeated: r.Repeated}, nil
+}
+
+func (a API) checkTogether(ctx context.Context, req adminapi.SubmitRequest) error {
+	all, err := a.h.queries.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	submitted, err := document.Parse(req.Text)
+	if err != nil {
+		return err
+	}
+	docs := make([]*document.Document, 0, len(all)+1)
+	for _, d := range all {
+		if d.Name == req.Name {
+			continue
+		}
+		if parsed, err := document.Parse([]byte(d.Text)); err == nil {
+			docs = append(docs, parsed)
+		}
+	}
+	return document.CheckTogether(append(docs, submitted))
+}
+
+// Init implements adminapi.Commands. It is refused unless every control host of the
+// settings answers and none knows a cluster: a host that lost its disk must not
+// begin a second one beside the first.
+func (a API) Init(ctx context.Context, req adminapi.InitRequest) (adminapi.Cluster, error) {
+	if err := a.noPeerKnowsACluster(ctx); err != nil {
+		return adminapi.Cluster{}, err
+	}
+	h := a.h
+	if len(h.replica.Status().Membership.Voters) == 0 {
+		m := consensus.Membership{Voters: []consensus.ReplicaID{h.id}}
+		if err := h.replica.Bootstrap(ctx, m); err != nil {
+			return adminapi.Cluster{}, err
+		}
+	}
+	if err := h.awaitLeader(ctx); err != nil {
+		return adminapi.Cluster{}, err
+	}
+	id, err := newClusterID()
+	if err != nil {
+		return adminapi.Cluster{}, err
+	}
+	_, err = h.commands.Init(ctx, state.Init{ClusterID: id, Author: req.Author, At: time.Now().UnixMilli()})
+	if err != nil {
+		return adminapi.Cluster{}, err
+	}
+	return a.Cluster(ctx)
+}
+
+func newClusterID() (string, error) {
+	var b [clusterIDLen]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return "", errors.Wrap(err, "draw cluster id")
+	}
+	return hex.EncodeToString(b[:]), nil
+}
+
+func (a API) noPeerKnowsACluster(ctx context.Context) error {
+	if a.h.tables.Cluster().ID != "" {
+		return verdict.New(verdict.NotRun, verdict.CodeConflict, "this host belongs to a cluster")
+	}
+	for _, address := range a.h.cfg.Peers {
+		answer, err := a.h.askStatus(ctx, address)
+		if err != nil {
+			e := verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "control host "+address+" does not answer; all must, before the first start")
+			e.Cause = err
+			return e.After(noLeaderRetryAfter)
+		}
+		if answer.ClusterID != "" || len(answer.Voters) > 0 {
+			return verdict.New(verdict.NotRun, verdict.CodeConflict, "control host "+address+" belongs to a cluster")
+		}
+	}
+	return nil
+}
+
+func (h *Host) awaitLeader(ctx context.Context) error {
+	for !h.replica.IsLeader() {
+		if ctx.Err() != nil {
+			return verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no leader yet").After(noLeaderRetryAfter)
+		}
+		pause(ctx, appliedPoll)
+	}
+	return nil
+}
+
+func (h *Host) askStatus(ctx context.Context, address string) (*wire.StatusAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	s, err := h.cfg.Pool.Get(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, _, err := s.Call(ctx, &wire.StatusQuery{})
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := reply.(*wire.StatusAnswer)
+	if !ok {
+		return nil, errors.Errorf("control: reply of kind %d", reply.Kind())
+	}
+	return answer, nil
+}
+
+// Document implements adminapi.Queries.
+func (a API) Document(ctx context.Context, name string) (adminapi.Document, error) {
+	d, err := a.h.queries.Document(ctx, name)
+	if err != nil {
+		return adminapi.Document{}, err
+	}
+	return adminapi.Document{
+		Name:     d.Name,
+		Revision: d.Revision,
+		Author:   d.Author,
+		ChangeID: d.ChangeID,
+		Digest:   document.DigestOf([]byte(d.Text)),
+		Text:     []byte(d.Text),
+	}, nil
+}
+
+// Documents implements adminapi.Queries.
+func (a API) Documents(ctx context.Context) ([]adminapi.DocumentSummary, error) {
+	all, err := a.h.queries.Documents(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]adminapi.DocumentSummary, 0, len(all))
+	for _, d := range all {
+		out = append(out, adminapi.DocumentSummary{Name: d.Name, Revision: d.Revision, Author: d.Author})
+	}
+	return out, nil
+}
+
+// Status implements adminapi.Queries. It gathers what all control hosts have heard.
+func (a API) Status(ctx context.Context, name string) (adminapi.Status, error) {
+	d, err := a.h.queries.Document(ctx, name)
+	if err != nil {
+		return adminapi.Status{}, err
+	}
+	lists := [][]wire.HostInForce{a.h.reports.list(time.Now())}
+	for _, address := range a.h.cfg.Peers {
+		if answer, err := a.h.askStatus(ctx, address); err == nil {
+			lists = append(lists, answer.Hosts)
+		}
+	}
+	return status(d, mergeReports(lists...)), nil
+}
+
+func status(d state.Document, hosts map[string]wire.HostInForce) adminapi.Status {
+	s := adminapi.Status{Name: d.Name, Revision: d.Revision}
+	for name, h := range hosts {
+		switch {
+		case time.Duration(h.AgeMS)*time.Millisecond > notHeardSpan:
+			s.NotHeard = append(s.NotHeard, name)
+		case h.Revision >= d.Revision:
+			s.InForce++
+		default:
+			s.Behind = append(s.Behind, adminapi.HostRevision{Host: name, Revision: h.Revision})
+		}
+	}
+	slices.Sort(s.NotHeard)
+	slices.SortFunc(s.Behind, func(x, y adminapi.HostRevision) int { return strings.Compare(x.Host, y.Host) })
+	return s
+}
+
+// History implements adminapi.Queries.
+func (a API) History(ctx context.Context, req adminapi.HistoryRequest) (adminapi.HistoryPage, error) {
+	before := uint64(0)
+	if req.Page != "" {
+		var err error
+		if before, err = strconv.ParseUint(req.Page, 10, 64); err != nil {
+			return adminapi.HistoryPage{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "unknown page")
+		}
+	}
+	page, err := a.h.queries.History(ctx, before, 0)
+	if err != nil {
+		return adminapi.HistoryPage{}, err
+	}
+	var out adminapi.HistoryPage
+	for _, r := range page.Records {
+		if req.All || (r.Action == state.ActionSubmit && slices.Contains(req.Documents, r.Subject)) {
+			out.Changes = append(out.Changes, change(r))
+		}
+	}
+	if page.Next > 0 {
+		out.Next = strconv.FormatUint(page.Next, 10)
+	}
+	return out, nil
+}
+
+func change(r state.AuditRecord) adminapi.Change {
+	c := adminapi.Change{
+		Index:  r.Index,
+		Time:   time.UnixMilli(r.At).UTC(),
+		Action: string(r.Action),
+		Author: r.Author,
+	}
+	if r.Action == state.ActionSubmit {
+		c.Document = r.Subject
+	}
+	return c
+}
+
+// Cluster implements adminapi.Queries. It answers from what this host knows, also
+// without a quorum.
+func (a API) Cluster(ctx context.Context) (adminapi.Cluster, error) {
+	st := a.h.replica.Status()
+	_, readErr := reader{a.h}.Read(ctx)
+	c := adminapi.Cluster{
+		ID:        a.h.tables.Cluster().ID,
+		Leader:    string(st.Leader),
+		Term:      st.Term,
+		Commit:    st.Commit,
+		HasQuorum: readErr == nil,
+	}
+	for _, id := range st.Membership.Voters {
+		c.Replicas = append(c.Replicas, adminapi.Replica{ID: string(id), Host: hostOf(id), Voter: true})
+	}
+	for _, id := range st.Membership.Learners {
+		c.Replicas = append(c.Replicas, adminapi.Replica{ID: string(id), Host: hostOf(id)})
+	}
+	return c, nil
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -24,8 +24,18 @@
 	noLeaderRetryAfter = 2 * time.Second
 )
 
-// Client asks the leader of the control hosts, wherever it is. The messages that
-// it carries must be safe to resend: each names its attempt, change or nonce.
+// resend tells whether a message may go out again after it may have been taken.
+type resend bool
+
+const (
+	// mayResend is for messages that have one effect however often they are taken.
+	mayResend resend = true
+	// sendOnce is for claims: one that is granted twice could be given back by the
+	// host that took it first, while the attempt runs by the second grant.
+	sendOnce resend = false
+)
+
+// Client asks the leader of the control hosts, wherever it is.
 type Client struct {
 	pool      *peer.Pool
 	addresses []string
@@ -43,34 +53,44 @@
 
 // Claim asks for the right to dispatch a non-idempotent call.
 func (c *Client) Claim(ctx context.Context, m *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	return ask[*wire.ClaimReply](ctx, c, m)
+	return ask[*wire.ClaimReply](ctx, c, m, sendOnce)
 }
 
 // Finish records the outcome of a claimed call.
 func (c *Client) Finish(ctx context.Context, m *wire.FinishRequest) error {
-	_, err := ask[*wire.FinishReply](ctx, c, m)
+	_, err := ask[*wire.FinishReply](ctx, c, m, mayResend)
 	return err
 }
 
-// Ask pulls the order to an engine. The question goes out once: each has a nonce.
+// Ask pulls the order to an engine.
 func (c *Client) Ask(ctx context.Context, m *wire.OrderQuery) (*wire.OrderAnswer, error) {
-	return ask[*wire.OrderAnswer](ctx, c, m)
+	return ask[*wire.OrderAnswer](ctx, c, m, mayResend)
 }
 
 // Join asks the leader to add a replica.
 func (c *Client) Join(ctx context.Context, m *wire.Join) error {
-	_, err := ask[*wire.Ack](ctx, c, m)
+	_, err := ask[*wire.Ack](ctx, c, m, mayResend)
 	return err
 }
 
-// Propose hands an encoded command to the leader.
+// Read asks for the log index that a linearizable read has to see.
+func (c *Client) Read(ctx context.Context) (uint64, error) {
+	a, err := ask[*wire.ReadAnswer](ctx, c, &wire.ReadQuery{}, mayResend)
+	if err != nil {
+		return 0, err
+	}
+	return a.Index, nil
+}
+
+// Propose hands an encoded command to the leader. The command must have one effect
+// however often it is applied.
 func (c *Client) Propose(ctx context.Context, m *wire.Propose) (*wire.Proposed, error) {
-	return ask[*wire.Proposed](ctx, c, m)
+	return ask[*wire.Proposed](ctx, c, m, mayResend)
 }
 
-func ask[R wire.Message](ctx context.Context, c *Client, m wire.Message) (R, error) {
+func ask[R wire.Message](ctx context.Context, c *Client, m wire.Message, again resend) (R, error) {
 	var none R
-	reply, err := c.call(ctx, m)
+	reply, err := c.call(ctx, m, again)
 	if err != nil {
 		return none, err
 	}
@@ -83,7 +103,7 @@
 
 // call tries the leader, then the others, until one answers with something else
 // than that it does not lead.
-func (c *Client) call(ctx context.Context, m wire.Message) (wire.Message, error) {
+func (c *Client) call(ctx context.Context, m wire.Message, again resend) (wire.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	maySent := false
@@ -108,6 +128,9 @@
 			leaderless++
 			maySent = maySent || sent
 			c.forget(address)
+			if sent && again == sendOnce {
+				return nil, unreachable(maySent, err)
+			}
 		}
 		pause(ctx, clientDelay)
 	}
--- /dev/null
+++ b/internal/control/forward.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/replica"
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// forwarder proposes here where this host leads, and at the leader where not.
+type forwarder struct{ h *Host }
+
+// Propose implements command.Proposer.
+func (f forwarder) Propose(ctx context.Context, data []byte) (any, error) {
+	r, err := f.h.replica.Propose(ctx, data)
+	if err == nil {
+		return r.Value, nil
+	}
+	var notLeader *replica.NotLeaderError
+	if !errors.As(err, &notLeader) {
+		return nil, err
+	}
+	reply, err := f.h.client.Propose(ctx, &wire.Propose{Data: data})
+	if err != nil {
+		return nil, err
+	}
+	return decodeResult(reply.Result)
+}
+
+// result is the form in which the result of a forwarded command travels. One field
+// is set.
+type result struct {
+	Submit   *state.SubmitResult       `cbor:"1,keyasint,omitempty"`
+	Repeated bool                      `cbor:"2,keyasint,omitempty"`
+	Init     *state.InitResult         `cbor:"3,keyasint,omitempty"`
+	Address  *state.VoterAddressResult `cbor:"4,keyasint,omitempty"`
+	Rejected *state.Rejected           `cbor:"5,keyasint,omitempty"`
+}
+
+// encodeResult refuses the results that have no forwarded form: claims are sent to
+// the leader by the hosts that need them.
+func encodeResult(value any) ([]byte, error) {
+	var r result
+	switch v := value.(type) {
+	case state.SubmitResult:
+		r.Submit, r.Repeated = &v, v.Repeated
+	case state.InitResult:
+		r.Init = &v
+	case state.VoterAddressResult:
+		r.Address = &v
+	case state.Rejected:
+		r.Rejected = &v
+	default:
+		return nil, errors.Errorf("control: result %T can't be forwarded", value)
+	}
+	return wire.Marshal(r)
+}
+
+func decodeResult(data []byte) (any, error) {
+	var r result
+	if err := wire.Unmarshal(data, &r); err != nil {
+		return nil, errors.Wrap(err, "control: result of a forwarded command")
+	}
+	switch {
+	case r.Submit != nil:
+		r.Submit.Repeated = r.Repeated
+		return *r.Submit, nil
+	case r.Init != nil:
+		return *r.Init, nil
+	case r.Address != nil:
+		return *r.Address, nil
+	case r.Rejected != nil:
+		return *r.Rejected, nil
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "empty result of a forwarded command")
+}
--- /dev/null
+++ b/internal/control/host.go
@@ -0,0 +1,218 @@
+// Package control is the role of the hosts that hold the replicated state, and the
+// client by which the other roles reach them.
+//
+// A Host joins the replica of the log with the tables that it changes, serves
+// claims, orders and documents to the other roles, and keeps the membership of the
+// log in line with the hosts that exist.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/catalog"
+	"github.com/sassafraspost/sassafraspost/internal/command"
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/journal"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/query"
+	"github.com/sassafraspost/sassafraspost/internal/replica"
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// ageInterval is how often the leader moves the age of the tables on.
+	ageInterval = 5 * time.Second
+	// serveTimeout bounds the work for one message of another host.
+	serveTimeout = 2 * time.Second
+)
+
+// Config is what a Host needs.
+type Config struct {
+	// Name is the host's name.
+	Name string
+	// Journal and Recovered are the opened data folder.
+	Journal   *journal.Journal
+	Recovered journal.Recovered
+	Transport *Transport
+	Pool      *peer.Pool
+	// Peers are the peer addresses of the other control hosts.
+	Peers []string
+	// Address is this host's own peer address.
+	Address string
+	// Tick and SnapshotEntries are as in replica.Options.
+	Tick            time.Duration
+	SnapshotEntries uint64
+	State           state.Options
+	Log             *slog.Logger
+	Metrics         metrics.Registry
+}
+
+// Host is one control host.
+type Host struct {
+	cfg      Config
+	id       consensus.ReplicaID
+	replica  *replica.Replica
+	tables   *state.Machine
+	store    *catalog.Store
+	watchers *watchers
+	reports  *reports
+	client   *Client
+	commands *command.Service
+	queries  *query.Service
+	joins    joinGate
+}
+
+// ID names the replica of a host by the disk that its journal found.
+func ID(host string, r journal.Recovered) consensus.ReplicaID {
+	return consensus.NewReplicaID(host, r.DiskID)
+}
+
+// Open starts the replica of a host. It serves nobody before HandlePeer is called.
+func Open(cfg Config) (*Host, error) {
+	h := &Host{
+		cfg:     cfg,
+		id:      ID(cfg.Name, cfg.Recovered),
+		tables:  state.New(cfg.State),
+		store:   catalog.NewStore(cfg.Log, cfg.Metrics),
+		reports: newReports(),
+		client:  NewClient(cfg.Pool, cfg.Peers),
+	}
+	h.watchers = newWatchers(h.store)
+	var err error
+	h.replica, err = replica.Open(replica.Options{
+		ID:              h.id,
+		Storage:         cfg.Journal,
+		Machine:         h.tables,
+		Transport:       cfg.Transport,
+		Restored:        restored(cfg.Recovered),
+		Tick:            cfg.Tick,
+		SnapshotEntries: cfg.SnapshotEntries,
+		Logger:          cfg.Log,
+		Registry:        cfg.Metrics,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "open replica")
+	}
+	h.commands = command.New(forwarder{h}, command.Options{})
+	h.queries = query.New(reader{h}, h.tables)
+	return h, nil
+}
+
+func restored(r journal.Recovered) consensus.Restored {
+	return consensus.Restored{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}
+}
+
+// Run does the host's background work until ctx ends. The error is what ended the
+// replica; the host must then stop.
+func (h *Host) Run(ctx context.Context) error {
+	go keepDialled(ctx, h.cfg.Pool, h.cfg.Peers)
+	go h.passDocuments(ctx)
+	go h.showCurrency(ctx)
+	go h.advanceAge(ctx)
+	go h.keepJoined(ctx)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-h.replica.Done():
+		return errors.Wrap(h.replica.Err(), "replica stopped")
+	}
+}
+
+// Close hands the leadership over and stops the replica.
+func (h *Host) Close(ctx context.Context) error {
+	h.commands.Close()
+	return h.replica.Close(ctx)
+}
+
+// passDocuments keeps the catalog at what the tables hold, and the watchers with it.
+func (h *Host) passDocuments(ctx context.Context) {
+	for {
+		changed := h.tables.Changed()
+		h.syncStore()
+		h.watchers.send(false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// syncStore brings the catalog up to the tables.
+func (h *Host) syncStore() {
+	var docs []wire.Document
+	for _, d := range h.tables.Changes(h.store.Revision()) {
+		docs = append(docs, wire.Document{Name: d.Name, Revision: d.Revision, Text: []byte(d.Text)})
+	}
+	h.store.Offer(docs)
+}
+
+// showCurrency tells watchers at intervals that this host holds all that was
+// accepted, as a quorum confirmed. One that is cut off falls silent on this, and
+// its watchers go elsewhere.
+func (h *Host) showCurrency(ctx context.Context) {
+	for ctx.Err() == nil {
+		readCtx, cancel := context.WithTimeout(ctx, serveTimeout)
+		_, err := reader{h}.Read(readCtx)
+		cancel()
+		if err == nil {
+			h.syncStore()
+			h.watchers.send(true)
+		}
+		pause(ctx, currencyInterval)
+	}
+}
+
+// advanceAge moves the age of the tables on by the leader's own monotonic clock.
+func (h *Host) advanceAge(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		pause(ctx, ageInterval)
+		now := time.Now()
+		elapsed := now.Sub(last)
+		last = now
+		if !h.replica.IsLeader() {
+			continue
+		}
+		proposeCtx, cancel := context.WithTimeout(ctx, serveTimeout)
+		_, _ = h.commands.AdvanceAge(proposeCtx, elapsed)
+		cancel()
+	}
+}
+
+// reader is the barrier of linearizable reads on any control host: a follower asks
+// the leader for the index and waits until its own tables are there.
+type reader struct{ h *Host }
+
+// Read implements query.Reader.
+func (r reader) Read(ctx context.Context) (uint64, error) {
+	index, err := r.h.replica.Read(ctx)
+	var notLeader *replica.NotLeaderError
+	if !errors.As(err, &notLeader) {
+		return index, err
+	}
+	index, err = r.h.client.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return index, r.h.awaitApplied(ctx, index)
+}
+
+const appliedPoll = 5 * time.Millisecond
+
+func (h *Host) awaitApplied(ctx context.Context, index uint64) error {
+	for h.replica.Status().Applied < index {
+		if ctx.Err() != nil {
+			return verdict.New(verdict.NotRun, verdict.CodeDeadline, "this control host is behind")
+		}
+		pause(ctx, appliedPoll)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	joinInterval = time.Second
+	// joinTimeout bounds one change of the membership, the catching up included.
+	joinTimeout = 5 * time.Minute
+	// hearingSpan is how lately a replica must have been heard to count as alive.
+	hearingSpan = 10 * time.Second
+)
+
+// joinGate lets one join run at a time.
+type joinGate struct {
+	mu   sync.Mutex
+	busy bool
+}
+
+func (g *joinGate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.busy {
+		return false
+	}
+	g.busy = true
+	return true
+}
+
+func (g *joinGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = false
+}
+
+// keepJoined asks to be let in for as long as this replica has no vote: after the
+// first start, and after the disk was lost. A replica with another disk than before
+// is a stranger to the others until a committed change lets it in, so that what it
+// has forgotten can't be outvoted by it.
+func (h *Host) keepJoined(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, joinInterval)
+		if h.replica.Status().Membership.IsVoter(h.id) {
+			continue
+		}
+		askCtx, cancel := context.WithTimeout(ctx, clientTimeout)
+		_ = h.client.Join(askCtx, &wire.Join{Host: h.cfg.Name, Replica: string(h.id), Address: h.cfg.Address})
+		cancel()
+	}
+}
+
+// handleJoin begins to let a replica in. The answer does not wait until it is.
+func (h *Host) handleJoin(s *peer.Session, m *wire.Join) (wire.Message, error) {
+	if err := h.mustLead(); err != nil {
+		return nil, err
+	}
+	id := consensus.ReplicaID(m.Replica)
+	if s.Remote().Host != m.Host || hostOf(id) != m.Host {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeForbidden, "a host may join for itself only")
+	}
+	if !h.joins.enter() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInProgress, "another replica is joining").After(joinInterval)
+	}
+	go func() {
+		defer h.joins.leave()
+		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+		defer cancel()
+		if err := h.letIn(ctx, id); err != nil {
+			h.cfg.Log.Warn("replica could not join", "replica", id, "error", err)
+		}
+	}()
+	return &wire.Ack{}, nil
+}
+
+// letIn makes a voter of a replica. Where its host was a member with another disk,
+// the new replica takes the place of the old one; learners that the host left
+// behind are removed.
+func (h *Host) letIn(ctx context.Context, id consensus.ReplicaID) error {
+	st := h.replica.Status()
+	if st.Membership.IsVoter(id) {
+		return nil
+	}
+	h.cfg.Log.Info("replica joins", "replica", id)
+	for _, old := range st.Membership.Learners {
+		if old != id && hostOf(old) == hostOf(id) {
+			if err := h.replica.Remove(ctx, old); err != nil {
+				return err
+			}
+		}
+	}
+	if old, ok := h.predecessor(st, id); ok {
+		if isHeard(st, old, h.cfg.Tick) {
+			return verdict.New(verdict.NotRun, verdict.CodeConflict, "replica "+string(old)+" of the same host is alive")
+		}
+		return h.replica.Replace(ctx, old, id)
+	}
+	if err := h.replica.AddLearner(ctx, id); err != nil {
+		return err
+	}
+	return h.replica.Promote(ctx, id)
+}
+
+// predecessor returns the voter that the host of id was with another disk.
+func (h *Host) predecessor(st consensus.Status, id consensus.ReplicaID) (consensus.ReplicaID, bool) {
+	i := slices.IndexFunc(st.Membership.Voters, func(v consensus.ReplicaID) bool { return hostOf(v) == hostOf(id) })
+	if i < 0 {
+		return "", false
+	}
+	return st.Membership.Voters[i], true
+}
+
+func isHeard(st consensus.Status, id consensus.ReplicaID, tick time.Duration) bool {
+	for _, p := range st.Peers {
+		if p.ID == id {
+			return time.Duration(p.SilentTicks)*tick < hearingSpan
+		}
+	}
+	return false
+}
+
+func hostOf(id consensus.ReplicaID) string {
+	host, _, _ := strings.Cut(string(id), "/")
+	return host
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/adminapi"
+	"github.com/sassafraspost/sassafraspost/internal/auth"
+	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/journal"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// controlRole holds the replicated state.
+type controlRole struct{ host *control.Host }
+
+// openJournal opens the data folder, before the sessions begin: a host tells the
+// others which disk it has.
+func (d *Daemon) openJournal() error {
+	j, recovered, err := journal.Open(journal.Options{Dir: d.set.Control.DataFolder, Logger: d.log})
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	d.journal, d.recovered = j, recovered
+	d.transport = control.NewTransport(d.metrics)
+	if recovered.Cut {
+		d.log.Warn("unfinished last record was cut from the journal")
+	}
+	return nil
+}
+
+func (d *Daemon) buildControl() (role, error) {
+	set := d.set.Control
+	host, err := control.Open(control.Config{
+		Name:            d.set.Host.Name,
+		Journal:         d.journal,
+		Recovered:       d.recovered,
+		Transport:       d.transport,
+		Pool:            d.pool,
+		Peers:           d.otherPeers(),
+		Address:         d.set.Peer.Advertise.String(),
+		Tick:            set.Tick,
+		SnapshotEntries: uint64(set.SnapshotEntries),
+		Log:             d.log,
+		Metrics:         d.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	api, err := adminapi.New(adminapi.Config{
+		Commands:  host.API(),
+		Queries:   host.API(),
+		Operators: auth.NewTable(d.set.Operators),
+		Metrics:   d.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &controlRole{host: host}, d.serve("administration API", set.APIListen.String(), api, set.APITLS)
+}
+
+// otherPeers lists the control hosts but this one.
+func (d *Daemon) otherPeers() []string {
+	var out []string
+	for _, a := range d.set.Control.Peers {
+		if a != d.set.Peer.Advertise && a != d.set.Peer.Listen {
+			out = append(out, a.String())
+		}
+	}
+	return out
+}
+
+func (r *controlRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	return r.host.HandlePeer(s, call, m)
+}
+
+func (r *controlRole) run(ctx context.Context) error { return r.host.Run(ctx) }
+
+func (r *controlRole) drain(ctx context.Context) error { return r.host.Close(ctx) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/journal"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
 	"github.com/sassafraspost/sassafraspost/internal/telemetry"
@@ -39,7 +41,12 @@
 	start       time.Time
 	incarnation uint64
 
-	pool    *peer.Pool
+	pool *peer.Pool
+	// journal, recovered and transport belong to the control role.
+	journal   *journal.Journal
+	recovered journal.Recovered
+	transport *control.Transport
+
 	roles   []role
 	servers []*server
 	unknown metrics.Counter
@@ -64,6 +71,11 @@
 }
 
 func (d *Daemon) build() error {
+	if slices.Contains(d.set.Host.Roles, settings.RoleControl) {
+		if err := d.openJournal(); err != nil {
+			return err
+		}
+	}
 	if err := d.buildPool(); err != nil {
 		return err
 	}
@@ -99,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	d.pool = peer.NewPool(peer.Config{
+	config := peer.Config{
 		Hello: wire.Hello{
 			Host:        d.set.Host.Name,
 			DataCentre:  d.set.Host.DataCentre,
@@ -109,7 +121,12 @@
 		Secret:  string(p.Secret),
 		Handler: peer.HandlerFunc(d.handlePeer),
 		TLS:     tlsConfig,
-	})
+	}
+	if d.transport != nil {
+		config.Hello.Replica = string(control.ID(d.set.Host.Name, d.recovered))
+		config.OnUp = d.transport.SessionUp
+	}
+	d.pool = peer.NewPool(config)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, peer.NewServer(d.pool))
 	return d.serve("peer", p.Listen.String(), mux, p.TLS)
--- /dev/null
+++ b/test/local/client.go
@@ -0,0 +1,175 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+// pollInterval is how often a condition is looked at.
+const pollInterval = 20 * time.Millisecond
+
+// Tool runs the operators' tool and returns what it printed.
+func (s *System) Tool(ctx context.Context, args ...string) (string, error) {
+	token, err := s.OperatorTokenFile()
+	if err != nil {
+		return "", err
+	}
+	all := append(args, "--server", s.APIServers(), "--token-file", token)
+	out, err := exec.CommandContext(ctx, filepath.Join(s.Bin, "sassafraspost"), all...).CombinedOutput()
+	return string(out), err
+}
+
+// Await polls until ok or ctx ends.
+func Await(ctx context.Context, ok func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    string
+	Verdict verdict.Verdict
+	// Err is set where the answer broke off or never began.
+	Err error
+}
+
+// Request is what a caller asks.
+type Request struct {
+	Method, Path, Key, ID, Body string
+}
+
+// Do sends a request to an entry host. An answer that can't be read to its end has Err.
+func Do(ctx context.Context, entry string, q Request) Answer {
+	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+entry+q.Path, bytes.NewReader([]byte(q.Body)))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+CallerToken)
+	req.Header.Set("Content-Type", "application/json")
+	if q.Key != "" {
+		req.Header.Set("Idempotency-Key", q.Key)
+	}
+	if q.ID != "" {
+		req.Header.Set("X-Request-Id", q.ID)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a := Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}
+	if v, perr := verdict.Parse(resp.Header.Get(verdict.Header)); perr == nil {
+		a.Verdict = v
+	}
+	return a
+}
+
+// client dials anew for each request: connections to hosts that were killed must
+// not stand in for faults of the system.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Completion returns the request for a completion of tokens tokens.
+func Completion(prompt string, tokens int, isStream bool) Request {
+	body, _ := json.Marshal(map[string]any{
+		"model": "drafter", "prompt": prompt, "max_tokens": tokens, "stream": isStream,
+	})
+	return Request{Method: http.MethodPost, Path: "/v1/completions", Body: string(body)}
+}
+
+// Booking returns the request for a booking, which may not repeat.
+func Booking(key, rider string) Request {
+	body, _ := json.Marshal(standin.Booking{Slot: "dawn", Rider: rider})
+	return Request{Method: http.MethodPost, Path: "/slots/book", Key: key, Body: string(body)}
+}
+
+// Executions asks a stand-in what it has done.
+func Executions(ctx context.Context, h *Host) (standin.Report, error) {
+	var r standin.Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Listen+"/executions", nil)
+	if err != nil {
+		return r, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	return r, errors.Wrap(json.NewDecoder(resp.Body).Decode(&r), "executions")
+}
+
+// Fail makes the next requests of a stand-in fail.
+func Fail(ctx context.Context, h *Host, f standin.Failure) error {
+	body, _ := json.Marshal(f)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Listen+"/admin/fail", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// IsReady reports whether an entry host takes callers.
+func IsReady(ctx context.Context, h *Host) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Listen+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// cluster is what the tool prints of a cluster.
+type cluster struct {
+	Leader   string `json:"leader"`
+	Replicas []struct {
+		Voter bool `json:"voter"`
+	} `json:"replicas"`
+}
+
+// Voters returns how many control hosts have a vote, as the tool says.
+func (s *System) Voters(ctx context.Context) int {
+	out, err := s.Tool(ctx, "cluster", "-o", "json")
+	if err != nil {
+		return 0
+	}
+	var c cluster
+	if json.Unmarshal([]byte(out), &c) != nil {
+		return 0
+	}
+	n := 0
+	for _, r := range c.Replicas {
+		if r.Voter {
+			n++
+		}
+	}
+	return n
+}
