Add the services that change and read the tables

Cause: the API and the entry hosts need typed changes and linearizable reads, and claims have to share proposals, or each non-idempotent call costs a round of the log of its own.

command proposes; claims and finishes gather in a batcher with one batch in flight and a bound on what waits. A caller that goes away, or gets an error, must not dispatch, so its error always says NotRun and its claim is given back by a NotRun finish. Ruled out: a timer that gathers a batch (adds its delay to every quiet call) and MayHaveRun for a failed claim (untrue: nothing is dispatched without a grant). query waits for the barrier before each read; LocalStatus is the one read without it.

--- /dev/null
+++ b/internal/command/batcher.go
@@ -0,0 +1,195 @@
+package command
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// call is one request that waits for a batch.
+type call[Q, R any] struct {
+	request Q
+	// done is closed once result or err stands.
+	done   chan struct{}
+	result R
+	err    error
+	// sent, finished and abandoned are guarded by the batcher's mu.
+	sent, finished, abandoned bool
+}
+
+// batcher gathers the requests of concurrent callers. One batch is in flight at a
+// time; what comes in meanwhile makes the next one.
+type batcher[Q, R any] struct {
+	size    int
+	bound   int
+	timeout time.Duration
+	// send sends a batch and returns a result for each request, in order.
+	send func(ctx context.Context, requests []Q) ([]R, error)
+	// unwanted takes the end of a request whose caller will not use it: the caller
+	// has gone, or gets an error. It must not block.
+	unwanted func(request Q, result R, err error)
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wg counts the goroutine that sends.
+	wg sync.WaitGroup
+
+	// mu guards all below. Nothing is called out to while it is held.
+	mu      sync.Mutex
+	pending []*call[Q, R]
+	sending bool
+	closed  bool
+}
+
+func newBatcher[Q, R any](o Options, send func(context.Context, []Q) ([]R, error)) *batcher[Q, R] {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &batcher[Q, R]{
+		size:     o.BatchSize,
+		bound:    o.Pending,
+		timeout:  o.Timeout,
+		send:     send,
+		unwanted: func(Q, R, error) {},
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// do waits for the result of a request. Where ctx ends first, the error tells
+// whether the request was sent.
+func (b *batcher[Q, R]) do(ctx context.Context, request Q) (R, error) {
+	var none R
+	if ctx.Err() != nil {
+		return none, contextError(verdict.NotRun, ctx.Err())
+	}
+	c, err := b.enqueue(request)
+	if err != nil {
+		return none, err
+	}
+	select {
+	case <-c.done:
+		return c.result, c.err
+	case <-ctx.Done():
+		return b.abandon(c, ctx.Err())
+	}
+}
+
+// enqueue adds a request to the next batch. It is refused where too many wait.
+func (b *batcher[Q, R]) enqueue(request Q) (*call[Q, R], error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeLeaving, "service is closed")
+	}
+	if len(b.pending) >= b.bound {
+		e := verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many requests wait for the log")
+		return nil, e.After(overloadRetry)
+	}
+	c := &call[Q, R]{request: request, done: make(chan struct{})}
+	b.pending = append(b.pending, c)
+	if !b.sending {
+		b.sending = true
+		b.wg.Go(b.run)
+	}
+	return c, nil
+}
+
+// abandon gives up waiting, unless the result has just come.
+func (b *batcher[Q, R]) abandon(c *call[Q, R], cause error) (R, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.finished {
+		return c.result, c.err
+	}
+	c.abandoned = true
+	v := verdict.NotRun
+	if c.sent {
+		v = verdict.MayHaveRun
+	}
+	var none R
+	return none, contextError(v, cause)
+}
+
+// run sends batches until none is left.
+func (b *batcher[Q, R]) run() {
+	for {
+		batch := b.take()
+		if len(batch) == 0 {
+			return
+		}
+		requests := make([]Q, 0, len(batch))
+		for _, c := range batch {
+			requests = append(requests, c.request)
+		}
+		ctx, cancel := context.WithTimeout(b.ctx, b.timeout)
+		results, err := b.send(ctx, requests)
+		cancel()
+		if err == nil && len(results) != len(batch) {
+			err = unexpected()
+		}
+		b.deliver(batch, results, err)
+	}
+}
+
+// take returns the next batch without those whose caller has gone. An empty one
+// ends the sending.
+func (b *batcher[Q, R]) take() []*call[Q, R] {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch []*call[Q, R]
+	taken := 0
+	for _, c := range b.pending {
+		if len(batch) == b.size {
+			break
+		}
+		taken++
+		if c.abandoned {
+			continue
+		}
+		c.sent = true
+		batch = append(batch, c)
+	}
+	rest := copy(b.pending, b.pending[taken:])
+	clear(b.pending[rest:])
+	b.pending = b.pending[:rest]
+	b.sending = len(batch) > 0
+	return batch
+}
+
+func (b *batcher[Q, R]) deliver(batch []*call[Q, R], results []R, err error) {
+	for i, c := range batch {
+		b.mu.Lock()
+		c.err = err
+		if err == nil {
+			c.result = results[i]
+		}
+		c.finished = true
+		unwanted := c.abandoned || err != nil
+		b.mu.Unlock()
+		close(c.done)
+		if unwanted {
+			b.unwanted(c.request, c.result, c.err)
+		}
+	}
+}
+
+// close refuses what comes and ends the batch in flight.
+func (b *batcher[Q, R]) close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.cancel()
+	b.wg.Wait()
+}
+
+// contextError tells why a caller stopped waiting.
+func contextError(v verdict.Verdict, cause error) *verdict.Error {
+	code := verdict.CodeCancelled
+	if cause == context.DeadlineExceeded {
+		code = verdict.CodeDeadline
+	}
+	e := verdict.New(v, code, "gave up waiting for the log")
+	e.Cause = cause
+	return e
+}
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,293 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+const generous = 10 * time.Second
+
+// applier applies each proposal at once. With a gate it waits for a value before
+// each one; before tells the number of proposals that arrived.
+type applier struct {
+	machine *state.Machine
+	gate    chan struct{}
+
+	mu    sync.Mutex
+	index uint64
+	// lost makes the next proposal succeed without the proposer learning of it.
+	lost error
+	// refused makes each proposal fail without effect.
+	refused error
+}
+
+func newApplier() *applier { return &applier{machine: state.New(state.Options{})} }
+
+func (a *applier) Propose(ctx context.Context, data []byte) (any, error) {
+	a.mu.Lock()
+	a.index++
+	index, lost, refused := a.index, a.lost, a.refused
+	a.lost = nil
+	a.mu.Unlock()
+	if refused != nil {
+		return nil, refused
+	}
+	if a.gate != nil {
+		select {
+		case <-a.gate:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	result := a.machine.Apply(index, data)
+	return result, lost
+}
+
+func (a *applier) arrived() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int(a.index)
+}
+
+func claim(key, attempt string) state.Claim {
+	return state.Claim{Workspace: "w", Key: key, Attempt: attempt, Deadline: 1000}
+}
+
+func requireCode(t *testing.T, err error, v verdict.Verdict, code verdict.Code) *verdict.Error {
+	t.Helper()
+	var e *verdict.Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, v, e.Verdict, e.Error())
+	require.Equal(t, code, e.Code, e.Error())
+	return e
+}
+
+func TestSubmit(t *testing.T) {
+	s := New(newApplier(), Options{})
+	defer s.Close()
+	ctx := t.Context()
+	doc := state.SubmitDocument{Name: "d", ChangeID: "x", Author: "ann", Text: "one"}
+	result, err := s.Submit(ctx, doc)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), result.Revision)
+	result, err = s.Submit(ctx, doc)
+	require.NoError(t, err)
+	require.True(t, result.Repeated)
+
+	other := state.SubmitDocument{Name: "d", ChangeID: "y", Author: "bob", Text: "two"}
+	_, err = s.Submit(ctx, other)
+	e := requireCode(t, err, verdict.NotRun, verdict.CodeConflict)
+	var conflict *ConflictError
+	require.ErrorAs(t, e, &conflict)
+	require.Equal(t, &state.Winner{Revision: 1, Author: "ann", ChangeID: "x"}, conflict.Winner)
+	require.Contains(t, err.Error(), "revision 1 by ann, change x")
+
+	doc.Text = "three"
+	_, err = s.Submit(ctx, doc)
+	requireCode(t, err, verdict.NotRun, verdict.CodeKeyReused)
+	_, err = s.Submit(ctx, state.SubmitDocument{Name: "d"})
+	requireCode(t, err, verdict.NotRun, verdict.CodeBadRequest)
+	doc.Text = string(make([]byte, state.MaxDocumentBytes+1))
+	_, err = s.Submit(ctx, doc)
+	requireCode(t, err, verdict.NotRun, verdict.CodeTooLarge)
+}
+
+func TestInitOnceAndAddresses(t *testing.T) {
+	s := New(newApplier(), Options{})
+	defer s.Close()
+	_, err := s.Init(t.Context(), state.Init{ClusterID: "c1"})
+	require.NoError(t, err)
+	result, err := s.Init(t.Context(), state.Init{ClusterID: "c2"})
+	requireCode(t, err, verdict.NotRun, verdict.CodeConflict)
+	require.Equal(t, "c1", result.ClusterID)
+	changed, err := s.SetVoterAddress(t.Context(), state.SetVoterAddress{Replica: "a/1", Host: "a", Address: "127.0.0.1:1"})
+	require.NoError(t, err)
+	require.True(t, changed.Changed)
+	age, err := s.AdvanceAge(t.Context(), 3*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, state.Age(3000), age.Age)
+}
+
+func TestProposeFailures(t *testing.T) {
+	for name, c := range map[string]struct {
+		err     error
+		verdict verdict.Verdict
+		code    verdict.Code
+	}{
+		"typed":    {verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "cut off"), verdict.NotRun, verdict.CodeNoQuorum},
+		"deadline": {errors.Wrap(context.DeadlineExceeded, "wait"), verdict.MayHaveRun, verdict.CodeDeadline},
+		"other":    {errors.New("connection reset"), verdict.MayHaveRun, verdict.CodeInternal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newApplier()
+			a.refused = c.err
+			s := New(a, Options{})
+			defer s.Close()
+			_, err := s.Submit(t.Context(), state.SubmitDocument{Name: "d", ChangeID: "x", Author: "ann"})
+			requireCode(t, err, c.verdict, c.code)
+			_, err = s.Finish(t.Context(), state.Finish{Workspace: "w", Key: "k", Attempt: "a"})
+			requireCode(t, err, c.verdict, c.code)
+			// Nothing is dispatched without a grant, so a claim never has run.
+			_, err = s.Claim(t.Context(), claim("k", "a"))
+			requireCode(t, err, verdict.NotRun, c.code)
+		})
+	}
+}
+
+func TestClaimAndFinish(t *testing.T) {
+	s := New(newApplier(), Options{})
+	defer s.Close()
+	result, err := s.Claim(t.Context(), claim("k", "a"))
+	require.NoError(t, err)
+	require.Equal(t, state.ClaimGranted, result.Outcome)
+	result, err = s.Claim(t.Context(), claim("k", "b"))
+	require.NoError(t, err)
+	require.Equal(t, state.ClaimInProgress, result.Outcome)
+	finish := state.Finish{Workspace: "w", Key: "k", Attempt: "a", Verdict: verdict.Ran}
+	outcome, err := s.Finish(t.Context(), finish)
+	require.NoError(t, err)
+	require.Equal(t, state.FinishRecorded, outcome)
+}
+
+// TestClaimsOfConcurrentCallersShareProposals: while one batch is in flight, all
+// that come make few more, each within the bound.
+func TestClaimsOfConcurrentCallersShareProposals(t *testing.T) {
+	const callers, size = 50, 20
+	a := newApplier()
+	a.gate = make(chan struct{})
+	s := New(a, Options{BatchSize: size})
+	defer s.Close()
+	outcomes := make(chan state.ClaimOutcome, callers+1)
+	ask := func(key string) {
+		result, err := s.Claim(context.Background(), claim(key, "a"+key))
+		if err == nil {
+			outcomes <- result.Outcome
+		}
+	}
+	go ask("first")
+	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
+	for i := range callers {
+		go ask(fmt.Sprint(i))
+	}
+	require.Eventually(t, func() bool { return s.claims.waiting() == callers }, generous, time.Millisecond)
+	close(a.gate)
+	for range callers + 1 {
+		require.Equal(t, state.ClaimGranted, <-outcomes)
+	}
+	require.Equal(t, 1+(callers+size-1)/size, a.arrived())
+}
+
+func (b *batcher[Q, R]) waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.pending)
+}
+
+func TestTooManyWaitingClaimsAreRefused(t *testing.T) {
+	a := newApplier()
+	a.gate = make(chan struct{})
+	s := New(a, Options{Pending: 1})
+	defer s.Close()
+	go func() { _, _ = s.Claim(context.Background(), claim("1", "a")) }()
+	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
+	go func() { _, _ = s.Claim(context.Background(), claim("2", "a")) }()
+	require.Eventually(t, func() bool { return s.claims.waiting() == 1 }, generous, time.Millisecond)
+	_, err := s.Claim(t.Context(), claim("3", "a"))
+	e := requireCode(t, err, verdict.NotRun, verdict.CodeOverloaded)
+	require.Positive(t, e.RetryAfter)
+	close(a.gate)
+}
+
+// TestUnusedGrantIsGivenBack: a caller that goes away, or does not learn of its
+// grant, does not dispatch. Its key must not stay taken.
+func TestUnusedGrantIsGivenBack(t *testing.T) {
+	free := func(t *testing.T, s *Service, a *applier) {
+		require.Eventually(t, func() bool { return a.machine.ClaimCount() == 0 }, generous, time.Millisecond)
+		result, err := s.Claim(context.Background(), claim("k", "b"))
+		require.NoError(t, err)
+		require.Equal(t, state.ClaimGranted, result.Outcome)
+	}
+	t.Run("caller gone", func(t *testing.T) {
+		a := newApplier()
+		a.gate = make(chan struct{})
+		s := New(a, Options{})
+		defer s.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := s.Claim(ctx, claim("k", "a"))
+			failed <- err
+		}()
+		require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
+		cancel()
+		requireCode(t, <-failed, verdict.NotRun, verdict.CodeCancelled)
+		a.gate <- struct{}{}
+		require.Eventually(t, func() bool { return a.arrived() == 2 }, generous, time.Millisecond)
+		require.Equal(t, 1, a.machine.ClaimCount())
+		close(a.gate)
+		free(t, s, a)
+	})
+	t.Run("answer lost", func(t *testing.T) {
+		a := newApplier()
+		a.lost = errors.New("connection reset")
+		s := New(a, Options{})
+		defer s.Close()
+		_, err := s.Claim(t.Context(), claim("k", "a"))
+		requireCode(t, err, verdict.NotRun, verdict.CodeInternal)
+		free(t, s, a)
+	})
+}
+
+// TestGoneCallerIsNotSent: a caller that went before its batch was sent makes no
+// claim.
+func TestGoneCallerIsNotSent(t *testing.T) {
+	a := newApplier()
+	a.gate = make(chan struct{})
+	s := New(a, Options{})
+	defer s.Close()
+	first := make(chan error, 1)
+	go func() {
+		_, err := s.Claim(context.Background(), claim("1", "a"))
+		first <- err
+	}()
+	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	second := make(chan error, 1)
+	go func() {
+		_, err := s.Claim(ctx, claim("2", "a"))
+		second <- err
+	}()
+	require.Eventually(t, func() bool { return s.claims.waiting() == 1 }, generous, time.Millisecond)
+	cancel()
+	require.Error(t, <-second)
+	close(a.gate)
+	require.NoError(t, <-first)
+	require.Eventually(t, func() bool { return s.claims.waiting() == 0 }, generous, time.Millisecond)
+	require.Equal(t, 1, a.arrived())
+	require.Equal(t, 1, a.machine.ClaimCount())
+}
+
+func TestClosedServiceRefuses(t *testing.T) {
+	a := newApplier()
+	a.gate = make(chan struct{})
+	s := New(a, Options{})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Claim(context.Background(), claim("1", "a"))
+		failed <- err
+	}()
+	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
+	s.Close()
+	requireCode(t, <-failed, verdict.NotRun, verdict.CodeCancelled)
+	_, err := s.Claim(t.Context(), claim("2", "a"))
+	requireCode(t, err, verdict.NotRun, verdict.CodeLeaving)
+}
--- /dev/null
+++ b/internal/query/query.go
@@ -0,0 +1,132 @@
+// Package query reads the replicated tables. Changes are in package command.
+package query
+
+import (
+	"context"
+
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// Reader is the barrier of linearizable reads. Read returns once the local tables
+// hold all that was committed before the call, and the index up to which.
+type Reader interface {
+	Read(ctx context.Context) (index uint64, err error)
+}
+
+// Tables are the local tables; *state.Machine implements them.
+type Tables interface {
+	Document(name string) (state.Document, bool)
+	Documents() []state.Document
+	Changes(since uint64) []state.Document
+	History(before uint64, limit int) state.AuditPage
+	Cluster() state.Cluster
+	Applied() uint64
+	Age() state.Age
+	Fence() uint64
+	ClaimCount() int
+}
+
+// The length of a page of the audit trail.
+const (
+	DefaultPage = 100
+	MaxPage     = 1000
+)
+
+// Service reads the tables. Its methods may be called concurrently; their errors
+// are of type *verdict.Error. A read changes nothing, so its errors say NotRun.
+type Service struct {
+	reader Reader
+	tables Tables
+}
+
+// New returns a Service that reads tables after the barrier of r.
+func New(r Reader, tables Tables) *Service { return &Service{reader: r, tables: tables} }
+
+// Status is what the control state says of itself.
+type Status struct {
+	// Index is that of the last applied entry.
+	Index uint64
+	// Age is in milliseconds.
+	Age state.Age
+	// Fence is the fencing number for orders to engines.
+	Fence   uint64
+	Cluster state.Cluster
+	// Claims counts the open and the retained ones.
+	Claims int
+}
+
+// Document returns the document of that name, or CodeNotFound.
+func (s *Service) Document(ctx context.Context, name string) (state.Document, error) {
+	if err := s.barrier(ctx); err != nil {
+		return state.Document{}, err
+	}
+	doc, ok := s.tables.Document(name)
+	if !ok {
+		return state.Document{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no document "+name)
+	}
+	return doc, nil
+}
+
+// Documents returns all documents by name.
+func (s *Service) Documents(ctx context.Context) ([]state.Document, error) {
+	if err := s.barrier(ctx); err != nil {
+		return nil, err
+	}
+	return s.tables.Documents(), nil
+}
+
+// Changes returns the documents with a revision above since, the lowest first.
+func (s *Service) Changes(ctx context.Context, since uint64) ([]state.Document, error) {
+	if err := s.barrier(ctx); err != nil {
+		return nil, err
+	}
+	return s.tables.Changes(since), nil
+}
+
+// History returns a page of the audit trail, the newest record first. A before of
+// zero starts at the newest; a limit of zero is DefaultPage, and more than MaxPage
+// is MaxPage.
+func (s *Service) History(ctx context.Context, before uint64, limit int) (state.AuditPage, error) {
+	if limit < 0 {
+		return state.AuditPage{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "limit is negative")
+	}
+	if limit == 0 {
+		limit = DefaultPage
+	}
+	if err := s.barrier(ctx); err != nil {
+		return state.AuditPage{}, err
+	}
+	return s.tables.History(before, min(limit, MaxPage)), nil
+}
+
+// Status returns the state of the cluster.
+func (s *Service) Status(ctx context.Context) (Status, error) {
+	if err := s.barrier(ctx); err != nil {
+		return Status{}, err
+	}
+	return s.LocalStatus(), nil
+}
+
+// LocalStatus returns the state of the cluster as this replica last knew it, also
+// without a quorum. It may be old.
+func (s *Service) LocalStatus() Status {
+	return Status{
+		Index:   s.tables.Applied(),
+		Age:     s.tables.Age(),
+		Fence:   s.tables.Fence(),
+		Cluster: s.tables.Cluster(),
+		Claims:  s.tables.ClaimCount(),
+	}
+}
+
+// barrier waits until the tables are up to date. Whatever fails, nothing has run.
+func (s *Service) barrier(ctx context.Context) error {
+	_, err := s.reader.Read(ctx)
+	if err == nil {
+		return nil
+	}
+	e := *verdict.Of(err)
+	e.Verdict = verdict.NotRun
+	return &e
+}
--- /dev/null
+++ b/internal/query/query_test.go
@@ -0,0 +1,123 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// lateReader applies what is still missing at the barrier, as a replica does that
+// lags behind.
+type lateReader struct {
+	machine *state.Machine
+	missing []state.Command
+	err     error
+}
+
+func (r *lateReader) Read(context.Context) (uint64, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	for _, c := range r.missing {
+		data, err := state.Encode(c)
+		if err != nil {
+			return 0, err
+		}
+		r.machine.Apply(r.machine.Applied()+1, data)
+	}
+	r.missing = nil
+	return r.machine.Applied(), nil
+}
+
+func newService(missing ...state.Command) (*Service, *lateReader) {
+	r := &lateReader{machine: state.New(state.Options{}), missing: missing}
+	return New(r, r.machine), r
+}
+
+func submit(name string, base uint64, change string) state.SubmitDocument {
+	return state.SubmitDocument{Name: name, Base: base, ChangeID: change, Author: "ann", Text: change}
+}
+
+// TestReadsFollowTheBarrier: each read sees what was committed before it.
+func TestReadsFollowTheBarrier(t *testing.T) {
+	commands := []state.Command{state.Init{ClusterID: "c1"}, submit("d", 0, "x"), submit("d", 2, "y")}
+	for name, read := range map[string]func(*Service) (uint64, error){
+		"document": func(s *Service) (uint64, error) {
+			doc, err := s.Document(t.Context(), "d")
+			return doc.Revision, err
+		},
+		"documents": func(s *Service) (uint64, error) {
+			docs, err := s.Documents(t.Context())
+			return docs[0].Revision, err
+		},
+		"changes": func(s *Service) (uint64, error) {
+			docs, err := s.Changes(t.Context(), 2)
+			return docs[0].Revision, err
+		},
+		"history": func(s *Service) (uint64, error) {
+			page, err := s.History(t.Context(), 0, 0)
+			return page.Records[0].Index, err
+		},
+		"status": func(s *Service) (uint64, error) {
+			status, err := s.Status(t.Context())
+			require.Equal(t, "c1", status.Cluster.ID)
+			require.Equal(t, status.Index, status.Fence)
+			return status.Index, err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newService(commands...)
+			index, err := read(s)
+			require.NoError(t, err)
+			require.Equal(t, uint64(3), index)
+		})
+	}
+}
+
+func TestFailedBarrierHasNotRun(t *testing.T) {
+	s, r := newService()
+	for code, err := range map[verdict.Code]error{
+		verdict.CodeNoQuorum: verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "cut off"),
+		verdict.CodeInternal: errors.New("connection reset"),
+	} {
+		r.err = err
+		calls := []func() error{
+			func() error { _, err := s.Document(t.Context(), "d"); return err },
+			func() error { _, err := s.Documents(t.Context()); return err },
+			func() error { _, err := s.Changes(t.Context(), 0); return err },
+			func() error { _, err := s.History(t.Context(), 0, 1); return err },
+			func() error { _, err := s.Status(t.Context()); return err },
+		}
+		for _, call := range calls {
+			var e *verdict.Error
+			require.ErrorAs(t, call(), &e)
+			require.Equal(t, verdict.NotRun, e.Verdict)
+			require.Equal(t, code, e.Code)
+		}
+	}
+	require.Zero(t, s.LocalStatus().Index)
+}
+
+func TestUnknownDocumentAndPages(t *testing.T) {
+	var commands []state.Command
+	for i := range MaxPage + 1 {
+		commands = append(commands, submit(fmt.Sprint(i), 0, "x"))
+	}
+	s, _ := newService(commands...)
+	_, err := s.Document(t.Context(), "other")
+	require.Equal(t, verdict.CodeNotFound, verdict.Of(err).Code)
+	for limit, want := range map[int]int{0: DefaultPage, 7: 7, MaxPage + 1: MaxPage} {
+		page, err := s.History(t.Context(), 0, limit)
+		require.NoError(t, err)
+		require.Len(t, page.Records, want)
+		require.Equal(t, page.Records[want-1].Index, page.Next)
+	}
+	_, err = s.History(t.Context(), 0, -1)
+	require.Equal(t, verdict.CodeBadRequest, verdict.Of(err).Code)
+}
