--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,113 @@
+// Package integration proves the system's promises with real processes on
+// loopback, behind fault-injecting proxies.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+// patience bounds the wait for any condition. Conditions are met much earlier; the
+// bound only ends a test that has failed.
+const patience = 60 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sassafraspost-integration-")
+	if err == nil {
+		err = local.Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// system is a running system under test.
+type system struct {
+	*local.System
+	t   *testing.T
+	ctx context.Context
+}
+
+// start runs a system with a document in force. It is stopped at the test's end.
+func start(t *testing.T, layout local.Layout) *system {
+	t.Helper()
+	s := startEmpty(t, layout)
+	require.NoError(t, s.Prepare(s.ctx, local.Document("v1")))
+	return s
+}
+
+// startEmpty runs a system that is not founded yet.
+func startEmpty(t *testing.T, layout local.Layout) *system {
+	t.Helper()
+	inner, err := local.New(t.TempDir(), binaries, layout)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
+	s := &system{System: inner, t: t, ctx: ctx}
+	t.Cleanup(func() {
+		cancel()
+		inner.Stop()
+		if t.Failed() {
+			s.showLogs()
+		}
+	})
+	require.NoError(t, inner.Start())
+	return s
+}
+
+func (s *system) showLogs() {
+	for _, h := range s.Daemons() {
+		s.t.Logf("== %s\n%s", h.Name, h.Log())
+	}
+}
+
+// await waits until ok.
+func (s *system) await(what string, ok func() bool) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.ctx, patience)
+	defer cancel()
+	require.NoError(s.t, local.Await(ctx, ok), what)
+}
+
+// do sends a request to an entry host.
+func (s *system) do(entry *local.Host, q local.Request) local.Answer {
+	return local.Do(s.ctx, entry.Listen, q)
+}
+
+// leader returns the control host that leads.
+func (s *system) leader() *local.Host {
+	s.t.Helper()
+	var name string
+	s.await("a leader", func() bool {
+		name = s.Leader(s.ctx)
+		return name != ""
+	})
+	h, err := s.Find(name)
+	require.NoError(s.t, err)
+	return h
+}
+
+// finish asks a process to shut down and waits for its end.
+func (s *system) finish(h *local.Host) {
+	s.t.Helper()
+	h.Terminate()
+	select {
+	case <-h.Done():
+	case <-s.ctx.Done():
+		require.Fail(s.t, h.Name+" did not end")
+	}
+	require.NoError(s.t, h.Err(), h.Name+" ended in failure")
+}
--- a/test/local/client.go
+++ b/test/local/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,15 +20,22 @@
 // pollInterval is how often a condition is looked at.
 const pollInterval = 20 * time.Millisecond
 
-// Tool runs the operators' tool and returns what it printed.
+// Tool runs the operators' tool and returns what it printed as its result, and its
+// messages too where it failed.
 func (s *System) Tool(ctx context.Context, args ...string) (string, error) {
 	token, err := s.OperatorTokenFile()
 	if err != nil {
 		return "", err
 	}
 	all := append(args, "--server", s.APIServers(), "--token-file", token)
-	out, err := exec.CommandContext(ctx, filepath.Join(s.Bin, "sassafraspost"), all...).CombinedOutput()
-	return string(out), err
+	cmd := exec.CommandContext(ctx, filepath.Join(s.Bin, "sassafraspost"), all...)
+	var messages bytes.Buffer
+	cmd.Stderr = &messages
+	out, err := cmd.Output()
+	if err != nil {
+		return string(out) + messages.String(), err
+	}
+	return string(out), nil
 }
 
 // Await polls until ok or ctx ends.
@@ -149,27 +157,36 @@
 
 // cluster is what the tool prints of a cluster.
 type cluster struct {
-	Leader   string `json:"leader"`
-	Replicas []struct {
+	Leader    string `json:"leader"`
+	HasQuorum bool   `json:"hasQuorum"`
+	Replicas  []struct {
 		Voter bool `json:"voter"`
 	} `json:"replicas"`
 }
 
-// Voters returns how many control hosts have a vote, as the tool says.
-func (s *System) Voters(ctx context.Context) int {
+// cluster asks each control host in turn, until one that has a quorum answers.
+func (s *System) cluster(ctx context.Context) cluster {
 	out, err := s.Tool(ctx, "cluster", "-o", "json")
-	if err != nil {
-		return 0
-	}
 	var c cluster
-	if json.Unmarshal([]byte(out), &c) != nil {
-		return 0
+	if err != nil || json.Unmarshal([]byte(out), &c) != nil || !c.HasQuorum {
+		return cluster{}
 	}
+	return c
+}
+
+// Voters returns how many control hosts have a vote, zero without a quorum.
+func (s *System) Voters(ctx context.Context) int {
 	n := 0
-	for _, r := range c.Replicas {
+	for _, r := range s.cluster(ctx).Replicas {
 		if r.Voter {
 			n++
 		}
 	}
 	return n
 }
+
+// Leader returns the name of the control host that leads, empty without a quorum.
+func (s *System) Leader(ctx context.Context) string {
+	host, _, _ := strings.Cut(s.cluster(ctx).Leader, "/")
+	return host
+}
