Bound the faults of a text and the documents that are checked at once

Cause: trials with the largest texts (1 MiB, BenchmarkParse, one run each on a shared machine) gave up to 158 MB of allocations a text, so 64 checks at once could exceed the memory of a control host; and a hostile text gave a list of faults longer than itself. Requests with a body now wait for one of four slots, and a list ends after 1000 faults with the count of the rest. Before and after, same benchmark: repeated-keys 87.8 to 47.2 MB, sections 157.8 to 125.7 MB, unknown-keys 112.5 to 80.2 MB; workspaces, an honest text, 45.5 MB both. Ruled out: a quadratic cost in the INI library; no text took above 0.3 s.

Switched off on a scratch copy, with what the tests then say: the slots for bodies: TestBodiesInProgressAreBounded expected: 503, actual: 200 the slots for requests: TestRequestsInProgressAreBounded expected: 503, actual: 200 the bound on faults: TestProblemsAreBounded should have 1001 item(s), but has 1009

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -163,6 +163,7 @@
 const (
 	DefaultTimeout       = 10 * time.Second
 	DefaultMaxConcurrent = 64
+	DefaultMaxBodies     = 4
 )
 
 // Config is what New needs.
@@ -173,9 +174,12 @@
 	Operators *auth.Table
 	// Timeout bounds each request. Default DefaultTimeout.
 	Timeout time.Duration
-	// MaxConcurrent bounds the requests in progress, and so the memory that their
-	// bodies take. Default DefaultMaxConcurrent.
+	// MaxConcurrent bounds the requests in progress; more are refused. Default
+	// DefaultMaxConcurrent.
 	MaxConcurrent int
+	// MaxBodies bounds the requests with a body in progress, and so the memory that
+	// documents take while they are checked; more wait. Default DefaultMaxBodies.
+	MaxBodies int
 	// Metrics counts problems by code. Default: a registry of its own.
 	Metrics metrics.Registry
 }
@@ -188,6 +192,9 @@
 	if c.MaxConcurrent == 0 {
 		c.MaxConcurrent = DefaultMaxConcurrent
 	}
+	if c.MaxBodies == 0 {
+		c.MaxBodies = DefaultMaxBodies
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
@@ -201,5 +208,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return bound(server, problems, c.Timeout, c.MaxConcurrent), nil
+	return &bounded{
+		next:     server,
+		problems: problems,
+		timeout:  c.Timeout,
+		requests: make(chan struct{}, c.MaxConcurrent),
+		bodies:   make(chan struct{}, c.MaxBodies),
+	}, nil
 }
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -279,29 +281,71 @@
 	}
 }
 
-// slow holds a query until it is released.
+// slow keeps the first query from ending until it is released.
 type slow struct {
 	fake
+	calls   atomic.Int32
 	entered chan struct{}
 	release chan struct{}
 }
 
 func (s *slow) Cluster(context.Context) (Cluster, error) {
-	s.entered <- struct{}{}
-	<-s.release
+	if s.calls.Add(1) == 1 {
+		close(s.entered)
+		<-s.release
+	}
 	return Cluster{}, nil
 }
 
 func TestRequestsInProgressAreBounded(t *testing.T) {
 	s := &slow{entered: make(chan struct{}), release: make(chan struct{})}
 	url := serve(t, &s.fake, func(c *Config) { c.Queries = s; c.MaxConcurrent = 1 })
-	first := make(chan answer)
+	release := sync.OnceFunc(func() { close(s.release) })
+	t.Cleanup(release)
+	first := make(chan answer, 1)
 	go func() { first <- get(t, url+"/v1/cluster", "team") }()
 	<-s.entered
 	a := get(t, url+"/v1/cluster", "team")
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.Equal(t, "1", a.header.Get("Retry-After"))
 	require.Equal(t, oas.ProblemVerdictNotRun, a.problem.Verdict)
-	close(s.release)
+	release()
+	require.Equal(t, http.StatusOK, (<-first).status)
+}
+
+// held keeps the first submission from ending until it is released.
+type held struct {
+	fake
+	calls   atomic.Int32
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (h *held) Submit(context.Context, SubmitRequest) (SubmitResult, error) {
+	if h.calls.Add(1) == 1 {
+		close(h.entered)
+		<-h.release
+	}
+	return SubmitResult{Revision: 1}, nil
+}
+
+func TestBodiesInProgressAreBounded(t *testing.T) {
+	h := &held{entered: make(chan struct{}), release: make(chan struct{})}
+	url := serve(t, &h.fake, func(c *Config) {
+		c.Commands = h
+		c.MaxBodies = 1
+		c.Timeout = time.Second
+	})
+	release := sync.OnceFunc(func() { close(h.release) })
+	t.Cleanup(release)
+	first := make(chan answer, 1)
+	go func() { first <- put(t, url, "team", "0", "text/plain", example(t, "entries")) }()
+	<-h.entered
+	a := put(t, url, "team", "0", "text/plain", example(t, "entries"))
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Equal(t, oas.ProblemVerdictNotRun, a.problem.Verdict)
+	require.EqualValues(t, 1, h.calls.Load())
+	require.Equal(t, http.StatusOK, get(t, url+"/v1/cluster", "team").status)
+	release()
 	require.Equal(t, http.StatusOK, (<-first).status)
 }
--- /dev/null
+++ b/internal/document/bench_test.go
@@ -0,0 +1,42 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fill repeats a numbered piece up to the greatest size of a document.
+func fill(head, piece string) []byte {
+	var b strings.Builder
+	b.WriteString(head)
+	for i := 0; ; i++ {
+		next := fmt.Sprintf(piece, i)
+		if b.Len()+len(next) > MaxSize {
+			return []byte(b.String())
+		}
+		b.WriteString(next)
+	}
+}
+
+// BenchmarkParse shows what the largest texts cost, honest and hostile ones.
+func BenchmarkParse(b *testing.B) {
+	head := "[service]\nname = a\n"
+	cases := map[string][]byte{
+		"workspaces":      fill(head, "[workspace \"w%[1]d\"]\nshare = 1\ntoken-sha256 = %064[1]x\n"),
+		"unknown-keys":    fill(head, "k%d=1\n"),
+		"repeated-keys":   fill(head, "k=%d\n"),
+		"sections":        fill(head, "[s%d]\n"),
+		"repeated-header": fill(head, "[s]\na%d=1\n"),
+	}
+	for name, text := range cases {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				_, err := Parse(text)
+				require.Equal(b, name != "workspaces", err != nil)
+			}
+		})
+	}
+}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -14,9 +14,14 @@
 	"gopkg.in/ini.v1"
 )
 
+// MaxProblems bounds the list of an Error; what goes beyond is counted only.
+const MaxProblems = 1000
+
 // File is a parsed INI text. It is not safe for concurrent use.
 type File struct {
-	err      Error
+	err Error
+	// dropped counts the problems beyond MaxProblems.
+	dropped  int
 	sections []*Section
 	lines    lineIndex
 }
@@ -126,6 +131,10 @@
 		return nil
 	}
 	f.err.sort()
+	if f.dropped > 0 {
+		text := fmt.Sprintf("%d more problems are not listed", f.dropped)
+		f.err.Problems = append(f.err.Problems, Problem{Text: text})
+	}
 	return &f.err
 }
 
@@ -141,7 +150,13 @@
 	}
 }
 
-func (f *File) fail(p Problem) { f.err.Problems = append(f.err.Problems, p) }
+func (f *File) fail(p Problem) {
+	if len(f.err.Problems) >= MaxProblems {
+		f.dropped++
+		return
+	}
+	f.err.Problems = append(f.err.Problems, p)
+}
 
 // Present reports whether the text holds the section.
 func (s *Section) Present() bool { return s.raw != nil }
--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -1,6 +1,7 @@
 package inifile
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,13 @@
 	f.Section("a").Ignore()
 	require.EqualError(t, f.Err(), "test: [a]: section stands twice (line 3)")
 }
+
+func TestProblemsAreBounded(t *testing.T) {
+	f, err := Parse("test", []byte("[a]\n"+strings.Repeat("x = 1\n", MaxProblems+10)), 100000)
+	require.NoError(t, err)
+	f.Section("a").Ignore()
+	var faults *Error
+	require.ErrorAs(t, f.Err(), &faults)
+	require.Len(t, faults.Problems, MaxProblems+1)
+	require.Contains(t, faults.Error(), "test: 9 more problems are not listed")
+}
