--- a/internal/document/lookup.go
+++ b/internal/document/lookup.go
@@ -29,7 +29,7 @@
 // PlainServiceFor returns the plain service with the longest prefix of a
 // request's path, or nil. The path may hold dots and repeated slashes.
 func (d *Document) PlainServiceFor(requestPath string) *PlainService {
-	requestPath = clean(requestPath)
+	requestPath = CleanPath(requestPath)
 	var best *PlainService
 	for _, s := range d.Services {
 		if under(requestPath, s.PathPrefix) && (best == nil || len(s.PathPrefix) > len(best.PathPrefix)) {
@@ -46,7 +46,7 @@
 // that match, the one with the most literal segments wins; of equal ones, one
 // that may not be repeated.
 func (d *Document) CallFor(method, requestPath string) *Call {
-	requestPath = clean(requestPath)
+	requestPath = CleanPath(requestPath)
 	service := d.PlainServiceFor(requestPath)
 	if service == nil {
 		return nil
@@ -102,9 +102,10 @@
 	return n
 }
 
-// clean gives every spelling of a path the same form, so that no spelling of a
-// non-idempotent call escapes its pattern.
-func clean(p string) string { return path.Clean("/" + p) }
+// CleanPath gives every spelling of a path the same form, so that no spelling of a
+// non-idempotent call escapes its pattern. An upstream has to be sent this form of
+// the path, or it may run another call than the one that was looked up.
+func CleanPath(p string) string { return path.Clean("/" + p) }
 
 func under(p, prefix string) bool {
 	rest, ok := strings.CutPrefix(p, prefix)
