--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -16,8 +16,8 @@
 
 const generous = 10 * time.Second
 
-// applier applies each proposal at once. With a gate it waits for a value before
-// each one; before tells the number of proposals that arrived.
+// applier applies each proposal at once; with a gate it waits for a value before
+// each one.
 type applier struct {
 	machine *state.Machine
 	gate    chan struct{}
@@ -62,6 +62,16 @@
 	return state.Claim{Workspace: "w", Key: key, Attempt: attempt, Deadline: 1000}
 }
 
+// ask claims in the background; the error comes on the channel.
+func ask(ctx context.Context, s *Service, key string) <-chan error {
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Claim(ctx, claim(key, "a"))
+		failed <- err
+	}()
+	return failed
+}
+
 func requireCode(t *testing.T, err error, v verdict.Verdict, code verdict.Code) *verdict.Error {
 	t.Helper()
 	var e *verdict.Error
@@ -166,23 +176,17 @@
 	a.gate = make(chan struct{})
 	s := New(a, Options{BatchSize: size})
 	defer s.Close()
-	outcomes := make(chan state.ClaimOutcome, callers+1)
-	ask := func(key string) {
-		result, err := s.Claim(context.Background(), claim(key, "a"+key))
-		if err == nil {
-			outcomes <- result.Outcome
-		}
-	}
-	go ask("first")
+	failed := []<-chan error{ask(t.Context(), s, "first")}
 	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
 	for i := range callers {
-		go ask(fmt.Sprint(i))
+		failed = append(failed, ask(t.Context(), s, fmt.Sprint(i)))
 	}
 	require.Eventually(t, func() bool { return s.claims.waiting() == callers }, generous, time.Millisecond)
 	close(a.gate)
-	for range callers + 1 {
-		require.Equal(t, state.ClaimGranted, <-outcomes)
+	for _, err := range failed {
+		require.NoError(t, <-err)
 	}
+	require.Equal(t, callers+1, a.machine.ClaimCount())
 	require.Equal(t, 1+(callers+size-1)/size, a.arrived())
 }
 
@@ -197,9 +201,9 @@
 	a.gate = make(chan struct{})
 	s := New(a, Options{Pending: 1})
 	defer s.Close()
-	go func() { _, _ = s.Claim(context.Background(), claim("1", "a")) }()
+	ask(context.Background(), s, "1")
 	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
-	go func() { _, _ = s.Claim(context.Background(), claim("2", "a")) }()
+	ask(context.Background(), s, "2")
 	require.Eventually(t, func() bool { return s.claims.waiting() == 1 }, generous, time.Millisecond)
 	_, err := s.Claim(t.Context(), claim("3", "a"))
 	e := requireCode(t, err, verdict.NotRun, verdict.CodeOverloaded)
@@ -222,11 +226,7 @@
 		s := New(a, Options{})
 		defer s.Close()
 		ctx, cancel := context.WithCancel(t.Context())
-		failed := make(chan error, 1)
-		go func() {
-			_, err := s.Claim(ctx, claim("k", "a"))
-			failed <- err
-		}()
+		failed := ask(ctx, s, "k")
 		require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
 		cancel()
 		requireCode(t, <-failed, verdict.NotRun, verdict.CodeCancelled)
@@ -254,18 +254,10 @@
 	a.gate = make(chan struct{})
 	s := New(a, Options{})
 	defer s.Close()
-	first := make(chan error, 1)
-	go func() {
-		_, err := s.Claim(context.Background(), claim("1", "a"))
-		first <- err
-	}()
+	first := ask(context.Background(), s, "1")
 	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
 	ctx, cancel := context.WithCancel(t.Context())
-	second := make(chan error, 1)
-	go func() {
-		_, err := s.Claim(ctx, claim("2", "a"))
-		second <- err
-	}()
+	second := ask(ctx, s, "2")
 	require.Eventually(t, func() bool { return s.claims.waiting() == 1 }, generous, time.Millisecond)
 	cancel()
 	require.Error(t, <-second)
@@ -280,11 +272,7 @@
 	a := newApplier()
 	a.gate = make(chan struct{})
 	s := New(a, Options{})
-	failed := make(chan error, 1)
-	go func() {
-		_, err := s.Claim(context.Background(), claim("1", "a"))
-		failed <- err
-	}()
+	failed := ask(context.Background(), s, "1")
 	require.Eventually(t, func() bool { return a.arrived() == 1 }, generous, time.Millisecond)
 	s.Close()
 	requireCode(t, <-failed, verdict.NotRun, verdict.CodeCancelled)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -170,6 +171,11 @@
 	return c.append(hs, zeros)
 }
 
+func lastSegment(fs *memFS) *inode {
+	names, _ := fs.List(testDir)
+	return fs.names[filepath.Join(testDir, names[slices.Index(names, snapshotName(3))-1])]
+}
+
 // TestFlippedBitIsRefused flips any one bit of any file, the last synced record
 // included.
 func TestFlippedBitIsRefused(t *testing.T) {
@@ -186,6 +192,22 @@
 	})
 }
 
+// TestFlippedBitBesideBlankSectorsIsRefused goes over each byte of a last record
+// that has whole sectors of zeros.
+func TestFlippedBitBesideBlankSectorsIsRefused(t *testing.T) {
+	fs := newMemFS()
+	fill(t, fs)
+	data := lastSegment(fs).data
+	start := scanSegment(data).last
+	require.Greater(t, len(data)-start, 3*sectorSize)
+	for at := start; at < len(data); at++ {
+		data[at] ^= 1 << (at % 8)
+		require.NotEmpty(t, scanSegment(data).corrupt, "byte %d", at)
+		data[at] ^= 1 << (at % 8)
+	}
+	require.Empty(t, scanSegment(data).corrupt)
+}
+
 func TestMissingFileIsRefused(t *testing.T) {
 	fs := newMemFS()
 	want := fill(t, fs)
@@ -223,19 +245,14 @@
 func TestShortLastRecordIsCut(t *testing.T) {
 	fs := newMemFS()
 	want := fill(t, fs)
-	var last string
-	for name := range fs.names {
-		if _, ok := parseName(filepath.Base(name), segmentPrefix); ok && name > last {
-			last = name
-		}
-	}
-	whole := len(fs.names[last].data)
-	fs.names[last].data = append(fs.names[last].data, make([]byte, 3*sectorSize)...)
+	last := lastSegment(fs)
+	whole := len(last.data)
+	last.data = append(last.data, make([]byte, 3*sectorSize)...)
 	_, rec, err := openMem(fs)
 	require.NoError(t, err)
 	require.True(t, rec.Cut)
 	require.True(t, want.equal(rec))
-	require.Equal(t, whole, len(fs.names[last].data))
+	require.Equal(t, whole, len(last.data))
 }
 
 // TestMissingSectorsAreCut loses each set of sectors of an unsynced last record.
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -244,16 +244,17 @@
 	require.Equal(t, uint64(3), l.m.Fence())
 	require.Empty(t, l.m.Changes(3))
 	l.do(SubmitDocument{Name: "c", ChangeID: "x", Author: "ann"})
-	names := func(docs []Document) string {
-		s := ""
-		for _, d := range docs {
-			s += d.Name
-		}
-		return s
+	c, d := "c", "d"
+	require.Equal(t, []string{d, c}, names(l.m.Changes(2)))
+	require.Equal(t, []string{c}, names(l.m.Changes(3)))
+	require.Equal(t, []string{c, d}, names(l.m.Documents()))
+}
+
+func names(docs []Document) (list []string) {
+	for _, d := range docs {
+		list = append(list, d.Name)
 	}
-	require.Equal(t, "dc", names(l.m.Changes(2)))
-	require.Equal(t, "c", names(l.m.Changes(3)))
-	require.Equal(t, "cd", names(l.m.Documents()))
+	return list
 }
 
 func TestOutcomesAreBoundedByCountAndAge(t *testing.T) {
