Bound the claims altogether

Cause: claims were bounded by workspace only; 6,700 workspaces at their bound are 134 million claims, 40 GB. The sum is bounded now (default 150,000), and a workspace may have a third of it instead of 20,000: at the old bound a large workspace was refused from 0.23 claims/s on, kept for 24 hours. The recorded bodies are bounded to 32 MiB by default.

Switched off on a scratch copy: the bound altogether, TestClaimBounds, "too many altogether"; lowering the count, TestClaimLife, "Should be zero, but was 1".

--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -91,7 +91,7 @@
 
 func BenchmarkClaimBatch(b *testing.B) {
 	const batch = 128
-	l := newLog(b, Options{ClaimRetention: 1, ClaimsPerWorkspace: 1 << 30})
+	l := newLog(b, Options{ClaimRetention: 1, Claims: 1 << 30, ClaimsPerWorkspace: 1 << 30})
 	n := 0
 	for b.Loop() {
 		var c ClaimBatch
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -35,6 +35,7 @@
 
 // claims is the table of claims.
 type claims struct {
+	max          int
 	perWorkspace int
 	retention    Age
 	maxAnswers   int
@@ -43,11 +44,14 @@
 	mu         sync.RWMutex
 	workspaces map[string]*workspaceClaims
 	queue      expiryQueue
+	// count is the number of claims.
+	count int
 	// answerBytes is the sum of the recorded bodies.
 	answerBytes int
 }
 
 func (t *claims) init(o Options) {
+	t.max = o.Claims
 	t.perWorkspace = o.ClaimsPerWorkspace
 	t.retention = o.ClaimRetention
 	t.maxAnswers = o.AnswerBytes
@@ -58,6 +62,7 @@
 func (t *claims) clear() {
 	t.workspaces = map[string]*workspaceClaims{}
 	t.queue = nil
+	t.count = 0
 	t.answerBytes = 0
 }
 
@@ -80,7 +85,7 @@
 	if held := t.find(c.Workspace, c.Key); held != nil {
 		return held.answerTo(c, age)
 	}
-	if ws := t.workspaces[c.Workspace]; ws != nil && len(ws.byKey) >= t.perWorkspace {
+	if t.full(c.Workspace) {
 		return ClaimResult{Outcome: ClaimRefused, Verdict: verdict.NotRun}
 	}
 	deadline := age + min(Age(c.Deadline), MaxDeadline)
@@ -96,6 +101,15 @@
 	return ClaimResult{Outcome: ClaimGranted}
 }
 
+// full tells whether a workspace may not make another claim. The caller holds mu.
+func (t *claims) full(workspace string) bool {
+	if t.count >= t.max {
+		return true
+	}
+	ws := t.workspaces[workspace]
+	return ws != nil && len(ws.byKey) >= t.perWorkspace
+}
+
 // answerTo tells the state of a claim to one that asks for it. It never grants.
 func (c *claim) answerTo(asked Claim, age Age) ClaimResult {
 	switch {
@@ -171,6 +185,7 @@
 		t.workspaces[workspace] = ws
 	}
 	ws.byKey[c.key] = c
+	t.count++
 	if c.answer != nil {
 		t.answerBytes += len(c.answer.Body)
 	}
@@ -182,6 +197,7 @@
 func (t *claims) remove(workspace string, c *claim) {
 	ws := t.workspaces[workspace]
 	delete(ws.byKey, c.key)
+	t.count--
 	if len(ws.byKey) == 0 {
 		delete(t.workspaces, workspace)
 	}
@@ -264,7 +280,7 @@
 func (t *claims) images() []claimImage {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var list []claimImage
+	list := make([]claimImage, 0, t.count)
 	for _, ws := range t.workspaces {
 		for _, c := range ws.byKey {
 			list = append(list, c.image(ws.name))
@@ -315,9 +331,5 @@
 func (m *Machine) ClaimCount() int {
 	m.claims.mu.RLock()
 	defer m.claims.mu.RUnlock()
-	n := 0
-	for _, ws := range m.claims.workspaces {
-		n += len(ws.byKey)
-	}
-	return n
+	return m.claims.count
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -48,10 +48,14 @@
 	// ClaimRetention is how long a claim is kept after it finished or passed its
 	// deadline; the default is 24 hours.
 	ClaimRetention Age
-	// ClaimsPerWorkspace bounds open and retained claims; the default is 20,000.
+	// Claims bounds open and retained claims altogether, and with them the memory;
+	// the default is 150,000.
+	Claims int
+	// ClaimsPerWorkspace bounds those of one workspace, so that it cannot take the
+	// room of the others; the default is 50,000.
 	ClaimsPerWorkspace int
 	// AnswerBytes bounds the recorded bodies altogether; an answer beyond it
-	// leaves the verdict only. The default is 64 MiB.
+	// leaves the verdict only. The default is 32 MiB.
 	AnswerBytes int
 	// OutcomeRetention is how long the outcome of a change is kept for a resend;
 	// the default is 24 hours.
@@ -63,14 +67,16 @@
 }
 
 const (
-	defaultClaimsPerWorkspace = 20_000
-	defaultAnswerBytes        = 64 << 20
+	defaultClaims             = 150_000
+	defaultClaimsPerWorkspace = 50_000
+	defaultAnswerBytes        = 32 << 20
 	defaultOutcomes           = 10_000
 	defaultAuditRecords       = 10_000
 )
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.ClaimRetention, day)
+	setDefault(&o.Claims, defaultClaims)
 	setDefault(&o.ClaimsPerWorkspace, defaultClaimsPerWorkspace)
 	setDefault(&o.AnswerBytes, defaultAnswerBytes)
 	setDefault(&o.OutcomeRetention, day)
--- a/internal/state/result.go
+++ b/internal/state/result.go
@@ -91,7 +91,8 @@
 	ClaimUnknown
 	// ClaimKeyReused: the key was used for another request.
 	ClaimKeyReused
-	// ClaimRefused: the workspace has too many claims; this request did not run.
+	// ClaimRefused: there are too many claims, of the workspace or altogether, or a
+	// name of the claim is missing or too long. This request did not run.
 	ClaimRefused
 )
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -15,6 +15,7 @@
 
 var small = Options{
 	ClaimRetention:     3000,
+	Claims:             5,
 	ClaimsPerWorkspace: 3,
 	AnswerBytes:        40,
 	OutcomeRetention:   2000,
@@ -351,6 +352,14 @@
 	require.Equal(t, FinishRecorded, l.finish("1", "a", verdict.Ran, &RecordedAnswer{Body: body}))
 	require.NotNil(t, l.claim("0", "b", 1).Answer)
 	require.Equal(t, ClaimResult{Outcome: ClaimFinished, Verdict: verdict.Ran}, l.claim("1", "b", 1))
+	other := ClaimBatch{}
+	for i := range 3 {
+		other.Claims = append(other.Claims, Claim{Workspace: "v", Key: fmt.Sprint(i), Attempt: "a"})
+	}
+	results := l.do(other).(ClaimBatchResult).Claims
+	require.Equal(t, ClaimGranted, results[1].Outcome)
+	require.Equal(t, ClaimRefused, results[2].Outcome, "too many altogether")
+	require.Equal(t, small.Claims, l.m.ClaimCount())
 	wide := newLog(t, Options{})
 	wide.claim("k", "a", 1)
 	require.Equal(t, FinishRecorded, wide.finish("k", "a", verdict.Ran, &RecordedAnswer{Body: make([]byte, MaxAnswerBytes+1)}))
