--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -276,7 +276,8 @@
 	Answer      *RecordedAnswer
 }
 
-// images returns the claims by workspace and key.
+// images returns the claims in no order; sortImages brings them into theirs, so
+// that the lock is not held while they are sorted.
 func (t *claims) images() []claimImage {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -286,10 +287,13 @@
 			list = append(list, c.image(ws.name))
 		}
 	}
+	return list
+}
+
+func sortImages(list []claimImage) {
 	slices.SortFunc(list, func(a, b claimImage) int {
 		return cmp.Or(strings.Compare(a.Workspace, b.Workspace), strings.Compare(a.Key, b.Key))
 	})
-	return list
 }
 
 func (c *claim) image(workspace string) claimImage {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -25,10 +25,12 @@
 }
 
 // Snapshot returns the tables after the last applied entry. Changes wait only
-// while the tables are copied; texts and answers are shared, not copied, and are
-// encoded afterwards.
+// while the tables are copied; texts and answers are shared, not copied, and all
+// is sorted and encoded afterwards.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := encoding.Marshal(m.capture())
+	i := m.capture()
+	sortImages(i.Claims)
+	data, err := encoding.Marshal(i)
 	return data, errors.Wrap(err, "encode tables")
 }
 
