--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -147,7 +148,8 @@
 	return content{}
 }
 
-// fill writes three segments and a snapshot; it returns what must come back.
+// fill writes some segments and a snapshot, and last an entry of zeros; it
+// returns what must come back.
 func fill(t require.TestingT, fs *memFS) content {
 	j, _, err := openMem(fs)
 	require.NoError(t, err)
@@ -163,8 +165,15 @@
 			c = c.save(s)
 		}
 	}
+	zeros := []consensus.Entry{{Index: 13, Term: 1, Data: make([]byte, 3*sectorSize)}}
+	require.NoError(t, j.Append(hs, zeros))
 	require.NoError(t, j.Close())
-	return c
+	return c.append(hs, zeros)
+}
+
+func lastSegment(fs *memFS) *inode {
+	names, _ := fs.List(testDir)
+	return fs.names[filepath.Join(testDir, names[slices.Index(names, snapshotName(3))-1])]
 }
 
 // TestFlippedBitIsRefused flips any one bit of any file, the last synced record
@@ -183,6 +192,22 @@
 	})
 }
 
+// TestFlippedBitBesideBlankSectorsIsRefused goes over each byte of a last record
+// that has whole sectors of zeros.
+func TestFlippedBitBesideBlankSectorsIsRefused(t *testing.T) {
+	fs := newMemFS()
+	fill(t, fs)
+	data := lastSegment(fs).data
+	start := scanSegment(data).last
+	require.Greater(t, len(data)-start, 3*sectorSize)
+	for at := start; at < len(data); at++ {
+		data[at] ^= 1 << (at % 8)
+		require.NotEmpty(t, scanSegment(data).corrupt, "byte %d", at)
+		data[at] ^= 1 << (at % 8)
+	}
+	require.Empty(t, scanSegment(data).corrupt)
+}
+
 func TestMissingFileIsRefused(t *testing.T) {
 	fs := newMemFS()
 	want := fill(t, fs)
@@ -220,19 +245,14 @@
 func TestShortLastRecordIsCut(t *testing.T) {
 	fs := newMemFS()
 	want := fill(t, fs)
-	var last string
-	for name := range fs.names {
-		if _, ok := parseName(filepath.Base(name), segmentPrefix); ok && name > last {
-			last = name
-		}
-	}
-	whole := len(fs.names[last].data)
-	fs.names[last].data = append(fs.names[last].data, make([]byte, 3*sectorSize)...)
+	last := lastSegment(fs)
+	whole := len(last.data)
+	last.data = append(last.data, make([]byte, 3*sectorSize)...)
 	_, rec, err := openMem(fs)
 	require.NoError(t, err)
 	require.True(t, rec.Cut)
 	require.True(t, want.equal(rec))
-	require.Equal(t, whole, len(fs.names[last].data))
+	require.Equal(t, whole, len(last.data))
 }
 
 // TestMissingSectorsAreCut loses each set of sectors of an unsynced last record.
