Keep the agent's frame buffers and queue heads and ends without a wait

Cause: each answer took a new 32 KiB buffer and waited for the session's writer twice more than it had to. Frames still wait for the writer: that bounds what one attempt has in a session's queue to one frame.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -9,12 +9,14 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -27,6 +29,7 @@
 	RequestIDHeader = "X-Request-Id"
 
 	dialTimeout    = time.Second
+	reportTimeout  = time.Second
 	frameBytes     = 32 << 10
 	maxHeaderBytes = 64 << 10
 	streamType     = "text/event-stream"
@@ -34,6 +37,9 @@
 	tailBytes      = 32
 )
 
+// frames holds the buffers of relays; a session copies what it sends.
+var frames = sync.Pool{New: func() any { return new([frameBytes]byte) }}
+
 // newTransport returns a transport that never sends a request twice where once is
 // set: on a fresh connection the library does not try again.
 func newTransport(conns int, once bool) *http.Transport {
@@ -171,7 +177,9 @@
 }
 
 func (r *relay) copy(body io.Reader) error {
-	buf := make([]byte, frameBytes)
+	frame := frames.Get().(*[frameBytes]byte)
+	defer frames.Put(frame)
+	buf := frame[:]
 	for {
 		n, err := body.Read(buf)
 		r.keepTail(buf[:n])
@@ -240,11 +248,16 @@
 	return path == "/v1/completions" || path == "/v1/chat/completions"
 }
 
-// send queues m on the attempt's session. It waits no longer than the attempt lasts.
+// send queues m on the attempt's session, also where the attempt's own time is over.
+// It waits only while the session's queue is full, and not for long.
 func (a *Agent) send(at *attempt, m wire.Message) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(at.ctx), dialTimeout)
-	defer cancel()
-	if at.s.Send(ctx, m) != nil {
+	err := at.s.Post(m)
+	if errors.Is(err, peer.ErrBusy) {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		err = at.s.Send(ctx, m)
+	}
+	if err != nil {
 		a.counters.unreported.Inc(1)
 	}
 }
