--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -244,7 +244,8 @@
 	return nil
 }
 
-func isCompletion(path string) bool {
+func isCompletion(target string) bool {
+	path, _, _ := strings.Cut(target, "?")
 	return path == "/v1/completions" || path == "/v1/chat/completions"
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -82,6 +82,7 @@
 	began      time.Time
 	firstByte  time.Duration
 	bytes      uint64
+	status     int
 	uncredited uint64
 }
 
@@ -92,7 +93,8 @@
 }
 
 func (a *attempt) outcome(err error) Outcome {
-	o := Outcome{Verdict: verdict.Ran, OK: err == nil, FirstByte: a.firstByte, Bytes: a.bytes}
+	o := Outcome{Verdict: answered(a.status), FirstByte: a.firstByte, Bytes: a.bytes}
+	o.OK = err == nil && o.Verdict == verdict.Ran
 	if err != nil {
 		o.Verdict = verdict.Of(err).Verdict
 	}
@@ -185,6 +187,7 @@
 	if err != nil {
 		return err
 	}
+	a.status = head.Status
 	if err := out.start(head); err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,7 +98,7 @@
 // Outcome is how an attempt went.
 type Outcome struct {
 	Verdict verdict.Verdict
-	// OK tells that the answer was whole.
+	// OK tells that the answer was whole and is not of the status class 5xx.
 	OK bool
 	// FirstByte is the time from dispatch to the first body byte, zero if none came.
 	FirstByte time.Duration
@@ -333,7 +333,8 @@
 }
 
 // Drain refuses new requests with NotRun and waits until all running ones, streams
-// included, have ended. The error is that of ctx.
+// included, have ended. The error is that of ctx. It runs beside
+// http.Server.Shutdown: requests on kept connections still come in here.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -29,17 +29,15 @@
 	incarnation = 7
 )
 
-// testCatalog plans completions as idempotent and anything else as not repeatable.
+// testCatalog plans all calls as idempotent but for bookings.
 type testCatalog struct{ resumable bool }
 
 func (c testCatalog) Resolve(l entry.Lookup) (entry.Plan, error) {
 	if l.Model == "unknown" {
 		return entry.Plan{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "no such model")
 	}
-	p := entry.Plan{Workspace: "velotrak", Pool: "pool", Kind: entry.KindModel, Model: l.Model, Idempotent: l.Model != "", Resumable: c.resumable}
-	if l.Method == http.MethodGet {
-		p.Idempotent = true
-	}
+	p := entry.Plan{Workspace: "velotrak", Pool: "pool", Kind: entry.KindModel, Model: l.Model, Resumable: c.resumable}
+	p.Idempotent = l.Path != "/slots/book"
 	return p, nil
 }
 
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -91,7 +91,7 @@
 	if bodyAllowed(c.q.method, answer.Status) {
 		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
-	c.writeHead(answer.Status, verdict.Ran)
+	c.writeHead(answer.Status, answered(answer.Status))
 	if bodyAllowed(c.q.method, answer.Status) {
 		_, _ = c.w.Write(answer.Body)
 	}
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -25,6 +25,8 @@
 	head  *wire.Head
 	held  []byte
 	begun bool
+	// lost tells that the caller takes no more.
+	lost bool
 	// delivered counts the body bytes written to the caller.
 	delivered uint64
 }
@@ -39,7 +41,7 @@
 
 // canGoOn tells whether another attempt can make the answer whole.
 func (o *output) canGoOn() bool {
-	return o.delivered == 0 && !o.begun || o.c.plan.Resumable
+	return !o.lost && (!o.begun || o.c.plan.Resumable)
 }
 
 // offset is where the next attempt has to begin.
@@ -106,7 +108,16 @@
 	}
 	o.begun = true
 	setFields(o.c.w.Header(), o.head.Header)
-	o.c.writeHead(o.head.Status, verdict.Ran)
+	o.c.writeHead(o.head.Status, answered(o.head.Status))
+}
+
+// answered is the verdict that goes with an upstream's own answer. How far a request
+// ran whose upstream says that it failed itself is not known.
+func answered(status int) verdict.Verdict {
+	if status >= http.StatusInternalServerError {
+		return verdict.MayHaveRun
+	}
+	return verdict.Ran
 }
 
 // deliver gives data to the caller at once. A caller that takes nothing for
@@ -120,6 +131,7 @@
 		err = rc.Flush()
 	}
 	if err != nil {
+		o.lost = true
 		return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeCancelled, Text: "caller takes no more", Cause: err}
 	}
 	return nil
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -156,7 +156,9 @@
 			p.upstream("u1", e, nil)
 			p.upstream("u2", standin.NewEngine(standin.EngineConfig{}), nil)
 			e.Fail(standin.Failure{Mode: mode, After: 5, Times: 1})
-			r := p.complete("a", tokens, true)
+			q := p.completion(context.Background(), "a", tokens, true)
+			q.URL.RawQuery = "a=b"
+			r := p.do(q)
 			require.Error(t, r.err, "a stream that was cut ends as cut")
 			require.True(t, strings.HasPrefix(stream("a", tokens), r.body))
 			require.Zero(t, p.counter("entry.retries"), "bytes were delivered")
@@ -379,6 +381,12 @@
 	require.Equal(t, "not-run", p.book("k2", "ana").verdict(), "it was not dispatched")
 	p.claims.refuse = nil
 
+	s.Fail(standin.Failure{Mode: standin.Refuse, Times: 1})
+	r = p.book("k5", "ana")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "may-have-run", r.verdict(), "the service does not say how far it ran")
+	require.Equal(t, r.body, p.book("k5", "ana").body, "a resend finds that answer")
+
 	s.Fail(standin.Failure{Mode: standin.Die, Times: 1})
 	r = p.book("k3", "ana")
 	require.Equal(t, http.StatusBadGateway, r.status)
@@ -396,6 +404,7 @@
 	require.Equal(t, "ran", p.book("k4", "ana").verdict(), "not-run has freed the key")
 
 	want := map[string]standin.Executions{"k1": {Begun: 1, Finished: 1}, "k3": {Begun: 1, Finished: 1}, "k4": {Begun: 1, Finished: 1}}
+	require.Len(t, s.Executions().ByKey, 3, "k5 was refused")
 	require.Equal(t, want, s.Executions().ByKey)
 }
 
@@ -487,6 +496,24 @@
 	require.Empty(t, began)
 }
 
+// No spelling of a path leads a call past the plan that forbids its repetition.
+func TestPathHasOneSpelling(t *testing.T) {
+	p := startPath(t, nil)
+	s := standin.NewService(0)
+	p.upstream("u1", s, nil)
+	for _, target := range []string{"/slots/book", "/slots/%62ook", "/slots/book?x=1", "/x/../slots/book", "/x/%2e%2e/slots/book", "//slots/book", "/slots%2Fbook"} {
+		r := p.do(p.newRequest(context.Background(), http.MethodPost, target, `{}`))
+		require.Equal(t, http.StatusBadRequest, r.status, target)
+		require.Equal(t, "not-run", r.verdict(), target)
+	}
+	require.Equal(t, http.StatusBadRequest, p.do(p.newRequest(context.Background(), "post", "/slots/book", `{}`)).status)
+	require.Empty(t, s.Executions().ByRequest)
+	r := p.newRequest(context.Background(), http.MethodPost, "/slots/%62ook", `{}`)
+	r.Header.Set(entry.KeyHeader, "k")
+	require.Equal(t, http.StatusCreated, p.do(r).status)
+	require.Equal(t, 1, s.Executions().ByKey["k"].Finished)
+}
+
 // A second dispatch of a claim or an attempt is not run, and never called not run.
 func TestAgentTakesAClaimOnce(t *testing.T) {
 	p := startPath(t, nil)
--- a/internal/entry/pure_test.go
+++ b/internal/entry/pure_test.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -41,3 +45,26 @@
 		require.Equal(t, want, got, header)
 	}
 }
+
+func TestConnectionsAreBounded(t *testing.T) {
+	srv := NewHTTPServer(http.NotFoundHandler(), 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = srv.Close() }()
+	ask := func(c net.Conn) error {
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		_, err := bufio.NewReader(c).ReadString('\n')
+		return err
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		return c
+	}
+	first, second := dial(), dial()
+	require.NoError(t, ask(first))
+	require.Error(t, ask(second))
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return ask(dial()) == nil }, 10*time.Second, time.Millisecond)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -35,8 +36,10 @@
 
 // request is a caller's request as it was read.
 type request struct {
-	id      string
-	method  string
+	id     string
+	method string
+	// path is decoded and has no dot segments; the upstream gets it in one encoding,
+	// so that it can't read another path than the plan was found for.
 	path    string
 	query   string
 	token   [32]byte
@@ -107,10 +110,13 @@
 	q := &request{
 		id:     requestID(r),
 		method: r.Method,
-		path:   r.URL.EscapedPath(),
+		path:   r.URL.Path,
 		query:  r.URL.RawQuery,
 		header: requestFields(r.Header),
 	}
+	if !isPlain(q.method, q.path) {
+		return q, notRun(verdict.CodeBadRequest, "method or path is not in plain form")
+	}
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
 		return q, notRun(verdict.CodeUnauthorized, "bearer token is missing")
@@ -124,6 +130,23 @@
 	return q, nil
 }
 
+// isPlain accepts methods in upper case, and paths that no upstream can take for
+// another one.
+func isPlain(method, path string) bool {
+	if strings.ToUpper(method) != method || !strings.HasPrefix(path, "/") || strings.Contains(path, "\\") {
+		return false
+	}
+	if strings.Contains(path, "//") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
+
 // parseUrgency reads the urgency of RFC 9218; what it can't read is not set.
 func parseUrgency(s string) (uint8, bool) {
 	for part := range strings.SplitSeq(s, ",") {
@@ -167,10 +190,8 @@
 
 // target is the path with the query.
 func (q *request) target() string {
-	if q.query == "" {
-		return q.path
-	}
-	return q.path + "?" + q.query
+	u := url.URL{Path: q.path, RawQuery: q.query}
+	return u.RequestURI()
 }
 
 // digest identifies what the caller asked for, for claims.
