End sessions only when the other end has read all

Cause: one of four runs of the leaving test ended a stream with "unexpected EOF": an agent's drain returned when the end of the last answer was queued, and the process closed its sessions before that was written. The pool now writes what is queued and ends each session with a closing handshake. Ruled out: the upstream (it had finished), the entry host (it got no End). Another run failed since one engine was not known yet when the test began; the local system now waits until every engine has answered.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,10 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
+// flushTimeout bounds how long the end of a process waits for other hosts to read
+// what was sent to them.
+const flushTimeout = 3 * time.Second
+
 // role is one part that a daemon plays.
 type role interface {
 	// handlePeer takes a message if it concerns the role.
@@ -201,6 +205,9 @@
 			first = err
 		}
 	}
+	flushCtx, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancelFlush()
+	d.pool.Shutdown(flushCtx)
 	if first != nil {
 		d.log.Error("shutdown cut work", "error", first)
 		return first
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -98,6 +98,28 @@
 	require.NoError(t, err, "a new session can begin")
 }
 
+// Without the mark or the handshake in shutdown this fails: the last messages are lost.
+func TestShutdownLosesNoMessage(t *testing.T) {
+	const count = 500
+	received := make(chan wire.Message, count)
+	b := startHost(t, "b", HandlerFunc(func(_ *Session, _ uint64, m wire.Message) { received <- m }))
+	a := startHost(t, "a", nil)
+	s, err := a.pool.Get(context.Background(), b.address)
+	require.NoError(t, err)
+	for i := range uint64(count) {
+		require.NoError(t, s.Post(&wire.Frame{Seq: i, Data: make([]byte, 8<<10)}))
+	}
+	a.pool.Shutdown(context.Background())
+	for i := range uint64(count) {
+		select {
+		case m := <-received:
+			require.Equal(t, i, m.(*wire.Frame).Seq)
+		case <-time.After(20 * time.Second):
+			require.Fail(t, "message lost", "%d", i)
+		}
+	}
+}
+
 func TestMessageThatWasNotBegunCanBeWithdrawn(t *testing.T) {
 	s := newSession(nil, wire.Hello{}, DefaultPingInterval) // no writer runs: nothing is ever begun
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -220,7 +220,26 @@
 	}
 }
 
-// Close ends all sessions and refuses new ones.
+// Shutdown refuses new sessions and ends the live ones once the other ends have read
+// all that was sent to them, or ctx ends.
+func (p *Pool) Shutdown(ctx context.Context) {
+	p.mu.Lock()
+	p.closed = true
+	open := slices.Collect(maps.Keys(p.all))
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range open {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = s.shutdown(ctx)
+			s.Close()
+		}()
+	}
+	wg.Wait()
+}
+
+// Close ends all sessions at once and refuses new ones.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -53,6 +53,8 @@
 	itemWithdrawn
 )
 
+// item is a message in a session's queue, or, without data, a mark that tells when
+// all before it is written.
 type item struct {
 	data    []byte
 	state   atomic.Int32
@@ -104,6 +106,34 @@
 	}
 }
 
+// shutdown writes what is queued and ends the session with a closing handshake: the
+// other end has read everything when it returns nil. It gives up when ctx ends.
+func (s *Session) shutdown(ctx context.Context) error {
+	mark := &item{started: make(chan struct{})}
+	select {
+	case s.queue <- mark:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.done:
+		return ErrClosed
+	}
+	select {
+	case <-mark.started:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.done:
+		return ErrClosed
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- s.conn.Close(websocket.StatusGoingAway, "shutting down") }()
+	select {
+	case err := <-closed:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Close ends the session.
 func (s *Session) Close() { s.fail(ErrClosed) }
 
@@ -238,6 +268,9 @@
 				continue
 			}
 			close(it.started)
+			if it.data == nil {
+				continue
+			}
 			if err := s.write(it.data); err != nil {
 				s.fail(err)
 				return
--- a/test/local/prepare.go
+++ b/test/local/prepare.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -85,21 +87,39 @@
 	})
 }
 
-// AwaitServing waits until every entry host is ready and answers a completion by
-// each engine's pool.
+// AwaitServing waits until every entry host is ready and every engine has answered a
+// completion.
 func (s *System) AwaitServing(ctx context.Context) error {
 	for _, h := range s.Entries {
-		var last Answer
+		if err := s.awaitEntry(ctx, h); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.Agents {
+		if !strings.HasPrefix(a.Name, "engine-") {
+			continue
+		}
+		entry := s.inCentre(a.DataCentre)[0]
 		err := Await(ctx, func() bool {
-			if !IsReady(ctx, h) {
-				return false
-			}
-			last = Do(ctx, h.Listen, Completion("are you there", 1, false))
-			return last.Status == 200
+			Do(ctx, entry.Listen, Completion("are you there", 1, false))
+			r, err := Executions(ctx, a.Upstream)
+			return err == nil && len(r.ByRequest) > 0
 		})
 		if err != nil {
-			return errors.Wrapf(err, "%s does not serve: %d %s %v", h.Name, last.Status, last.Body, last.Err)
+			return errors.Wrapf(err, "%s does not serve", a.Name)
 		}
 	}
 	return nil
 }
+
+func (s *System) awaitEntry(ctx context.Context, h *Host) error {
+	var last Answer
+	err := Await(ctx, func() bool {
+		if !IsReady(ctx, h) {
+			return false
+		}
+		last = Do(ctx, h.Listen, Completion("are you there", 1, false))
+		return last.Status == http.StatusOK
+	})
+	return errors.Wrapf(err, "%s does not serve: %d %s %v", h.Name, last.Status, last.Body, last.Err)
+}
