Test what three switched-off mechanisms had left green

Switched off on a scratch copy, the check of the attempt's session, the check of the attempt's id in the receiver and Drain's wait had failed no test (the second only by luck of the property). Each now has a test of its own.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+func TestOtherAttemptsAreDropped(t *testing.T) {
+	r := New(own, 10)
+	for _, m := range messages(other, [][]byte{[]byte("a")}) {
+		require.ErrorIs(t, r.Take(m), ErrOtherAttempt)
+	}
+	for _, m := range messages(own, [][]byte{[]byte("b")}) {
+		require.NoError(t, r.Take(m))
+	}
+	got, err := read(r)
+	require.Equal(t, io.EOF, err)
+	require.Equal(t, "b", string(got))
+}
+
 func TestMoreThanTheWindowFails(t *testing.T) {
 	r := New(own, 3)
 	for _, m := range messages(own, [][]byte{[]byte("ab"), []byte("cd")})[:3] {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -128,6 +128,33 @@
 	require.Equal(t, "may-have-run", r.verdict())
 }
 
+// Another host can't put its frames into an answer, even with the attempt's id.
+func TestMessagesCountOnlyFromTheAttemptsOwnSession(t *testing.T) {
+	p := startPath(t, nil)
+	dispatched := make(chan func(), 1)
+	ids := make(chan wire.AttemptID, 1)
+	p.host("u1", script(func(s *peer.Session, d *wire.Dispatch) {
+		dispatched <- func() {
+			_ = s.Post(&wire.Head{Attempt: d.Attempt, Status: http.StatusOK})
+			_ = s.Post(frame(d.Attempt, 1, "right"))
+			_ = s.Post(end(d.Attempt, 1, "right"))
+		}
+		ids <- d.Attempt
+	}))
+	other := p.host("u2", script(nil))
+	_, err := p.pool.Get(context.Background(), p.router.upstreams[1].Address)
+	require.NoError(t, err)
+	got := make(chan reply, 1)
+	go func() { got <- p.complete("a", 1, false) }()
+	id := <-ids
+	for _, m := range []wire.Message{&wire.Head{Attempt: id, Status: http.StatusOK}, frame(id, 1, "wrong"), end(id, 1, "wrong")} {
+		require.NoError(t, other.Sessions()[0].Post(m))
+	}
+	require.Eventually(t, func() bool { return p.counter("entry.messages.dropped") == 3 }, patience, time.Millisecond)
+	(<-dispatched)()
+	require.Equal(t, "right", (<-got).body)
+}
+
 // The first attempt is given up, then both answer: only the second one's answer counts.
 func TestTwoAttemptsBothAnswer(t *testing.T) {
 	p := startPath(t, func(c *entry.Config) { c.FirstByteTimeout = 50 * time.Millisecond })
@@ -317,8 +344,9 @@
 	require.Equal(t, "not-run", r.verdict())
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.Zero(t, e.Executions().ByRequest["b"].Begun)
-	whole(t, "a", 100, <-running)
 	require.NoError(t, <-drained)
+	require.Equal(t, 1, e.Executions().ByRequest["a"].Finished, "Drain waits for the stream")
+	whole(t, "a", 100, <-running)
 }
 
 func TestRefusalsBeforeAnyUpstream(t *testing.T) {
