--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/agent"
+	"github.com/sassafraspost/sassafraspost/internal/entry"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 	"github.com/sassafraspost/sassafraspost/test/standin"
 )
@@ -68,7 +71,7 @@
 }
 
 func TestRecordTellsWhatTheEngineReports(t *testing.T) {
-	engine := standin.NewEngine(standin.EngineConfig{Version: "v3", Step: 5 * time.Millisecond})
+	engine := standin.NewEngine(standin.EngineConfig{Version: "v3", Step: 5 * time.Millisecond, EventGap: 2})
 	srv := httptest.NewServer(engine)
 	defer srv.Close()
 	a, err := agent.New(agent.Config{Identity: wire.Upstream{Name: "u", Incarnation: 1}, URL: srv.URL, Engine: true, Capacity: 3})
@@ -79,6 +82,21 @@
 	require.Equal(t, "v3", u.Version)
 	require.Equal(t, uint64(5000), u.Load.StepUS)
 	require.Equal(t, uint32(3), u.Load.Capacity)
+
+	prompt := strings.Repeat("x", 3*entry.PrefixBlock)
+	body := strings.NewReader(`{"prompt":"` + prompt + `"}`)
+	resp, err := http.Post(srv.URL+"/v1/completions", "application/json", body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.NoError(t, a.PollOnce(context.Background()))
+	require.NoError(t, a.PollOnce(context.Background()))
+	_, events := a.Record()
+	hashes := entry.PrefixHashes([]byte(prompt))
+	want := []wire.CacheEvent{{Seq: 1, Prefix: hashes[0], Stored: true}, {Seq: 3, Prefix: hashes[2], Stored: true}}
+	require.Equal(t, want, events, "each event once, and a gap where the engine has one")
+	_, events = a.Record()
+	require.Empty(t, events)
+
 	a.Ready()
 	a.Leave()
 	a.Ready()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,9 +131,9 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxInFlight   = 4096
-	DefaultMaxBody       = 4 << 20
-	DefaultMaxAnswer     = 4 << 20
+	DefaultMaxInFlight   = 2048
+	DefaultMaxBody       = 1 << 20
+	DefaultMaxAnswer     = 1 << 20
 	DefaultMaxRecorded   = 64 << 10
 	DefaultMaxDeadline   = 2 * time.Minute
 	DefaultWindow        = 256 << 10
@@ -154,7 +154,8 @@
 	Sessions  Sessions
 	Metrics   metrics.Registry
 
-	// MaxInFlight bounds the requests served at once.
+	// MaxInFlight bounds the requests served at once. Times MaxBody, MaxAnswer and
+	// Window it bounds the memory that callers can take.
 	MaxInFlight int
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int64
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -37,6 +37,10 @@
 			r := p.complete(prompt, tokens, false)
 			require.Equal(t, http.StatusOK, r.status)
 			require.Contains(t, r.body, standin.Text(prompt, tokens))
+
+			chat := `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"` + prompt + `"}]}`
+			r = p.do(p.newRequest(context.Background(), http.MethodPost, "/v1/chat/completions", chat))
+			require.Contains(t, r.body, standin.Text("user\n"+prompt+"\n", 5))
 			return nil
 		})
 	}
