--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,21 @@
+package replica
+
+import "github.com/rcrowley/go-metrics"
+
+type replicaMetrics struct {
+	proposed, applied, reads, dropped metrics.Counter
+	elections, snapshots, restores    metrics.Counter
+	snapshotErrors                    metrics.Counter
+	sync                              metrics.Timer
+}
+
+func newMetrics(r metrics.Registry) replicaMetrics {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("replica."+name, r) }
+	return replicaMetrics{
+		proposed: counter("proposed"), applied: counter("applied"), reads: counter("reads"),
+		dropped: counter("messages-dropped"), elections: counter("elections-won"),
+		snapshots: counter("snapshots"), restores: counter("restores"),
+		snapshotErrors: counter("snapshot-errors"),
+		sync:           metrics.GetOrRegisterTimer("replica.sync", r),
+	}
+}
