--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -31,6 +31,7 @@
 	saved   consensus.Restored
 	fail    bool
 	appends int
+	failed  int
 	gate    chan struct{}
 }
 
@@ -45,6 +46,7 @@
 	defer s.mu.Unlock()
 	s.appends++
 	if s.fail {
+		s.failed++
 		return errDisk
 	}
 	if hs != nil {
@@ -110,6 +112,14 @@
 	return slices.Clone(m.list)
 }
 
+// capturingMachine encodes its snapshots beside the loop.
+type capturingMachine struct{ *listMachine }
+
+func (m capturingMachine) Capture() func() ([]byte, error) {
+	list := m.get()
+	return func() ([]byte, error) { return []byte(strings.Join(list, ",")), nil }
+}
+
 type member struct {
 	*Replica
 	storage *memStorage
@@ -125,6 +135,7 @@
 	cut     map[consensus.ReplicaID]bool
 	held    map[consensus.ReplicaID][]consensus.Message
 	hold    consensus.ReplicaID
+	capture bool
 }
 
 type port struct {
@@ -153,7 +164,11 @@
 
 func (c *cluster) open(id consensus.ReplicaID, storage *memStorage) *member {
 	m := &member{storage: storage, machine: &listMachine{}}
-	r, err := Open(Options{ID: id, Storage: storage, Machine: m.machine, Transport: port{c, id}, Restored: storage.saved,
+	var machine Machine = m.machine
+	if c.capture {
+		machine = capturingMachine{m.machine}
+	}
+	r, err := Open(Options{ID: id, Storage: storage, Machine: machine, Transport: port{c, id}, Restored: storage.saved,
 		Tick: testTick, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 20, KeepEntries: 5,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	require.NoError(c.t, err)
@@ -170,7 +185,11 @@
 }
 
 func newCluster(t *testing.T, ids ...consensus.ReplicaID) *cluster {
-	c := &cluster{t: t, members: map[consensus.ReplicaID]*member{}, cut: map[consensus.ReplicaID]bool{},
+	return newClusterOf(t, false, ids...)
+}
+
+func newClusterOf(t *testing.T, capture bool, ids ...consensus.ReplicaID) *cluster {
+	c := &cluster{t: t, capture: capture, members: map[consensus.ReplicaID]*member{}, cut: map[consensus.ReplicaID]bool{},
 		held: map[consensus.ReplicaID][]consensus.Message{}}
 	for _, id := range ids {
 		c.open(id, &memStorage{})
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -127,17 +127,24 @@
 	require.Equal(t, l.ID(), l.Status().ID)
 	c.mustPropose(c.leader(l.ID()), "z")
 	require.Equal(t, appends, l.storage.count())
+	l.storage.set(func(s *memStorage) { require.Equal(t, 1, s.failed, "a failed write is not tried again") })
 }
 
 func TestSnapshotCatchesAReplicaUp(t *testing.T) {
-	c := newCluster(t, idA, idB, idC)
+	for _, capture := range []bool{false, true} {
+		t.Run(fmt.Sprint("capture ", capture), func(t *testing.T) { testCatchUp(t, capture) })
+	}
+}
+
+func testCatchUp(t *testing.T, capture bool) {
+	c := newClusterOf(t, capture, idA, idB, idC)
 	l := c.leader("")
 	f := c.follower(l)
 	c.setCut(f.ID(), true)
 	for i := range 100 {
 		c.mustPropose(l, fmt.Sprint(i))
 	}
-	require.NotZero(t, l.Status().Snapshot)
+	require.Eventually(t, func() bool { return l.Status().Snapshot > 0 }, patience, glance)
 	c.setCut(f.ID(), false)
 	c.agree(l, f)
 	require.NotZero(t, f.metrics.restores.Count())
@@ -151,6 +158,11 @@
 	}
 	lost := c.follower(l)
 	c.setCut(lost.ID(), true)
+	ctx, cancel := context.WithTimeout(c.ctx(), 10*testTick)
+	defer cancel()
+	require.Error(t, l.Replace(ctx, lost.ID(), "silent/1"))
+	require.True(t, l.Status().Membership.IsVoter(lost.ID()), "removed only once the new one has caught up")
+	require.NoError(t, l.Remove(c.ctx(), "silent/1"))
 	fresh := c.open("new/2", &memStorage{})
 	require.NoError(t, l.Replace(c.ctx(), lost.ID(), fresh.ID()))
 	require.NoError(t, l.Replace(c.ctx(), lost.ID(), fresh.ID()), "a repeated call changes nothing")
