--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,6 +126,7 @@
 		Secret:  string(p.Secret),
 		Handler: peer.HandlerFunc(d.handlePeer),
 		TLS:     tlsConfig,
+		Metrics: d.metrics,
 	}
 	if d.transport != nil {
 		config.Hello.Replica = string(control.ID(d.set.Host.Name, d.recovered))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -121,7 +121,7 @@
 }
 
 func TestMessageThatWasNotBegunCanBeWithdrawn(t *testing.T) {
-	s := newSession(nil, wire.Hello{}, DefaultPingInterval) // no writer runs: nothing is ever begun
+	s := NewPool(Config{}).newSession(nil, wire.Hello{}) // no writer runs: nothing is ever begun
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	require.ErrorIs(t, s.Send(ctx, &wire.Ping{}), context.Canceled)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -34,12 +35,15 @@
 	// PingInterval is the longest silence of a live session; DefaultPingInterval
 	// if zero. A host with many sessions takes a longer one.
 	PingInterval time.Duration
+	// Metrics receives the counters of traffic; a registry of its own if nil.
+	Metrics metrics.Registry
 }
 
 // Pool holds the live sessions by the address of the other host.
 type Pool struct {
-	cfg    Config
-	client *http.Client
+	cfg     Config
+	client  *http.Client
+	traffic *traffic
 
 	// mu guards the fields below. It is not held while dialling.
 	mu sync.Mutex
@@ -63,11 +67,15 @@
 	if cfg.PingInterval <= 0 {
 		cfg.PingInterval = DefaultPingInterval
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
 	cfg.Hello.PingMS = uint64(cfg.PingInterval / time.Millisecond)
 	transport := &http.Transport{TLSClientConfig: cfg.TLS}
 	return &Pool{
 		cfg:      cfg,
 		client:   &http.Client{Transport: transport},
+		traffic:  newTraffic(cfg.Metrics),
 		all:      make(map[*Session]bool),
 		sessions: make(map[string]*Session),
 		dials:    make(map[string]*dial),
@@ -174,7 +182,7 @@
 		_ = conn.CloseNow()
 		return nil, errors.Wrapf(err, "peer: greeting of %s", address)
 	}
-	return newSession(conn, remote, p.cfg.PingInterval), nil
+	return p.newSession(conn, remote), nil
 }
 
 func (p *Pool) url(address string) string {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -47,7 +47,7 @@
 		_ = conn.Close(websocket.StatusPolicyViolation, "hello refused")
 		return
 	}
-	s := newSession(conn, remote, v.pool.cfg.PingInterval)
+	s := v.pool.newSession(conn, remote)
 	v.pool.adopt(s)
 	s.run(v.pool.cfg.Handler)
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -56,6 +56,7 @@
 // item is a message in a session's queue, or, without data, a mark that tells when
 // all before it is written.
 type item struct {
+	kind    wire.Kind
 	data    []byte
 	state   atomic.Int32
 	started chan struct{}
@@ -63,13 +64,14 @@
 
 // Session is one end of a live WebSocket.
 type Session struct {
-	conn   *websocket.Conn
-	remote wire.Hello
-	ping   time.Duration
-	queue  chan *item
-	done   chan struct{}
-	once   sync.Once
-	err    error
+	conn    *websocket.Conn
+	remote  wire.Hello
+	ping    time.Duration
+	traffic *traffic
+	queue   chan *item
+	done    chan struct{}
+	once    sync.Once
+	err     error
 
 	lastCall atomic.Uint64
 
@@ -78,15 +80,15 @@
 	calls map[uint64]chan wire.Message
 }
 
-// newSession pings after each interval of own silence.
-func newSession(conn *websocket.Conn, remote wire.Hello, ping time.Duration) *Session {
+func (p *Pool) newSession(conn *websocket.Conn, remote wire.Hello) *Session {
 	return &Session{
-		conn:   conn,
-		remote: remote,
-		ping:   ping,
-		queue:  make(chan *item, queueLength),
-		done:   make(chan struct{}),
-		calls:  make(map[uint64]chan wire.Message),
+		conn:    conn,
+		remote:  remote,
+		ping:    p.cfg.PingInterval,
+		traffic: p.traffic,
+		queue:   make(chan *item, queueLength),
+		done:    make(chan struct{}),
+		calls:   make(map[uint64]chan wire.Message),
 	}
 }
 
@@ -248,7 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &item{data: data, started: make(chan struct{})}, nil
+	return &item{kind: m.Kind(), data: data, started: make(chan struct{})}, nil
 }
 
 // run reads and writes until the session ends.
@@ -271,6 +273,7 @@
 			if it.data == nil {
 				continue
 			}
+			s.traffic.sent(it.kind, len(it.data))
 			if err := s.write(it.data); err != nil {
 				s.fail(err)
 				return
@@ -303,6 +306,7 @@
 			_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
 			return err
 		}
+		s.traffic.received(env.Kind, len(data))
 		if env.IsReply {
 			s.deliver(env.Call, m)
 			continue
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// frameOverhead is what the WebSocket frame, TCP and IP add to a message that travels
+// by itself, in bytes: 4 to 8 for the frame, 52 for TCP with timestamps and IP.
+const frameOverhead = 60
+
+// counts are the messages and bytes of one direction. Bytes include the overhead of
+// the layers below.
+type counts struct {
+	messages, bytes metrics.Counter
+}
+
+func newCounts(reg metrics.Registry, name string) counts {
+	return counts{
+		messages: metrics.GetOrRegisterCounter("peer."+name+".messages", reg),
+		bytes:    metrics.GetOrRegisterCounter("peer."+name+".bytes", reg),
+	}
+}
+
+func (c counts) add(size int) {
+	c.messages.Inc(1)
+	c.bytes.Inc(int64(size + frameOverhead))
+}
+
+// traffic tells apart what requests cost and what control costs.
+type traffic struct {
+	controlSent, controlReceived, attemptSent, attemptReceived counts
+}
+
+func newTraffic(reg metrics.Registry) *traffic {
+	return &traffic{
+		controlSent:     newCounts(reg, "control.sent"),
+		controlReceived: newCounts(reg, "control.received"),
+		attemptSent:     newCounts(reg, "attempt.sent"),
+		attemptReceived: newCounts(reg, "attempt.received"),
+	}
+}
+
+func (t *traffic) sent(k wire.Kind, size int) {
+	if k.IsAttempt() {
+		t.attemptSent.add(size)
+		return
+	}
+	t.controlSent.add(size)
+}
+
+func (t *traffic) received(k wire.Kind, size int) {
+	if k.IsAttempt() {
+		t.attemptReceived.add(size)
+		return
+	}
+	t.controlReceived.add(size)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,6 +22,10 @@
 // Kind identifies the type of a message in its envelope.
 type Kind uint16
 
+// IsAttempt reports whether messages of the kind carry requests and answers. All
+// others are the cost of control.
+func (k Kind) IsAttempt() bool { return k >= KindDispatch && k <= KindRefused }
+
 // Message is implemented by every type that may travel in an envelope.
 type Message interface {
 	// Kind returns the identity of the message's type.
