--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -372,3 +373,21 @@
 	require.GreaterOrEqual(t, sent, 2)
 	require.LessOrEqual(t, sent, 4)
 }
+
+func TestMalformedAppendIsIgnored(t *testing.T) {
+	c := openCore(t, idB, restoredLog(t, abc(), 1))
+	step(t, c, Message{Type: MessageAppend, From: idA, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{{Term: 1, Index: 5}}})
+	require.Equal(t, uint64(1), c.log.last())
+	require.False(t, c.HasReady())
+}
+
+func TestMessageKeepsItsFormInCBOR(t *testing.T) {
+	in := Message{Type: MessageSnapshot, From: idA, To: idB, Term: 3, Index: 4, LogTerm: 2, Commit: 5, Reject: true, HintIndex: 6,
+		HintTerm: 1, Round: 7, Transfer: true, Entries: []Entry{{Term: 1, Index: 2, Kind: EntryMembership, Data: []byte("x")}},
+		Snapshot: &Snapshot{Meta: SnapshotMeta{Index: 9, Term: 2, Membership: abc()}, Data: []byte("y")}}
+	b, err := cbor.Marshal(in)
+	require.NoError(t, err)
+	var out Message
+	require.NoError(t, cbor.Unmarshal(b, &out))
+	require.Equal(t, in, out)
+}
--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -80,8 +80,10 @@
 		w.compact(id)
 	case op < 972:
 		w.loseDisk(id)
-	case op < 1000:
+	case op < 995:
 		w.repair(id)
+	default:
+		_ = w.nodes[id].core.TransferLeadership("")
 	}
 	for _, id := range w.ids {
 		w.pump(id)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -95,7 +95,20 @@
 	}
 }
 
+// contiguous reports whether the entries of an append follow its Index one by one.
+func contiguous(m Message) bool {
+	for i := range m.Entries {
+		if m.Entries[i].Index != m.Index+1+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) handleAppend(m Message) error {
+	if !contiguous(m) {
+		return nil
+	}
 	c.followLeader(m.From)
 	answer := Message{Type: MessageAppendResponse, To: m.From, Term: c.hard.Term}
 	if m.Index < c.hard.Commit {
