Tell the machine of committed memberships

internal/state audits memberships through ApplyMembership, but nothing called it. Trial with the call off: TestLostDiskIsReplaced "Not equal".

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -82,10 +82,11 @@
 	f(s)
 }
 
-// listMachine appends each command to a list.
+// listMachine appends each command to a list and keeps the latest membership.
 type listMachine struct {
-	mu   sync.Mutex
-	list []string
+	mu      sync.Mutex
+	list    []string
+	members consensus.Membership
 }
 
 func (m *listMachine) Apply(_ uint64, data []byte) any {
@@ -95,6 +96,12 @@
 	return len(m.list)
 }
 
+func (m *listMachine) ApplyMembership(_ uint64, members consensus.Membership) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members = members
+}
+
 func (m *listMachine) Snapshot() ([]byte, error) {
 	return []byte(strings.Join(m.get(), ",")), nil
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -106,7 +106,9 @@
 		}
 	}
 	for _, e := range rd.Committed {
-		r.apply(e)
+		if err := r.apply(e); err != nil {
+			return err
+		}
 	}
 	r.answerReads(rd.ReadStates)
 	return nil
@@ -147,14 +149,33 @@
 	}
 }
 
-func (r *Replica) apply(e consensus.Entry) {
+func (r *Replica) apply(e consensus.Entry) error {
 	var value any
-	if e.Kind == consensus.EntryCommand && len(e.Data) > 0 {
+	switch {
+	case e.Kind == consensus.EntryMembership:
+		if err := r.applyMembership(e); err != nil {
+			return err
+		}
+	case len(e.Data) > 0:
 		value = r.opts.Machine.Apply(e.Index, e.Data)
 	}
 	r.applied = e.Index
 	r.metrics.applied.Inc(1)
 	r.resolve(e, value)
+	return nil
+}
+
+func (r *Replica) applyMembership(e consensus.Entry) error {
+	machine, ok := r.opts.Machine.(MembershipMachine)
+	if !ok {
+		return nil
+	}
+	m, err := consensus.DecodeMembership(e.Data)
+	if err != nil {
+		return err
+	}
+	machine.ApplyMembership(e.Index, m)
+	return nil
 }
 
 func (r *Replica) restore(s consensus.Snapshot) error {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -172,6 +172,9 @@
 	require.True(t, m.IsVoter(fresh.ID()))
 	require.False(t, m.IsVoter(lost.ID()))
 	c.agree(l, fresh)
+	l.machine.mu.Lock()
+	require.Equal(t, m, l.machine.members, "the machine is told of the membership")
+	l.machine.mu.Unlock()
 	requireVerdict(t, l.Replace(c.ctx(), l.ID(), "new/3"), verdict.NotRun, verdict.CodeBadRequest)
 }
 
