Add the protocol that changes a group's expert map

Cause: all ranks of a group must use one map in every step, while agents, engines and coordinators die and messages are lost, late and crossed.

Ruled out: acting on promises alone. A participant keeps no disk, so it can promise ballot 3, restart, and promise ballot 2; both coordinators then hold all promises. The stage round confirms them under one incarnation. Also ruled out: a base map installed before the pending one at a rank that joins (it could start the pending step on the base), and versions that two coordinators share (a version is the ballot that proposed it).

--- /dev/null
+++ b/internal/expertmap/ballot.go
@@ -0,0 +1,44 @@
+package expertmap
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Ballot orders coordinators. The zero value is lower than each ballot in use.
+type Ballot struct {
+	// Counter grows with each attempt of any coordinator.
+	Counter uint64 `cbor:"1,keyasint"`
+	// Coordinator breaks ties. It must be unique for each start of a
+	// coordinator (random, not the host's number), because a restarted
+	// coordinator doesn't know which counters it has used.
+	Coordinator uint64 `cbor:"2,keyasint"`
+}
+
+// Version names a map: the ballot that proposed it. Zero means no map.
+type Version = Ballot
+
+// Compare returns -1, 0 or 1 as b is lower than, equal to or higher than o.
+func (b Ballot) Compare(o Ballot) int {
+	if c := cmp.Compare(b.Counter, o.Counter); c != 0 {
+		return c
+	}
+	return cmp.Compare(b.Coordinator, o.Coordinator)
+}
+
+// Less reports whether b is lower than o.
+func (b Ballot) Less(o Ballot) bool { return b.Compare(o) < 0 }
+
+// IsZero reports whether b is no ballot at all.
+func (b Ballot) IsZero() bool { return b == Ballot{} }
+
+// String returns the form used in logs.
+func (b Ballot) String() string { return fmt.Sprintf("%d.%x", b.Counter, b.Coordinator) }
+
+// maxBallot returns the higher of two ballots.
+func maxBallot(a, b Ballot) Ballot {
+	if a.Less(b) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/expertmap/coordinator.go
@@ -0,0 +1,419 @@
+package expertmap
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Outcome is how a coordinator's ballot ended.
+type Outcome uint8
+
+const (
+	// OutcomeRunning means that the ballot hasn't ended.
+	OutcomeRunning Outcome = iota
+	// OutcomeChanged means that all ranks have committed the proposed map.
+	OutcomeChanged
+	// OutcomeSettled means that nothing is open any more and the proposal, if any,
+	// wasn't tried; it may be proposed again.
+	OutcomeSettled
+	// OutcomeAborted means that the proposal was given up and no rank is armed.
+	OutcomeAborted
+	// OutcomeStale means that the proposal was made for another map than the present.
+	OutcomeStale
+	// OutcomeSuperseded means that another ballot, or a participant's restart, ended
+	// this one. What the ballot has begun is left to the next ballot.
+	OutcomeSuperseded
+	// OutcomeTimedOut means that some participant didn't answer before anything was
+	// armed.
+	OutcomeTimedOut
+)
+
+// Config holds a coordinator's parameters.
+type Config struct {
+	// ID must be unique for each start of a coordinator; see [Ballot].
+	ID uint64
+	// Participants are all participants of the group. One left out breaks the
+	// protocol's safety.
+	Participants []Address
+	// After is the highest ballot that the agent knows of; its own participant's
+	// promise saves a refused first attempt. Default zero.
+	After Ballot
+	// RetryTicks is the number of ticks after which a message without an answer
+	// is sent again. Default 1.
+	RetryTicks int
+	// DeadlineTicks is the number of ticks after which a round that hasn't been
+	// answered by all is given up. It doesn't apply to commit and abort, which
+	// go on until answered or superseded. Default 50.
+	DeadlineTicks int
+	// ArmAhead is the number of steps between the last started step and the
+	// armed one; it should cover a round trip to all participants. Default 16.
+	ArmAhead uint64
+}
+
+func (c Config) withDefaults() Config {
+	if c.RetryTicks == 0 {
+		c.RetryTicks = 1
+	}
+	if c.DeadlineTicks == 0 {
+		c.DeadlineTicks = 50
+	}
+	if c.ArmAhead == 0 {
+		c.ArmAhead = 16
+	}
+	return c
+}
+
+// Proposal is a map to change to.
+type Proposal struct {
+	// Base is the version that the map was planned on; zero for the first map.
+	Base Version
+	// Map is the new map. Its version is set by the coordinator.
+	Map Map
+}
+
+// phase is the round that a coordinator is in.
+type phase uint8
+
+const (
+	idle phase = iota
+	promising
+	staging
+	arming
+	committing
+	aborting
+)
+
+// peer is what a coordinator knows of one participant in its ballot.
+type peer struct {
+	addr        Address
+	incarnation uint64
+	ranks       []Status
+	step        uint64
+	answered    bool
+}
+
+// Coordinator runs one ballot at a time, for a change or for recovery. It
+// isn't safe for concurrent use. Any number of coordinators may run at once.
+type Coordinator struct {
+	cfg     Config
+	counter uint64
+	ballot  Ballot
+	phase   phase
+	outcome Outcome
+	ticks   int
+
+	proposal *Proposal
+	peers    []peer
+	maps     []Map
+	found    finding
+	// decided is the map to commit, once known.
+	decided Present
+	// recovering: this ballot closes what another one left open.
+	recovering bool
+	armStep    uint64
+}
+
+// NewCoordinator returns an idle coordinator.
+func NewCoordinator(cfg Config) (*Coordinator, error) {
+	if cfg.ID == 0 || len(cfg.Participants) == 0 {
+		return nil, errors.New("a coordinator needs an ID and participants")
+	}
+	return &Coordinator{cfg: cfg.withDefaults(), counter: cfg.After.Counter}, nil
+}
+
+// Start takes a new ballot, with a proposal or (nil) only to settle what is
+// open. Known are maps that need not be sent to the coordinator. Start gives up
+// a running ballot, which is safe at any point.
+func (c *Coordinator) Start(p *Proposal, known ...Map) []Envelope {
+	c.counter++
+	c.ballot = Ballot{Counter: c.counter, Coordinator: c.cfg.ID}
+	c.proposal = p
+	c.maps = slices.Clone(known)
+	c.outcome = OutcomeRunning
+	c.recovering = false
+	c.peers = c.peers[:0]
+	for _, a := range c.cfg.Participants {
+		c.peers = append(c.peers, peer{addr: a})
+	}
+	return c.enter(promising)
+}
+
+// Outcome returns how the ballot ended, or OutcomeRunning.
+func (c *Coordinator) Outcome() Outcome { return c.outcome }
+
+// Ballot returns the present or last ballot; it is also the proposal's version.
+func (c *Coordinator) Ballot() Ballot { return c.ballot }
+
+// Present returns the map that the group was found or decided to use.
+func (c *Coordinator) Present() Present { return c.decided }
+
+// Tick sends again what hasn't been answered and gives up at the deadline.
+func (c *Coordinator) Tick() []Envelope {
+	if c.phase == idle {
+		return nil
+	}
+	c.ticks++
+	if c.ticks >= c.cfg.DeadlineTicks && c.phase < committing {
+		return c.giveUp()
+	}
+	if c.ticks%c.cfg.RetryTicks != 0 {
+		return nil
+	}
+	return c.send()
+}
+
+// giveUp ends a round that wasn't answered by all. After arming it must abort:
+// this ballot has sent no commit, and the participants refuse lower ones.
+func (c *Coordinator) giveUp() []Envelope {
+	if c.phase == arming {
+		return c.enter(aborting)
+	}
+	return c.finish(OutcomeTimedOut)
+}
+
+// Step takes an answer of a participant.
+func (c *Coordinator) Step(from Address, m Message) []Envelope {
+	if m.Refused != nil {
+		return c.refused(m.Refused)
+	}
+	p := c.peer(from)
+	if p == nil || p.answered || !c.take(p, m) {
+		return nil
+	}
+	p.answered = true
+	for i := range c.peers {
+		if !c.peers[i].answered {
+			return nil
+		}
+	}
+	return c.advance()
+}
+
+func (c *Coordinator) peer(a Address) *peer {
+	for i := range c.peers {
+		if c.peers[i].addr == a {
+			return &c.peers[i]
+		}
+	}
+	return nil
+}
+
+// take reports whether the message answers the present round, and keeps what it
+// says. The incarnation is taken once a ballot, from the promise.
+func (c *Coordinator) take(p *peer, m Message) bool {
+	switch {
+	case c.phase == promising && m.Promised != nil && m.Promised.Ballot == c.ballot:
+		p.incarnation = m.Promised.Incarnation
+		p.ranks = m.Promised.Ranks
+		c.learn(m.Promised.Maps)
+		return true
+	case c.phase == staging && m.Staged != nil:
+		p.step = m.Staged.Step
+		return m.Staged.Ballot == c.ballot
+	case c.phase == arming && m.Armed != nil:
+		return m.Armed.Ballot == c.ballot
+	case c.phase == committing && m.Committed != nil:
+		return m.Committed.Ballot == c.ballot
+	case c.phase == aborting && m.Aborted != nil:
+		return m.Aborted.Ballot == c.ballot
+	}
+	return false
+}
+
+// learn keeps each map once.
+func (c *Coordinator) learn(maps []Map) {
+	known := c.known()
+	for _, m := range maps {
+		if !slices.Contains(known, m.Version) {
+			c.maps = append(c.maps, m)
+		}
+	}
+}
+
+// refused ends the ballot, or aborts a change armed too late.
+func (c *Coordinator) refused(r *Refused) []Envelope {
+	if r.Ballot != c.ballot || c.phase == idle {
+		return nil
+	}
+	c.counter = max(c.counter, r.Promised.Counter)
+	late := r.Reason == ReasonStep || r.Reason == ReasonState
+	switch {
+	case !late:
+		return c.finish(OutcomeSuperseded)
+	case c.phase == arming:
+		return c.enter(aborting)
+	case c.phase == aborting:
+		// A late answer to an arm.
+		return nil
+	}
+	return c.finish(OutcomeSuperseded)
+}
+
+// advance goes to the next round after all have answered.
+func (c *Coordinator) advance() []Envelope {
+	switch c.phase {
+	case promising:
+		return c.resolve()
+	case staging:
+		return c.staged()
+	case arming:
+		c.decided = c.proposed(c.armStep)
+		return c.enter(committing)
+	case aborting:
+		if c.recovering && c.found.behind {
+			return c.enter(committing)
+		}
+		return c.finish(c.ended(OutcomeAborted))
+	default:
+		return c.finish(c.ended(OutcomeChanged))
+	}
+}
+
+// ended returns the outcome of a ballot that has done all rounds.
+func (c *Coordinator) ended(o Outcome) Outcome {
+	if c.recovering && c.decided.Installed.Version != c.ballot {
+		return OutcomeSettled
+	}
+	return o
+}
+
+// resolve decides on the states of all ranks. Nothing is done about the
+// decision before the stage round has confirmed the promises.
+func (c *Coordinator) resolve() []Envelope {
+	var ranks []Status
+	for i := range c.peers {
+		ranks = append(ranks, c.peers[i].ranks...)
+	}
+	c.found = resolve(ranks)
+	c.decided = c.found.present
+	present := c.decided.Installed.Version
+	switch {
+	case present.IsZero():
+		return c.bootstrap()
+	case c.found.open():
+		c.recovering = true
+		return c.enter(staging)
+	case c.proposal == nil:
+		return c.finish(OutcomeSettled)
+	case c.proposal.Base != present:
+		return c.finish(OutcomeStale)
+	}
+	return c.enter(staging)
+}
+
+// bootstrap gives the proposed map to a group without any. No rank can start a
+// step, so nothing has to be armed ahead.
+func (c *Coordinator) bootstrap() []Envelope {
+	if c.proposal == nil {
+		return c.finish(OutcomeSettled)
+	}
+	if !c.proposal.Base.IsZero() {
+		return c.finish(OutcomeStale)
+	}
+	c.recovering = true
+	c.decided = c.proposed(0)
+	c.found.behind = true
+	return c.enter(staging)
+}
+
+func (c *Coordinator) proposed(step uint64) Present {
+	return Present{
+		Installed: Installed{Version: c.ballot, From: step},
+		Base:      c.decided.Installed.Version,
+	}
+}
+
+// staged goes on after the weights are loaded and the promises confirmed.
+func (c *Coordinator) staged() []Envelope {
+	switch {
+	case c.recovering && c.found.abort:
+		return c.enter(aborting)
+	case c.recovering:
+		return c.enter(committing)
+	}
+	var last uint64
+	for i := range c.peers {
+		last = max(last, c.peers[i].step)
+	}
+	c.armStep = last + c.cfg.ArmAhead
+	return c.enter(arming)
+}
+
+func (c *Coordinator) finish(o Outcome) []Envelope {
+	c.phase = idle
+	c.outcome = o
+	return nil
+}
+
+// enter begins a round.
+func (c *Coordinator) enter(p phase) []Envelope {
+	c.phase = p
+	c.ticks = 0
+	for i := range c.peers {
+		c.peers[i].answered = false
+	}
+	return c.send()
+}
+
+// send asks everyone who hasn't answered the present round.
+func (c *Coordinator) send() []Envelope {
+	var out []Envelope
+	for i := range c.peers {
+		if c.peers[i].answered {
+			continue
+		}
+		m := c.message(&c.peers[i])
+		out = append(out, Envelope{To: c.peers[i].addr, Message: m})
+	}
+	return out
+}
+
+func (c *Coordinator) message(p *peer) Message {
+	b, inc := c.ballot, p.incarnation
+	switch c.phase {
+	case promising:
+		return Message{Promise: &Promise{Ballot: b, Known: c.known()}}
+	case staging:
+		return Message{Stage: c.stage(p)}
+	case arming:
+		return Message{Arm: &Arm{Ballot: b, Incarnation: inc, Version: b, Step: c.armStep}}
+	case committing:
+		return Message{Commit: &Commit{Ballot: b, Incarnation: inc, Present: c.decided}}
+	default:
+		return Message{Abort: &Abort{Ballot: b, Incarnation: inc}}
+	}
+}
+
+func (c *Coordinator) known() []Version {
+	var out []Version
+	for i := range c.maps {
+		out = append(out, c.maps[i].Version)
+	}
+	return out
+}
+
+// toStage returns the maps that the ranks have to load: the proposed one, or in
+// recovery the present ones.
+func (c *Coordinator) toStage() []Map {
+	present := c.decided.Installed.Version
+	if c.recovering && present != c.ballot {
+		return slices.DeleteFunc(slices.Clone(c.maps), func(m Map) bool {
+			return m.Version != present && m.Version != c.decided.Base
+		})
+	}
+	m := c.proposal.Map
+	m.Version = c.ballot
+	return []Map{m}
+}
+
+// stage returns the stage round's message. In recovery only a participant with
+// a rank without a map gets maps; for the others the message only confirms.
+func (c *Coordinator) stage(p *peer) *Stage {
+	s := &Stage{Ballot: c.ballot, Incarnation: p.incarnation, Join: c.recovering}
+	unjoined := slices.ContainsFunc(p.ranks, func(r Status) bool { return !r.Joined() })
+	if unjoined || !c.recovering {
+		s.Maps = c.toStage()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/expertmap/directed_test.go
@@ -0,0 +1,150 @@
+package expertmap
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loaded is a rank in the middle of step 5 with map v1 in use and v2 loaded.
+func loaded() Status {
+	return Status{Step: 5, Active: Installed{Version: v1, From: 1}, Maps: []Map{{Version: v1}, {Version: v2}}}
+}
+
+var (
+	v1 = Ballot{Counter: 1, Coordinator: 1}
+	v2 = Ballot{Counter: 2, Coordinator: 1}
+	v3 = Ballot{Counter: 3, Coordinator: 2}
+)
+
+// ask has a participant with one engine carry out a request.
+func ask(p *Participant, e *fakeEngine, m Message) Message {
+	out := p.Step(0, m)
+	for out.Work {
+		for _, o := range out.Orders {
+			e.do(o)
+		}
+		out = p.Done([]Status{e.copied()}, nil)
+	}
+	if out.Reply == nil {
+		return Message{}
+	}
+	return out.Reply.Message
+}
+
+// reason returns why a request was refused, or zero.
+func reason(m Message) Reason {
+	if m.Refused == nil {
+		return 0
+	}
+	return m.Refused.Reason
+}
+
+func promised(t *testing.T, b Ballot) (*Participant, *fakeEngine) {
+	p, e := NewParticipant(7, 5), &fakeEngine{status: loaded()}
+	require.NotNil(t, ask(p, e, Message{Promise: &Promise{Ballot: b}}).Promised)
+	return p, e
+}
+
+func armed(t *testing.T) (*Participant, *fakeEngine) {
+	p, e := promised(t, v2)
+	require.NotNil(t, ask(p, e, Message{Arm: &Arm{v2, 7, v2, 6}}).Armed)
+	return p, e
+}
+
+func TestStaleCoordinatorIsRefused(t *testing.T) {
+	p, e := armed(t)
+	require.NotNil(t, ask(p, e, Message{Promise: &Promise{Ballot: v3}}).Promised)
+	commit := Message{Commit: &Commit{v2, 7, Present{Installed: Installed{v2, 6}}}}
+	for _, m := range []Message{{Promise: &Promise{Ballot: v2}}, {Arm: &Arm{v2, 7, v2, 6}}, commit, {Abort: &Abort{v2, 7}}} {
+		refused := ask(p, e, m).Refused
+		require.NotNil(t, refused)
+		require.Equal(t, ReasonBallot, refused.Reason)
+		require.Equal(t, v3, refused.Promised)
+	}
+	require.True(t, e.status.Uncommitted())
+}
+
+func TestRestartedParticipantHoldsUntilTheNextBallot(t *testing.T) {
+	_, e := armed(t)
+	p := NewParticipant(8, 5)
+	commit := Message{Commit: &Commit{v2, 7, Present{Installed: Installed{v2, 6}}}}
+	require.Equal(t, ReasonIncarnation, reason(ask(p, e, commit)))
+	// The late duplicate of a promise must not open the way for the late commit.
+	require.NotNil(t, ask(p, e, Message{Promise: &Promise{Ballot: v2}}).Promised)
+	require.Equal(t, ReasonIncarnation, reason(ask(p, e, commit)))
+	require.True(t, e.status.Uncommitted())
+}
+
+func TestLateArmDoesNotUndoAbort(t *testing.T) {
+	p, e := armed(t)
+	require.NotNil(t, ask(p, e, Message{Abort: &Abort{v2, 7}}).Aborted)
+	require.Equal(t, ReasonState, reason(ask(p, e, Message{Arm: &Arm{v2, 7, v2, 6}})))
+	require.Nil(t, e.status.Armed)
+}
+
+func TestArmIsRefusedAtAStartedStep(t *testing.T) {
+	p, e := promised(t, v2)
+	require.Equal(t, ReasonStep, reason(ask(p, e, Message{Arm: &Arm{v2, 7, v2, 5}})))
+	require.Nil(t, e.status.Armed)
+}
+
+// drain delivers all packets but commits, while the engines start no step.
+func (w *world) drain() []packet {
+	return w.drainTo(func(m Message) bool { return m.Commit != nil })
+}
+
+// drainTo delivers all packets but those to hold back, which it returns.
+func (w *world) drainTo(hold func(Message) bool) (held []packet) {
+	for len(w.net) > 0 {
+		if hold(w.net[0].msg) {
+			held = append(held, w.net[0])
+			w.net = w.net[1:]
+			continue
+		}
+		w.deliver(0)
+		for _, h := range w.hosts {
+			for h.work {
+				for _, e := range h.engines {
+					e.loadAll()
+				}
+				w.agentWork(h)
+			}
+		}
+	}
+	return held
+}
+
+// Rank 0 promises ballot 3, restarts, forgets it and promises ballot 2, which
+// then arms everyone. When ranks 1 and 2 promise ballot 3 too, its coordinator
+// has all promises, and has seen no commit; yet ballot 2 can still commit.
+func TestPromisesAreConfirmedBeforeTheyCount(t *testing.T) {
+	w := newWorld(3, 1)
+	w.newCoordinator(w.hosts[0], 10)
+	v, _ := w.change(w.hosts[0])
+	require.False(t, v.IsZero())
+	w.newCoordinator(w.hosts[1], 1)
+	w.newCoordinator(w.hosts[2], 1)
+	w.drain()
+	w.propose(w.hosts[1], v)
+	lower := w.net
+	w.net = nil
+	w.sendAll(w.hosts[2], w.hosts[2].coord.Start(nil))
+	higher := slices.Clone(w.net[1:])
+	w.net = w.net[:1]
+	w.drain()
+	w.restartAgent(w.hosts[0])
+	w.net = lower
+	commits := w.drain()
+	require.Len(t, commits, 3, "ballot 2 has armed all")
+	w.net = higher
+	w.drain()
+	w.net = commits
+	w.round()
+	for range 6 {
+		w.enginesWork(w.engines)
+		require.NoError(t, w.err)
+	}
+	w.recovered(t)
+}
--- /dev/null
+++ b/internal/expertmap/message.go
@@ -0,0 +1,154 @@
+package expertmap
+
+// Address names a participant or a coordinator of a group; it is the agent's
+// host number.
+type Address uint32
+
+// Message is exactly one of its fields.
+type Message struct {
+	Promise   *Promise   `cbor:"1,keyasint,omitempty"`
+	Promised  *Promised  `cbor:"2,keyasint,omitempty"`
+	Stage     *Stage     `cbor:"3,keyasint,omitempty"`
+	Staged    *Staged    `cbor:"4,keyasint,omitempty"`
+	Arm       *Arm       `cbor:"5,keyasint,omitempty"`
+	Armed     *Armed     `cbor:"6,keyasint,omitempty"`
+	Commit    *Commit    `cbor:"7,keyasint,omitempty"`
+	Committed *Committed `cbor:"8,keyasint,omitempty"`
+	Abort     *Abort     `cbor:"9,keyasint,omitempty"`
+	Aborted   *Aborted   `cbor:"10,keyasint,omitempty"`
+	Refused   *Refused   `cbor:"11,keyasint,omitempty"`
+}
+
+// Envelope is a message to send.
+type Envelope struct {
+	To      Address
+	Message Message
+}
+
+// Promise asks a participant to refuse all lower ballots and to tell its state.
+type Promise struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+	// Known lists maps that the answer need not contain.
+	Known []Version `cbor:"2,keyasint,omitempty"`
+}
+
+// Promised answers Promise.
+type Promised struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+	// Incarnation is the start of the participant that gave the promise.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Ranks is the state of each engine, without maps.
+	Ranks []Status `cbor:"3,keyasint"`
+	// Maps are the loaded maps that the coordinator doesn't know.
+	Maps []Map `cbor:"4,keyasint,omitempty"`
+}
+
+// header is what each request after the promise carries.
+type header struct {
+	ballot      Ballot
+	incarnation uint64
+}
+
+// Stage asks for the maps' weights to be loaded. It also confirms the promise,
+// and is sent without maps where nothing has to be loaded.
+type Stage struct {
+	Ballot      Ballot `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Maps        []Map  `cbor:"3,keyasint,omitempty"`
+	// Join says that the maps are only for ranks that have none.
+	Join bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Staged says that all weights are loaded and the promise still holds.
+type Staged struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+	// Step is the last step started by any of the ranks.
+	Step uint64 `cbor:"2,keyasint"`
+}
+
+// Arm asks the ranks to hold at a step ahead.
+type Arm struct {
+	Ballot      Ballot  `cbor:"1,keyasint"`
+	Incarnation uint64  `cbor:"2,keyasint"`
+	Version     Version `cbor:"3,keyasint"`
+	Step        uint64  `cbor:"4,keyasint"`
+}
+
+// Armed says that all ranks of the participant are armed.
+type Armed struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+	Step   uint64 `cbor:"2,keyasint"`
+}
+
+// Commit tells that the group uses a map.
+type Commit struct {
+	Ballot      Ballot `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Present is the decision.
+	Present Present `cbor:"3,keyasint"`
+}
+
+// Committed says that all ranks of the participant have committed.
+type Committed struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+}
+
+// Abort tells the ranks to drop a change that isn't committed.
+type Abort struct {
+	Ballot      Ballot `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// Aborted says that no rank of the participant is armed uncommitted.
+type Aborted struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+}
+
+// Reason says why a participant refuses.
+type Reason uint8
+
+const (
+	// ReasonBallot: a higher ballot has been promised.
+	ReasonBallot Reason = iota + 1
+	// ReasonIncarnation: the participant has restarted since its promise.
+	ReasonIncarnation
+	// ReasonStep: a rank has already started the step to arm at.
+	ReasonStep
+	// ReasonState: a rank has no map, or not the state that the order assumes;
+	// a new ballot has to look first.
+	ReasonState
+)
+
+// Refused answers any request.
+type Refused struct {
+	// Ballot is that of the refused request.
+	Ballot Ballot `cbor:"1,keyasint"`
+	// Promised is the highest ballot that the participant knows.
+	Promised Ballot `cbor:"2,keyasint"`
+	Reason   Reason `cbor:"3,keyasint"`
+}
+
+// header returns the ballot and incarnation of a request that follows a
+// promise.
+func (m Message) header() (header, bool) {
+	switch {
+	case m.Stage != nil:
+		return header{m.Stage.Ballot, m.Stage.Incarnation}, true
+	case m.Arm != nil:
+		return header{m.Arm.Ballot, m.Arm.Incarnation}, true
+	case m.Commit != nil:
+		return header{m.Commit.Ballot, m.Commit.Incarnation}, true
+	case m.Abort != nil:
+		return header{m.Abort.Ballot, m.Abort.Incarnation}, true
+	}
+	return header{}, false
+}
+
+// ballot returns the ballot of any request.
+func (m Message) ballot() Ballot {
+	if m.Promise != nil {
+		return m.Promise.Ballot
+	}
+	h, _ := m.header()
+	return h.ballot
+}
--- /dev/null
+++ b/internal/expertmap/participant.go
@@ -0,0 +1,220 @@
+package expertmap
+
+import "slices"
+
+// maxRounds bounds the rounds of orders for one request; the longest, a commit
+// at an engine without a map, takes two.
+const maxRounds = 4
+
+// request is a message in work.
+type request struct {
+	from   Address
+	msg    Message
+	rounds int
+	// last are the orders given in the last round.
+	last []Order
+}
+
+// Participant speaks for the ranks of one host. It isn't safe for concurrent
+// use. It works on one request at a time: while its output asks for orders, it
+// takes further requests only to note a higher ballot, and the coordinator
+// sends again.
+type Participant struct {
+	incarnation uint64
+	patience    int
+	quiet       int
+
+	// promised never falls within an incarnation.
+	promised Ballot
+	// aborted forbids to arm again under the promised ballot, so that a late
+	// Arm doesn't undo an Abort.
+	aborted bool
+
+	current *request
+	next    *request
+}
+
+// Output is what a participant wants done.
+type Output struct {
+	// Work asks the agent to execute the orders in turn, then to read the
+	// status of every engine and to call [Participant.Done]. The orders may be
+	// empty.
+	Work   bool
+	Orders []Order
+	// Reply is to be sent if not nil.
+	Reply *Envelope
+}
+
+// NewParticipant returns a participant that has promised nothing. The
+// incarnation must be unique for each start (random). Patience is the number of
+// ticks for which Observe waits.
+func NewParticipant(incarnation uint64, patience int) *Participant {
+	return &Participant{incarnation: incarnation, patience: patience}
+}
+
+// Promised returns the highest ballot that the participant has promised.
+func (p *Participant) Promised() Ballot { return p.promised }
+
+// Step takes a request of a coordinator.
+func (p *Participant) Step(from Address, m Message) Output {
+	if reason := p.check(m); reason != 0 {
+		return p.refuse(from, m, reason)
+	}
+	p.quiet = 0
+	if m.Promise != nil && p.promised.Less(m.Promise.Ballot) {
+		p.promised = m.Promise.Ballot
+		p.aborted = false
+	}
+	r := &request{from: from, msg: m}
+	if p.current != nil {
+		if m.Promise != nil {
+			p.next = r
+		}
+		return Output{}
+	}
+	p.current = r
+	return Output{Work: true}
+}
+
+// check returns why a request is refused, or zero.
+func (p *Participant) check(m Message) Reason {
+	if m.Promise != nil {
+		if m.Promise.Ballot.Less(p.promised) {
+			return ReasonBallot
+		}
+		return 0
+	}
+	h, ok := m.header()
+	switch {
+	case !ok:
+		return ReasonState
+	case h.incarnation != p.incarnation:
+		return ReasonIncarnation
+	case h.ballot != p.promised:
+		return ReasonBallot
+	case p.aborted && (m.Arm != nil || m.Stage != nil):
+		return ReasonState
+	}
+	return 0
+}
+
+// Done takes the status of every engine after the orders of the last output
+// have been given. An error (some engine didn't answer) drops the request; the
+// coordinator sends again.
+func (p *Participant) Done(ranks []Status, err error) Output {
+	r := p.current
+	if r == nil {
+		return Output{}
+	}
+	if err != nil || r.msg.ballot().Less(p.promised) {
+		return p.finish(nil)
+	}
+	if high := highest(ranks); p.promised.Less(high) {
+		p.promised = high
+		return p.finish(p.refusal(r, ReasonBallot))
+	}
+	orders, reason := plan(r.msg, ranks)
+	switch {
+	case reason != 0:
+		return p.finish(p.refusal(r, reason))
+	case len(orders) == 0:
+		return p.finish(p.answer(r, ranks))
+	case r.rounds == maxRounds || slices.Equal(orders, r.last):
+		return p.finish(nil)
+	}
+	r.rounds++
+	r.last = orders
+	return Output{Work: true, Orders: orders}
+}
+
+// finish ends the current request and begins the one that waits.
+func (p *Participant) finish(reply *Envelope) Output {
+	p.current, p.next = p.next, nil
+	return Output{Work: p.current != nil, Reply: reply}
+}
+
+// answer returns the reply to a request that has been carried out.
+func (p *Participant) answer(r *request, ranks []Status) *Envelope {
+	b := p.promised
+	var m Message
+	switch {
+	case r.msg.Promise != nil:
+		m.Promised = p.promise(ranks, r.msg.Promise.Known)
+	case r.msg.Stage != nil:
+		m.Staged = &Staged{Ballot: b, Step: lastStep(ranks)}
+	case r.msg.Arm != nil:
+		m.Armed = &Armed{Ballot: b, Step: r.msg.Arm.Step}
+	case r.msg.Commit != nil:
+		m.Committed = &Committed{Ballot: b}
+	case r.msg.Abort != nil:
+		p.aborted = true
+		m.Aborted = &Aborted{Ballot: b}
+	}
+	return &Envelope{To: r.from, Message: m}
+}
+
+// promise returns the state of the ranks, and each map once that is not known.
+func (p *Participant) promise(ranks []Status, known []Version) *Promised {
+	out := &Promised{Ballot: p.promised, Incarnation: p.incarnation}
+	sent := slices.Clone(known)
+	for _, r := range ranks {
+		for _, m := range r.Maps {
+			if slices.Contains(sent, m.Version) {
+				continue
+			}
+			sent = append(sent, m.Version)
+			out.Maps = append(out.Maps, m)
+		}
+		r.Maps = nil
+		out.Ranks = append(out.Ranks, r)
+	}
+	return out
+}
+
+func (p *Participant) refuse(from Address, m Message, reason Reason) Output {
+	return Output{Reply: p.refusal(&request{from: from, msg: m}, reason)}
+}
+
+func (p *Participant) refusal(r *request, reason Reason) *Envelope {
+	refused := &Refused{Ballot: r.msg.ballot(), Promised: p.promised, Reason: reason}
+	return &Envelope{To: r.from, Message: Message{Refused: refused}}
+}
+
+// Observe takes the status of every engine once a tick. It returns true when
+// the ranks wait for a decision (a change is armed but not committed, or an
+// engine has no map) and no coordinator has been heard for the patience; the
+// agent should then start a recovery, and agents should draw different
+// patiences so that they don't start together.
+func (p *Participant) Observe(ranks []Status) bool {
+	if !waiting(ranks) {
+		p.quiet = 0
+		return false
+	}
+	p.quiet++
+	return p.quiet > p.patience
+}
+
+func waiting(ranks []Status) bool {
+	for _, r := range ranks {
+		if r.Uncommitted() || !r.Joined() {
+			return true
+		}
+	}
+	return false
+}
+
+func highest(ranks []Status) Ballot {
+	var b Ballot
+	for _, r := range ranks {
+		b = maxBallot(b, r.highest())
+	}
+	return b
+}
+
+func lastStep(ranks []Status) uint64 {
+	var s uint64
+	for _, r := range ranks {
+		s = max(s, r.Step)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/expertmap/plan.go
@@ -0,0 +1,98 @@
+package expertmap
+
+// plan returns the orders that bring the engines nearer to what the request
+// asks, none when they are there, or the reason to refuse. It is called again
+// with the new states after the orders have been given.
+func plan(m Message, ranks []Status) ([]Order, Reason) {
+	var orders []Order
+	for i, r := range ranks {
+		more, reason := planRank(m, r)
+		if reason != 0 {
+			return nil, reason
+		}
+		for _, o := range more {
+			o.Engine = i
+			orders = append(orders, o)
+		}
+	}
+	return orders, 0
+}
+
+func planRank(m Message, r Status) ([]Order, Reason) {
+	switch {
+	case m.Promise != nil:
+		return planPromise(m.Promise, r), 0
+	case m.Stage != nil:
+		return planStage(m.Stage, r), 0
+	case m.Arm != nil:
+		return planArm(m.Arm, r)
+	case m.Commit != nil:
+		return planCommit(m.Commit, r)
+	case m.Abort != nil:
+		return planAbort(m.Abort, r), 0
+	}
+	return nil, ReasonState
+}
+
+// planPromise arms an armed engine again under the new ballot, so that a commit
+// of the old ballot still on its way to the engine is refused there.
+func planPromise(m *Promise, r Status) []Order {
+	if !r.Uncommitted() || r.Armed.Ballot == m.Ballot {
+		return nil
+	}
+	c := *r.Armed
+	c.Ballot = m.Ballot
+	return []Order{{Kind: OrderArm, Change: c}}
+}
+
+func planStage(m *Stage, r Status) []Order {
+	if m.Join && r.Joined() {
+		return nil
+	}
+	var orders []Order
+	for i := range m.Maps {
+		if r.loaded(m.Maps[i].Version) {
+			continue
+		}
+		orders = append(orders, Order{Kind: OrderStage, Ballot: m.Ballot, Map: &m.Maps[i]})
+	}
+	return orders
+}
+
+func planArm(m *Arm, r Status) ([]Order, Reason) {
+	armed := r.Uncommitted() && r.Armed.Version == m.Version && r.Armed.Ballot == m.Ballot
+	switch {
+	case armed, r.Committed().Version == m.Version:
+		return nil, 0
+	case !r.Joined(), !r.loaded(m.Version):
+		return nil, ReasonState
+	case m.Step <= r.Step:
+		return nil, ReasonStep
+	}
+	c := Change{Version: m.Version, Ballot: m.Ballot, Step: m.Step}
+	return []Order{{Kind: OrderArm, Change: c}}, 0
+}
+
+func planCommit(m *Commit, r Status) ([]Order, Reason) {
+	target := m.Present.Installed
+	armed := r.Uncommitted() && r.Armed.Version == target.Version && r.Armed.Ballot == m.Ballot
+	switch {
+	case r.Committed().Version == target.Version:
+		return nil, 0
+	case armed:
+		return []Order{{Kind: OrderCommit, Ballot: m.Ballot}}, 0
+	case r.Joined(), !r.loaded(target.Version):
+		return nil, ReasonState
+	case !m.Present.Base.IsZero() && !r.loaded(m.Present.Base):
+		return nil, ReasonState
+	}
+	c := Change{Version: target.Version, Ballot: m.Ballot, Step: target.From, Base: m.Present.Base}
+	return []Order{{Kind: OrderArm, Change: c}}, 0
+}
+
+func planAbort(m *Abort, r Status) []Order {
+	if !r.Uncommitted() {
+		return nil
+	}
+	return []Order{{Kind: OrderAbort, Ballot: m.Ballot}}
+}
--- /dev/null
+++ b/internal/expertmap/resolve.go
@@ -0,0 +1,56 @@
+package expertmap
+
+// Present is the map that a group uses, as a coordinator has found or decided
+// it.
+type Present struct {
+	// Installed is the newest committed map. Its version is zero for a group
+	// without any map.
+	Installed Installed `cbor:"1,keyasint"`
+	// Base is the map in use before Installed.From; zero if no rank uses it
+	// any more.
+	Base Version `cbor:"2,keyasint"`
+}
+
+// finding is what the states of all ranks of a group say together.
+type finding struct {
+	present Present
+	// abort: a rank is armed with a change that no rank has committed.
+	abort bool
+	// behind: a rank has no map, or hasn't committed the present one.
+	behind bool
+}
+
+// open reports whether there is anything to recover.
+func (f finding) open() bool { return f.abort || f.behind }
+
+// resolve applies the rule of recovery to the states of all ranks: if one has
+// committed a map, all have to; if none has, the change is aborted. It must be
+// given every rank of the group: one rank left out may be the one that has
+// committed.
+func resolve(ranks []Status) finding {
+	var f finding
+	for _, r := range ranks {
+		c := r.Committed()
+		if f.present.Installed.Version.Less(c.Version) {
+			f.present.Installed = c
+		}
+	}
+	for _, r := range ranks {
+		f.add(r)
+	}
+	return f
+}
+
+// add takes one rank's state into account, given the newest committed map.
+func (f *finding) add(r Status) {
+	newest := f.present.Installed.Version
+	if r.Uncommitted() && r.Armed.Version != newest {
+		f.abort = true
+	}
+	if !r.Joined() || r.Committed().Version != newest {
+		f.behind = true
+	}
+	if r.Joined() && r.Active.Version != newest {
+		f.present.Base = r.Active.Version
+	}
+}
