--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -84,6 +84,10 @@
 // OrdersConfig is what Orders needs.
 type OrdersConfig struct {
 	Upstream, Pool string
+	// Group is the group of ranks that the upstream belongs to, empty if none.
+	Group string
+	// OnOrder, if set, gets each order that may be carried out, nil where there is none.
+	OnOrder func(*wire.Order)
 	// URL is the base of the engine.
 	URL   string
 	Asker Asker
@@ -140,7 +144,7 @@
 
 // Pull asks once and passes the order on, unless the engine has taken it before.
 func (o *Orders) Pull(ctx context.Context) error {
-	q := &wire.OrderQuery{Upstream: o.cfg.Upstream, Pool: o.cfg.Pool, Seen: o.gate.fence}
+	q := &wire.OrderQuery{Upstream: o.cfg.Upstream, Pool: o.cfg.Pool, Group: o.cfg.Group, Seen: o.gate.fence}
 	if _, err := rand.Read(q.Nonce[:]); err != nil {
 		return errors.Wrap(err, "agent: make nonce")
 	}
@@ -155,6 +159,9 @@
 		o.refused.Inc(1)
 		return err
 	}
+	if o.cfg.OnOrder != nil {
+		o.cfg.OnOrder(answer.Order)
+	}
 	if answer.Order == nil || o.hasPassed(answer) {
 		return nil
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/document"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/replica"
 	"github.com/sassafraspost/sassafraspost/internal/state"
@@ -207,10 +208,26 @@
 		Adapters:      p.Model.Adapters,
 		Role:          string(p.Model.Role),
 		ChecksFencing: p.Model.ChecksFencing,
+		Group:         groupShape(p.Document, m.Group),
 	}
 	return answer, nil
 }
 
+func groupShape(d *document.Document, name string) *wire.GroupShape {
+	g := d.Group(name)
+	if g == nil {
+		return nil
+	}
+	return &wire.GroupShape{
+		Ranks:           uint32(g.Ranks),
+		Experts:         uint32(g.Experts),
+		Layers:          uint32(g.Layers),
+		SlotsPerRank:    uint32(g.SlotsPerRank),
+		SkewWeight:      d.Objective.SkewWeight,
+		RebalanceWeight: d.Objective.RebalanceWeight,
+	}
+}
+
 func (h *Host) statusAnswer() *wire.StatusAnswer {
 	st := h.replica.Status()
 	return &wire.StatusAnswer{
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/agent"
 	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/directory"
+	"github.com/sassafraspost/sassafraspost/internal/group"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -27,6 +29,8 @@
 	agent     *agent.Agent
 	announcer *directory.Announcer
 	orders    *agent.Orders
+	// group is set where the upstream belongs to a group of ranks.
+	group *group.Runner
 	// upstream is where the upstream accepts connections, "ip:port".
 	upstream string
 }
@@ -41,6 +45,8 @@
 			Incarnation: d.incarnation,
 			Pool:        set.Pool,
 			Group:       set.Group,
+			FirstRank:   uint32(set.FirstRank),
+			Ranks:       groupRanks(set),
 		},
 		URL:      set.UpstreamURL,
 		Engine:   set.Kind == settings.UpstreamModel,
@@ -55,6 +61,10 @@
 		return nil, errors.Wrap(err, "upstream-url")
 	}
 	r := &agentRole{agent: a, upstream: base.Host}
+	var shape atomic.Pointer[wire.GroupShape]
+	if set.Group != "" {
+		r.group = d.newGroup(set, &shape)
+	}
 	r.announcer = directory.NewAnnouncer(directory.AnnouncerConfig{
 		Hosts:    hostsByAddress(set),
 		Pool:     d.pool,
@@ -68,6 +78,8 @@
 		r.orders = agent.NewOrders(agent.OrdersConfig{
 			Upstream: d.set.Host.Name,
 			Pool:     set.Pool,
+			Group:    set.Group,
+			OnOrder:  func(o *wire.Order) { shape.Store(shapeOf(o)) },
 			URL:      set.UpstreamURL,
 			Asker:    control.NewClient(d.pool, addresses(set.Control)),
 			Clock:    d.now,
@@ -88,13 +100,16 @@
 }
 
 func (r *agentRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
-	return r.agent.HandlePeer(s, call, m)
+	return r.agent.HandlePeer(s, call, m) || (r.group != nil && r.group.HandlePeer(s, call, m))
 }
 
 func (r *agentRole) run(ctx context.Context) error {
 	if r.orders != nil {
 		go r.orders.Run(ctx, orderInterval)
 	}
+	if r.group != nil {
+		go r.group.Run(ctx)
+	}
 	go r.agent.Poll(ctx, pollInterval)
 	go r.awaitUpstream(ctx)
 	r.announcer.Run(ctx)
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -196,6 +196,8 @@
 		d.handleDelta(s, m)
 	case *wire.DigestNotice:
 		d.handleNotice(s, m)
+	case *wire.GroupQuery:
+		_ = s.Reply(call, d.group(m.Group))
 	default:
 		return false
 	}
@@ -225,6 +227,17 @@
 	}
 }
 
+// group returns the hosts of a group, suspect ones too: none may be left out.
+func (d *Service) group(name string) *wire.GroupAnswer {
+	a := &wire.GroupAnswer{}
+	for _, e := range d.Entries() {
+		if u := e.Upstream; u.Group == name && u.Ranks > 0 {
+			a.Members = append(a.Members, wire.GroupMember{Address: u.Address, FirstRank: u.FirstRank, Ranks: u.Ranks})
+		}
+	}
+	return a
+}
+
 func (d *Service) handleDelta(s *peer.Session, m *wire.Delta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/group/coordinate.go
@@ -0,0 +1,115 @@
+package group
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	gatherTimeout = 2 * time.Second
+	// armAhead covers a round trip to all hosts at the shortest steps of the target.
+	armAhead = 32
+)
+
+// intent is what a coordinator is to begin with once all members are known.
+type intent struct {
+	isRecovery bool
+	proposal   *expertmap.Proposal
+	known      []expertmap.Map
+}
+
+// gather asks the directory for the group's hosts, beside the loop.
+func (r *Runner) gather(ctx context.Context, want intent) {
+	if r.isGathering {
+		return
+	}
+	r.isGathering = true
+	r.want = want
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+		defer cancel()
+		members, _ := r.cfg.Members(ctx)
+		r.ready <- members
+	}()
+}
+
+// begin starts a ballot, unless the hosts found are not exactly all ranks of the
+// group: a participant left out could be the one that has committed.
+func (r *Runner) begin(members []wire.GroupMember) {
+	shape := r.cfg.Shape()
+	if r.coordinator != nil || shape == nil || !isWhole(members, shape.Ranks) {
+		return
+	}
+	r.members = make(map[expertmap.Address]string, len(members))
+	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: armAhead}
+	for _, m := range members {
+		r.members[expertmap.Address(m.FirstRank)] = m.Address
+		cfg.Participants = append(cfg.Participants, expertmap.Address(m.FirstRank))
+	}
+	c, err := expertmap.NewCoordinator(cfg)
+	if err != nil {
+		return
+	}
+	r.coordinator = c
+	proposal := r.want.proposal
+	if r.want.isRecovery {
+		proposal = &expertmap.Proposal{Map: FirstMap(shape)}
+	}
+	r.send(c.Start(proposal, r.want.known...))
+}
+
+// isWhole reports whether the members hold each rank of a group once.
+func isWhole(members []wire.GroupMember, ranks uint32) bool {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b wire.GroupMember) int { return int(a.FirstRank) - int(b.FirstRank) })
+	next := uint32(0)
+	for _, m := range sorted {
+		if m.FirstRank != next || m.Ranks == 0 {
+			return false
+		}
+		next += m.Ranks
+	}
+	return next == ranks && ranks > 0
+}
+
+// conclude drops a coordinator whose ballot has ended.
+func (r *Runner) conclude() {
+	outcome := r.coordinator.Outcome()
+	if outcome == expertmap.OutcomeRunning {
+		return
+	}
+	version := r.coordinator.Present().Installed.Version
+	r.coordinator = nil
+	switch outcome {
+	case expertmap.OutcomeChanged:
+		r.counters.changed.Inc(1)
+		r.cfg.Log.Info("expert map changed", "group", r.cfg.Group, "version", version.String())
+	case expertmap.OutcomeAborted:
+		r.counters.aborted.Inc(1)
+		r.cfg.Log.Info("change of the expert map given up", "group", r.cfg.Group)
+	case expertmap.OutcomeSettled, expertmap.OutcomeStale:
+		r.counters.settled.Inc(1)
+	case expertmap.OutcomeSuperseded:
+		r.counters.superseded.Inc(1)
+	case expertmap.OutcomeTimedOut:
+		r.counters.timedOut.Inc(1)
+	}
+}
+
+// FirstMap places the experts of a new group in turn, spare slots included.
+func FirstMap(shape *wire.GroupShape) expertmap.Map {
+	m := expertmap.Map{SlotsPerRank: int(shape.SlotsPerRank)}
+	slots := int(shape.Ranks * shape.SlotsPerRank)
+	for range shape.Layers {
+		layer := make([]uint16, slots)
+		for s := range layer {
+			layer[s] = uint16(s % int(shape.Experts))
+		}
+		m.Layers = append(m.Layers, layer)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/group/engine.go
@@ -0,0 +1,100 @@
+package group
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// engineTimeout bounds one call of an engine; all of them return soon.
+const engineTimeout = 2 * time.Second
+
+// CommitOrder is the body of a commit or abort at an engine.
+type CommitOrder struct{ Ballot expertmap.Ballot }
+
+// Engine reaches one rank's engine over HTTP, below base + "/ranks/RANK". It
+// implements expertmap.Engine.
+type Engine struct {
+	base   string
+	client *http.Client
+}
+
+// NewEngine returns the engine of a rank behind the upstream's base URL.
+func NewEngine(upstream string, rank uint32) *Engine {
+	return &Engine{
+		base:   fmt.Sprintf("%s/ranks/%d", upstream, rank),
+		client: &http.Client{Timeout: engineTimeout},
+	}
+}
+
+// Status implements expertmap.Engine.
+func (e *Engine) Status(ctx context.Context) (expertmap.Status, error) {
+	var s expertmap.Status
+	return s, e.get(ctx, "/status", &s)
+}
+
+// Load returns what the rank measured since the last call.
+func (e *Engine) Load(ctx context.Context) (wire.RankLoad, error) {
+	var l wire.RankLoad
+	return l, e.get(ctx, "/expert-load", &l)
+}
+
+// Stage implements expertmap.Engine.
+func (e *Engine) Stage(ctx context.Context, m expertmap.Map) error { return e.post(ctx, "/stage", m) }
+
+// Arm implements expertmap.Engine.
+func (e *Engine) Arm(ctx context.Context, c expertmap.Change) error { return e.post(ctx, "/arm", c) }
+
+// Commit implements expertmap.Engine.
+func (e *Engine) Commit(ctx context.Context, b expertmap.Ballot) error {
+	return e.post(ctx, "/commit", CommitOrder{Ballot: b})
+}
+
+// Abort implements expertmap.Engine.
+func (e *Engine) Abort(ctx context.Context, b expertmap.Ballot) error {
+	return e.post(ctx, "/abort", CommitOrder{Ballot: b})
+}
+
+func (e *Engine) get(ctx context.Context, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "group: ask engine")
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "group: ask engine")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("group: engine says %s", resp.Status)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "group: engine's answer")
+}
+
+func (e *Engine) post(ctx context.Context, path string, in any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "group: encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "group: order engine")
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "group: order engine")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return errors.Errorf("group: engine says %s to the order", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,312 @@
+// Package group runs an agent's part in its group of ranks: the participant that
+// speaks for the ranks of its host, and, where it is the agent's turn, the
+// coordinator and the planner of changes to the expert map.
+//
+// The decisions are those of packages expertmap and placement. This package gives
+// them messages, engine states and ticks, one at a time on one goroutine.
+package group
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// basePatience is how many ticks a participant waits for a coordinator before it
+	// starts a recovery; each host adds its own number, so that they don't start together.
+	basePatience = 10
+	inboxLength  = 1024
+	// DefaultPlanInterval is how often the first host of a group plans.
+	DefaultPlanInterval = 10 * time.Second
+)
+
+// Rank is one rank of this host.
+type Rank interface {
+	expertmap.Engine
+	// Load returns what the rank measured since the last call.
+	Load(ctx context.Context) (wire.RankLoad, error)
+}
+
+// Config is what a Runner needs.
+type Config struct {
+	// Group is the group's name, FirstRank the first rank of this host.
+	Group     string
+	FirstRank uint32
+	// Ranks are the engines of this host, from FirstRank on.
+	Ranks []Rank
+	Pool  *peer.Pool
+	// Members returns the hosts of the group that the directory knows.
+	Members func(ctx context.Context) ([]wire.GroupMember, error)
+	// Shape returns what the document in force says of the group, nil if nothing.
+	Shape func() *wire.GroupShape
+	// Unique returns numbers that differ between all starts of all hosts.
+	Unique       func() uint64
+	PlanInterval time.Duration
+	Log          *slog.Logger
+	Metrics      metrics.Registry
+}
+
+// inbound is a message of another host, or of this one to itself.
+type inbound struct {
+	// session is where a reply goes; nil for this host's own messages.
+	session *peer.Session
+	from    expertmap.Address
+	isReply bool
+	message expertmap.Message
+}
+
+// statuses is what the engines said.
+type statuses struct {
+	ranks []expertmap.Status
+	err   error
+}
+
+// Runner is an agent's part in its group. Its fields below inbox belong to the
+// goroutine of Run.
+type Runner struct {
+	cfg      Config
+	address  expertmap.Address
+	counters counters
+
+	inbox    chan inbound
+	loads    chan *wire.ExpertLoad
+	worked   chan statuses
+	observed chan statuses
+	ready    chan []wire.GroupMember
+
+	participant *expertmap.Participant
+	// origin is the session of the request that the participant works on.
+	origin      map[expertmap.Address]*peer.Session
+	isWorking   bool
+	isObserving bool
+	ranks       []expertmap.Status
+
+	coordinator *expertmap.Coordinator
+	members     map[expertmap.Address]string
+	isGathering bool
+	want        intent
+	planner     planner
+}
+
+type counters struct {
+	changed, aborted, settled, superseded, timedOut, dropped metrics.Counter
+}
+
+func newCounters(reg metrics.Registry) counters {
+	get := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("group."+name, reg) }
+	return counters{
+		changed: get("changes.made"), aborted: get("changes.aborted"), settled: get("ballots.settled"),
+		superseded: get("ballots.superseded"), timedOut: get("ballots.timed-out"), dropped: get("messages.dropped"),
+	}
+}
+
+// New returns a Runner that Run starts.
+func New(cfg Config) *Runner {
+	if cfg.PlanInterval <= 0 {
+		cfg.PlanInterval = DefaultPlanInterval
+	}
+	return &Runner{
+		cfg:         cfg,
+		address:     expertmap.Address(cfg.FirstRank),
+		counters:    newCounters(cfg.Metrics),
+		inbox:       make(chan inbound, inboxLength),
+		loads:       make(chan *wire.ExpertLoad, inboxLength),
+		worked:      make(chan statuses, 1),
+		observed:    make(chan statuses, 1),
+		ready:       make(chan []wire.GroupMember, 1),
+		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank)),
+		origin:      make(map[expertmap.Address]*peer.Session),
+		planner:     newPlanner(),
+	}
+}
+
+// HandlePeer takes a message if it concerns this host's group. It never waits: what
+// has no room is dropped, and sent again by whoever needs it.
+func (r *Runner) HandlePeer(s *peer.Session, _ uint64, m wire.Message) bool {
+	switch m := m.(type) {
+	case *wire.MapRequest:
+		r.take(s, m.Group, m.From, m.Data, false)
+	case *wire.MapReply:
+		r.take(s, m.Group, m.From, m.Data, true)
+	case *wire.ExpertLoad:
+		if m.Group != r.cfg.Group {
+			return true
+		}
+		select {
+		case r.loads <- m:
+		default:
+			r.counters.dropped.Inc(1)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (r *Runner) take(s *peer.Session, group string, from uint32, data []byte, isReply bool) {
+	in := inbound{session: s, from: expertmap.Address(from), isReply: isReply}
+	if group != r.cfg.Group || wire.Unmarshal(data, &in.message) != nil {
+		r.counters.dropped.Inc(1)
+		return
+	}
+	r.push(in)
+}
+
+func (r *Runner) push(in inbound) {
+	select {
+	case r.inbox <- in:
+	default:
+		r.counters.dropped.Inc(1)
+	}
+}
+
+// Run takes part until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	plan := time.NewTicker(r.cfg.PlanInterval)
+	defer plan.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-r.inbox:
+			r.handle(ctx, in)
+		case s := <-r.worked:
+			r.isWorking = false
+			r.output(ctx, r.participant.Done(s.ranks, s.err))
+		case s := <-r.observed:
+			r.isObserving = false
+			r.observe(ctx, s)
+		case members := <-r.ready:
+			r.isGathering = false
+			r.begin(members)
+		case l := <-r.loads:
+			r.planner.add(l)
+		case <-tick.C:
+			r.tick(ctx)
+		case <-plan.C:
+			r.plan(ctx)
+		}
+	}
+}
+
+func (r *Runner) handle(ctx context.Context, in inbound) {
+	if in.isReply {
+		if r.coordinator != nil {
+			r.send(r.coordinator.Step(in.from, in.message))
+			r.conclude()
+		}
+		return
+	}
+	r.origin[in.from] = in.session
+	r.output(ctx, r.participant.Step(in.from, in.message))
+}
+
+// output does what the participant wants.
+func (r *Runner) output(ctx context.Context, o expertmap.Output) {
+	if o.Reply != nil {
+		r.reply(o.Reply)
+	}
+	if !o.Work {
+		return
+	}
+	r.isWorking = true
+	go func() { r.worked <- r.carryOut(ctx, o.Orders) }()
+}
+
+// carryOut gives the orders to the engines and reads their states.
+func (r *Runner) carryOut(ctx context.Context, orders []expertmap.Order) statuses {
+	for _, o := range orders {
+		if err := o.Execute(ctx, r.cfg.Ranks[o.Engine]); err != nil {
+			// The order may or may not have been taken; the states show it.
+			r.cfg.Log.Debug("engine refused an order", "error", err)
+		}
+	}
+	return r.read(ctx)
+}
+
+func (r *Runner) read(ctx context.Context) statuses {
+	out := statuses{ranks: make([]expertmap.Status, len(r.cfg.Ranks))}
+	for i, e := range r.cfg.Ranks {
+		if out.ranks[i], out.err = e.Status(ctx); out.err != nil {
+			return out
+		}
+	}
+	return out
+}
+
+func (r *Runner) reply(e *expertmap.Envelope) {
+	if e.To == r.address {
+		r.push(inbound{from: r.address, isReply: true, message: e.Message})
+		return
+	}
+	data, err := wire.Marshal(e.Message)
+	s := r.origin[e.To]
+	if err != nil || s == nil || s.Post(&wire.MapReply{Group: r.cfg.Group, From: uint32(r.address), Data: data}) != nil {
+		r.counters.dropped.Inc(1)
+	}
+}
+
+// send sends the coordinator's messages. It does not wait for sessions: a message to
+// a host that can't be reached is dropped, and the next tick sends it again.
+func (r *Runner) send(out []expertmap.Envelope) {
+	for _, e := range out {
+		if e.To == r.address {
+			r.push(inbound{from: r.address, message: e.Message})
+			continue
+		}
+		r.post(r.members[e.To], e.Message)
+	}
+}
+
+func (r *Runner) post(address string, m expertmap.Message) {
+	data, err := wire.Marshal(m)
+	if err != nil {
+		r.counters.dropped.Inc(1)
+		return
+	}
+	request := &wire.MapRequest{Group: r.cfg.Group, From: uint32(r.address), Data: data}
+	if s := r.cfg.Pool.Live(address); s != nil && s.Post(request) == nil {
+		return
+	}
+	r.counters.dropped.Inc(1)
+	go r.dial(address)
+}
+
+func (r *Runner) dial(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
+	defer cancel()
+	_, _ = r.cfg.Pool.Get(ctx, address)
+}
+
+func (r *Runner) tick(ctx context.Context) {
+	if r.coordinator != nil {
+		r.send(r.coordinator.Tick())
+		r.conclude()
+	}
+	if r.isObserving || r.isWorking {
+		return
+	}
+	r.isObserving = true
+	go func() { r.observed <- r.read(ctx) }()
+}
+
+// observe looks whether the ranks wait for a decision that nobody makes.
+func (r *Runner) observe(ctx context.Context, s statuses) {
+	if s.err != nil {
+		return
+	}
+	r.ranks = s.ranks
+	if r.participant.Observe(s.ranks) && r.coordinator == nil {
+		r.gather(ctx, intent{isRecovery: true})
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -239,6 +239,7 @@
 		FirstRank:        inifile.Get(s, "first-rank", 0, inifile.Int(0, maxRanks-1)),
 		Ranks:            inifile.Get(s, "ranks", 0, inifile.Int(1, maxRanks)),
 		AnnounceInterval: inifile.Get(s, "announce-interval", time.Second, inifile.Duration),
+		PlanInterval:     inifile.Get(s, "plan-interval", 10*time.Second, inifile.Duration),
 	}
 	checkRanks(s, &a)
 	return a
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -206,6 +206,8 @@
 	Ranks int
 	// AnnounceInterval is the time between announcements. Default 1s.
 	AnnounceInterval time.Duration
+	// PlanInterval is how often the group's expert map is looked at. Default 10s.
+	PlanInterval time.Duration
 }
 
 // Operator is a section [operator "NAME"]: a bearer token of the administration
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -19,8 +19,6 @@
 	KindStatusAnswer  Kind = 74
 	KindReadQuery     Kind = 75
 	KindReadAnswer    Kind = 76
-	KindMapRequest    Kind = 80
-	KindMapReply      Kind = 81
 )
 
 // Consensus carries an encoded consensus.Message between replicas.
@@ -175,6 +173,8 @@
 	Nonce [16]byte `cbor:"3,keyasint"`
 	// Seen is the highest fencing number that the agent has seen.
 	Seen uint64 `cbor:"4,keyasint"`
+	// Group is the group of ranks that the upstream belongs to, empty if none.
+	Group string `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind implements Message.
@@ -188,6 +188,19 @@
 	Role     string   `cbor:"4,keyasint,omitempty"`
 	// ChecksFencing tells that the engine refuses an old fencing number by itself.
 	ChecksFencing bool `cbor:"5,keyasint,omitempty"`
+	// Group is the shape of the asking upstream's group, nil if the document has none.
+	Group *GroupShape `cbor:"6,keyasint,omitempty"`
+}
+
+// GroupShape is what a document says of a group of ranks.
+type GroupShape struct {
+	Ranks        uint32 `cbor:"1,keyasint"`
+	Experts      uint32 `cbor:"2,keyasint"`
+	Layers       uint32 `cbor:"3,keyasint"`
+	SlotsPerRank uint32 `cbor:"4,keyasint"`
+	// SkewWeight and RebalanceWeight are what skew and moves weigh against each other.
+	SkewWeight      float64 `cbor:"5,keyasint"`
+	RebalanceWeight float64 `cbor:"6,keyasint"`
 }
 
 // OrderAnswer answers an OrderQuery. The leader made it after a quorum round that
@@ -251,21 +264,3 @@
 
 // Kind implements Message.
 func (*StatusAnswer) Kind() Kind { return KindStatusAnswer }
-
-// MapRequest carries an encoded expertmap message to the agent of a rank.
-type MapRequest struct {
-	Group string `cbor:"1,keyasint"`
-	Data  []byte `cbor:"2,keyasint"`
-}
-
-// Kind implements Message.
-func (*MapRequest) Kind() Kind { return KindMapRequest }
-
-// MapReply carries an encoded expertmap answer.
-type MapReply struct {
-	Group string `cbor:"1,keyasint"`
-	Data  []byte `cbor:"2,keyasint"`
-}
-
-// Kind implements Message.
-func (*MapReply) Kind() Kind { return KindMapReply }
--- /dev/null
+++ b/internal/wire/group.go
@@ -0,0 +1,74 @@
+package wire
+
+// Kinds of the messages between the agents of a group.
+const (
+	KindMapRequest  Kind = 80
+	KindMapReply    Kind = 81
+	KindGroupQuery  Kind = 82
+	KindGroupAnswer Kind = 83
+	KindExpertLoad  Kind = 84
+)
+
+// MapRequest carries an encoded expertmap.Message to the participant of a host.
+type MapRequest struct {
+	Group string `cbor:"1,keyasint"`
+	// From is the first rank of the sender's host, the address to reply to.
+	From uint32 `cbor:"2,keyasint"`
+	Data []byte `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*MapRequest) Kind() Kind { return KindMapRequest }
+
+// MapReply carries an encoded expertmap.Message to the coordinator of a host.
+type MapReply struct {
+	Group string `cbor:"1,keyasint"`
+	From  uint32 `cbor:"2,keyasint"`
+	Data  []byte `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*MapReply) Kind() Kind { return KindMapReply }
+
+// GroupQuery asks an entry host for the upstreams of a group. The reply is GroupAnswer.
+type GroupQuery struct {
+	Group string `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*GroupQuery) Kind() Kind { return KindGroupQuery }
+
+// GroupMember is one host of a group.
+type GroupMember struct {
+	// Address is the peer listener of the host's agent.
+	Address   string `cbor:"1,keyasint"`
+	FirstRank uint32 `cbor:"2,keyasint"`
+	Ranks     uint32 `cbor:"3,keyasint"`
+}
+
+// GroupAnswer answers a GroupQuery with what the directory knows, which may be too little.
+type GroupAnswer struct {
+	Members []GroupMember `cbor:"1,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*GroupAnswer) Kind() Kind { return KindGroupAnswer }
+
+// ExpertLoad tells the planning agent of a group what the ranks of a host measured.
+type ExpertLoad struct {
+	Group string `cbor:"1,keyasint"`
+	// Ranks are the host's ranks, from the first on.
+	FirstRank uint32     `cbor:"2,keyasint"`
+	Ranks     []RankLoad `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*ExpertLoad) Kind() Kind { return KindExpertLoad }
+
+// RankLoad is what one rank measured since its last report.
+type RankLoad struct {
+	// StepUS is the mean time of a step, in microseconds.
+	StepUS uint64 `cbor:"1,keyasint"`
+	// Tokens counts, by layer, the tokens of each of the rank's expert slots.
+	Tokens [][]uint32 `cbor:"2,keyasint"`
+}
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -65,6 +65,9 @@
 	Role    string `cbor:"9,keyasint,omitempty"`
 	Group   string `cbor:"10,keyasint,omitempty"`
 	Load    Load   `cbor:"11,keyasint"`
+	// FirstRank and Ranks say which ranks of the group the upstream's host serves.
+	FirstRank uint32 `cbor:"12,keyasint,omitempty"`
+	Ranks     uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // Announce carries an agent's record to a directory host.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -129,7 +129,7 @@
 		&Announce{}, &AnnounceAck{}, &Subscribe{}, &Delta{}, &DigestNotice{},
 		&Consensus{}, &Propose{}, &Proposed{}, &Watch{}, &Changes{}, &InForce{},
 		&ClaimRequest{}, &ClaimReply{}, &FinishRequest{}, &FinishReply{},
-		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &Join{}, &Ack{},
+		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &GroupQuery{}, &GroupAnswer{}, &ExpertLoad{}, &Join{}, &Ack{},
 		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
--- a/test/cmd/standin/main.go
+++ b/test/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	listen, kind string
 	delay        time.Duration
 	engine       standin.EngineConfig
+	group        standin.GroupConfig
 }
 
 func main() {
@@ -29,7 +30,7 @@
 	}
 	fs := cmd.Flags()
 	fs.StringVar(&f.listen, "listen", "127.0.0.1:8000", "address to listen on")
-	fs.StringVar(&f.kind, "kind", "engine", "engine or service")
+	fs.StringVar(&f.kind, "kind", "engine", "engine, service or group")
 	fs.DurationVar(&f.delay, "delay", 0, "time of one booking of a service")
 	fs.DurationVar(&f.engine.Step, "step", 5*time.Millisecond, "time of one engine step")
 	fs.IntVar(&f.engine.Concurrency, "concurrency", 64, "requests that an engine runs at once")
@@ -38,6 +39,11 @@
 	fs.Uint64Var(&f.engine.EventGap, "event-gap", 0, "drop each cache event whose number this divides")
 	fs.BoolVar(&f.engine.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
 	fs.StringVar(&f.engine.Version, "version", "", "version that an engine has loaded at its start")
+	fs.IntVar(&f.group.Ranks, "ranks", 8, "ranks of a group")
+	fs.IntVar(&f.group.Experts, "experts", 64, "experts in each layer of a group")
+	fs.IntVar(&f.group.Layers, "layers", 4, "layers of a group")
+	fs.DurationVar(&f.group.Load, "load-time", 50*time.Millisecond, "time to load the weights of a map")
+	fs.Uint64Var(&f.group.DriftSteps, "drift-steps", 0, "steps between changes of the experts' popularity")
 	if err := cmd.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -50,9 +56,22 @@
 		h = standin.NewEngine(f.engine)
 	case "service":
 		h = standin.NewService(f.delay)
+	case "group":
+		h = newGroup(f)
 	default:
 		return errors.Errorf("unknown kind %q", f.kind)
 	}
 	srv := &http.Server{Addr: f.listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	return srv.ListenAndServe()
 }
+
+// newGroup serves the ranks of a group beside the interface of an engine.
+func newGroup(f *flags) http.Handler {
+	f.group.Step = f.engine.Step
+	g := standin.NewGroup(f.group)
+	mux := http.NewServeMux()
+	mux.Handle("/ranks/", g)
+	mux.Handle("/group", g)
+	mux.Handle("/", standin.NewEngine(f.engine))
+	return mux
+}
--- a/test/local/prepare.go
+++ b/test/local/prepare.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, a := range s.Agents {
-		if !strings.HasPrefix(a.Name, "engine-") {
+		if strings.HasPrefix(a.Name, "service-") {
 			continue
 		}
 		entry := s.inCentre(a.DataCentre)[0]
--- a/test/local/settings.go
+++ b/test/local/settings.go
@@ -165,6 +165,10 @@
 	if strings.HasPrefix(h.Name, "service-") {
 		kind, pool = "service", "slots"
 	}
+	group := ""
+	if strings.HasPrefix(h.Name, "group-") {
+		group = fmt.Sprintf("group = drafter-a\nfirst-rank = %d\nranks = %d\nplan-interval = 500ms\n", h.FirstRank, s.Layout.RanksPerHost)
+	}
 	return fmt.Sprintf(`[agent]
 upstream-url = http://%s
 kind = %s
@@ -172,5 +176,5 @@
 entries = %s
 control = %s
 announce-interval = 500ms
-`, h.Upstream.Listen, kind, pool, entries, control), nil
+%s`, h.Upstream.Listen, kind, pool, entries, control, group), nil
 }
--- a/test/local/system.go
+++ b/test/local/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,6 +27,10 @@
 	Control int
 	// Entries, Engines and Services are numbers of hosts in each data centre.
 	Entries, Engines, Services int
+	// GroupHosts is the number of hosts of one group in the first data centre, with
+	// RanksPerHost ranks each. They share one stand-in, started with GroupArgs.
+	GroupHosts, RanksPerHost int
+	GroupArgs                []string
 	// DataCentres are the names; one is the default.
 	DataCentres []string
 	// HasProxies puts a fault-injecting proxy on each link.
@@ -44,6 +49,8 @@
 	Peer, Listen, Metrics string
 	// Upstream is the stand-in behind an agent.
 	Upstream *Host
+	// FirstRank is the first rank of a host of a group.
+	FirstRank int
 }
 
 // System is a running local system.
@@ -89,6 +96,9 @@
 			return err
 		}
 	}
+	if err := s.placeGroup(); err != nil {
+		return err
+	}
 	for _, dc := range s.Layout.DataCentres {
 		for i := range s.Layout.Entries {
 			if err := s.addDaemon(&s.Entries, fmt.Sprintf("entry-%s-%d", dc, i+1), dc); err != nil {
@@ -123,6 +133,31 @@
 	return nil
 }
 
+// placeGroup places the hosts of a group before one stand-in that runs all ranks.
+func (s *System) placeGroup() error {
+	if s.Layout.GroupHosts == 0 {
+		return nil
+	}
+	dc := s.Layout.DataCentres[0]
+	address, err := s.reserve()
+	if err != nil {
+		return err
+	}
+	ranks := strconv.Itoa(s.Layout.GroupHosts * s.Layout.RanksPerHost)
+	args := append([]string{"--listen", address, "--kind", "group", "--ranks", ranks}, s.Layout.GroupArgs...)
+	up := &Host{Process: newProcess(s.Dir, "upstream-group", filepath.Join(s.Bin, "standin"), args...), DataCentre: dc, Listen: address}
+	s.StandIns = append(s.StandIns, up)
+	for i := range s.Layout.GroupHosts {
+		if err := s.addDaemon(&s.Agents, fmt.Sprintf("group-%d", i), dc); err != nil {
+			return err
+		}
+		h := s.Agents[len(s.Agents)-1]
+		h.Upstream = up
+		h.FirstRank = i * s.Layout.RanksPerHost
+	}
+	return nil
+}
+
 func (s *System) addDaemon(list *[]*Host, name, dc string) error {
 	h := &Host{DataCentre: dc}
 	for _, a := range []*string{&h.Peer, &h.Listen, &h.Metrics} {
@@ -198,6 +233,13 @@
 checks-fencing = true
 resumable = true
 
+[group "drafter-a"]
+model = drafter
+ranks = 8
+experts = 64
+layers = 4
+slots-per-rank = 10
+
 [plain-service "slots"]
 path-prefix = /slots
 
