Add the planner of expert placement

Cause: popularity drifts and a slow rank sets the pace; a change of the map costs held steps, weight loads and cache. The plan takes the prefix of greedy moves with the highest weighed net gain, or none.

Stop where even a skew of 1 would not pay.

--- /dev/null
+++ b/internal/placement/load.go
@@ -0,0 +1,51 @@
+// Package placement plans which experts the ranks of a group hold, from the
+// observed load by expert and the measured time by rank. It is pure: equal
+// inputs give equal plans.
+//
+// The group's skew is the highest step time of a rank over the mean one. A rank's
+// step time is the tokens of its experts over all layers, times its slowness.
+// An expert's tokens are split evenly among its replicas.
+package placement
+
+// Load is the tokens by layer and expert in one interval, decayed.
+type Load [][]float64
+
+// Observe decays the load towards what the last interval has shown and returns
+// it. Weight is the share of the new interval, in (0, 1]. A nil load takes the
+// observation whole.
+func (l Load) Observe(tokens Load, weight float64) Load {
+	if l == nil {
+		weight = 1
+		l = make(Load, len(tokens))
+		for i := range l {
+			l[i] = make([]float64, len(tokens[i]))
+		}
+	}
+	for i := range l {
+		for e := range l[i] {
+			l[i][e] += weight * (tokens[i][e] - l[i][e])
+		}
+	}
+	return l
+}
+
+// Slowness returns each rank's time per token over the median rank's, from the
+// measured step times and the tokens that each rank had. A rank without tokens
+// counts as 1.
+func Slowness(stepTimes, tokens []float64) []float64 {
+	perToken := make([]float64, len(stepTimes))
+	for r := range stepTimes {
+		if tokens[r] > 0 {
+			perToken[r] = stepTimes[r] / tokens[r]
+		}
+	}
+	mid := median(perToken)
+	for r := range perToken {
+		if perToken[r] == 0 || mid == 0 {
+			perToken[r] = 1
+			continue
+		}
+		perToken[r] /= mid
+	}
+	return perToken
+}
--- /dev/null
+++ b/internal/placement/measure_test.go
@@ -0,0 +1,253 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	experts   = 64
+	layers    = 4
+	intervals = 200
+)
+
+// workload is drifting popularity of each layer's experts: log-normal weights
+// that walk and return to their mean. In intervals 80 to 119 (entry week) half
+// of the tokens follow another popularity; rank 1 is slow in 60 to 99; the last
+// rank leaves at 150.
+type workload struct {
+	rng    *rand.Rand
+	logits [2][][]float64
+}
+
+func newWorkload() *workload {
+	w := &workload{rng: rand.New(rand.NewPCG(7, 7))}
+	for k := range w.logits {
+		for range layers {
+			row := make([]float64, experts)
+			for e := range row {
+				row[e] = 0.6 * w.rng.NormFloat64()
+			}
+			w.logits[k] = append(w.logits[k], row)
+		}
+	}
+	return w
+}
+
+func (w *workload) next(t int) Load {
+	swing := 0.0
+	if t >= 80 && t < 120 {
+		swing = 0.5
+	}
+	out := make(Load, layers)
+	for l := range out {
+		out[l] = make([]float64, experts)
+		for k, part := range []float64{1 - swing, swing} {
+			row, sum := w.logits[k][l], 0.0
+			for e := range row {
+				row[e] = 0.999*row[e] + 0.02*w.rng.NormFloat64()
+				sum += math.Exp(row[e])
+			}
+			for e := range row {
+				out[l][e] += part * 4096 * math.Exp(row[e]) / sum
+			}
+		}
+	}
+	return out
+}
+
+func slownessAt(t, ranks int) []float64 {
+	s := slices.Repeat([]float64{1}, ranks)
+	if t >= 60 && t < 100 {
+		s[1] = 1.4
+	}
+	if t >= 150 {
+		s[ranks-1] = 0
+	}
+	return s
+}
+
+type policy struct {
+	name   string
+	replan bool
+	params Params
+}
+
+func weighed(skew, rebalance float64) Params {
+	p := DefaultParams()
+	p.Weights = Weights{Skew: skew, Rebalance: rebalance}
+	return p
+}
+
+var (
+	static   = policy{name: "no change", params: weighed(0, 1)}
+	full     = policy{name: "full re-plan", replan: true, params: DefaultParams()}
+	trotro   = policy{name: "ours, Trotro (skew 3, rebalance 1)", params: weighed(3, 1)}
+	velotrak = policy{name: "ours, Velotrak (skew 1, rebalance 3)", params: weighed(1, 3)}
+)
+
+type result struct {
+	p50, p99, mean float64
+	changes, loads int
+}
+
+func (r result) String() string {
+	p := DefaultParams()
+	return fmt.Sprintf("skew p50 %.3f p99 %.3f mean %.3f, %d changes, %.0f steps held, %d loads, %.0f steps of cache",
+		r.p50, r.p99, r.mean, r.changes, float64(r.changes)*p.HeldSteps, r.loads, float64(r.loads)*p.CacheSteps)
+}
+
+// slotsFor gives 80, 96 and 128 slots a layer to 8, 32 and 128 ranks.
+func slotsFor(ranks int) int {
+	return max(1, experts/ranks+max(0, 16/ranks, 2-ranks/32))
+}
+
+func (p policy) run(ranks int) result {
+	w := newWorkload()
+	m := Map{SlotsPerRank: slotsFor(ranks)}
+	for range layers {
+		m.Layers = append(m.Layers, make([]uint16, ranks*m.SlotsPerRank))
+	}
+	load := Load(nil).Observe(w.next(0), 1)
+	m = Replan(m, load, slownessAt(0, ranks))
+	var r result
+	var skews []float64
+	for t := 1; t <= intervals; t++ {
+		slow := slownessAt(t, ranks)
+		next := Make(m, load, slow, p.params).Apply(m)
+		if p.replan {
+			next = Replan(m, load, slow)
+		}
+		if n := loadsBetween(m, next, ranks); n > 0 {
+			r.loads += n
+			r.changes++
+		}
+		m = next
+		tokens := w.next(t)
+		skews = append(skews, Skew(m, tokens, slow))
+		r.mean += skews[t-1] / intervals
+		load = load.Observe(tokens, 0.5)
+	}
+	slices.Sort(skews)
+	r.p50, r.p99 = skews[intervals/2], skews[intervals*99/100]
+	return r
+}
+
+// loadsBetween counts the experts that ranks hold after but not before.
+func loadsBetween(a, b Map, ranks int) int {
+	n := 0
+	for l := range a.Layers {
+		for r := range ranks {
+			from, to := r*a.SlotsPerRank, (r+1)*a.SlotsPerRank
+			for _, e := range b.Layers[l][from:to] {
+				if !slices.Contains(a.Layers[l][from:to], e) {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func TestRatios(t *testing.T) {
+	for _, ranks := range []int{8, 32, 128} {
+		t.Run(fmt.Sprint(ranks, " ranks"), func(t *testing.T) {
+			t.Parallel()
+			none, all := static.run(ranks), full.run(ranks)
+			skewed, sparing := trotro.run(ranks), velotrak.run(ranks)
+			for i, r := range []result{none, all, skewed, sparing} {
+				t.Log([]policy{static, full, trotro, velotrak}[i].name, r)
+			}
+			require.Less(t, skewed.mean, 1.1*all.mean)
+			require.Less(t, skewed.loads*10, all.loads)
+			require.Less(t, sparing.mean-1, (none.mean-1)/2)
+			require.Less(t, sparing.loads*30, all.loads)
+		})
+	}
+}
+
+// A plan keeps a living replica of each expert, also when a rank is gone, stays
+// within its bound, and expects what the map then shows.
+func TestPlanIsSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ranks := rapid.SampledFrom([]int{2, 3, 8}).Draw(t, "ranks")
+		slow := slices.Repeat([]float64{1}, ranks)
+		m := Map{SlotsPerRank: 8}
+		load := Load{make([]float64, 4), make([]float64, 4)}
+		for l := range load {
+			for e := range load[l] {
+				load[l][e] = rapid.Float64Range(0, 100).Draw(t, "tokens")
+			}
+			m.Layers = append(m.Layers, make([]uint16, ranks*m.SlotsPerRank))
+		}
+		m = Replan(m, load, slow)
+		slices.Reverse(load[0])
+		slow[0] = rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "slowness")
+		p := DefaultParams()
+		p.MaxLoads = rapid.IntRange(0, 6).Draw(t, "bound")
+		plan := Make(m, load, slow, p)
+		next := plan.Apply(m)
+		require.InDelta(t, Skew(next, load, slow), plan.SkewAfter, 1e-9)
+		if slow[0] > 0 {
+			require.LessOrEqual(t, len(plan.Moves), p.MaxLoads)
+		}
+		for l := range next.Layers {
+			living := next.Layers[l]
+			if slow[0] == 0 {
+				living = living[m.SlotsPerRank:]
+			}
+			for e := range load[l] {
+				require.Contains(t, living, uint16(e), "layer %d", l)
+			}
+		}
+	})
+}
+
+func TestNoChangeBelowItsCost(t *testing.T) {
+	m := Map{SlotsPerRank: 2, Layers: [][]uint16{{0, 1, 2, 3}}}
+	load := Load{{50, 50, 49, 49}}
+	p := weighed(1, 1)
+	p.HorizonSteps = 100
+	require.Empty(t, Make(m, load, []float64{1, 1}, p).Moves)
+	load = Load{{90, 80, 10, 10}}
+	require.NotEmpty(t, Make(m, load, []float64{1, 1}, p).Moves)
+}
+
+func TestSlowRankGetsLess(t *testing.T) {
+	slow := Slowness([]float64{1, 2, 1}, []float64{10, 10, 10})
+	require.Equal(t, []float64{1, 2, 1}, slow)
+	m := Map{SlotsPerRank: 2, Layers: [][]uint16{{0, 1, 2, 3, 4, 5}}}
+	load := Load{{10, 20, 30, 30, 20, 10}}
+	plan := Make(m, load, slow, weighed(3, 1))
+	tokens := StepTimes(plan.Apply(m), load, []float64{1, 1, 1})
+	require.Less(t, tokens[1], tokens[0])
+	require.Less(t, tokens[1], tokens[2])
+}
+
+// BenchmarkMake plans for 128 ranks, 64 experts and 58 layers.
+func BenchmarkMake(b *testing.B) {
+	const ranks, deep = 128, 58
+	w, m, load := newWorkload(), Map{SlotsPerRank: 1}, Load{}
+	for len(load) < deep {
+		load = append(load, w.next(0)...)
+		m.Layers = slices.Grow(m.Layers, layers)
+	}
+	load = load[:deep]
+	for range deep {
+		m.Layers = append(m.Layers, make([]uint16, ranks))
+	}
+	m = Replan(m, load, slownessAt(0, ranks))
+	for l := range load {
+		slices.Reverse(load[l])
+	}
+	b.ResetTimer()
+	for range b.N {
+		Make(m, load, slownessAt(60, ranks), weighed(3, 1))
+	}
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,261 @@
+package placement
+
+import "slices"
+
+// Move puts an expert into a slot.
+type Move struct {
+	Layer  int
+	Slot   int
+	Expert uint16
+}
+
+// Plan is a change of the map.
+type Plan struct {
+	// Moves are in the order of their gain; each is one weight load. Empty means
+	// that no change is worth its cost.
+	Moves []Move
+	// SkewBefore and SkewAfter are expected on the given load.
+	SkewBefore, SkewAfter float64
+	// NetSteps is the weighed gain less the weighed cost.
+	NetSteps float64
+}
+
+// Apply returns the map with the moves made.
+func (p Plan) Apply(m Map) Map {
+	out := m.Clone()
+	for _, mv := range p.Moves {
+		out.Layers[mv.Layer][mv.Slot] = mv.Expert
+	}
+	return out
+}
+
+// Make plans a change of the map. Slowness is each rank's time per token over
+// the usual one; 0 marks a rank that is gone, whose experts are placed elsewhere
+// whatever that costs. Of the bounded list of moves, each the best for the
+// slowest rank by gain per load, the plan takes the first so many that bring the
+// highest net gain.
+func Make(m Map, load Load, slowness []float64, p Params) Plan {
+	s := newState(m, load, slowness)
+	plan := Plan{SkewBefore: s.skew()}
+	moves := s.rescue()
+	forced := len(moves)
+	plan.take(moves, s.skew(), 0)
+	start := s.skew()
+	for len(moves) < p.MaxLoads+forced {
+		// No map has a skew below 1: stop where even that wouldn't pay.
+		if p.net(start-1, len(moves)-forced+1) <= plan.NetSteps {
+			break
+		}
+		step := s.best()
+		if step == nil || len(moves)+len(step) > p.MaxLoads+forced {
+			break
+		}
+		s.apply(step)
+		moves = append(moves, step...)
+		net := p.net(start-s.skew(), len(moves)-forced)
+		if net > plan.NetSteps {
+			plan.take(moves, s.skew(), net)
+		}
+	}
+	return plan
+}
+
+func (p *Plan) take(moves []Move, skew, net float64) {
+	p.Moves = slices.Clone(moves)
+	p.SkewAfter = skew
+	p.NetSteps = net
+}
+
+// Skew returns the highest step time of a rank over the mean one.
+func Skew(m Map, load Load, slowness []float64) float64 {
+	return newState(m, load, slowness).skew()
+}
+
+// StepTimes returns each rank's step time in tokens of a usual rank.
+func StepTimes(m Map, load Load, slowness []float64) []float64 {
+	return newState(m, load, slowness).times
+}
+
+// state is a map under change with the times that follow from it.
+type state struct {
+	m        Map
+	load     Load
+	slowness []float64
+	// holders lists, by layer and expert, the ranks with a replica, one entry a
+	// slot.
+	holders [][][]int
+	times   []float64
+}
+
+func newState(m Map, load Load, slowness []float64) *state {
+	s := &state{m: m.Clone(), load: load, slowness: slowness, times: make([]float64, len(slowness))}
+	s.holders = make([][][]int, len(m.Layers))
+	for l := range m.Layers {
+		s.holders[l] = make([][]int, len(load[l]))
+		for slot, e := range m.Layers[l] {
+			if r := s.rank(slot); slowness[r] > 0 {
+				s.holders[l][e] = append(s.holders[l][e], r)
+			}
+		}
+		for e := range load[l] {
+			s.spread(l, uint16(e), 1)
+		}
+	}
+	return s
+}
+
+func (s *state) rank(slot int) int { return slot / s.m.SlotsPerRank }
+
+// spread adds an expert's tokens to its holders' times, or takes them off.
+func (s *state) spread(l int, e uint16, sign float64) {
+	h := s.holders[l][e]
+	for _, r := range h {
+		s.times[r] += sign * s.load[l][e] / float64(len(h)) * s.slowness[r]
+	}
+}
+
+func (s *state) skew() float64 {
+	var sum, top float64
+	alive := 0
+	for r, t := range s.times {
+		if s.slowness[r] == 0 {
+			continue
+		}
+		sum += t
+		top = max(top, t)
+		alive++
+	}
+	if sum == 0 {
+		return 1
+	}
+	return top * float64(alive) / sum
+}
+
+// put makes one move.
+func (s *state) put(mv Move) {
+	old, r := s.m.Layers[mv.Layer][mv.Slot], s.rank(mv.Slot)
+	s.spread(mv.Layer, old, -1)
+	h := s.holders[mv.Layer][old]
+	if i := slices.Index(h, r); i >= 0 {
+		s.holders[mv.Layer][old] = slices.Delete(slices.Clone(h), i, i+1)
+	}
+	s.spread(mv.Layer, old, 1)
+	s.spread(mv.Layer, mv.Expert, -1)
+	s.holders[mv.Layer][mv.Expert] = append(slices.Clone(s.holders[mv.Layer][mv.Expert]), r)
+	s.spread(mv.Layer, mv.Expert, 1)
+	s.m.Layers[mv.Layer][mv.Slot] = mv.Expert
+}
+
+func (s *state) apply(moves []Move) {
+	for _, mv := range moves {
+		s.put(mv)
+	}
+}
+
+// rescue places the experts that no rank holds any more, each over the smallest
+// share that has another replica.
+func (s *state) rescue() []Move {
+	var out []Move
+	for l := range s.holders {
+		for e := range s.holders[l] {
+			if len(s.holders[l][e]) > 0 {
+				continue
+			}
+			if slot := s.spare(l); slot >= 0 {
+				mv := Move{Layer: l, Slot: slot, Expert: uint16(e)}
+				s.put(mv)
+				out = append(out, mv)
+			}
+		}
+	}
+	return out
+}
+
+// spare returns the living slot of the layer with the smallest share that has
+// another replica, or -1.
+func (s *state) spare(l int) int {
+	best, least := -1, 0.0
+	for slot, e := range s.m.Layers[l] {
+		n := len(s.holders[l][e])
+		if s.slowness[s.rank(slot)] == 0 || n < 2 {
+			continue
+		}
+		if t := s.load[l][e] / float64(n); best < 0 || t < least {
+			best, least = slot, t
+		}
+	}
+	return best
+}
+
+// best returns the moves with the highest gain per load for the slowest rank:
+// a further replica of one of its experts elsewhere (one load), or an exchange
+// of slots with another rank (two loads). It returns nil if none helps.
+func (s *state) best() []Move {
+	hot := 0
+	for r := range s.times {
+		if s.slowness[r] > 0 && s.times[r] > s.times[hot] {
+			hot = r
+		}
+	}
+	c := choice{least: 1e-9 * s.times[hot]}
+	for l := range s.m.Layers {
+		for i := range s.m.SlotsPerRank {
+			s.bestFor(l, hot*s.m.SlotsPerRank+i, &c)
+		}
+	}
+	return c.moves
+}
+
+// choice is the best step so far.
+type choice struct {
+	// least is the gain per load that a step has to exceed.
+	least float64
+	moves []Move
+}
+
+// better takes note of the gain per load if it is the highest so far.
+func (c *choice) better(gain float64, loads int) bool {
+	perLoad := gain / float64(loads)
+	if perLoad <= c.least {
+		return false
+	}
+	c.least = perLoad
+	return true
+}
+
+// bestFor considers all moves that take tokens off one slot of the hot rank.
+func (s *state) bestFor(l, slot int, c *choice) {
+	hot, e := s.rank(slot), s.m.Layers[l][slot]
+	hotSlow := s.slowness[hot]
+	n := float64(len(s.holders[l][e]))
+	mine := s.load[l][e] / n
+	for other, f := range s.m.Layers[l] {
+		r := s.rank(other)
+		if r == hot || s.slowness[r] == 0 || f == e || s.times[r] >= s.times[hot] {
+			continue
+		}
+		k := float64(len(s.holders[l][f]))
+		theirs := s.load[l][f] / k
+		swap := min((mine-theirs)*hotSlow, s.times[hot]-s.times[r]-(mine-theirs)*s.slowness[r])
+		if c.better(swap, 2) {
+			c.moves = []Move{{l, slot, f}, {l, other, e}}
+		}
+		if k < 2 {
+			continue
+		}
+		less := mine - s.load[l][e]/(n+1)
+		if slices.Contains(s.holders[l][f], hot) {
+			less -= s.load[l][f]/(k-1) - theirs
+		}
+		grown := s.load[l][e]/(n+1) - theirs
+		replica := min(less*hotSlow, s.times[hot]-s.times[r]-grown*s.slowness[r])
+		for _, h := range s.holders[l][f] {
+			if h != r && h != hot {
+				replica = min(replica, s.times[hot]-s.times[h]-(s.load[l][f]/(k-1)-theirs)*s.slowness[h])
+			}
+		}
+		if c.better(replica, 1) {
+			c.moves = []Move{{l, other, e}}
+		}
+	}
+}
