--- a/internal/expertmap/directed_test.go
+++ b/internal/expertmap/directed_test.go
@@ -104,14 +104,7 @@
 			continue
 		}
 		w.deliver(0)
-		for _, h := range w.hosts {
-			for h.work {
-				for _, e := range h.engines {
-					e.loadAll()
-				}
-				w.agentWork(h)
-			}
-		}
+		w.agentsWork()
 	}
 	return held
 }
@@ -148,3 +141,57 @@
 	}
 	w.recovered(t)
 }
+
+// The coordinator dies after each possible number of deliveries of one change;
+// another agent notices by itself and brings the group on.
+func TestAnotherAgentRecoversWhereverTheCoordinatorDies(t *testing.T) {
+	for deliveries := range 4 * 2 * 3 {
+		w := newWorld(3, 2)
+		w.newCoordinator(w.hosts[0], 10)
+		v, _ := w.change(w.hosts[0])
+		w.net = nil
+		w.newCoordinator(w.hosts[0], 1)
+		w.propose(w.hosts[0], v)
+		for range deliveries {
+			w.deliver(0)
+			w.agentsWork()
+		}
+		w.hosts[0].coord = nil
+		before := w.engines[0].finished
+		for range 40 {
+			w.round()
+			w.observe()
+		}
+		for i, e := range w.engines {
+			require.Greater(t, e.finished, before+10, "rank %d, %d deliveries", i, deliveries)
+			require.Equal(t, w.engines[0].status.Active.Version, e.status.Active.Version)
+		}
+		require.NoError(t, w.err)
+	}
+}
+
+// agentsWork finishes the work of all agents, with weights loaded at once.
+func (w *world) agentsWork() {
+	for _, h := range w.hosts {
+		for h.work {
+			for _, e := range h.engines {
+				e.loadAll()
+			}
+			w.agentWork(h)
+		}
+	}
+}
+
+// observe lets each agent start a recovery where its participant says so.
+func (w *world) observe() {
+	for _, h := range w.hosts {
+		if h.coord != nil {
+			w.sendAll(h, h.coord.Tick())
+			continue
+		}
+		if h.part.Observe(h.statuses()) {
+			w.newCoordinator(h, 10)
+			w.sendAll(h, h.coord.Start(nil))
+		}
+	}
+}
--- a/internal/expertmap/world_test.go
+++ b/internal/expertmap/world_test.go
@@ -66,7 +66,8 @@
 	if len(h.orders) > 0 {
 		w.late = append(w.late, lateOrder{h.engines[h.orders[0].Engine], h.orders[0]})
 	}
-	h.part = NewParticipant(w.nextUnique(), 5)
+	// Patiences differ, so that recoveries don't start together.
+	h.part = NewParticipant(w.nextUnique(), 5+5*int(h.addr))
 	h.coord = nil
 	h.work = false
 	h.orders = nil
