--- a/test/integration/experts_test.go
+++ b/test/integration/experts_test.go
@@ -62,16 +62,20 @@
 			// Orders of the planning host to the others come after the step that they name;
 			// its own ranks get theirs at once.
 			h = s.Agents[0]
-			s.Inbound(h).Set(faultproxy.Backward, faultproxy.Fault{Delay: 300 * time.Millisecond})
+			s.delayOrders()
+			s.await("armed ranks", s.isArmed)
 			s.await("steps with late orders", func() bool { return s.group().Steps > before.Steps+100 })
 			s.Heal(h)
 		case "engine":
 			s.restartRank(rng.IntN(8))
 		case "armed":
-			// The planning agent, which coordinates, dies with the ranks armed.
-			s.await("armed ranks", func() bool { return s.isArmed() })
-			s.Agents[0].Kill()
-			require.NoError(t, s.Agents[0].Start())
+			// The planning agent, which coordinates, dies with its ranks armed.
+			h = s.Agents[0]
+			s.delayOrders()
+			s.await("armed ranks", s.isArmed)
+			h.Kill()
+			s.Heal(h)
+			require.NoError(t, h.Start())
 		}
 		s.await(fmt.Sprintf("steps and a change after %s of %s", fault, h.Name), func() bool {
 			r := s.group()
@@ -82,6 +86,11 @@
 	t.Logf("%+v", s.group())
 }
 
+// delayOrders delays what the planning host sends to the other hosts of the group.
+func (s *system) delayOrders() {
+	s.Inbound(s.Agents[0]).Set(faultproxy.Backward, faultproxy.Fault{Delay: 300 * time.Millisecond})
+}
+
 func (s *system) isArmed() bool {
 	for _, armed := range s.group().Armed {
 		if armed {
