Bound buffered bytes, refuse unknown callers before the body, record outcomes late

Cause 1: an entry host bounded requests and each one's bytes, but not their sum (about 4.5 GiB at worst). All requests now share 256 MiB, a named default; what does not fit is refused at once. The window is 64 KiB, which at a millisecond one way still allows 32 MB/s a stream. Cause 2: the token was looked up only after the body. Unknown callers are now refused first. Cause 3: an outcome was sent once; where the leader died just then, the key stayed in progress until its deadline and then counted as unknown for good, though nothing had run. A finish stays true however late it comes, since no other attempt has its id. Cause 4: a resend that met no quorum, or a limit, was told not-run, though an earlier sending of its key may have run; a caller that believes it would book again under a new key. Where the claim was not looked at, such a refusal now says may-have-run and to ask again with the SAME key. Ruled out: a not-run with a longer text, since programs read the verdict.

--- /dev/null
+++ b/internal/entry/budget_test.go
@@ -0,0 +1,163 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/entry"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+// The bytes of all requests together are bounded; what does not fit is refused at
+// once and fits again when others have ended. Without reserve in prepare this
+// fails: the second booking runs.
+func TestBytesOfAllRequestsAreBounded(t *testing.T) {
+	const answerBytes = 64 << 10
+	p := startPath(t, func(c *entry.Config) {
+		c.MaxAnswer, c.Window = answerBytes, 1<<10
+		c.MaxBuffered = answerBytes + 8<<10
+	})
+	s := standin.NewService(0)
+	started, release := make(chan struct{}, 8), make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	defer end()
+	p.upstream("u1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-release
+		s.ServeHTTP(w, r)
+	}), nil)
+	first := make(chan reply, 1)
+	go func() { first <- p.book("k1", "ana") }()
+	<-started
+	r := p.book("k2", "ana")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "1", r.header.Get("Retry-After"))
+	require.Contains(t, r.body, "too many bytes")
+	end()
+	require.Equal(t, "ran", (<-first).verdict())
+	require.Eventually(t, func() bool { return p.book("k2", "ana").verdict() == "ran" }, patience, time.Millisecond)
+	require.Equal(t, 1, s.Executions().ByKey["k2"].Begun)
+}
+
+// tokenCatalog knows one token.
+type tokenCatalog struct{ testCatalog }
+
+func (c tokenCatalog) Resolve(l entry.Lookup) (entry.Plan, error) {
+	if l.TokenHash != sha256.Sum256([]byte("token")) {
+		return entry.Plan{}, verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown bearer token")
+	}
+	return c.testCatalog.Resolve(l)
+}
+
+// unreadable is a body that never comes; reading it fails the test's time limit.
+type unreadable struct{ ctx context.Context }
+
+func (u unreadable) Read([]byte) (int, error) {
+	<-u.ctx.Done()
+	return 0, io.ErrUnexpectedEOF
+}
+
+// An unknown caller is refused before any byte of its body. Without resolveEarly
+// this fails: the answer does not come as long as the body does not.
+func TestUnknownCallerIsRefusedBeforeItsBody(t *testing.T) {
+	p := startPath(t, func(c *entry.Config) { c.Catalog = tokenCatalog{} })
+	for _, target := range []string{"/v1/completions", "/slots/book"} {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url+target, unreadable{ctx})
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer another")
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		require.NoError(t, err, target)
+		require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+		require.Equal(t, "not-run", resp.Header.Get(verdict.Header))
+		cancel()
+		_ = resp.Body.Close()
+	}
+}
+
+// lateClaims loses the reply of each claim that it grants, and the first finishes.
+type lateClaims struct {
+	*testClaims
+	loseReply bool
+	loseFirst int
+}
+
+func (c *lateClaims) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	reply, err := c.testClaims.Claim(ctx, r)
+	if err == nil && c.loseReply {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "reply lost")
+	}
+	return reply, err
+}
+
+func (c *lateClaims) Finish(ctx context.Context, r *wire.FinishRequest) error {
+	c.mu.Lock()
+	isLost := c.loseFirst > 0
+	c.loseFirst--
+	c.mu.Unlock()
+	if isLost {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "leader died")
+	}
+	return c.testClaims.Finish(ctx, r)
+}
+
+// A claim whose reply was lost is given back also where the leader is gone for a
+// while, so that the key can be used. Without the tries of keepFinishing this
+// fails: the key stays in progress.
+func TestUnclearClaimIsGivenBack(t *testing.T) {
+	claims := &lateClaims{testClaims: &testClaims{byKey: make(map[string]*testClaim)}, loseReply: true, loseFirst: 1}
+	p := startPath(t, func(c *entry.Config) { c.Claims = claims })
+	s := standin.NewService(0)
+	p.upstream("u1", s, nil)
+	r := p.book("k", "ana")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.True(t, strings.Contains(r.body, "SAME key"), r.body)
+	claims.loseReply = false
+	require.Eventually(t, func() bool { return p.book("k", "ana").verdict() == "ran" }, patience, 10*time.Millisecond)
+	require.Equal(t, 1, s.Executions().ByKey["k"].Begun)
+}
+
+// An outcome that could not be recorded at first is recorded beside the answer.
+// Without finishLater in finish this fails: a resend finds the call in progress.
+func TestOutcomeIsRecordedLate(t *testing.T) {
+	claims := &lateClaims{testClaims: &testClaims{byKey: make(map[string]*testClaim)}, loseFirst: 2}
+	p := startPath(t, func(c *entry.Config) { c.Claims = claims })
+	s := standin.NewService(0)
+	p.upstream("u1", s, nil)
+	first := p.book("k", "ana")
+	require.Equal(t, "ran", first.verdict())
+	require.Eventually(t, func() bool {
+		again := p.book("k", "ana")
+		return again.body == first.body && again.header.Get(entry.ReplayedHeader) == "true"
+	}, patience, 10*time.Millisecond)
+	require.Equal(t, 1, s.Executions().ByKey["k"].Begun)
+}
+
+// refusingAdmission refuses everything.
+type refusingAdmission struct{}
+
+func (refusingAdmission) Admit(context.Context, entry.AdmitRequest) (func(), error) {
+	return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "limit").After(time.Second)
+}
+
+// A refusal before the claim is looked at says nothing of a key's earlier sendings;
+// without a key, and on calls that may repeat, "not run" stays. Without isKeyOpen
+// this fails: the booking is told not-run.
+func TestRefusalBeforeTheClaimLeavesTheKeyOpen(t *testing.T) {
+	p := startPath(t, func(c *entry.Config) { c.Admission = refusingAdmission{} })
+	r := p.book("k", "ana")
+	require.Equal(t, http.StatusTooManyRequests, r.status)
+	require.Equal(t, "may-have-run", r.verdict())
+	require.Contains(t, r.body, "SAME key")
+	require.Equal(t, "not-run", p.complete("x", 1, false).verdict())
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -20,14 +20,21 @@
 	r    *http.Request
 	q    *request
 	plan Plan
-	out  *output
+	// isResolved tells that plan is set, keyChecked that the claim of the call's key
+	// was looked at.
+	isResolved, keyChecked bool
+	// isBodyTaken tells that reading the body has begun.
+	isBodyTaken bool
+	held        share
+	out         *output
 }
 
 func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
-	return &call{s: s, w: w, r: r, q: &request{id: requestID(r)}}
+	return &call{s: s, w: w, r: r, q: &request{id: requestID(r)}, held: share{budget: &s.buffered}}
 }
 
 func (c *call) serve() {
+	defer c.held.release()
 	if err := c.prepare(); err != nil {
 		c.fail(err)
 		return
@@ -47,7 +54,8 @@
 	c.serveOnce(ctx)
 }
 
-// prepare reads the request and finds its plan.
+// prepare reads the request and finds its plan. The body of a caller who is not
+// known is not read.
 func (c *call) prepare() error {
 	id := c.q.id
 	q, err := readHeader(c.r)
@@ -56,16 +64,17 @@
 	if err != nil {
 		return err
 	}
+	if err := c.resolveEarly(); err != nil {
+		return err
+	}
+	if err := c.reserve(); err != nil {
+		return err
+	}
+	c.isBodyTaken = true
 	if err := q.readBody(c.w, c.r, c.s.cfg.MaxBody); err != nil {
 		return err
 	}
-	c.plan, err = c.s.cfg.Catalog.Resolve(Lookup{
-		TokenHash: q.token,
-		Method:    q.method,
-		Path:      q.path,
-		Model:     q.completion.Model,
-	})
-	if err != nil {
+	if err := c.resolve(); err != nil {
 		return err
 	}
 	if !q.urgencySet || q.urgency < c.plan.Urgency {
@@ -75,6 +84,37 @@
 	return nil
 }
 
+// resolveEarly does before the body is read what can be done without it: it finds
+// the plan of a plain service, and the caller of a completion, whose body names the
+// model.
+func (c *call) resolveEarly() error {
+	if !c.q.isCompletion() {
+		return c.resolve()
+	}
+	_, err := c.s.cfg.Catalog.Resolve(c.lookup())
+	if err != nil && verdict.Of(err).Code == verdict.CodeUnauthorized {
+		return err
+	}
+	return nil
+}
+
+func (c *call) resolve() error {
+	if c.isResolved {
+		return nil
+	}
+	plan, err := c.s.cfg.Catalog.Resolve(c.lookup())
+	if err != nil {
+		return err
+	}
+	c.plan = plan
+	c.isResolved = true
+	return nil
+}
+
+func (c *call) lookup() Lookup {
+	return Lookup{TokenHash: c.q.token, Method: c.q.method, Path: c.q.path, Model: c.q.completion.Model}
+}
+
 func (c *call) deadline() time.Duration {
 	if c.plan.Deadline <= 0 {
 		return c.s.cfg.MaxDeadline
@@ -113,6 +153,9 @@
 	if e.RetryAfter == 0 && retriable(e) {
 		e = e.After(c.s.cfg.RetryAfter)
 	}
+	if e.Verdict == verdict.NotRun && retriable(e) && c.isKeyOpen() {
+		e = withOpenKey(e)
+	}
 	status := statusOf(e)
 	body, _ := json.Marshal(problem{
 		Type:      "about:blank",
@@ -127,6 +170,10 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
 	}
+	if !c.isBodyTaken && c.r.ContentLength != 0 && c.r.ProtoMajor == 1 {
+		// The library would read on before it answers, to keep the connection.
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Type", ProblemType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.writeHead(status, e.Verdict)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -136,7 +136,8 @@
 	DefaultMaxAnswer     = 1 << 20
 	DefaultMaxRecorded   = 64 << 10
 	DefaultMaxDeadline   = 2 * time.Minute
-	DefaultWindow        = 256 << 10
+	DefaultWindow        = 64 << 10
+	DefaultMaxBuffered   = 256 << 20
 	DefaultMaxAttempts   = 3
 	DefaultRetryAfter    = time.Second
 	DefaultRetryShare    = 0.2
@@ -154,9 +155,11 @@
 	Sessions  Sessions
 	Metrics   metrics.Registry
 
-	// MaxInFlight bounds the requests served at once. Times MaxBody, MaxAnswer and
-	// Window it bounds the memory that callers can take.
+	// MaxInFlight bounds the requests served at once.
 	MaxInFlight int
+	// MaxBuffered bounds the bytes of bodies and answers that all requests hold
+	// together. A request that does not fit is refused at once.
+	MaxBuffered int64
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int64
 	// MaxAnswer bounds the bytes of an answer that is held back until it is whole.
@@ -189,6 +192,9 @@
 	cfg      Config
 	counters counters
 	attempts attempts
+	buffered byteBudget
+	// lateFinishes has room for the outcomes that are recorded beside their answers.
+	lateFinishes chan struct{}
 
 	// mu guards budget, draining, ready and running.
 	mu       sync.Mutex
@@ -208,11 +214,15 @@
 		attempts: attempts{byID: make(map[wire.AttemptID]*live)},
 		budget:   NewRetryBudget(cfg.RetryShare),
 		idle:     make(chan struct{}, 1),
+		buffered: byteBudget{left: cfg.MaxBuffered},
+
+		lateFinishes: make(chan struct{}, maxLateFinishes),
 	}
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&c.MaxBuffered, DefaultMaxBuffered)
 	setDefault(&c.MaxBody, DefaultMaxBody)
 	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
 	setDefault(&c.MaxRecorded, DefaultMaxRecorded)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -33,6 +33,7 @@
 		c.fail(err)
 		return
 	}
+	c.keyChecked = true
 	if reply.State != wire.ClaimGranted {
 		c.answerClaim(reply)
 		return
@@ -54,8 +55,8 @@
 	}
 	e := *verdict.Of(err)
 	if e.Verdict != verdict.NotRun {
-		// The claim may be held; this attempt will never use it.
-		c.finish(a, verdict.NotRun, nil)
+		// The claim may be held, now or once it arrives; this attempt will never use it.
+		c.finishLater(a, verdict.NotRun, nil)
 		e.Verdict = verdict.NotRun
 		e.Code = verdict.CodeNoQuorum
 	}
@@ -63,6 +64,29 @@
 	return nil, &e
 }
 
+// isKeyOpen tells that this call has a key that counts, whose claim was not looked
+// at. What is known of this sending then says nothing of the call: an earlier
+// sending may have run.
+func (c *call) isKeyOpen() bool {
+	if c.keyChecked || c.r.Header.Get(KeyHeader) == "" {
+		return false
+	}
+	return !c.isResolved || !c.plan.Idempotent
+}
+
+// sameKey is told to a caller whose key could not be checked.
+const sameKey = "; this sending did not run, but an earlier one with this key may have: ask again with the SAME key"
+
+// withOpenKey turns a passing refusal of a call whose key is open into one that may
+// have run: a caller that takes "not run" for the end of an earlier sending would
+// make the call again under a new key.
+func withOpenKey(e *verdict.Error) *verdict.Error {
+	open := *e
+	open.Verdict = verdict.MayHaveRun
+	open.Text += sameKey
+	return &open
+}
+
 // answerClaim answers a call that another attempt has claimed.
 func (c *call) answerClaim(reply *wire.ClaimReply) {
 	switch reply.State {
@@ -124,18 +148,28 @@
 	c.fail(err)
 }
 
-// finish records the outcome. A failure is counted only: the claim then ends as unknown.
+// finish records the outcome before the caller gets the answer. Where that fails it
+// is tried again beside the answer; until then the call counts as in progress.
 func (c *call) finish(a *attempt, v verdict.Verdict, answer *wire.Answer) {
+	f := c.finishRequest(a, v, answer)
 	ctx, cancel := context.WithTimeout(context.Background(), c.s.cfg.FinishTimeout)
 	defer cancel()
-	err := c.s.cfg.Claims.Finish(ctx, &wire.FinishRequest{
+	if c.s.cfg.Claims.Finish(ctx, f) != nil {
+		c.s.finishLater(f)
+	}
+}
+
+// finishLater records the outcome beside the answer.
+func (c *call) finishLater(a *attempt, v verdict.Verdict, answer *wire.Answer) {
+	c.s.finishLater(c.finishRequest(a, v, answer))
+}
+
+func (c *call) finishRequest(a *attempt, v verdict.Verdict, answer *wire.Answer) *wire.FinishRequest {
+	return &wire.FinishRequest{
 		Workspace: c.plan.Workspace,
 		Key:       c.q.key,
 		Attempt:   a.id,
 		Verdict:   uint8(v),
 		Answer:    answer,
-	})
-	if err != nil {
-		c.s.counters.unrecorded.Inc(1)
 	}
 }
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -62,7 +62,7 @@
 
 // write adds a piece of the body.
 func (o *output) write(data []byte) error {
-	if !o.begun && len(o.held)+len(data) <= o.hold {
+	if !o.begun && len(o.held)+len(data) <= o.hold && o.mayHold(len(data)) {
 		o.held = append(o.held, data...)
 		return nil
 	}
@@ -76,6 +76,12 @@
 	return o.deliver(data)
 }
 
+// mayHold tells whether n more bytes may be held back. An answer that has to be
+// whole has its share from the start.
+func (o *output) mayHold(n int) bool {
+	return o.whole || o.c.held.grow(int64(n))
+}
+
 func (o *output) flushHeld() error {
 	if len(o.held) == 0 {
 		return nil
