Prove whole answers with real processes; refuse a completion that is cut short in good form

Engines die and truncate, agents are killed and frozen, links are cut and frozen, and messages between agents and entry hosts are crossed, repeated and dropped by a proxy that the local system now has on request. Found: an upstream that ends a completion that is not streamed too early, but as a well-formed response, was passed on as whole: 'caller 12 asks 9: 200 <nil> ""' (14 of them). A completion with status 200 that is empty, or calls itself JSON and is not, is now a failed attempt, which is tried elsewhere. Ruled out: judging every body by its form, since only a completion is known to have one.

--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -91,8 +93,30 @@
 	return o.deliver(held)
 }
 
-// finish writes the rest of an answer that is whole.
+// errCutShort tells that an answer ended in good form, but before its own end.
+var errCutShort = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "answer is not a whole JSON text")
+
+// isCutShort tells whether a held answer to a completion call lacks its end: it is
+// empty, or is called JSON and is not. The end of a stream is looked at by the agent.
+func (o *output) isCutShort() bool {
+	if o.begun || !o.c.q.isCompletion() || o.head.Status != http.StatusOK {
+		return false
+	}
+	if len(o.held) == 0 {
+		return true
+	}
+	isJSON := slices.ContainsFunc(o.head.Header, func(f wire.Field) bool {
+		return f.Name == "Content-Type" && strings.HasPrefix(f.Value, "application/json")
+	})
+	return isJSON && !json.Valid(o.held)
+}
+
+// finish writes the rest of an answer that came to its end. Its error is errCutShort,
+// with nothing written, or that the caller has gone.
 func (o *output) finish() error {
+	if o.isCutShort() {
+		return errCutShort
+	}
 	if !o.begun {
 		o.c.w.Header().Set("Content-Length", strconv.Itoa(len(o.held)))
 		if !bodyAllowed(o.c.q.method, o.head.Status) {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -209,6 +209,22 @@
 	require.Equal(t, int64(1), p.counter("entry.retries"))
 }
 
+// Without isCutShort this fails: the caller gets an empty answer with status 200.
+func TestAnswerThatIsCutShortIsTriedAgain(t *testing.T) {
+	p := startPath(t, nil)
+	e := standin.NewEngine(standin.EngineConfig{})
+	p.upstream("u1", e, nil)
+	p.upstream("u2", e, nil)
+	e.Fail(standin.Failure{Mode: standin.Truncate, After: 3, Times: 1})
+	r := p.complete("a prompt", tokens, false)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	require.Contains(t, r.body, standin.Text("a prompt", tokens))
+	e.Fail(standin.Failure{Mode: standin.Truncate, After: 3, Times: 10})
+	r = p.complete("another", tokens, false)
+	require.Equal(t, http.StatusBadGateway, r.status)
+	require.Equal(t, "may-have-run", r.verdict())
+}
+
 func TestStreamIsResumed(t *testing.T) {
 	p := startPath(t, func(c *entry.Config) { c.Catalog = testCatalog{resumable: true} })
 	e := standin.NewEngine(standin.EngineConfig{})
--- /dev/null
+++ b/test/integration/answers_test.go
@@ -0,0 +1,271 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/entry"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+	"github.com/sassafraspost/sassafraspost/test/faultproxy"
+	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+const (
+	answerSeed    = 20260722
+	answerCallers = 24
+	answerTokens  = 60
+	// answerProgress is how many answers come whole under each fault.
+	answerProgress = 60
+)
+
+// asking is a crowd of callers with prompts of their own.
+type asking struct {
+	s    *system
+	stop chan struct{}
+	wg   sync.WaitGroup
+	// whole, broken and refused count the ends of answers.
+	whole, broken, refused atomic.Int64
+
+	mu  sync.Mutex
+	bad []string
+}
+
+func (s *system) startAsking() *asking {
+	a := &asking{s: s, stop: make(chan struct{})}
+	for i := range answerCallers {
+		a.wg.Go(func() { a.run(i) })
+	}
+	return a
+}
+
+func (a *asking) run(caller int) {
+	for n := 0; ; n++ {
+		select {
+		case <-a.stop:
+			return
+		default:
+		}
+		prompt := fmt.Sprintf("caller %d asks %d", caller, n)
+		ctx, cancel := context.WithTimeout(a.s.ctx, sendingPatience)
+		e := a.s.Entries[(caller+n)%len(a.s.Entries)]
+		isStream := n%3 != 0
+		a.judge(prompt, isStream, local.Do(ctx, e.Listen, local.Completion(prompt, answerTokens, isStream)))
+		cancel()
+	}
+}
+
+// judge notes every end that is neither the whole answer to the own prompt nor a
+// clear error. What came of an answer that broke off must be its beginning.
+func (a *asking) judge(prompt string, isStream bool, got local.Answer) {
+	want := strings.Join(standin.Stream(prompt, answerTokens), "")
+	if !isStream {
+		want = `{"choices":[{"index":0,"text":"` + standin.Text(prompt, answerTokens) + "\"}]}\n"
+	}
+	switch {
+	case got.Err == nil && got.Status == http.StatusOK && got.Body == want:
+		a.whole.Add(1)
+	case got.Err != nil && got.Status == http.StatusOK && strings.HasPrefix(want, got.Body):
+		a.broken.Add(1)
+	case got.Err != nil && got.Status == 0:
+		a.broken.Add(1)
+	case got.Err == nil && got.Header.Get("Content-Type") == entry.ProblemType && got.Header.Get(verdict.Header) != "":
+		a.refused.Add(1)
+	default:
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.bad = append(a.bad, fmt.Sprintf("%s: %d %v %.300q", prompt, got.Status, got.Err, got.Body))
+	}
+}
+
+// progress waits for more whole answers.
+func (a *asking) progress(under string) {
+	a.s.t.Helper()
+	from := a.whole.Load()
+	a.s.await("answers under "+under, func() bool { return a.whole.Load() >= from+answerProgress })
+}
+
+// disorder crosses, repeats and drops messages of answers, and repeats dispatches.
+// What is kept back comes out later, and maybe on another session.
+type disorder struct {
+	mu   sync.Mutex
+	r    *rand.Rand
+	kept [][]byte
+	// crossed, repeated and dropped count what was done.
+	crossed, repeated, dropped int
+}
+
+func (d *disorder) rewrite(_ faultproxy.Direction, message []byte) [][]byte {
+	_, m, err := wire.Decode(message)
+	if err != nil {
+		return [][]byte{message}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch m.(type) {
+	case *wire.Head, *wire.Frame, *wire.End, *wire.Refused:
+		return d.disturb(message)
+	case *wire.Dispatch:
+		return [][]byte{message, message}
+	}
+	return [][]byte{message}
+}
+
+// disturb requires mu.
+func (d *disorder) disturb(message []byte) [][]byte {
+	switch n := d.r.IntN(1000); {
+	case n < 2:
+		d.dropped++
+		return nil
+	case n < 5 && len(d.kept) < 8:
+		d.kept = append(d.kept, message)
+		return nil
+	case n < 12 && len(d.kept) > 0:
+		old := d.kept[0]
+		d.kept = d.kept[1:]
+		d.crossed++
+		return [][]byte{message, old}
+	case n < 100:
+		d.repeated++
+		return [][]byte{message, message}
+	}
+	return [][]byte{message}
+}
+
+// Whatever fails between callers and engines, an answer that ends well is the whole
+// answer to its own prompt, and every other one ends in a clear error.
+func TestAnswersAreWholeAndTheCallersOwn(t *testing.T) {
+	t.Parallel()
+	s := start(t, local.Layout{
+		Control: 1, Entries: 2, Engines: 3, HasProxies: true, HasMessages: true,
+		EngineArgs: []string{"--step", "2ms"},
+	})
+	out, err := s.Submit(s.ctx, strings.Replace(local.Document("v1"), "deadline = 20s", "deadline = 6s", 1))
+	require.NoError(t, err, out)
+	require.NoError(t, s.AwaitInForce(s.ctx))
+	a := s.startAsking()
+	a.progress("nothing")
+	for _, mode := range []standin.Mode{standin.Die, standin.Truncate} {
+		for i, h := range s.StandIns {
+			require.NoError(t, local.Fail(s.ctx, h, standin.Failure{Mode: mode, After: 10 * (i + 1), Times: 20}))
+		}
+		a.progress(string(mode))
+	}
+	s.Agents[0].Kill()
+	a.progress("a killed agent")
+	require.NoError(t, s.Agents[0].Start())
+	s.Cut(s.Agents[1])
+	a.progress("a cut link")
+	s.Heal(s.Agents[1])
+	s.FreezeLinks(s.Agents[2])
+	a.progress("a frozen link")
+	s.Heal(s.Agents[2])
+	s.Agents[2].Freeze()
+	a.progress("a frozen agent")
+	s.Agents[2].Thaw()
+	d := &disorder{r: rand.New(rand.NewPCG(answerSeed, 0))}
+	s.SetRewrite(d.rewrite)
+	a.progress("messages in disorder")
+	a.progress("messages in disorder")
+	close(a.stop)
+	a.wg.Wait()
+	require.Empty(t, a.bad)
+	resumed := s.counter(s.Entries[0], "entry_resumed") + s.counter(s.Entries[1], "entry_resumed")
+	require.Positive(t, resumed)
+	require.Positive(t, d.crossed)
+	require.Positive(t, d.dropped)
+	t.Logf("%d whole, %d broken off, %d refused, %d resumed; %d messages crossed, %d repeated, %d dropped",
+		a.whole.Load(), a.broken.Load(), a.refused.Load(), resumed, d.crossed, d.repeated, d.dropped)
+}
+
+// The engine's work for a caller that goes away is cancelled. Without the Cancel of
+// attempt.run this fails: the engine works on to the end.
+func TestWorkOfCallersThatLeaveIsCancelled(t *testing.T) {
+	t.Parallel()
+	s := start(t, local.Layout{Control: 1, Entries: 1, Engines: 1, EngineArgs: []string{"--step", "10ms"}})
+	const callers = 5
+	ctx, leave := context.WithCancel(s.ctx)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			q := local.Completion(fmt.Sprint("leaver ", i), 10_000, true)
+			q.ID = fmt.Sprint("leaver-", i)
+			local.Do(ctx, s.Entries[0].Listen, q)
+		})
+	}
+	leavers := func(count func(standin.Executions) int) int {
+		n := 0
+		for id, e := range s.executed().ByRequest {
+			if strings.HasPrefix(id, "leaver-") {
+				n += count(e)
+			}
+		}
+		return n
+	}
+	s.await("the streams", func() bool {
+		return leavers(func(e standin.Executions) int { return e.Begun }) == callers
+	})
+	leave()
+	wg.Wait()
+	s.await("the cancelled work", func() bool {
+		return leavers(func(e standin.Executions) int { return e.Cancelled }) == callers
+	})
+	require.Zero(t, leavers(func(e standin.Executions) int { return e.Finished }))
+}
+
+// frozenBound is below the four seconds after which a frozen host's sessions end: an
+// agent that waited for them would hold everybody up for that long.
+const frozenBound = 2 * time.Second
+
+// A frozen entry host with streams on its way holds up no caller of the others.
+func TestFrozenEntryHostHoldsUpNobodyElse(t *testing.T) {
+	t.Parallel()
+	s := start(t, local.Layout{Control: 1, Entries: 2, Engines: 2, EngineArgs: []string{"--step", "1ms"}})
+	frozen, other := s.Entries[0], s.Entries[1]
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithCancel(s.ctx)
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	const streams = 40
+	for i := range streams {
+		wg.Go(func() {
+			local.Do(ctx, frozen.Listen, local.Completion(fmt.Sprint("held ", i), 20_000, true))
+		})
+	}
+	ask := func(n int) time.Duration {
+		began := time.Now()
+		prompt := fmt.Sprint("other ", n)
+		a := s.do(other, local.Completion(prompt, 4, true))
+		require.Equal(t, strings.Join(standin.Stream(prompt, 4), ""), a.Body)
+		return time.Since(began)
+	}
+	s.await("the streams", func() bool { return s.begun(s.Agents[0])+s.begun(s.Agents[1]) >= streams })
+	before := ask(0)
+	frozen.Freeze()
+	var worst time.Duration
+	s.await("the end of the frozen host's streams", func() bool {
+		for n := range 20 {
+			worst = max(worst, ask(n))
+		}
+		cancelled := 0
+		for _, e := range s.executed().ByRequest {
+			cancelled += e.Cancelled
+		}
+		return cancelled >= streams
+	})
+	frozen.Thaw()
+	t.Logf("worst wait of callers of the other host: %s, before the freeze: %s", worst, before)
+	require.Less(t, worst, frozenBound)
+}
--- a/test/local/faults.go
+++ b/test/local/faults.go
@@ -80,3 +80,11 @@
 
 // Inbound returns the proxy before an agent, nil without proxies.
 func (s *System) Inbound(h *Host) *faultproxy.TCP { return s.inbound[h.Name] }
+
+// SetRewrite changes what happens to the messages between agents and entry hosts. It
+// needs Layout.HasMessages; r is called by many goroutines.
+func (s *System) SetRewrite(r faultproxy.Rewrite) {
+	for _, m := range s.messages {
+		m.SetRewrite(r)
+	}
+}
--- a/test/local/settings.go
+++ b/test/local/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/sassafraspost/sassafraspost/test/faultproxy"
@@ -67,7 +68,7 @@
 	if !s.Layout.HasProxies || role != "agent" {
 		return h.Peer, nil
 	}
-	p, err := faultproxy.NewTCP(h.Peer)
+	p, err := faultproxy.NewTCP(s.behindMessages(h))
 	if err != nil {
 		return "", err
 	}
@@ -80,7 +81,11 @@
 	if !s.Layout.HasProxies || from == to {
 		return to.Peer, nil
 	}
-	p, err := faultproxy.NewTCP(to.Peer)
+	target := to.Peer
+	if s.isAgent(from) && !s.isControl(to) {
+		target = s.behindMessages(to)
+	}
+	p, err := faultproxy.NewTCP(target)
 	if err != nil {
 		return "", err
 	}
@@ -88,6 +93,21 @@
 	return p.Address(), nil
 }
 
+// behindMessages returns where h is reached through a proxy of its messages, and its
+// own address where the layout has none.
+func (s *System) behindMessages(h *Host) string {
+	if !s.Layout.HasMessages {
+		return h.Peer
+	}
+	m := faultproxy.NewMessages(h.Peer)
+	s.messages = append(s.messages, m)
+	return m.Address()
+}
+
+func (s *System) isAgent(h *Host) bool { return slices.Contains(s.Agents, h) }
+
+func (s *System) isControl(h *Host) bool { return slices.Contains(s.Control, h) }
+
 func (s *System) linkList(from *Host, to []*Host) (string, error) {
 	var list []string
 	for _, h := range to {
--- a/test/local/system.go
+++ b/test/local/system.go
@@ -30,6 +30,9 @@
 	DataCentres []string
 	// HasProxies puts a fault-injecting proxy on each link.
 	HasProxies bool
+	// HasMessages puts a proxy that can cross, duplicate and drop messages behind the
+	// fault-injecting proxies of all links between agents and entry hosts.
+	HasMessages bool
 	// EngineArgs and ServiceArgs go to the stand-ins.
 	EngineArgs, ServiceArgs []string
 	// Grace is the shutdown grace of the daemons; 30s if zero.
@@ -57,6 +60,8 @@
 
 	links   map[linkKey]*faultproxy.TCP
 	inbound map[string]*faultproxy.TCP
+	// messages are between agents and entry hosts, in both ways of dialling.
+	messages []*faultproxy.Messages
 	// reserved holds the sockets that keep the ports of the processes from others.
 	reserved []int
 }
@@ -167,6 +172,9 @@
 	for _, p := range s.inbound {
 		p.Close()
 	}
+	for _, p := range s.messages {
+		p.Close()
+	}
 	s.release()
 }
 
