--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -127,6 +127,57 @@
 	require.Equal(t, 1, s.Executions().ByKey["k"].Begun)
 }
 
+// delayedClaims commits a claim only after the first finish of its attempt.
+type delayedClaims struct {
+	*testClaims
+	onTheWay *wire.ClaimRequest
+	arrived  bool
+}
+
+func (c *delayedClaims) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	c.mu.Lock()
+	isFirst := c.onTheWay == nil
+	if isFirst {
+		c.onTheWay = r
+	}
+	c.mu.Unlock()
+	if isFirst {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "no reply")
+	}
+	return c.testClaims.Claim(ctx, r)
+}
+
+func (c *delayedClaims) Finish(ctx context.Context, r *wire.FinishRequest) error {
+	err := c.testClaims.Finish(ctx, r)
+	c.mu.Lock()
+	isFirst := !c.arrived && c.onTheWay.Attempt == r.Attempt && err != nil
+	c.mu.Unlock()
+	if isFirst {
+		_, _ = c.testClaims.Claim(ctx, c.onTheWay)
+		c.mu.Lock()
+		c.arrived = true
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+// A claim that is committed after its finish is given back too. Without isClaimUnclear
+// in keepFinishing this fails: the key stays in progress.
+func TestClaimThatArrivesAfterItsFinishIsGivenBack(t *testing.T) {
+	claims := &delayedClaims{testClaims: &testClaims{byKey: make(map[string]*testClaim)}}
+	p := startPath(t, func(c *entry.Config) { c.Claims = claims })
+	s := standin.NewService(0)
+	p.upstream("u1", s, nil)
+	require.Contains(t, p.book("k", "ana").body, "SAME key")
+	require.Eventually(t, func() bool {
+		claims.mu.Lock()
+		defer claims.mu.Unlock()
+		return claims.arrived
+	}, patience, time.Millisecond, "the late claim")
+	require.Eventually(t, func() bool { return p.book("k", "ana").verdict() == "ran" }, patience, 10*time.Millisecond)
+	require.Equal(t, 1, s.Executions().ByKey["k"].Begun)
+}
+
 // An outcome that could not be recorded at first is recorded beside the answer.
 // Without finishLater in finish this fails: a resend finds the call in progress.
 func TestOutcomeIsRecordedLate(t *testing.T) {
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -36,6 +36,15 @@
 // service is the agent of the only service.
 func (l *ledger) service() *local.Host { return l.s.Agents[1] }
 
+// run runs a subtest, whose failures end it alone.
+func (l *ledger) run(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) {
+		l.s.t = t
+		test(t)
+	})
+	l.s.t = t
+}
+
 // book sends one booking.
 func (l *ledger) book(e *local.Host, key string) local.Answer {
 	return l.send(e.Listen, local.Booking(key, "rider of "+key))
@@ -103,7 +112,7 @@
 	s := l.s
 	one, two, three := s.Entries[0], s.Entries[1], s.Entries[2]
 
-	t.Run("one key through all entry hosts at once", func(t *testing.T) {
+	l.run(t, "one key through all entry hosts at once", func(t *testing.T) {
 		var answers []<-chan local.Answer
 		for i := range 12 {
 			answers = append(answers, l.later(s.Entries[i%3].Listen, "at-once"))
@@ -118,12 +127,12 @@
 		require.Equal(t, 1, created)
 		l.requireBegun(1, "at-once")
 	})
-	t.Run("the same key with another body", func(t *testing.T) {
+	l.run(t, "the same key with another body", func(t *testing.T) {
 		a := l.send(two.Listen, local.Booking("at-once", "somebody else"))
 		require.Equal(t, http.StatusUnprocessableEntity, a.Status)
 		require.Equal(t, verdict.NotRun, a.Verdict)
 	})
-	t.Run("the caller's connection is cut before the answer", func(t *testing.T) {
+	l.run(t, "the caller's connection is cut before the answer", func(t *testing.T) {
 		p, err := faultproxy.NewTCP(one.Listen)
 		require.NoError(t, err)
 		defer p.Close()
@@ -134,7 +143,7 @@
 		require.Contains(t, l.awaitBooking("lost-answer").Body, "lost-answer")
 		l.requireBegun(1, "lost-answer")
 	})
-	t.Run("the link between agent and entry host is cut before the answer", func(t *testing.T) {
+	l.run(t, "the link between agent and entry host is cut before the answer", func(t *testing.T) {
 		first := l.later(one.Listen, "cut-link")
 		l.awaitBegun("cut-link")
 		s.Cut(l.service())
@@ -145,7 +154,7 @@
 		l.requireBegun(1, "cut-link")
 		l.awaitBooking("after-cut-link")
 	})
-	t.Run("the agent is killed and starts again", func(t *testing.T) {
+	l.run(t, "the agent is killed and starts again", func(t *testing.T) {
 		first := l.later(one.Listen, "agent-killed")
 		l.awaitBegun("agent-killed")
 		l.service().Kill()
@@ -156,7 +165,7 @@
 		require.Equal(t, verdict.MayHaveRun, a.Verdict, a.Body)
 		l.requireBegun(1, "agent-killed")
 	})
-	t.Run("the entry host is killed while its dispatch is on the way", func(t *testing.T) {
+	l.run(t, "the entry host is killed while its dispatch is on the way", func(t *testing.T) {
 		granted := s.counter(one, "entry_claims_granted")
 		l.service().Freeze()
 		first := l.later(one.Listen, "killed-on-the-way")
@@ -169,7 +178,7 @@
 		l.awaitUnknown(three, "killed-on-the-way")
 		l.restart(one)
 	})
-	t.Run("the entry host is killed after the dispatch", func(t *testing.T) {
+	l.run(t, "the entry host is killed after the dispatch", func(t *testing.T) {
 		first := l.later(one.Listen, "killed-after-dispatch")
 		l.awaitBegun("killed-after-dispatch")
 		one.Kill()
@@ -179,7 +188,7 @@
 		l.requireBegun(1, "killed-after-dispatch")
 		l.restart(one)
 	})
-	t.Run("the entry host is killed after the answer", func(t *testing.T) {
+	l.run(t, "the entry host is killed after the answer", func(t *testing.T) {
 		first := l.book(one, "killed-after-answer")
 		require.Equal(t, http.StatusCreated, first.Status, first.Body)
 		one.Kill()
@@ -188,7 +197,7 @@
 		l.requireBegun(1, "killed-after-answer")
 		l.restart(one)
 	})
-	t.Run("the entry host is frozen between claim and dispatch and wakes late", func(t *testing.T) {
+	l.run(t, "the entry host is frozen between claim and dispatch and wakes late", func(t *testing.T) {
 		// The agent answers no new session: the dispatch can't leave.
 		granted := s.counter(one, "entry_claims_granted")
 		l.service().Freeze()
@@ -217,7 +226,7 @@
 	s := l.s
 	one, two := s.Entries[0], s.Entries[1]
 
-	t.Run("the leader is killed between the claim and its reply", func(t *testing.T) {
+	l.run(t, "the leader is killed between the claim and its reply", func(t *testing.T) {
 		leader := s.leader()
 		s.Link(one, leader).Set(faultproxy.Backward, faultproxy.Fault{Frozen: true})
 		first := l.book(one, "reply-lost")
@@ -231,7 +240,7 @@
 		require.NoError(t, leader.Start())
 		require.NoError(t, s.awaitVoters(3))
 	})
-	t.Run("the leader is killed before the outcome is recorded", func(t *testing.T) {
+	l.run(t, "the leader is killed before the outcome is recorded", func(t *testing.T) {
 		leader := s.leader()
 		first := l.later(one.Listen, "outcome-lost")
 		l.awaitBegun("outcome-lost")
@@ -242,7 +251,7 @@
 		require.NoError(t, leader.Start())
 		require.NoError(t, s.awaitVoters(3))
 	})
-	t.Run("the leader is frozen and wakes later", func(t *testing.T) {
+	l.run(t, "the leader is frozen and wakes later", func(t *testing.T) {
 		leader := s.leader()
 		leader.Freeze()
 		first := l.later(one.Listen, "frozen-leader")
@@ -254,7 +263,7 @@
 		require.Equal(t, "true", again.Header.Get("Idempotency-Replayed"))
 		l.requireBegun(1, "frozen-leader")
 	})
-	t.Run("no quorum: the key stays open, and nothing runs", func(t *testing.T) {
+	l.run(t, "no quorum: the key stays open, and nothing runs", func(t *testing.T) {
 		ran := l.awaitBooking("before-no-quorum")
 		s.Control[0].Freeze()
 		s.Control[1].Freeze()
