Tell the audit trail who changed what with what outcome; keep claims alike on all replicas

Cause: the replica kept membership entries from the machine, so that the tables never learnt of them; adminapi.Change had no outcome and submissions had neither revision, change id nor digest; the history was filtered after paging, so that a team saw empty pages; [control] claim-retention was not used, since options that differ between replicas would make their tables differ; a resend of an accepted change was refused where its text has since come to clash with another document.

Ruled out: retention as an option of the machine (two hosts' settings differ during a roll-out, and so would their tables).

Switched off on a scratch copy, one by one: - ApplyMembership: TestLostDiskIsReplaced, expected ["3 0","3 1","2 1","3 0"], actual []string(nil) - retention in AdvanceAge: TestRetentionComesFromTheLog, expected Expired:1, actual Expired:0

--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -167,6 +167,16 @@
 		e.FieldStart("author")
 		e.Str(s.Author)
 	}
+	{
+		e.FieldStart("outcome")
+		e.Str(s.Outcome)
+	}
+	{
+		if s.Detail.Set {
+			e.FieldStart("detail")
+			s.Detail.Encode(e)
+		}
+	}
 	{
 		if s.Document.Set {
 			e.FieldStart("document")
@@ -193,15 +203,17 @@
 	}
 }
 
-var jsonFieldsNameOfChange = [8]string{
+var jsonFieldsNameOfChange = [10]string{
 	0: "index",
 	1: "time",
 	2: "action",
 	3: "author",
-	4: "document",
-	5: "revision",
-	6: "changeId",
-	7: "digest",
+	4: "outcome",
+	5: "detail",
+	6: "document",
+	7: "revision",
+	8: "changeId",
+	9: "digest",
 }
 
 // Decode decodes Change from json.
@@ -209,7 +221,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Change to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -261,6 +273,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"author\"")
 			}
+		case "outcome":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Outcome = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"outcome\"")
+			}
+		case "detail":
+			if err := func() error {
+				s.Detail.Reset()
+				if err := s.Detail.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
 		case "document":
 			if err := func() error {
 				s.Document.Reset()
@@ -310,8 +344,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00001111,
+	for i, mask := range [2]uint8{
+		0b00011111,
+		0b00000000,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -108,13 +108,21 @@
 	// Position in the replicated log.
 	Index uint64 `json:"index"`
 	// The clock of the control host that took the change; orders nothing.
-	Time     time.Time `json:"time"`
-	Action   string    `json:"action"`
-	Author   string    `json:"author"`
+	Time   time.Time `json:"time"`
+	Action string    `json:"action"`
+	// Empty for what the control hosts do by themselves.
+	Author string `json:"author"`
+	// Accepted, conflict or change-id-reused, each followed by "(repeated)" for a resend; refused for a
+	// second init; applied for a membership.
+	Outcome string `json:"outcome"`
+	// More on a change of the cluster.
+	Detail   OptString `json:"detail"`
 	Document OptString `json:"document"`
+	// The accepted one, or the one in force where the change was refused.
 	Revision OptUint64 `json:"revision"`
 	ChangeID OptString `json:"changeId"`
-	Digest   OptString `json:"digest"`
+	// SHA-256 of the text that was sent.
+	Digest OptString `json:"digest"`
 }
 
 // GetIndex returns the value of Index.
@@ -137,6 +145,16 @@
 	return s.Author
 }
 
+// GetOutcome returns the value of Outcome.
+func (s *Change) GetOutcome() string {
+	return s.Outcome
+}
+
+// GetDetail returns the value of Detail.
+func (s *Change) GetDetail() OptString {
+	return s.Detail
+}
+
 // GetDocument returns the value of Document.
 func (s *Change) GetDocument() OptString {
 	return s.Document
@@ -177,6 +195,16 @@
 	s.Author = val
 }
 
+// SetOutcome sets the value of Outcome.
+func (s *Change) SetOutcome(val string) {
+	s.Outcome = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *Change) SetDetail(val OptString) {
+	s.Detail = val
+}
+
 // SetDocument sets the value of Document.
 func (s *Change) SetDocument(val OptString) {
 	s.Document = val
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -131,9 +131,16 @@
 	// Time is the clock of the control host that took the change. It orders nothing.
 	Time   time.Time
 	Action string
+	// Author is empty for what the control hosts do by themselves.
 	Author string
+	// Outcome is what the change came to: accepted, conflict, change-id-reused, each
+	// followed by "(repeated)" for a resend, or applied for a membership.
+	Outcome string
+	// Detail tells more of a change of the cluster; it may be empty.
+	Detail string
 	// Document is empty for changes of the cluster; Revision, ChangeID and Digest
-	// go with it.
+	// go with it. Revision is the accepted one, or the one in force where the change
+	// was refused; Digest is that of the text which was sent.
 	Document string
 	Revision uint64
 	ChangeID string
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -225,7 +225,7 @@
 			"entries":  {Name: "entries", Revision: 2, Text: []byte(example(t, "entries"))},
 			"outlooks": {Name: "outlooks", Revision: 3, Text: []byte(example(t, "outlooks"))},
 		},
-		changes: []Change{{Index: 9, Action: "init"}, {Index: 8, Document: "outlooks"}, {Index: 7, Document: "entries"}},
+		changes: []Change{{Index: 9, Action: "init"}, {Index: 8, Document: "outlooks"}, {Index: 7, Document: "entries", Outcome: "conflict", Author: "ann"}},
 	}
 	url := serve(t, f, nil)
 	var doc oas.Document
@@ -247,6 +247,7 @@
 	body := get(t, url+"/v1/history?page=p1", "team").body
 	require.NotContains(t, body, "outlooks")
 	require.NotContains(t, body, "init")
+	require.Contains(t, body, `"author":"ann","outcome":"conflict"`)
 	require.Equal(t, HistoryRequest{Page: "p1", Documents: []string{"entries"}}, f.history)
 	require.Contains(t, get(t, url+"/v1/history", "admin").body, "init")
 	require.True(t, f.history.All)
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -228,10 +228,12 @@
 
 func change(c Change) oas.Change {
 	out := oas.Change{
-		Index:  c.Index,
-		Time:   c.Time,
-		Action: c.Action,
-		Author: c.Author,
+		Index:   c.Index,
+		Time:    c.Time,
+		Action:  c.Action,
+		Author:  c.Author,
+		Outcome: c.Outcome,
+		Detail:  optional(c.Detail),
 	}
 	if c.Document != "" {
 		out.Document = oas.NewOptString(c.Document)
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -33,6 +33,8 @@
 	log     *slog.Logger
 	refused metrics.Counter
 	invalid metrics.Counter
+	// inForce shows the highest revision in force.
+	inForce metrics.Gauge
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -51,6 +53,7 @@
 		log:     log,
 		refused: metrics.GetOrRegisterCounter("catalog.stale.refused", reg),
 		invalid: metrics.GetOrRegisterCounter("catalog.unreadable", reg),
+		inForce: metrics.GetOrRegisterGauge("catalog.revision", reg),
 		held:    make(map[string]held),
 		changed: make(chan struct{}),
 
@@ -103,6 +106,7 @@
 // publish makes the documents readable and wakes who waits. The caller holds mu.
 func (s *Store) publish() {
 	s.index.Store(newIndex(s.sorted(byName), s.revision))
+	s.inForce.Update(int64(s.revision))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -93,7 +93,9 @@
 func (c *cluster) History(context.Context, adminapi.HistoryRequest) (adminapi.HistoryPage, error) {
 	return adminapi.HistoryPage{Next: "p2", Changes: []adminapi.Change{{
 		Index: 12, Time: time.Unix(0, 0), Action: "submit", Author: "team",
-		Document: "entries", Revision: 3, ChangeID: "change-03",
+		Outcome: "accepted", Document: "entries", Revision: 3, ChangeID: "change-03",
+	}, {
+		Index: 11, Time: time.Unix(5, 0), Action: "membership", Outcome: "applied", Detail: "voters [a/1]",
 	}}}, nil
 }
 
@@ -196,7 +198,9 @@
 		{"get entries -o yaml", ExitUsage, "", "neither text nor json"},
 		{"list", ExitOK, "NAME     REVISION  AUTHOR\nentries  3         team\n", ""},
 		{"status entries", ExitOK, "entries: revision 3 is in force on 7 hosts\nbehind: entry-a1 at revision 2\nnot heard: entry-b2\n", ""},
-		{"history", ExitOK, "INDEX  TIME                  ACTION  AUTHOR  DOCUMENT   CHANGE\n12     1970-01-01T00:00:00Z  submit  team    entries@3  change-03\n", "--page p2"},
+		{"history", ExitOK, "INDEX  TIME                  ACTION      AUTHOR  OUTCOME   DOCUMENT   CHANGE     DETAIL\n" +
+			"12     -                     submit      team    accepted  entries@3  change-03  -\n" +
+			"11     1970-01-01T00:00:05Z  membership  -       applied   -          -          voters [a/1]\n", "--page p2"},
 		{"check " + entries, ExitOK, "entries: valid, digest ", ""},
 		{"check " + outlooks, ExitOK, "outlooks: valid, digest ", ""},
 		{"init", ExitOK, "cluster c1 WITHOUT QUORUM, term 0, commit 0\n", ""},
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -124,10 +125,18 @@
 		if name, ok := c.Document.Get(); ok {
 			document = fmt.Sprintf("%s@%d", name, c.Revision.Or(0))
 		}
-		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s\t%s\t%s", c.Index,
-			c.Time.UTC().Format(time.RFC3339), c.Action, c.Author, document, c.ChangeID.Or("-")))
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s", c.Index, changeTime(c),
+			c.Action, cmp.Or(c.Author, "-"), c.Outcome, document, c.ChangeID.Or("-"), c.Detail.Or("-")))
 	}
-	table(w, "INDEX\tTIME\tACTION\tAUTHOR\tDOCUMENT\tCHANGE", rows)
+	table(w, "INDEX\tTIME\tACTION\tAUTHOR\tOUTCOME\tDOCUMENT\tCHANGE\tDETAIL", rows)
+}
+
+// changeTime is a dash for what no operator did: nobody's clock is known of it.
+func changeTime(c oas.Change) string {
+	if c.Time.Unix() == 0 {
+		return "-"
+	}
+	return c.Time.UTC().Format(time.RFC3339)
 }
 
 func newInit(o *options) *cobra.Command {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -133,11 +133,17 @@
 	return propose[state.VoterAddressResult](ctx, s.proposer, c)
 }
 
-// AdvanceAge moves the age of the tables on. Only the leader calls it.
-func (s *Service) AdvanceAge(ctx context.Context, elapsed time.Duration) (state.AgeResult, error) {
-	return propose[state.AgeResult](ctx, s.proposer, state.AdvanceAge{Elapsed: uint64(max(0, elapsed.Milliseconds()))})
+// AdvanceAge moves the age of the tables on and states how long claims are kept from
+// here on; a retention of zero leaves that as it is. Only the leader calls it.
+func (s *Service) AdvanceAge(ctx context.Context, elapsed, retention time.Duration) (state.AgeResult, error) {
+	return propose[state.AgeResult](ctx, s.proposer, state.AdvanceAge{
+		Elapsed:   milliseconds(elapsed),
+		Retention: milliseconds(retention),
+	})
 }
 
+func milliseconds(span time.Duration) uint64 { return uint64(max(0, span.Milliseconds())) }
+
 // Claim asks for the right to dispatch a non-idempotent call. Only ClaimGranted
 // gives it. After an error the caller must not dispatch; so the error always says
 // NotRun, and the claim, where it was made all the same, is given back.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -122,7 +122,7 @@
 	changed, err := s.SetVoterAddress(t.Context(), state.SetVoterAddress{Replica: "a/1", Host: "a", Address: "127.0.0.1:1"})
 	require.NoError(t, err)
 	require.True(t, changed.Changed)
-	age, err := s.AdvanceAge(t.Context(), 3*time.Second)
+	age, err := s.AdvanceAge(t.Context(), 3*time.Second, time.Hour)
 	require.NoError(t, err)
 	require.Equal(t, state.Age(3000), age.Age)
 }
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/command"
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
 	"github.com/sassafraspost/sassafraspost/internal/document"
+	"github.com/sassafraspost/sassafraspost/internal/query"
 	"github.com/sassafraspost/sassafraspost/internal/state"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -62,11 +63,17 @@
 	return adminapi.SubmitResult{Revision: r.Revision, Repeated: r.Repeated}, nil
 }
 
+// checkTogether refuses a text that clashes with other documents. A change that came
+// to an outcome before passes: its resend gets that outcome, whatever was accepted
+// since then.
 func (a API) checkTogether(ctx context.Context, req adminapi.SubmitRequest) error {
 	all, err := a.h.queries.Documents(ctx)
 	if err != nil {
 		return err
 	}
+	if a.h.tables.HasOutcome(req.Name, req.Author, req.ChangeID) {
+		return nil
+	}
 	submitted, err := document.Parse(req.Text)
 	if err != nil {
 		return err
@@ -235,15 +242,13 @@
 			return adminapi.HistoryPage{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "unknown page")
 		}
 	}
-	page, err := a.h.queries.History(ctx, before, 0)
+	page, err := a.h.queries.History(ctx, query.HistoryRequest{Before: before, All: req.All, Documents: req.Documents})
 	if err != nil {
 		return adminapi.HistoryPage{}, err
 	}
 	var out adminapi.HistoryPage
 	for _, r := range page.Records {
-		if req.All || (r.Action == state.ActionSubmit && slices.Contains(req.Documents, r.Subject)) {
-			out.Changes = append(out.Changes, change(r))
-		}
+		out.Changes = append(out.Changes, change(r))
 	}
 	if page.Next > 0 {
 		out.Next = strconv.FormatUint(page.Next, 10)
@@ -253,14 +258,20 @@
 
 func change(r state.AuditRecord) adminapi.Change {
 	c := adminapi.Change{
-		Index:  r.Index,
-		Time:   time.UnixMilli(r.At).UTC(),
-		Action: string(r.Action),
-		Author: r.Author,
-	}
-	if r.Action == state.ActionSubmit {
-		c.Document = r.Subject
-	}
+		Index:   r.Index,
+		Time:    time.UnixMilli(r.At).UTC(),
+		Action:  string(r.Action),
+		Author:  r.Author,
+		Outcome: r.Outcome,
+		Detail:  r.Detail,
+	}
+	if r.Action != state.ActionSubmit {
+		return c
+	}
+	c.Document = r.Subject
+	c.Revision = r.Revision
+	c.ChangeID = r.ChangeID
+	c.Digest = r.Digest
 	return c
 }
 
@@ -268,7 +279,7 @@
 // without a quorum.
 func (a API) Cluster(ctx context.Context) (adminapi.Cluster, error) {
 	st := a.h.replica.Status()
-	_, readErr := reader{a.h}.Read(ctx)
+	_, readErr := reader(a).Read(ctx)
 	c := adminapi.Cluster{
 		ID:        a.h.tables.Cluster().ID,
 		Leader:    string(st.Leader),
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -49,9 +49,11 @@
 	// Tick and SnapshotEntries are as in replica.Options.
 	Tick            time.Duration
 	SnapshotEntries uint64
-	State           state.Options
-	Log             *slog.Logger
-	Metrics         metrics.Registry
+	// ClaimRetention is how long claims are kept; the leader's is in force. Zero
+	// leaves it as it is.
+	ClaimRetention time.Duration
+	Log            *slog.Logger
+	Metrics        metrics.Registry
 }
 
 // Host is one control host.
@@ -79,7 +81,7 @@
 	h := &Host{
 		cfg:     cfg,
 		id:      ID(cfg.Name, cfg.Recovered),
-		tables:  state.New(cfg.State),
+		tables:  state.New(state.Options{}),
 		store:   catalog.NewStore(cfg.Log, cfg.Metrics),
 		reports: newReports(),
 		client:  NewClient(cfg.Pool, cfg.Peers),
@@ -182,7 +184,7 @@
 			continue
 		}
 		proposeCtx, cancel := context.WithTimeout(ctx, serveTimeout)
-		_, _ = h.commands.AdvanceAge(proposeCtx, elapsed)
+		_, _ = h.commands.AdvanceAge(proposeCtx, elapsed, h.cfg.ClaimRetention)
 		cancel()
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -46,6 +46,7 @@
 		Address:         d.set.Peer.Advertise.String(),
 		Tick:            set.Tick,
 		SnapshotEntries: uint64(set.SnapshotEntries),
+		ClaimRetention:  set.ClaimRetention,
 		Log:             d.log,
 		Metrics:         d.metrics,
 	})
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -19,7 +19,7 @@
 	Document(name string) (state.Document, bool)
 	Documents() []state.Document
 	Changes(since uint64) []state.Document
-	History(before uint64, limit int) state.AuditPage
+	History(before uint64, limit int, keep func(state.AuditRecord) bool) state.AuditPage
 	Cluster() state.Cluster
 	Applied() uint64
 	Age() state.Age
@@ -84,20 +84,31 @@
 	return s.tables.Changes(since), nil
 }
 
-// History returns a page of the audit trail, the newest record first. A before of
-// zero starts at the newest; a limit of zero is DefaultPage, and more than MaxPage
-// is MaxPage.
-func (s *Service) History(ctx context.Context, before uint64, limit int) (state.AuditPage, error) {
-	if limit < 0 {
+// HistoryRequest asks for a page of the audit trail.
+type HistoryRequest struct {
+	// Before is Next of the page before; zero starts at the newest record.
+	Before uint64
+	// Limit bounds the records; zero is DefaultPage, and more than MaxPage is MaxPage.
+	Limit int
+	// All asks for every record; else only submissions of Documents count, towards
+	// the limit too.
+	All       bool
+	Documents []string
+}
+
+// History returns a page of the audit trail, the newest record first.
+func (s *Service) History(ctx context.Context, q HistoryRequest) (state.AuditPage, error) {
+	if q.Limit < 0 {
 		return state.AuditPage{}, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "limit is negative")
 	}
-	if limit == 0 {
-		limit = DefaultPage
+	if q.Limit == 0 {
+		q.Limit = DefaultPage
 	}
 	if err := s.barrier(ctx); err != nil {
 		return state.AuditPage{}, err
 	}
-	return s.tables.History(before, min(limit, MaxPage)), nil
+	keep := func(r state.AuditRecord) bool { return q.All || r.IsOf(q.Documents) }
+	return s.tables.History(q.Before, min(q.Limit, MaxPage), keep), nil
 }
 
 // Status returns the state of the cluster.
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -61,7 +61,7 @@
 			return docs[0].Revision, err
 		},
 		"history": func(s *Service) (uint64, error) {
-			page, err := s.History(t.Context(), 0, 0)
+			page, err := s.History(t.Context(), HistoryRequest{All: true})
 			return page.Records[0].Index, err
 		},
 		"status": func(s *Service) (uint64, error) {
@@ -91,7 +91,7 @@
 			func() error { _, err := s.Document(t.Context(), "d"); return err },
 			func() error { _, err := s.Documents(t.Context()); return err },
 			func() error { _, err := s.Changes(t.Context(), 0); return err },
-			func() error { _, err := s.History(t.Context(), 0, 1); return err },
+			func() error { _, err := s.History(t.Context(), HistoryRequest{Limit: 1}); return err },
 			func() error { _, err := s.Status(t.Context()); return err },
 		}
 		for _, call := range calls {
@@ -113,11 +113,16 @@
 	_, err := s.Document(t.Context(), "other")
 	require.Equal(t, verdict.CodeNotFound, verdict.Of(err).Code)
 	for limit, want := range map[int]int{0: DefaultPage, 7: 7, MaxPage + 1: MaxPage} {
-		page, err := s.History(t.Context(), 0, limit)
+		page, err := s.History(t.Context(), HistoryRequest{Limit: limit, All: true})
 		require.NoError(t, err)
 		require.Len(t, page.Records, want)
 		require.Equal(t, page.Records[want-1].Index, page.Next)
 	}
-	_, err = s.History(t.Context(), 0, -1)
+	page, err := s.History(t.Context(), HistoryRequest{Documents: []string{"3", "8"}})
+	require.NoError(t, err)
+	require.Len(t, page.Records, 2, "what is not asked for takes no room of the page")
+	require.Equal(t, "8", page.Records[0].Subject)
+	require.Zero(t, page.Next)
+	_, err = s.History(t.Context(), HistoryRequest{Limit: -1})
 	require.Equal(t, verdict.CodeBadRequest, verdict.Of(err).Code)
 }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -84,6 +84,23 @@
 type listMachine struct {
 	mu   sync.Mutex
 	list []string
+	// members has the memberships by index.
+	members []consensus.Membership
+	indexes []uint64
+}
+
+func (m *listMachine) ApplyMembership(index uint64, members consensus.Membership) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.indexes = append(m.indexes, index)
+	m.members = append(m.members, members)
+}
+
+// memberships returns what ApplyMembership was given, in its order.
+func (m *listMachine) memberships() ([]uint64, []consensus.Membership) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.indexes), slices.Clone(m.members)
 }
 
 func (m *listMachine) Apply(_ uint64, data []byte) any {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -149,7 +149,10 @@
 
 func (r *Replica) apply(e consensus.Entry) {
 	var value any
-	if e.Kind == consensus.EntryCommand && len(e.Data) > 0 {
+	switch {
+	case e.Kind == consensus.EntryMembership:
+		r.applyMembership(e)
+	case e.Kind == consensus.EntryCommand && len(e.Data) > 0:
 		value = r.opts.Machine.Apply(e.Index, e.Data)
 	}
 	r.applied = e.Index
@@ -157,6 +160,17 @@
 	r.resolve(e, value)
 }
 
+func (r *Replica) applyMembership(e consensus.Entry) {
+	machine, ok := r.opts.Machine.(MembershipMachine)
+	if !ok {
+		return
+	}
+	// The core has read the membership before, when the entry came into the log.
+	if m, err := consensus.DecodeMembership(e.Data); err == nil {
+		machine.ApplyMembership(e.Index, m)
+	}
+}
+
 func (r *Replica) restore(s consensus.Snapshot) error {
 	if err := r.opts.Machine.Restore(s.Data); err != nil {
 		return errors.Wrap(err, "restore the leader's snapshot")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,12 @@
 	Restore([]byte) error
 }
 
+// MembershipMachine is a Machine that keeps the membership too, in the log's order
+// with the commands.
+type MembershipMachine interface {
+	ApplyMembership(index uint64, m consensus.Membership)
+}
+
 // Capturer is a Machine that can set a consistent copy aside quickly. The function
 // returned by Capture encodes the copy on another goroutine, beside the loop.
 type Capturer interface {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -160,6 +160,14 @@
 	require.True(t, m.IsVoter(fresh.ID()))
 	require.False(t, m.IsVoter(lost.ID()))
 	c.agree(l, fresh)
+	indexes, members := l.machine.memberships()
+	require.True(t, slices.IsSorted(indexes))
+	var steps []string
+	for _, m := range members {
+		steps = append(steps, fmt.Sprint(len(m.Voters), len(m.Learners)))
+	}
+	require.Equal(t, []string{"3 0", "3 1", "2 1", "3 0"}, steps, "the machine is told of each membership")
+	require.Equal(t, m, members[len(members)-1])
 	requireVerdict(t, l.Replace(c.ctx(), l.ID(), "new/3"), verdict.NotRun, verdict.CodeBadRequest)
 }
 
--- a/internal/state/audit.go
+++ b/internal/state/audit.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"crypto/sha256"
 	"slices"
 	"sort"
 	"sync"
@@ -31,6 +32,17 @@
 	Subject string `cbor:"6,keyasint,omitempty"`
 	Outcome string `cbor:"7,keyasint"`
 	Detail  string `cbor:"8,keyasint,omitempty"`
+	// Revision, ChangeID and Digest are those of a submission: the revision that it
+	// made where it was accepted, and the one in force where not; the digest is the
+	// SHA-256 of the text.
+	Revision uint64            `cbor:"9,keyasint,omitempty"`
+	ChangeID string            `cbor:"10,keyasint,omitempty"`
+	Digest   [sha256.Size]byte `cbor:"11,keyasint"`
+}
+
+// IsOf reports whether the record is of a change of one of the documents.
+func (r AuditRecord) IsOf(documents []string) bool {
+	return r.Action == ActionSubmit && slices.Contains(documents, r.Subject)
 }
 
 // AuditPage is a part of the audit trail.
@@ -79,23 +91,40 @@
 	a.start = 0
 }
 
-// History returns at most limit records with an index below before, the newest
-// first; a before of zero starts at the newest of all.
-func (m *Machine) History(before uint64, limit int) AuditPage {
+// History returns at most limit of the records that keep is true of, with an index
+// below before, the newest first; a before of zero starts at the newest of all, and
+// a nil keep takes every record. keep must not call the Machine.
+func (m *Machine) History(before uint64, limit int, keep func(AuditRecord) bool) AuditPage {
 	a := &m.audit
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	end := len(a.ring)
-	if before > 0 {
-		end = sort.Search(end, func(i int) bool { return a.at(i).Index >= before })
+	page := AuditPage{Records: []AuditRecord{}}
+	for i := a.end(before) - 1; i >= 0; i-- {
+		r := a.at(i)
+		if keep != nil && !keep(r) {
+			continue
+		}
+		if len(page.Records) >= limit {
+			page.next()
+			return page
+		}
+		page.Records = append(page.Records, r)
 	}
-	first := max(0, end-max(0, limit))
-	page := AuditPage{Records: make([]AuditRecord, 0, end-first)}
-	for i := end - 1; i >= first; i-- {
-		page.Records = append(page.Records, a.at(i))
+	return page
+}
+
+// next marks that records follow the last one of the page.
+func (p *AuditPage) next() {
+	if n := len(p.Records); n > 0 {
+		p.Next = p.Records[n-1].Index
 	}
-	if first > 0 && first < end {
-		page.Next = a.at(first).Index
+}
+
+// end returns the position behind the records with an index below before. The
+// caller holds mu.
+func (a *audit) end(before uint64) int {
+	if before == 0 {
+		return len(a.ring)
 	}
-	return page
+	return sort.Search(len(a.ring), func(i int) bool { return a.at(i).Index >= before })
 }
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -37,11 +37,12 @@
 type claims struct {
 	max          int
 	perWorkspace int
-	retention    Age
 	maxAnswers   int
 
 	// mu guards all below.
-	mu         sync.RWMutex
+	mu sync.RWMutex
+	// retention is how long a claim is kept.
+	retention  Age
 	workspaces map[string]*workspaceClaims
 	queue      expiryQueue
 	// count is the number of claims.
@@ -66,6 +67,23 @@
 	t.answerBytes = 0
 }
 
+// retain takes the span for which claims are kept from here on; zero changes nothing.
+func (t *claims) retain(span Age) {
+	if span == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retention = min(max(span, MinRetention), MaxRetention)
+}
+
+// span returns how long claims are kept.
+func (t *claims) span() Age {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.retention
+}
+
 func (t *claims) claimBatch(b ClaimBatch, age Age) ClaimBatchResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -51,6 +51,10 @@
 type AdvanceAge struct {
 	// Elapsed is in milliseconds; what exceeds MaxAdvance is not counted.
 	Elapsed uint64 `cbor:"1,keyasint"`
+	// Retention is how long claims that come or end from here on are kept, in
+	// milliseconds, within MinRetention and MaxRetention; zero keeps the span in
+	// force. It stands in the log since the settings of two replicas may differ.
+	Retention uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // SubmitDocument replaces the text of a document.
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -170,6 +170,15 @@
 	return doc, ok
 }
 
+// HasOutcome reports whether a change has come to an outcome that is still kept; a
+// resend of it then gets that one.
+func (m *Machine) HasOutcome(name, author, changeID string) bool {
+	m.documents.mu.RLock()
+	defer m.documents.mu.RUnlock()
+	_, ok := m.documents.outcomes[changeKey{Name: name, Author: author, ChangeID: changeID}]
+	return ok
+}
+
 // Documents returns all documents by name.
 func (m *Machine) Documents() []Document {
 	m.documents.mu.RLock()
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -17,6 +17,7 @@
 package state
 
 import (
+	"crypto/sha256"
 	"sync"
 	"sync/atomic"
 
@@ -43,10 +44,16 @@
 
 const day Age = 24 * 3_600_000
 
+// The bounds of the retention that an AdvanceAge states.
+const (
+	MinRetention Age = 60_000
+	MaxRetention     = 30 * day
+)
+
 // Options bound what the tables retain. Zero means the default.
 type Options struct {
 	// ClaimRetention is how long a claim is kept after it finished or passed its
-	// deadline; the default is 24 hours.
+	// deadline, until an AdvanceAge states another span; the default is 24 hours.
 	ClaimRetention Age
 	// Claims bounds open and retained claims altogether, and with them the memory;
 	// the default is 150,000.
@@ -175,6 +182,7 @@
 func (m *Machine) advance(c AdvanceAge) AgeResult {
 	age := m.Age() + min(Age(c.Elapsed), MaxAdvance)
 	m.age.Store(uint64(age))
+	m.claims.retain(Age(c.Retention))
 	m.documents.expire(age)
 	return AgeResult{Age: age, Expired: m.claims.expire(age)}
 }
@@ -196,7 +204,10 @@
 		Action:  ActionSubmit,
 		Subject: c.Name,
 		Outcome: result.describe(),
-		Detail:  "change " + c.ChangeID,
+
+		Revision: result.Revision,
+		ChangeID: c.ChangeID,
+		Digest:   sha256.Sum256([]byte(c.Text)),
 	})
 	return result
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -22,6 +22,8 @@
 	Membership consensus.Membership `cbor:"9,keyasint"`
 	Addresses  []VoterAddress       `cbor:"10,keyasint"`
 	Audit      []AuditRecord        `cbor:"11,keyasint"`
+	// Retention is that of claims; zero in images of older builds.
+	Retention Age `cbor:"12,keyasint,omitempty"`
 }
 
 // Snapshot returns the tables after the last applied entry. Changes wait only
@@ -41,6 +43,7 @@
 	i := image{Version: imageVersion, Applied: m.Applied(), Age: m.Age()}
 	m.documents.capture(&i)
 	i.Claims = m.claims.images()
+	i.Retention = m.claims.span()
 	m.cluster.capture(&i)
 	m.audit.capture(&i)
 	return i
@@ -89,6 +92,9 @@
 	m.lockTables()
 	defer m.unlockTables()
 	m.documents.restore(i.Documents, i.Outcomes, i.Fence)
+	if i.Retention > 0 {
+		m.claims.retention = i.Retention
+	}
 	m.claims.restore(i.Claims)
 	m.cluster.restore(i.ClusterID, i.Membership, i.Addresses)
 	m.audit.restore(i.Audit)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strings"
 	"testing"
@@ -57,7 +58,10 @@
 	case 1:
 		return SetVoterAddress{Replica: consensus.ReplicaID(pick("replica", "a/1", "b/2")), Host: "h", Address: pick("address", "1", "2")}
 	case 2, 3:
-		return AdvanceAge{Elapsed: rapid.Uint64Range(0, 1500).Draw(t, "elapsed")}
+		return AdvanceAge{
+			Elapsed:   rapid.Uint64Range(0, 1500).Draw(t, "elapsed"),
+			Retention: rapid.SampledFrom([]uint64{0, 0, 0, 1, 70_000}).Draw(t, "retention"),
+		}
 	case 4, 5:
 		return SubmitDocument{
 			Name:     pick("name", "d1", "d2"),
@@ -381,11 +385,11 @@
 	c := l.m.Cluster()
 	require.Equal(t, "c1", c.ID)
 	require.Equal(t, []VoterAddress{{Replica: "b/2", Host: "b", Address: "127.0.0.1:2"}}, c.Addresses)
-	page := l.m.History(0, 2)
+	page := l.m.History(0, 2, nil)
 	require.Equal(t, []uint64{7, 6}, []uint64{page.Records[0].Index, page.Records[1].Index})
 	var rest []uint64
 	for page.Next != 0 {
-		page = l.m.History(page.Next, 2)
+		page = l.m.History(page.Next, 2, nil)
 		for _, r := range page.Records {
 			rest = append(rest, r.Index)
 		}
@@ -394,6 +398,55 @@
 	require.Equal(t, "refused", page.Records[0].Outcome)
 }
 
+// TestAuditTrailTellsOfEachSubmission: who, what and with what outcome; a filter
+// goes before the limit, so that a page is full where there is more.
+func TestAuditTrailTellsOfEachSubmission(t *testing.T) {
+	l := newLog(t, Options{})
+	a := SubmitDocument{Name: "a", ChangeID: "x", Author: "ann", Text: "one", At: 7}
+	l.do(a)
+	for i := range 3 {
+		l.do(SubmitDocument{Name: "b", Base: l.i * uint64(min(i, 1)), ChangeID: fmt.Sprint(i), Author: "bob"})
+	}
+	l.do(SubmitDocument{Name: "a", ChangeID: "y", Author: "bob", Text: "two"})
+	l.do(a)
+	page := l.m.History(0, 2, func(r AuditRecord) bool { return r.IsOf([]string{"a"}) })
+	require.Equal(t, uint64(5), page.Next)
+	one := sha256.Sum256([]byte("one"))
+	require.Equal(t, AuditRecord{Index: 6, At: 7, Author: "ann", Action: ActionSubmit, Subject: "a",
+		Outcome: "accepted (repeated)", Revision: 1, ChangeID: "x", Digest: one}, page.Records[0])
+	require.Equal(t, AuditRecord{Index: 5, Author: "bob", Action: ActionSubmit, Subject: "a",
+		Outcome: "conflict", Revision: 1, ChangeID: "y", Digest: sha256.Sum256([]byte("two"))}, page.Records[1])
+	page = l.m.History(page.Next, 2, func(r AuditRecord) bool { return r.IsOf([]string{"a"}) })
+	require.Zero(t, page.Next)
+	require.Len(t, page.Records, 1)
+	require.Equal(t, AuditRecord{Index: 1, At: 7, Author: "ann", Action: ActionSubmit, Subject: "a",
+		Outcome: "accepted", Revision: 1, ChangeID: "x", Digest: one}, page.Records[0])
+	require.True(t, l.m.HasOutcome("a", "ann", "x"))
+	require.False(t, l.m.HasOutcome("a", "bob", "x"))
+}
+
+// TestRetentionComesFromTheLog: replicas of other options, one of them restored, keep
+// claims alike once an AdvanceAge has stated how long.
+func TestRetentionComesFromTheLog(t *testing.T) {
+	a, b := newLog(t, Options{}), newLog(t, Options{ClaimRetention: 3 * day})
+	both := func(c Command) any {
+		got := a.do(c)
+		require.Equal(t, got, b.do(c))
+		return got
+	}
+	both(AdvanceAge{Retention: uint64(2 * MinRetention)})
+	image, err := a.m.Snapshot()
+	require.NoError(t, err)
+	a.m = New(Options{ClaimRetention: day / 2})
+	require.NoError(t, a.m.Restore(image))
+	both(ClaimBatch{Claims: []Claim{{Workspace: "w", Key: "k", Attempt: "p"}}})
+	require.Equal(t, AgeResult{Age: MinRetention}, both(AdvanceAge{Elapsed: uint64(MinRetention)}))
+	require.Equal(t, AgeResult{Age: 2 * MinRetention, Expired: 1}, both(AdvanceAge{Elapsed: uint64(MinRetention)}))
+	both(AdvanceAge{Retention: 1})
+	both(ClaimBatch{Claims: []Claim{{Workspace: "w", Key: "k", Attempt: "q"}}})
+	require.Equal(t, 1, both(AdvanceAge{Elapsed: uint64(MinRetention)}).(AgeResult).Expired, "not below the least")
+}
+
 func TestRestoreRefusesAnOlderOrBadSnapshot(t *testing.T) {
 	l := newLog(t, small)
 	old, err := l.m.Snapshot()
@@ -412,7 +465,7 @@
 		defer close(done)
 		for range 200 {
 			l.m.Documents()
-			l.m.History(0, 3)
+			l.m.History(0, 3, nil)
 			l.m.Cluster()
 			l.m.ClaimCount()
 		}
