--- /dev/null
+++ b/test/integration/operators_test.go
@@ -0,0 +1,290 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/api/oas"
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+// token gives the operator's token to the generated client.
+type token string
+
+// Bearer implements oas.SecuritySource.
+func (t token) Bearer(context.Context, oas.OperationName) (oas.Bearer, error) {
+	return oas.Bearer{Token: string(t)}, nil
+}
+
+// keptClient keeps its connections: for requests by the hundred.
+var keptClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+
+// api is the administration API of one control host.
+func (s *system) api(h *local.Host) *oas.Client {
+	s.t.Helper()
+	c, err := oas.NewClient("http://"+h.Listen, token(local.OperatorToken), oas.WithClient(keptClient))
+	require.NoError(s.t, err)
+	return c
+}
+
+// change is one submission of the document "local", unless name is set.
+type change struct {
+	name     string
+	base     uint64
+	id, text string
+}
+
+// submitted is what one attempt at a change came to.
+type submitted struct {
+	revision uint64
+	repeated bool
+	problem  *oas.ProblemStatusCodeWithHeaders
+	err      error
+}
+
+// put sends a change to one control host, once.
+func (s *system) put(h *local.Host, c change) submitted {
+	ctx, cancel := context.WithTimeout(s.ctx, 15*time.Second)
+	defer cancel()
+	name := "local"
+	if c.name != "" {
+		name = c.name
+	}
+	a, err := s.api(h).PutDocument(ctx, &oas.PutDocumentReqTextPlain{Data: bytes.NewReader([]byte(c.text))},
+		oas.PutDocumentParams{Name: name, IfMatch: strconv.Quote(strconv.FormatUint(c.base, 10)), ChangeID: c.id})
+	r := submitted{err: err}
+	if err == nil {
+		r.revision, r.repeated = a.Response.Revision, a.Response.Repeated
+	}
+	errors.As(err, &r.problem)
+	return r
+}
+
+func (r submitted) isAccepted() bool { return r.err == nil }
+
+// isNotRun tells that the attempt had no effect, as the answer says or as there was
+// no connection.
+func (r submitted) isNotRun() bool {
+	if r.problem != nil {
+		return r.problem.Response.Verdict == oas.ProblemVerdictNotRun
+	}
+	var operation *net.OpError
+	return errors.As(r.err, &operation) && operation.Op == "dial"
+}
+
+func (r submitted) String() string {
+	if r.problem != nil {
+		return fmt.Sprintf("status %d, %+v", r.problem.StatusCode, r.problem.Response)
+	}
+	return fmt.Sprintf("revision %d, repeated %v, %v", r.revision, r.repeated, r.err)
+}
+
+// settle sends a change to one control host after the other until its outcome is
+// sure. An attempt that may have run is resent under the same id; not-run is sure
+// only where no attempt before may have run.
+func (s *system) settle(c change, first int) submitted {
+	mayHaveRun := false
+	for i := first; ; i++ {
+		r := s.put(s.Control[i%len(s.Control)], c)
+		isConflict := r.problem != nil && r.problem.StatusCode == http.StatusConflict
+		switch {
+		case r.isAccepted(), isConflict, r.isNotRun() && !mayHaveRun, s.ctx.Err() != nil:
+			return r
+		case !r.isNotRun():
+			mayHaveRun = true
+		}
+	}
+}
+
+// mustPut sends a change until it is accepted.
+func (s *system) mustPut(c change) uint64 {
+	s.t.Helper()
+	var r submitted
+	s.await("change "+c.id, func() bool {
+		r = s.settle(c, 0)
+		return r.isAccepted() || !r.isNotRun() || r.problem != nil && r.problem.StatusCode < 500
+	})
+	require.True(s.t, r.isAccepted(), "change %s: %s", c.id, r)
+	return r.revision
+}
+
+// history returns every change of a document as one control host tells of it, the
+// first one first.
+func (s *system) history(h *local.Host, name string) []oas.Change {
+	s.t.Helper()
+	params := oas.GetHistoryParams{Document: oas.NewOptString(name)}
+	var all []oas.Change
+	for {
+		page, err := s.api(h).GetHistory(s.ctx, params)
+		require.NoError(s.t, err)
+		all = append(all, page.Changes...)
+		next, ok := page.Next.Get()
+		if !ok {
+			slices.Reverse(all)
+			return all
+		}
+		params.Page = oas.NewOptString(next)
+	}
+}
+
+// acceptedIDs returns the change ids of the accepted changes, in order.
+func acceptedIDs(changes []oas.Change) []string {
+	var ids []string
+	for _, c := range changes {
+		if c.Outcome == "accepted" {
+			ids = append(ids, c.ChangeID.Or(""))
+		}
+	}
+	return ids
+}
+
+// startBare runs a system without upstreams, with a document in force. It returns
+// the document's revision.
+func startBare(t require.TestingT, s *system) uint64 {
+	require.NoError(t, s.Found(s.ctx))
+	r := s.mustPut(change{id: "change-first", text: local.Document("v1")})
+	s.awaitInForce(r, s.Entries...)
+	return r
+}
+
+var revisionLine = regexp.MustCompile(`(?m)^sassafraspost_catalog_revision (\d+)$`)
+
+// inForce returns the revision in force on a host, and whether the host said so.
+func (s *system) inForce(h *local.Host) (uint64, bool) {
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+h.Metrics+"/metrics", nil)
+	if err != nil {
+		return 0, false
+	}
+	resp, err := keptClient.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(resp.Body); err != nil {
+		return 0, false
+	}
+	found := revisionLine.FindSubmatch(body.Bytes())
+	if found == nil {
+		return 0, false
+	}
+	revision, err := strconv.ParseUint(string(found[1]), 10, 64)
+	return revision, err == nil
+}
+
+// awaitInForce waits until a revision, or a later one, is in force on the hosts.
+func (s *system) awaitInForce(revision uint64, hosts ...*local.Host) {
+	s.t.Helper()
+	for _, h := range hosts {
+		s.await(fmt.Sprintf("revision %d on %s", revision, h.Name), func() bool {
+			r, ok := s.inForce(h)
+			return ok && r >= revision
+		})
+	}
+}
+
+// observer watches the revision in force on hosts, all the time.
+type observer struct {
+	stop chan struct{}
+	wg   sync.WaitGroup
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// falls tells of every revision below one seen before on the same host.
+	falls []string
+	// seen has the revisions that were ever in force on any host.
+	seen map[uint64]bool
+	// last has the newest revision of each host, and when it was first seen.
+	last map[string]sighting
+}
+
+type sighting struct {
+	revision uint64
+	at       time.Time
+}
+
+const observeInterval = 4 * time.Millisecond
+
+func (s *system) observe(hosts ...*local.Host) *observer {
+	o := &observer{stop: make(chan struct{}), seen: make(map[uint64]bool), last: make(map[string]sighting)}
+	for _, h := range hosts {
+		o.wg.Go(func() {
+			ticker := time.NewTicker(observeInterval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-o.stop:
+					return
+				case <-ticker.C:
+				}
+				if r, ok := s.inForce(h); ok {
+					o.take(h.Name, r)
+				}
+			}
+		})
+	}
+	s.t.Cleanup(o.end)
+	return o
+}
+
+func (o *observer) take(host string, revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := o.last[host]
+	if revision < before.revision {
+		o.falls = append(o.falls, fmt.Sprintf("%s went from revision %d back to %d", host, before.revision, revision))
+	}
+	if revision != before.revision {
+		o.last[host] = sighting{revision: revision, at: time.Now()}
+	}
+	o.seen[revision] = true
+}
+
+// since returns when the last of n hosts came to a revision; false where one has not.
+func (o *observer) since(revision uint64, n int) (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var latest time.Time
+	for _, s := range o.last {
+		if s.revision < revision {
+			return latest, false
+		}
+		if s.at.After(latest) {
+			latest = s.at
+		}
+	}
+	return latest, len(o.last) == n
+}
+
+// end stops the observer.
+func (o *observer) end() {
+	o.mu.Lock()
+	select {
+	case <-o.stop:
+	default:
+		close(o.stop)
+	}
+	o.mu.Unlock()
+	o.wg.Wait()
+}
+
+// requireNoFall ends the observer and fails where a host went back, or had a
+// revision in force that was never accepted.
+func (o *observer) requireNoFall(t require.TestingT, accepted []uint64) {
+	o.end()
+	require.Empty(t, o.falls)
+	for r := range o.seen {
+		require.True(t, r == 0 || slices.Contains(accepted, r), "revision %d was in force and not accepted", r)
+	}
+}
