Estimate the wait by measured turns, and add the load tool

Cause: with an offered load of three times the capacity, requests of large workspaces were let wait by the queue as it stood, were then overtaken by small workspaces that came later, and were refused after 1.2 s (p50 of refusals), and 247 of 9320 ended at their deadlines while they ran.

The expected wait is now no less than what the class and the workspace have needed for each of their turns lately, and a service time counts with two mean deviations.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -22,6 +22,7 @@
 	arrived uint64
 	size    int
 	weights float64
+	turns   turns
 }
 
 // flow is one workspace of a class.
@@ -34,12 +35,30 @@
 	arrival uint64
 	queue   []*Ticket
 	index   int
+	turns   turns
 }
 
+// turns measures how long a backlogged queue waits from one turn to the next.
+type turns struct {
+	last time.Duration
+	gap  mean
+}
+
+// begin starts to measure where a backlog begins, taken notes a turn.
+func (u *turns) begin(now time.Duration) { u.last = now }
+
+func (u *turns) taken(now time.Duration) {
+	u.gap.add(now - u.last)
+	u.last = now
+}
+
+// timeFor is how long n turns take.
+func (u *turns) timeFor(n int) time.Duration { return time.Duration(n) * u.gap.value }
+
 // pruneAbove is how many flows without requests are kept for their finish times.
 const pruneAbove = 256
 
-func (q *fairQueue) add(t *Ticket) {
+func (q *fairQueue) add(now time.Duration, t *Ticket) {
 	if q.flows == nil {
 		q.flows = make(map[string]*flow)
 	}
@@ -48,11 +67,15 @@
 		f = &flow{}
 		q.flows[t.Workspace] = f
 	}
+	if q.size == 0 {
+		q.turns.begin(now)
+	}
 	q.size++
 	f.queue = append(f.queue, t)
 	if len(f.queue) > 1 {
 		return
 	}
+	f.turns.begin(now)
 	f.weight = t.Weight
 	f.start = max(q.virtual, f.finish)
 	q.arrived++
@@ -62,8 +85,10 @@
 }
 
 // next removes the request that goes next. There is at least one.
-func (q *fairQueue) next() *Ticket {
+func (q *fairQueue) next(now time.Duration) *Ticket {
 	f := q.heap[0]
+	f.turns.taken(now)
+	q.turns.taken(now)
 	t := f.queue[0]
 	q.virtual = f.start
 	f.finish = f.start + t.Cost/f.weight
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -13,8 +13,10 @@
 	// classCycle is how many requests of other classes may go before one of a class
 	// that waits: each class so has one in classCycle of the work at least.
 	classCycle = 50
-	// serviceSamples is over how many requests the mean service time reaches back.
-	serviceSamples = 64
+	// meanSamples is over how many requests the measured means reach back.
+	meanSamples = 64
+	// highDeviations is how many mean deviations above its mean a service time counts.
+	highDeviations = 2
 	// unknownRetryAfter is when to ask again where no upstream is known, or no service
 	// time yet: an agent announces once a second.
 	unknownRetryAfter = time.Second
@@ -117,7 +119,7 @@
 		return append(settled, p.refuse(t, verdict.CodeOverloaded, "expected wait is past the deadline", late))
 	}
 	t.state = stateWaiting
-	p.classes[t.Class].add(t)
+	p.classes[t.Class].add(now, t)
 	p.queued++
 	p.earliest = min(p.earliest, t.Deadline)
 	return settled
@@ -194,7 +196,7 @@
 	out := p.Expire(now)
 	for p.queued > 0 && p.running < p.capacity {
 		c := p.pickClass()
-		t := c.next()
+		t := c.next(now)
 		p.queued--
 		if c.size == 0 {
 			c.passed = 0
@@ -249,15 +251,22 @@
 	return t
 }
 
-// wait is how long t would wait: the work ahead of it over the measured rate.
+// wait is how long t would wait: the work ahead of it over the measured rate. Others
+// will come and go first, as they did lately: so it is no less than what the class and
+// the workspace, where they are backlogged, have needed for each of their requests.
 func (p *Pool) wait(t *Ticket) time.Duration {
-	inClass := p.classes[t.Class].ahead(t)
+	c := &p.classes[t.Class]
+	inClass := c.ahead(t)
 	ahead := inClass
 	for i := range t.Class {
 		ahead += p.classes[i].size
 	}
 	ahead = min(ahead, (inClass+1)*classCycle)
-	return p.timeFor(ahead + 1)
+	wait := max(p.timeFor(ahead+1), c.turns.timeFor(inClass+1))
+	if f := c.flows[t.Workspace]; f != nil && len(f.queue) > 0 {
+		wait = max(wait, f.turns.timeFor(len(f.queue)+1))
+	}
+	return wait
 }
 
 // drain is how long what waits now takes.
@@ -270,18 +279,19 @@
 	return time.Duration(float64(n) * float64(p.service.value) / float64(max(p.capacity, 1)))
 }
 
-// serviceTime is the mean of the class, or of all where the class has none yet.
+// serviceTime is how long a request of the class takes, but for few: of all classes
+// where the class has had none yet.
 func (p *Pool) serviceTime(class uint8) time.Duration {
 	if m := p.classes[class].service; m.samples > 0 {
-		return m.value
+		return m.high()
 	}
-	return p.service.value
+	return p.service.high()
 }
 
 func (p *Pool) longestService() time.Duration {
-	longest := p.service.value
+	longest := p.service.high()
 	for i := range p.classes {
-		longest = max(longest, p.classes[i].service.value)
+		longest = max(longest, p.classes[i].service.high())
 	}
 	return longest
 }
@@ -292,13 +302,21 @@
 	return min(d+time.Duration(draw*float64(d)), maxRetryAfter)
 }
 
-// mean is an exponentially weighted mean over about serviceSamples samples.
+// mean is an exponentially weighted mean over about meanSamples samples, with the
+// mean deviation from it.
 type mean struct {
-	value   time.Duration
-	samples int
+	value, deviation time.Duration
+	samples          int
 }
 
 func (m *mean) add(d time.Duration) {
-	m.samples = min(m.samples+1, serviceSamples)
+	m.samples = min(m.samples+1, meanSamples)
+	m.deviation += ((d - m.value).Abs() - m.deviation) / time.Duration(m.samples)
+	if m.samples == 1 {
+		m.deviation = 0
+	}
 	m.value += (d - m.value) / time.Duration(m.samples)
 }
+
+// high is what few samples are above.
+func (m *mean) high() time.Duration { return m.value + highDeviations*m.deviation }
--- a/internal/admission/quota_test.go
+++ b/internal/admission/quota_test.go
@@ -17,7 +17,7 @@
 		n := rapid.IntRange(1, 6).Draw(t, "hosts")
 		l := Limits{
 			Requests:   float64(rapid.IntRange(5, 200).Draw(t, "requests")),
-			Tokens:     float64(rapid.IntRange(500, 20_000).Draw(t, "tokens")),
+			Tokens:     rapid.SampledFrom([]float64{50, 500, 20_000}).Draw(t, "tokens"),
 			Concurrent: rapid.IntRange(n, 60).Draw(t, "concurrent"),
 		}
 		const step, span = 100 * time.Millisecond, 15 * time.Second
--- /dev/null
+++ b/test/cmd/loadtool/main.go
@@ -0,0 +1,74 @@
+// Command loadtool runs a whole system on loopback and measures it under load: an
+// overload by a few large and many small workspaces, failing upstreams, the latency
+// that the path adds, the rate of one entry host and the memory of idle processes.
+// It prints Markdown tables.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+// scenario is one measurement on a system of its own.
+type scenario struct {
+	name, short string
+	layout      local.Layout
+	run         func(ctx context.Context, s *local.System) error
+}
+
+var scenarios = []scenario{
+	{"overload", "Offer up to three times the capacity, from large and small workspaces", loadLayout, overload},
+	{"failing", "Let a third of the upstreams fail", loadLayout, failing},
+	{"path", "Compare the path with direct calls and load one entry host", pathLayout, path},
+}
+
+func main() {
+	root := &cobra.Command{Use: "loadtool", Short: "Measure a local system under load", SilenceUsage: true}
+	var timeout time.Duration
+	root.PersistentFlags().DurationVar(&timeout, "timeout", 2*time.Minute, "time for one scenario")
+	for _, sc := range scenarios {
+		root.AddCommand(&cobra.Command{
+			Use: sc.name, Short: sc.short, Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error {
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				defer cancel()
+				return sc.start(ctx)
+			},
+		})
+	}
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func (sc *scenario) start(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "sassafraspost-load-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin := filepath.Join(dir, "bin")
+	if err := local.Build(bin); err != nil {
+		return err
+	}
+	s, err := local.New(dir, bin, sc.layout)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	if err := s.Start(); err != nil {
+		return err
+	}
+	if err := s.Prepare(ctx, document()); err != nil {
+		return err
+	}
+	fmt.Printf("## %s\n\n", sc.name)
+	return sc.run(ctx, s)
+}
--- /dev/null
+++ b/test/cmd/loadtool/scenarios.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+// sum adds up the results of a phase.
+func (p *phase) sum() *result {
+	all := newResult(workspace{})
+	for _, r := range p.results {
+		all.offered += r.offered
+		all.ok += r.ok
+		all.refused += r.refused
+		all.failed += r.failed
+		all.latency.Merge(r.latency)
+		all.refusal.Merge(r.refusal)
+	}
+	return all
+}
+
+func (p *phase) rate(n int) float64 { return float64(n) / (p.span - warmUp).Seconds() }
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+
+// leastShare is the least part of its requests that a small workspace got answered.
+func (p *phase) leastShare() (least float64, large float64) {
+	least = 1
+	var ok, offered int
+	for _, r := range p.results {
+		if r.workspace.isLarge {
+			ok += r.ok
+			offered += r.offered
+			continue
+		}
+		if r.offered > 0 {
+			least = min(least, float64(r.ok)/float64(r.offered))
+		}
+	}
+	return least, float64(ok) / float64(max(offered, 1))
+}
+
+func overload(ctx context.Context, s *local.System) error {
+	client := newClient()
+	fmt.Printf("%d engines of %d slots, %.0f requests/s; %d entry hosts; %d large workspaces of share %d, %d small ones of share %d; deadline %s\n\n",
+		engines, slots, capacity, len(s.Entries), largeCount, largeShare, smallCount, smallShare, deadline)
+	fmt.Println("| offered / capacity | offered/s | answered/s | refused/s | failed | answered ms p50 | p99 | refused ms p50 | p99 | large answered | least small answered | not sent |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	peak, last := 0.0, 0.0
+	for _, factor := range []float64{0.8, 1, 1.2, 3} {
+		p := offer(ctx, s, client, factor, phaseTime)
+		r := p.sum()
+		least, large := p.leastShare()
+		last = p.rate(r.ok)
+		peak = max(peak, last)
+		fmt.Printf("| %.1f | %.0f | %.0f | %.0f | %d | %.0f | %.0f | %.1f | %.1f | %.0f%% | %.0f%% | %d |\n",
+			factor, p.rate(r.offered), last, p.rate(r.refused), r.failed, ms(r.latency, 50), ms(r.latency, 99),
+			ms(r.refusal, 50), ms(r.refusal, 99), 100*large, 100*least, p.dropped)
+	}
+	fmt.Printf("\nanswered at the last load over the most: %.3f\n", last/peak)
+	return nil
+}
+
+// failures are the ways in which a third of the upstreams fails.
+var failures = []struct {
+	name string
+	set  func(ctx context.Context, h *local.Host, on bool) error
+}{
+	{"none", func(context.Context, *local.Host, bool) error { return nil }},
+	{"engine breaks each connection", func(ctx context.Context, h *local.Host, on bool) error {
+		f := standin.Failure{}
+		if on {
+			f = standin.Failure{Mode: standin.Die, Times: 1 << 30}
+		}
+		return local.Fail(ctx, h.Upstream, f)
+	}},
+	{"engine is gone", func(_ context.Context, h *local.Host, on bool) error {
+		if on {
+			h.Upstream.Kill()
+			return nil
+		}
+		return h.Upstream.Start()
+	}},
+	{"upstream host is gone", func(_ context.Context, h *local.Host, on bool) error {
+		if on {
+			h.Kill()
+			h.Upstream.Kill()
+		}
+		return nil
+	}},
+}
+
+// failingLoad is a part of the capacity that two thirds of it can carry.
+const failingLoad = 0.5
+
+func failing(ctx context.Context, s *local.System) error {
+	client := newClient()
+	fmt.Printf("%.1f of the capacity; %d of %d upstreams fail\n\n", failingLoad, engines/3, engines)
+	fmt.Println("| failure | requests | retries | attempts / requests | answered | refused as not run | failed | answered ms p50 | p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	for _, f := range failures {
+		for _, h := range s.Agents[:engines/3] {
+			if err := f.set(ctx, h, true); err != nil {
+				return errors.Wrap(err, f.name)
+			}
+		}
+		before, err := counters(ctx, s.Entries)
+		if err != nil {
+			return err
+		}
+		p := offer(ctx, s, client, failingLoad, phaseTime)
+		after, err := counters(ctx, s.Entries)
+		if err != nil {
+			return err
+		}
+		for _, h := range s.Agents[:engines/3] {
+			if err := f.set(ctx, h, false); err != nil {
+				return errors.Wrap(err, f.name)
+			}
+		}
+		r := p.sum()
+		requests := after[requestsMetric] - before[requestsMetric]
+		retries := after[retriesMetric] - before[retriesMetric]
+		fmt.Printf("| %s | %d | %d | %.3f | %.2f%% | %.2f%% | %.2f%% | %.0f | %.0f |\n", f.name, requests, retries,
+			float64(requests+retries)/float64(requests), percent(r.ok, r.offered), percent(r.refused, r.offered),
+			percent(r.failed, r.offered), ms(r.latency, 50), ms(r.latency, 99))
+	}
+	return nil
+}
+
+func percent(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
+
+var pathLayout = local.Layout{Control: 3, Entries: 1, Engines: 4, Services: 1, EngineArgs: []string{"--step", "0s"}}
+
+const (
+	pathCalls   = 3000
+	pathTokens  = 8
+	callers     = 64
+	callersTime = 5 * time.Second
+)
+
+func path(ctx context.Context, s *local.System) error {
+	if err := idleMemory(s); err != nil {
+		return err
+	}
+	if err := addedLatency(ctx, s); err != nil {
+		return err
+	}
+	return entryRate(ctx, s)
+}
+
+func addedLatency(ctx context.Context, s *local.System) error {
+	client := newClient()
+	names := []string{"direct", "path"}
+	targets := []string{s.StandIns[0].Listen, s.Entries[0].Listen}
+	times := []*hdrhistogram.Histogram{newResult(workspace{}).latency, newResult(workspace{}).latency}
+	token := workspaces()[0].token
+	for n := range pathCalls {
+		for i, target := range targets {
+			began := time.Now()
+			if status, _ := call(ctx, client, target, token, fmt.Sprint("call ", n), pathTokens); status != http.StatusOK {
+				return errors.Errorf("%s: status %d", names[i], status)
+			}
+			_ = times[i].RecordValue(time.Since(began).Microseconds())
+		}
+	}
+	fmt.Printf("\n| %d calls one after the other | p50 ms | p99 ms |\n|---|---|---|\n", pathCalls)
+	for i, h := range times {
+		fmt.Printf("| %s | %.2f | %.2f |\n", names[i], ms(h, 50), ms(h, 99))
+	}
+	fmt.Printf("| added | %.2f | %.2f |\n", ms(times[1], 50)-ms(times[0], 50), ms(times[1], 99)-ms(times[0], 99))
+	return nil
+}
+
+// entryRate loads one entry host with callers that ask again at once.
+func entryRate(ctx context.Context, s *local.System) error {
+	client := newClient()
+	token := workspaces()[0].token
+	var ok, other atomic.Int64
+	before, err := cpu(s.Entries[0].Name)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; time.Since(began) < callersTime && ctx.Err() == nil; n++ {
+				if status, _ := call(ctx, client, s.Entries[0].Listen, token, fmt.Sprint(c, " asks ", n), pathTokens); status == http.StatusOK {
+					ok.Add(1)
+				} else {
+					other.Add(1)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	took := time.Since(began)
+	after, err := cpu(s.Entries[0].Name)
+	if err != nil {
+		return err
+	}
+	used := (after - before).Seconds()
+	fmt.Printf("\n| callers | answered/s | others | cores used by the entry process | answered per core and second | RSS after MiB |\n|---|---|---|---|---|---|\n")
+	rss, err := memory(s.Entries[0].Name)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("| %d | %.0f | %d | %.2f | %.0f | %.1f |\n", callers, float64(ok.Load())/took.Seconds(), other.Load(),
+		used/took.Seconds(), float64(ok.Load())/used, rss)
+	return nil
+}
+
+func idleMemory(s *local.System) error {
+	fmt.Println("| idle process | RSS MiB |\n|---|---|")
+	for _, h := range s.Daemons() {
+		rss, err := memory(h.Name)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %s | %.1f |\n", h.Name, rss)
+	}
+	return nil
+}
