Route by own load as it is and others' load as reported

Cause: the score added all that this host had sent since the last report to the report, so that for two seconds every answer that had come back still counted; upstreams were queued behind others that were free.

A report is now split into this host's own part, by its number in flight when the report was made, and that of others; own attempts count as they are now. That also ends the trimming by report time, which let an old report of an idle upstream keep all that was ever sent. Upstreams that are gone are forgotten.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +13,10 @@
 const (
 	// failingSpan is how long an upstream is avoided after a failed attempt.
 	failingSpan = 3 * time.Second
-	// maxSent bounds what is remembered of the attempts that no report counts yet.
-	maxSent = 1024
+	// maxMarks bounds what is remembered of the own load before the last report.
+	maxMarks = 4096
+	// pruneEvery is after how many picks upstreams that are gone are forgotten.
+	pruneEvery = 4096
 )
 
 // Outcome is how an attempt ended.
@@ -42,6 +45,7 @@
 	mu      sync.Mutex
 	own     map[string]*experience
 	history *History
+	picks   int
 }
 
 // experience is what this host knows of one upstream by itself.
@@ -49,8 +53,37 @@
 	incarnation uint64
 	inFlight    int
 	failedUntil time.Duration
-	// sent holds when attempts were sent that no report may count yet.
-	sent []time.Duration
+	// marks hold how many attempts were in flight from each moment on, so that a
+	// report can be told apart from what this host itself had there when it was made.
+	marks []mark
+}
+
+type mark struct {
+	at       time.Duration
+	inFlight int
+}
+
+// note remembers that the number in flight changed.
+func (x *experience) note(now time.Duration, by int) {
+	x.inFlight += by
+	x.marks = append(x.marks, mark{at: now, inFlight: x.inFlight})
+	if len(x.marks) > maxMarks {
+		x.marks = slices.Delete(x.marks, 0, maxMarks/2)
+	}
+}
+
+// inFlightAt is how many attempts were in flight when a report was made. It forgets
+// all before that: reports come in the order in which they were made.
+func (x *experience) inFlightAt(made time.Duration) int {
+	n := 0
+	for n < len(x.marks) && x.marks[n].at <= made {
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	x.marks = slices.Delete(x.marks, 0, n-1)
+	return x.marks[0].inFlight
 }
 
 // NewRouter returns a Router without experience.
@@ -62,9 +95,10 @@
 // until done is called, once. The error is ErrNoUpstream.
 func (r *Router) Pick(req *Request) (up wire.Upstream, done func(Outcome), err error) {
 	entries := r.cfg.Entries()
-	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	r.prune(entries)
 	candidates := make([]Candidate, 0, len(entries))
 	for i := range entries {
 		if entries[i].Upstream.Pool == req.Pool {
@@ -77,39 +111,47 @@
 	}
 	up = candidates[i].Upstream
 	x := r.experience(up)
-	x.inFlight++
-	x.sent = append(x.sent, now)
-	x.sent = x.sent[max(0, len(x.sent)-maxSent):]
+	x.note(now, 1)
 	r.history.Sent(up.Name, req.Prefixes)
 	var once sync.Once
 	return up, func(o Outcome) { once.Do(func() { r.finish(x, o) }) }, nil
 }
 
+// prune forgets, now and then, the upstreams that the directory has forgotten. The
+// caller holds mu.
+func (r *Router) prune(entries []directory.Entry) {
+	r.picks++
+	if r.picks%pruneEvery != 0 {
+		return
+	}
+	known := make(map[string]bool, len(entries))
+	for i := range entries {
+		known[entries[i].Upstream.Name] = true
+	}
+	for name := range r.own {
+		if !known[name] {
+			delete(r.own, name)
+			r.history.Forget(name)
+		}
+	}
+}
+
 // candidate joins what the directory and this host know. The caller holds mu.
 func (r *Router) candidate(e *directory.Entry, req *Request, now time.Duration) Candidate {
 	x := r.experience(e.Upstream)
-	age := now - e.LoadAt + time.Duration(e.Upstream.Load.AgeMS)*time.Millisecond
-	x.dropBefore(now - age)
+	load := e.Upstream.Load
+	age := now - e.LoadAt + time.Duration(load.AgeMS)*time.Millisecond
 	return Candidate{
 		Upstream:  e.Upstream,
 		Suspect:   e.Suspect,
 		Failing:   now < x.failedUntil,
 		ReportAge: age,
 		InFlight:  x.inFlight,
-		SentSince: len(x.sent),
+		Others:    max(0, int(load.Running+load.Queued)-x.inFlightAt(now-age)),
 		Cached:    r.history.Cached(e.Upstream.Name, req.Prefixes),
 	}
 }
 
-// dropBefore forgets what was sent before a report was made.
-func (x *experience) dropBefore(made time.Duration) {
-	n := 0
-	for n < len(x.sent) && x.sent[n] <= made {
-		n++
-	}
-	x.sent = x.sent[n:]
-}
-
 // experience returns what is known of the upstream, anew after a restart of its
 // agent. The caller holds mu.
 func (r *Router) experience(up wire.Upstream) *experience {
@@ -127,9 +169,10 @@
 func (r *Router) finish(x *experience, o Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.inFlight--
+	now := r.cfg.Now()
+	x.note(now, -1)
 	if o.HasFailed {
-		x.failedUntil = r.cfg.Now() + failingSpan
+		x.failedUntil = now + failingSpan
 		return
 	}
 	x.failedUntil = 0
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -37,8 +37,8 @@
 	ReportAge time.Duration
 	// InFlight counts this host's attempts in progress there.
 	InFlight int
-	// SentSince counts this host's attempts that the report can't know.
-	SentSince int
+	// Others is what the report counts beyond this host's own attempts at its time.
+	Others int
 	// Cached is the share of the prompt's blocks that should be in the cache, 0 to 1.
 	Cached float64
 }
--- a/internal/routing/scores.go
+++ b/internal/routing/scores.go
@@ -15,9 +15,9 @@
 	prefillShare = 0.8
 )
 
-// WaitScore estimates how long the request waits behind others. A report counts
-// less with its age, since what it counted has run since; what this host sent
-// after it counts in full.
+// WaitScore estimates how long the request waits behind others. What this host has
+// there is known exactly; what others have is known from the report, which counts
+// less with its age.
 type WaitScore struct{}
 
 // Name implements Score.
@@ -25,11 +25,9 @@
 
 // Cost implements Score.
 func (WaitScore) Cost(_ *Request, c *Candidate) float64 {
-	load := c.Upstream.Load
 	discount := math.Exp2(-c.ReportAge.Seconds() / reportHalfLife.Seconds())
-	reported := float64(load.Running+load.Queued) * discount
-	expected := math.Max(reported+float64(c.SentSince), float64(c.InFlight))
-	capacity := math.Max(float64(load.Capacity), 1)
+	expected := float64(c.InFlight) + float64(c.Others)*discount
+	capacity := math.Max(float64(c.Upstream.Load.Capacity), 1)
 	return firstToken(c) * expected / capacity
 }
 
