Refuse at the arrival, not in the queue

A request that asks to wait now counts three mean deviations on the turns ahead and on its service, one that waits counts one.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -168,7 +168,7 @@
 		c.quotas[key] = q
 	}
 	q.SetLimits(limits)
-	service := c.part(now, r.Pool).pool.serviceTime(t.Class)
+	service := c.part(now, r.Pool).pool.serviceTime(t.Class, 0)
 	if refusal := q.Take(now, t.Cost, service, t.Draw); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -53,7 +53,7 @@
 }
 
 // timeFor is how long n turns take.
-func (u *turns) timeFor(n int) time.Duration { return time.Duration(n) * u.gap.value }
+func (u *turns) timeFor(n int) time.Duration { return u.gap.times(n, admitDeviations) }
 
 // pruneAbove is how many flows without requests are kept for their finish times.
 const pruneAbove = 256
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -15,8 +15,11 @@
 	classCycle = 50
 	// meanSamples is over how many requests the measured means reach back.
 	meanSamples = 64
-	// highDeviations is how many mean deviations above its mean a service time counts.
-	highDeviations = 2
+	// admitDeviations is how many mean deviations above their means times count where a
+	// request asks to wait, hopelessDeviations where it waits already: what was let
+	// wait is refused only where it got clearly worse.
+	admitDeviations    = 3
+	hopelessDeviations = 1
 	// unknownRetryAfter is when to ask again where no upstream is known, or no service
 	// time yet: an agent announces once a second.
 	unknownRetryAfter = time.Second
@@ -114,7 +117,7 @@
 	if !p.hasRoom(t) {
 		return append(settled, p.refuse(t, verdict.CodeOverloaded, "queue is full", wait))
 	}
-	late := now + wait + p.serviceTime(t.Class) - t.Deadline
+	late := now + wait + p.serviceTime(t.Class, admitDeviations) - t.Deadline
 	if late >= 0 {
 		return append(settled, p.refuse(t, verdict.CodeOverloaded, "expected wait is past the deadline", late))
 	}
@@ -168,7 +171,7 @@
 	p.earliest = never
 	var out []*Ticket
 	for i := range p.classes {
-		late, earliest := p.classes[i].hopeless(now, p.serviceTime(uint8(i)))
+		late, earliest := p.classes[i].hopeless(now, p.serviceTime(uint8(i), hopelessDeviations))
 		p.earliest = min(p.earliest, earliest)
 		for _, t := range late {
 			p.remove(t)
@@ -180,7 +183,7 @@
 
 // HopelessAt is when Expire refuses t if it still waits.
 func (p *Pool) HopelessAt(t *Ticket) time.Duration {
-	return t.Deadline - p.serviceTime(t.Class)
+	return t.Deadline - p.serviceTime(t.Class, hopelessDeviations)
 }
 
 func (p *Pool) remove(t *Ticket) {
@@ -279,19 +282,19 @@
 	return time.Duration(float64(n) * float64(p.service.value) / float64(max(p.capacity, 1)))
 }
 
-// serviceTime is how long a request of the class takes, but for few: of all classes
-// where the class has had none yet.
-func (p *Pool) serviceTime(class uint8) time.Duration {
+// serviceTime is how long a request of the class takes, with some deviations more: of
+// all classes where the class has had none yet.
+func (p *Pool) serviceTime(class uint8, deviations float64) time.Duration {
 	if m := p.classes[class].service; m.samples > 0 {
-		return m.high()
+		return m.times(1, deviations)
 	}
-	return p.service.high()
+	return p.service.times(1, deviations)
 }
 
 func (p *Pool) longestService() time.Duration {
-	longest := p.service.high()
+	longest := p.service.times(1, hopelessDeviations)
 	for i := range p.classes {
-		longest = max(longest, p.classes[i].service.high())
+		longest = max(longest, p.classes[i].service.times(1, hopelessDeviations))
 	}
 	return longest
 }
@@ -318,5 +321,7 @@
 	m.value += (d - m.value) / time.Duration(m.samples)
 }
 
-// high is what few samples are above.
-func (m *mean) high() time.Duration { return m.value + highDeviations*m.deviation }
+// times is the sum of n samples, with some deviations of that sum more.
+func (m *mean) times(n int, deviations float64) time.Duration {
+	return time.Duration(n)*m.value + time.Duration(deviations*math.Sqrt(float64(n))*float64(m.deviation))
+}
