Choose by load and cache in one unit, with the cached upstream among the choices

Cause: the cost was multiplied by each upstream's reported time to the first token, which is low where a prompt was just found in the cache, so that all went there; two draws of sixteen rarely find the upstream that has the prompt; and reports of others counted for seconds, in which all that they counted had ended.

Cost is now in times to the first token: how full the upstream is, a queue at several times that, and the uncached part of the prompt. The choice is the cheapest of the most cached one and three draws. A report of others counts half after 0.5 s.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -57,7 +57,7 @@
 type Score interface {
 	// Name identifies the score in metrics.
 	Name() string
-	// Cost is in microseconds until the first token; less is better.
+	// Cost is in times to the first token of an idle upstream; less is better.
 	Cost(r *Request, c *Candidate) float64
 }
 
@@ -84,7 +84,7 @@
 	return &Policy{
 		Filters: []Filter{PoolFilter{}, ReadyFilter{}, UntriedFilter{}, VersionFilter{}, HealthyFilter{}},
 		Scores:  []Score{WaitScore{}, PrefillScore{}},
-		Picker:  TwoChoices{},
+		Picker:  Choices{Draws: 3},
 	}
 }
 
--- a/internal/routing/scores.go
+++ b/internal/routing/scores.go
@@ -7,12 +7,16 @@
 )
 
 const (
-	// reportHalfLife is the age at which a load report counts half.
-	reportHalfLife = 4 * time.Second
-	// defaultFirstTokenUS stands in where an upstream reported no time yet.
-	defaultFirstTokenUS = 50_000
-	// prefillShare is the part of the first token's time that a cached prompt saves.
-	prefillShare = 0.8
+	// reportHalfLife is the age at which what a report says of others counts half.
+	reportHalfLife = 500 * time.Millisecond
+	// busyCost is what a full upstream costs against an idle one: its steps are longer.
+	busyCost = 1
+	// queueCost is what a request costs that waits for as many to end as the upstream
+	// runs at once: a whole answer takes several times the time to its first token.
+	queueCost = 8
+	// prefillCost is the part of the time to the first token that a prompt saves that is
+	// in the cache.
+	prefillCost = 0.8
 )
 
 // WaitScore estimates how long the request waits behind others. What this host has
@@ -26,9 +30,9 @@
 // Cost implements Score.
 func (WaitScore) Cost(_ *Request, c *Candidate) float64 {
 	discount := math.Exp2(-c.ReportAge.Seconds() / reportHalfLife.Seconds())
-	expected := float64(c.InFlight) + float64(c.Others)*discount
-	capacity := math.Max(float64(c.Upstream.Load.Capacity), 1)
-	return firstToken(c) * expected / capacity
+	expected := float64(c.InFlight) + float64(c.Others)*discount + 1
+	full := expected / math.Max(float64(c.Upstream.Load.Capacity), 1)
+	return busyCost*full + queueCost*math.Max(0, full-1)
 }
 
 // PrefillScore estimates the time to compute the part of the prompt that is not
@@ -40,14 +44,7 @@
 
 // Cost implements Score.
 func (PrefillScore) Cost(_ *Request, c *Candidate) float64 {
-	return firstToken(c) * (1 - prefillShare*c.Cached)
-}
-
-func firstToken(c *Candidate) float64 {
-	if c.Upstream.Load.FirstTokenUS == 0 {
-		return defaultFirstTokenUS
-	}
-	return float64(c.Upstream.Load.FirstTokenUS)
+	return prefillCost * (1 - c.Cached)
 }
 
 // TwoChoices draws two candidates and takes the cheaper one. Entry hosts that see
@@ -69,3 +66,27 @@
 	}
 	return a
 }
+
+// Choices takes the cheapest of some candidates: Draws at random, so that entry hosts
+// which see the same late reports do not all go to the same upstream, and the one that
+// has most of the prompt in its cache, which a draw would rarely find.
+type Choices struct{ Draws int }
+
+// Pick implements Picker.
+func (p Choices) Pick(scored []Scored, rng *rand.Rand) int {
+	best := 0
+	for i := range scored {
+		if scored[i].Candidate.Cached > scored[best].Candidate.Cached {
+			best = i
+		}
+	}
+	if scored[best].Candidate.Cached == 0 {
+		best = rng.IntN(len(scored))
+	}
+	for range p.Draws {
+		if i := rng.IntN(len(scored)); scored[i].Cost < scored[best].Cost {
+			best = i
+		}
+	}
+	return best
+}
