--- a/internal/admission/quota_test.go
+++ b/internal/admission/quota_test.go
@@ -169,3 +169,22 @@
 	require.GreaterOrEqual(t, running, 396)
 	require.Equal(t, 100, p.Update(time.Hour, Usage{Capacity: 400, InUse: 800}, 40, 4), "others took their part back")
 }
+
+func TestOwnerCountsAGrantUntilItsLeaseEnds(t *testing.T) {
+	l := Limits{Requests: 80}
+	divider := NewDivider(-leaseSpan, 2)
+	require.InDelta(t, 70, divider.Divide(0, "a", 1, l, Use{Requests: 80}, 0).Requests, 1e-9)
+	require.InDelta(t, 10, divider.Divide(time.Second, "a", 1, l, Use{Requests: 10}, 0).Requests, 1e-9)
+	require.Zero(t, divider.Divide(time.Second, "b", 1, l, Use{Requests: 80}, 0), "the answer to a may be lost")
+	require.InDelta(t, 60, divider.Divide(leaseSpan, "b", 1, l, Use{Requests: 80}, 0).Requests, 1e-9)
+}
+
+func TestGrantEndsWithItsLease(t *testing.T) {
+	q := NewQuota(0, Limits{Requests: 80}, 8)
+	floor := q.part(0)
+	q.Grant(time.Second, Use{Requests: 50})
+	require.InDelta(t, floor.Requests+50, q.part(2*time.Second).Requests, 1e-9)
+	q.Grant(0, Use{Requests: 70})
+	require.InDelta(t, floor.Requests+50, q.part(2*time.Second).Requests, 1e-9, "an older grant came late")
+	require.Equal(t, floor, q.part(time.Second+leaseSpan))
+}
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -72,6 +72,25 @@
 	return best
 }
 
+// twoChoices draws two candidates and takes the cheaper one.
+type twoChoices struct{}
+
+// Pick implements Picker.
+func (twoChoices) Pick(scored []Scored, rng *rand.Rand) int {
+	if len(scored) == 1 {
+		return 0
+	}
+	a := rng.IntN(len(scored))
+	b := rng.IntN(len(scored) - 1)
+	if b >= a {
+		b++
+	}
+	if scored[b].Cost < scored[a].Cost {
+		return b
+	}
+	return a
+}
+
 // ownInFlight costs what this host has there.
 type ownInFlight struct{}
 
@@ -85,7 +104,7 @@
 	return map[string]func() *Policy{
 		"round-robin":     func() *Policy { return with(&roundRobin{}) },
 		"least-in-flight": func() *Policy { return with(leastCost{}, ownInFlight{}) },
-		"two-choices":     func() *Policy { return with(TwoChoices{}, ownInFlight{}) },
+		"two-choices":     func() *Policy { return with(twoChoices{}, ownInFlight{}) },
 		"default":         DefaultPolicy,
 	}
 }
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,320 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraspost/sassafraspost/internal/directory"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+func testRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func ready(name string) Candidate {
+	return Candidate{Upstream: wire.Upstream{Name: name, Pool: "p", State: wire.UpstreamReady, Load: wire.Load{Capacity: 8}}}
+}
+
+func with(name string, change func(*Candidate)) Candidate {
+	c := ready(name)
+	change(&c)
+	return c
+}
+
+func TestFilters(t *testing.T) {
+	other := with("other", func(c *Candidate) { c.Upstream.Pool = "q" })
+	leaving := with("leaving", func(c *Candidate) { c.Upstream.State = wire.UpstreamLeaving })
+	starting := with("starting", func(c *Candidate) { c.Upstream.State = wire.UpstreamStarting })
+	suspect := with("suspect", func(c *Candidate) { c.Suspect = true })
+	failing := with("failing", func(c *Candidate) { c.Failing = true })
+	newer := with("newer", func(c *Candidate) { c.Upstream.Version = "v2" })
+	good := ready("good")
+	cases := []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		want       []string
+	}{
+		{"another pool", Request{}, []Candidate{other, good}, []string{"good"}},
+		{"leaving", Request{}, []Candidate{leaving, good}, []string{"good"}},
+		{"only one that leaves", Request{}, []Candidate{leaving}, nil},
+		{"only one that starts", Request{}, []Candidate{starting}, nil},
+		{"only one of another pool", Request{}, []Candidate{other}, nil},
+		{"tried", Request{Tried: []string{"good"}}, []Candidate{good, suspect}, []string{"suspect"}},
+		{"all tried", Request{Tried: []string{"good"}}, []Candidate{good}, nil},
+		{"suspect", Request{}, []Candidate{suspect, good}, []string{"good"}},
+		{"only a suspect", Request{}, []Candidate{suspect, leaving}, []string{"suspect"}},
+		{"failing", Request{}, []Candidate{failing, good}, []string{"good"}},
+		{"all failing", Request{}, []Candidate{failing, suspect}, []string{"failing", "suspect"}},
+		{"version", Request{Version: "v2"}, []Candidate{good, newer}, []string{"newer"}},
+		{"no one has the version", Request{Version: "v3"}, []Candidate{good, newer}, []string{"good", "newer"}},
+		{"none", Request{}, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.request.Pool = "p"
+			rng := testRand()
+			var got []string
+			for range 100 {
+				i, err := DefaultPolicy().Choose(&c.request, c.candidates, rng)
+				if c.want == nil {
+					require.ErrorIs(t, err, ErrNoUpstream)
+					continue
+				}
+				require.NoError(t, err)
+				got = append(got, c.candidates[i].Upstream.Name)
+			}
+			slices.Sort(got)
+			require.Equal(t, c.want, slices.Compact(got))
+		})
+	}
+}
+
+func TestScoresOrderTheUpstreams(t *testing.T) {
+	cases := []struct {
+		name          string
+		cheap, costly Candidate
+	}{
+		{"own in flight", ready("a"), with("b", func(c *Candidate) { c.InFlight = 1 })},
+		{"others", ready("a"), with("b", func(c *Candidate) { c.Others = 1 })},
+		{"an old report says less", with("a", func(c *Candidate) { c.Others, c.ReportAge = 4, 4*time.Second }), with("b", func(c *Candidate) { c.Others = 4 })},
+		{"a small upstream", with("a", func(c *Candidate) { c.InFlight, c.Upstream.Load.Capacity = 8, 64 }), with("b", func(c *Candidate) { c.InFlight = 7 })},
+		{"cache", with("a", func(c *Candidate) { c.Cached = 1 }), with("b", func(c *Candidate) { c.Cached = 0.5 })},
+		{"cache before a little load", with("a", func(c *Candidate) { c.Cached, c.InFlight = 1, 4 }), ready("b")},
+		{"a free upstream before a queue at the cache", ready("a"), with("b", func(c *Candidate) { c.Cached, c.InFlight = 1, 9 })},
+	}
+	p := DefaultPolicy()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Less(t, p.cost(&Request{}, &c.cheap), p.cost(&Request{}, &c.costly))
+		})
+	}
+}
+
+func TestChoiceFindsTheCachedUpstreamAmongMany(t *testing.T) {
+	var list []Candidate
+	for i := range 100 {
+		list = append(list, ready(fmt.Sprint(i)))
+	}
+	list[77].Cached = 0.9
+	rng := testRand()
+	for range 100 {
+		i, err := DefaultPolicy().Choose(&Request{Pool: "p"}, list, rng)
+		require.NoError(t, err)
+		require.Equal(t, 77, i)
+	}
+}
+
+// TestChoiceSpreadsOverEqualUpstreams fails where hosts with the same reports all go
+// to the same upstream.
+func TestChoiceSpreadsOverEqualUpstreams(t *testing.T) {
+	var list []Candidate
+	for i := range 20 {
+		list = append(list, ready(fmt.Sprint(i)))
+		list[i].Others = i
+	}
+	rng := testRand()
+	counts := make([]int, 20)
+	for range 1000 {
+		i, err := DefaultPolicy().Choose(&Request{Pool: "p"}, list, rng)
+		require.NoError(t, err)
+		counts[i]++
+	}
+	require.Less(t, slices.Max(counts), 300)
+}
+
+// TestLeavingOrTriedUpstreamIsNeverPicked draws any candidates.
+func TestLeavingOrTriedUpstreamIsNeverPicked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []Candidate
+		var tried []string
+		for i := range rapid.IntRange(0, 12).Draw(t, "n") {
+			c := ready(fmt.Sprint(i))
+			c.Upstream.State = wire.UpstreamState(rapid.IntRange(0, 2).Draw(t, "state"))
+			c.Upstream.Pool = rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool")
+			c.Suspect = rapid.Bool().Draw(t, "suspect")
+			c.Failing = rapid.Bool().Draw(t, "failing")
+			c.InFlight = rapid.IntRange(0, 30).Draw(t, "in flight")
+			c.Others = rapid.IntRange(0, 30).Draw(t, "others")
+			c.Cached = rapid.Float64Range(0, 1).Draw(t, "cached")
+			if rapid.Bool().Draw(t, "tried") {
+				tried = append(tried, c.Upstream.Name)
+			}
+			list = append(list, c)
+		}
+		fits := func(c *Candidate) bool {
+			return c.Upstream.State == wire.UpstreamReady && c.Upstream.Pool == "p" && !slices.Contains(tried, c.Upstream.Name)
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		i, err := DefaultPolicy().Choose(&Request{Pool: "p", Tried: tried}, list, rng)
+		if err == nil {
+			require.True(t, fits(&list[i]))
+			return
+		}
+		for i := range list {
+			require.False(t, fits(&list[i]), "refused though one fits")
+		}
+	})
+}
+
+type routerFixture struct {
+	*Router
+	now     time.Duration
+	entries []directory.Entry
+}
+
+func newRouterFixture(names ...string) *routerFixture {
+	f := &routerFixture{now: time.Minute}
+	for _, name := range names {
+		f.entries = append(f.entries, directory.Entry{Upstream: ready(name).Upstream, LoadAt: f.now})
+	}
+	f.Router = NewRouter(Config{
+		Policy:       DefaultPolicy(),
+		Entries:      func() []directory.Entry { return f.entries },
+		Now:          func() time.Duration { return f.now },
+		Rand:         testRand(),
+		HistoryLimit: 100,
+	})
+	return f
+}
+
+func (f *routerFixture) look(i int) Candidate {
+	return f.candidate(&f.entries[i], &Request{Pool: "p"}, f.now)
+}
+
+func TestReportIsSplitIntoOwnAndOthers(t *testing.T) {
+	f := newRouterFixture("a")
+	var done []func(Outcome)
+	for range 5 {
+		_, d, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		done = append(done, d)
+	}
+	f.now += 2 * time.Second
+	f.entries[0].Upstream.Load.Running = 9 // made a second ago, when five were own
+	f.entries[0].Upstream.Load.AgeMS = 1000
+	f.entries[0].LoadAt = f.now
+	for _, d := range done[:3] {
+		d(Outcome{})
+		d(Outcome{})
+	}
+	got := f.look(0)
+	require.Equal(t, 2, got.InFlight, "own, as it is now")
+	require.Equal(t, 4, got.Others)
+	require.Equal(t, time.Second, got.ReportAge)
+	f.now += time.Hour
+	require.Equal(t, 4, f.look(0).Others, "an old report goes on to be split at its own time")
+}
+
+func TestOldReportOfAnIdleUpstreamCountsNothingSentSince(t *testing.T) {
+	f := newRouterFixture("a")
+	for range 3 * maxMarks {
+		f.now += time.Millisecond
+		_, done, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		done(Outcome{})
+	}
+	require.Zero(t, f.look(0).InFlight)
+	require.Zero(t, f.look(0).Others)
+	require.LessOrEqual(t, len(f.own["a"].marks), maxMarks)
+}
+
+func TestFailedUpstreamIsAvoidedForAWhile(t *testing.T) {
+	f := newRouterFixture("a", "b")
+	for {
+		up, done, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		if up.Name == "a" {
+			done(Outcome{HasFailed: true})
+			break
+		}
+		done(Outcome{})
+	}
+	for range 50 {
+		up, done, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		require.Equal(t, "b", up.Name)
+		done(Outcome{})
+	}
+	f.now += failingSpan
+	require.False(t, f.look(0).Failing)
+}
+
+func TestRestartOfAnAgentDropsWhatWasKnown(t *testing.T) {
+	f := newRouterFixture("a")
+	prefixes := []uint64{1, 2}
+	_, _, err := f.Pick(&Request{Pool: "p", Prefixes: prefixes})
+	require.NoError(t, err)
+	require.InDelta(t, 1, f.history.Cached("a", prefixes), 0)
+	f.entries[0].Upstream.Incarnation++
+	require.Zero(t, f.look(0).InFlight)
+	require.Zero(t, f.history.Cached("a", prefixes))
+}
+
+func TestForgottenUpstreamLeavesNothing(t *testing.T) {
+	f := newRouterFixture("a", "b")
+	f.look(0)
+	f.entries = f.entries[1:]
+	for range pruneEvery {
+		_, done, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		done(Outcome{})
+	}
+	require.Len(t, f.own, 1)
+}
+
+// TestHistoryTakesLateAndGappedEvents delivers the events of a cache in any order
+// and with gaps: what the newest event taken says of a prefix holds, and a late one
+// never undoes it.
+func TestHistoryTakesLateAndGappedEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHistory(1000)
+		model := make(map[uint64]bool)
+		last := uint64(0)
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			e := wire.CacheEvent{
+				Seq:    rapid.Uint64Range(1, 80).Draw(t, "seq"),
+				Prefix: rapid.Uint64Range(0, 5).Draw(t, "prefix"),
+				Stored: rapid.Bool().Draw(t, "stored"),
+			}
+			h.Event("a", e)
+			if e.Seq > last {
+				last = e.Seq
+				model[e.Prefix] = e.Stored
+			}
+			if rapid.Bool().Draw(t, "sent") {
+				p := rapid.Uint64Range(0, 5).Draw(t, "prefix sent")
+				h.Sent("a", []uint64{p})
+				model[p] = true
+			}
+			for p := range uint64(6) {
+				want := 0.0
+				if model[p] {
+					want = 1
+				}
+				require.InDelta(t, want, h.Cached("a", []uint64{p}), 0)
+				require.Zero(t, h.Cached("b", []uint64{p}), "another upstream")
+			}
+		}
+		h.Forget("a")
+		for p := range uint64(6) {
+			require.Zero(t, h.Cached("a", []uint64{p}))
+		}
+	})
+}
+
+func TestHistoryCountsLeadingBlocksAndForgetsTheOldest(t *testing.T) {
+	h := NewHistory(3)
+	h.Sent("a", []uint64{1, 2, 3})
+	require.InDelta(t, 0.5, h.Cached("a", []uint64{1, 2, 9, 3}), 0)
+	h.Sent("a", []uint64{1, 4})
+	require.Equal(t, 3, h.order.Len())
+	require.Len(t, h.where, 3)
+	require.Zero(t, h.Cached("a", []uint64{2}), "the least recently used goes")
+	require.InDelta(t, 1, h.Cached("a", []uint64{1, 4}), 0)
+}
--- a/internal/routing/scores.go
+++ b/internal/routing/scores.go
@@ -47,26 +47,6 @@
 	return prefillCost * (1 - c.Cached)
 }
 
-// TwoChoices draws two candidates and takes the cheaper one. Entry hosts that see
-// the same late reports so do not all go to the same upstream.
-type TwoChoices struct{}
-
-// Pick implements Picker.
-func (TwoChoices) Pick(scored []Scored, rng *rand.Rand) int {
-	if len(scored) == 1 {
-		return 0
-	}
-	a := rng.IntN(len(scored))
-	b := rng.IntN(len(scored) - 1)
-	if b >= a {
-		b++
-	}
-	if scored[b].Cost < scored[a].Cost {
-		return b
-	}
-	return a
-}
-
 // Choices takes the cheapest of some candidates: Draws at random, so that entry hosts
 // which see the same late reports do not all go to the same upstream, and the one that
 // has most of the prompt in its cache, which a draw would rarely find.
