Bound the reports of limited workspaces, and measure limits

Cause: a host's reports had no bound; 47 bytes a workspace and second there and 29 back (go test ./internal/admission -bench DemandBytes) would be 507 KB a second, were all 6,700 workspaces above their floors at one host. At most 32 are reported at once now, those first that asked longest ago.

--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,57 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// BenchmarkArriveAtAFullQueue is the dearest case: a request that is refused, or lets
+// another one go, beside a full queue of many workspaces.
+func BenchmarkArriveAtAFullQueue(b *testing.B) {
+	const limit, workspaces = 1024, 200
+	p := NewPool(limit)
+	p.SetCapacity(0, 1)
+	add := func(i int) *Ticket {
+		t := &Ticket{Workspace: fmt.Sprint(i % workspaces), Weight: 1, Class: 3, Cost: 1, Deadline: time.Hour}
+		p.Arrive(0, t)
+		return t
+	}
+	for i := 0; p.Queued() < limit*9/10; i++ {
+		add(i)
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		if t := add(i); t.state == stateWaiting {
+			p.Withdraw(t)
+		}
+	}
+}
+
+// BenchmarkDemandBytes tells what a limited workspace above its floor costs on the
+// wire, each reportEvery, there and back.
+func BenchmarkDemandBytes(b *testing.B) {
+	const n = 100
+	d, g := &wire.Demand{Seq: 1}, &wire.Grant{Seq: 1}
+	for i := range n {
+		key := Key("service", fmt.Sprint(i))
+		d.Items = append(d.Items, wire.DemandItem{Workspace: key, Limit: toWire(Limits{Requests: 200.5, Tokens: 40_000, Concurrent: 64}),
+			Wanted: useToWire(Use{Requests: 33.3, Tokens: 7777.7, Concurrent: 13}), Running: 7})
+		g.Items = append(g.Items, wire.GrantItem{Workspace: key, Given: useToWire(Use{Requests: 33.3, Tokens: 7777.7, Concurrent: 13})})
+	}
+	sizes := []int{0, 0}
+	for b.Loop() {
+		for i, m := range []wire.Message{d, g} {
+			data, err := wire.Encode(0, false, m)
+			require.NoError(b, err)
+			sizes[i] = len(data)
+		}
+	}
+	b.ReportMetric(float64(sizes[0])/n, "B/demand")
+	b.ReportMetric(float64(sizes[1])/n, "B/grant")
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -315,23 +317,41 @@
 const ReportEvery = reportEvery
 
 // Demands returns what this host wants of limited workspaces beyond its floors, and
-// forgets idle ones.
+// forgets idle ones. Of too many, those come first that have not asked for longest.
 func (c *Controller) Demands() []wire.DemandItem {
 	now := c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.divider.Expire(now)
+	wanting := c.wanting(now)
 	var out []wire.DemandItem
+	for _, key := range wanting[:min(len(wanting), maxDemands)] {
+		q := c.quotas[key]
+		u, _ := q.Demand(now)
+		q.Asked(now)
+		out = append(out, wire.DemandItem{Workspace: key, Limit: toWire(q.limits), Wanted: useToWire(u), Running: float32(q.RunningAbove())})
+	}
+	return out
+}
+
+// wanting returns the workspaces whose floor is not enough. It requires mu.
+func (c *Controller) wanting(now time.Duration) []uint64 {
+	var keys []uint64
 	for key, q := range c.quotas {
 		if q.IsIdle(now) {
 			delete(c.quotas, key)
 			continue
 		}
-		if u, ok := q.Asks(now); ok {
-			out = append(out, wire.DemandItem{Workspace: key, Limit: toWire(q.limits), Wanted: useToWire(u), Running: float32(q.RunningAbove())})
+		if _, ok := q.Demand(now); !ok {
+			q.Asked(now)
+			continue
 		}
+		keys = append(keys, key)
 	}
-	return out
+	slices.SortFunc(keys, func(a, b uint64) int {
+		return cmp.Compare(c.quotas[a].askedAt, c.quotas[b].askedAt)
+	})
+	return keys
 }
 
 // Divide answers a host's demand, as the owner of the workspaces in it.
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -151,3 +151,27 @@
 	host.Granted(now(), g)
 	require.Equal(t, 35, admitted(), "what the owner hands out of forty")
 }
+
+// TestReportsAreBoundedAndReachAll lets more workspaces want more than one report may
+// carry.
+func TestReportsAreBoundedAndReachAll(t *testing.T) {
+	c, _ := newController(10_000, 0)
+	c.cfg.Hosts = 8
+	const workspaces = 3 * maxDemands
+	seen := make(map[uint64]bool)
+	for range 3 {
+		for i := range workspaces {
+			r := request(fmt.Sprint(i))
+			r.Limits = Limits{Requests: 10}
+			for range 5 {
+				_, _ = c.Admit(context.Background(), r)
+			}
+		}
+		items := c.Demands()
+		require.LessOrEqual(t, len(items), maxDemands)
+		for _, item := range items {
+			seen[item.Workspace] = true
+		}
+	}
+	require.Len(t, seen, workspaces)
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -27,6 +27,9 @@
 	reportEvery = time.Second
 	// leaseSpan is how long a grant holds.
 	leaseSpan = 3 * time.Second
+	// maxDemands bounds the workspaces in the reports of one moment. With about 76 bytes
+	// each, there and back, limits so cost a host no more than 2.5 KB a second.
+	maxDemands = 32
 	// idleSpan is how long an unused workspace is remembered.
 	idleSpan = time.Minute
 )
@@ -69,7 +72,7 @@
 	requests bucket
 	tokens   bucket
 	running  int
-	// wanted counts what arrived since Asks was last called, refused or not; peak is
+	// wanted counts what arrived since Asked was last called, refused or not; peak is
 	// the most that ran at once, denied what was refused for that since then.
 	wanted  Use
 	peak    int
@@ -153,19 +156,24 @@
 // Done ends a request that was let through.
 func (q *Quota) Done() { q.running-- }
 
-// Asks returns what the host uses or wants beyond its floor, a second. It is false
-// where the floor is enough and nothing is held above it.
-func (q *Quota) Asks(now time.Duration) (Use, bool) {
+// Demand returns what the host uses or wants beyond its floor, a second, since Asked
+// was last called. It is false where the floor is enough.
+func (q *Quota) Demand(now time.Duration) (Use, bool) {
 	span := max(now-q.askedAt, time.Millisecond).Seconds()
-	u := Use{Requests: q.wanted.Requests / span, Tokens: q.wanted.Tokens / span, Concurrent: float64(q.peak + q.denied)}
-	q.wanted, q.peak, q.denied, q.askedAt = Use{}, q.running, 0, now
 	floor := q.floor()
-	u.Requests = above(u.Requests, floor.Requests, q.limits.Requests)
-	u.Tokens = above(u.Tokens, floor.Tokens, q.limits.Tokens)
-	u.Concurrent = above(u.Concurrent, floor.Concurrent, float64(q.limits.Concurrent))
+	u := Use{
+		Requests:   above(q.wanted.Requests/span, floor.Requests, q.limits.Requests),
+		Tokens:     above(q.wanted.Tokens/span, floor.Tokens, q.limits.Tokens),
+		Concurrent: above(float64(q.peak+q.denied), floor.Concurrent, float64(q.limits.Concurrent)),
+	}
 	return u, u != Use{}
 }
 
+// Asked begins to measure the demand anew.
+func (q *Quota) Asked(now time.Duration) {
+	q.wanted, q.peak, q.denied, q.askedAt = Use{}, q.running, 0, now
+}
+
 // above is the part of a demand above the floor, none without a limit, and no more
 // than the limit.
 func above(demand, floor, limit float64) float64 {
