Hand the leadership over without refusing a booking

Close now waits for what is in flight; a client treats a host that is leaving as one that does not lead, and looks for 300 ms, the time of a hand-over and not of an election. Ruled out: the transfer of the leadership itself, which refuses new proposals for one round trip only.

--- a/internal/command/batcher.go
+++ b/internal/command/batcher.go
@@ -174,13 +174,23 @@
 	}
 }
 
-// close refuses what comes and ends the batch in flight.
-func (b *batcher[Q, R]) close() {
+// close refuses what comes and waits until what was taken has its result; when ctx
+// ends first, it ends the batch in flight.
+func (b *batcher[Q, R]) close(ctx context.Context) {
 	b.mu.Lock()
 	b.closed = true
 	b.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		b.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 	b.cancel()
-	b.wg.Wait()
+	<-done
 }
 
 // contextError tells why a caller stopped waiting.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -69,10 +69,11 @@
 	return s
 }
 
-// Close ends what is in flight and refuses what comes.
-func (s *Service) Close() {
-	s.claims.close()
-	s.finishes.close()
+// Close refuses what comes and waits until what is in flight has ended, by itself or
+// because ctx has.
+func (s *Service) Close(ctx context.Context) {
+	s.claims.close(ctx)
+	s.finishes.close(ctx)
 }
 
 // ConflictError names the change that a submission met.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -19,7 +19,9 @@
 	// attemptTimeout bounds the wait for one control host, so that a frozen one is
 	// passed over.
 	attemptTimeout = 800 * time.Millisecond
-	clientDelay    = 50 * time.Millisecond
+	clientDelay    = 25 * time.Millisecond
+	// handOver is how long a client looks for a leader before it gives up.
+	handOver = 300 * time.Millisecond
 	// noLeaderRetryAfter is what a refused caller is told to wait: an election's time.
 	noLeaderRetryAfter = 2 * time.Second
 )
@@ -102,13 +104,16 @@
 }
 
 // call tries the leader, then the others, until one answers with something else
-// than that it does not lead.
+// than that it does not lead. It gives up once every host was asked and handOver has
+// passed without a leader: long enough for a leadership that is handed over, too
+// short for an election, whose length the caller is told to come back after.
 func (c *Client) call(ctx context.Context, m wire.Message, again resend) (wire.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
+	started := time.Now()
 	maySent := false
 	var last error
-	for leaderless := 0; ctx.Err() == nil && leaderless < len(c.addresses); {
+	for leaderless := 0; ctx.Err() == nil; {
 		address := c.target()
 		reply, sent, err := c.callOne(ctx, address, m)
 		if err == nil {
@@ -119,24 +124,30 @@
 		switch {
 		case isFailure && c.isConfigured(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
-		case isFailure && verdict.Of(err).Code == verdict.CodeNoQuorum && verdict.Of(err).Verdict == verdict.NotRun:
-			leaderless++
-			c.forget(address)
-		case isFailure:
+		case isFailure && !isElsewhere(err):
 			return nil, err
 		default:
 			leaderless++
-			maySent = maySent || sent
+			maySent = maySent || (sent && !isFailure)
 			c.forget(address)
-			if sent && again == sendOnce {
-				return nil, unreachable(maySent, err)
-			}
+		}
+		if maySent && again == sendOnce {
+			break
+		}
+		if leaderless >= len(c.addresses) && time.Since(started) > handOver {
+			break
 		}
 		pause(ctx, clientDelay)
 	}
 	return nil, unreachable(maySent, last)
 }
 
+// isElsewhere reports whether a host refused since it does not lead or is leaving.
+func isElsewhere(err error) bool {
+	e := verdict.Of(err)
+	return e.Verdict == verdict.NotRun && (e.Code == verdict.CodeNoQuorum || e.Code == verdict.CodeLeaving)
+}
+
 func unreachable(maySent bool, cause error) error {
 	e := verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no leader among the control hosts")
 	if maySent {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -129,7 +129,7 @@
 
 // Close hands the leadership over and stops the replica.
 func (h *Host) Close(ctx context.Context) error {
-	h.commands.Close()
+	h.commands.Close(ctx)
 	return h.replica.Close(ctx)
 }
 
