--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -295,9 +295,12 @@
 		close(closed)
 	}()
 	require.Eventually(t, func() bool {
-		_, err := s.Claim(t.Context(), claim("2", "a"))
-		return err != nil && verdict.Of(err).Code == verdict.CodeLeaving
+		s.claims.mu.Lock()
+		defer s.claims.mu.Unlock()
+		return s.claims.closed
 	}, generous, time.Millisecond)
+	_, err := s.Claim(t.Context(), claim("2", "a"))
+	requireCode(t, err, verdict.NotRun, verdict.CodeLeaving)
 	close(a.gate)
 	require.NoError(t, <-failed)
 	<-closed
