--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -132,18 +132,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Expire(now)
-	d.view.Expire(now)
+	isChanged := d.view.Expire(now)
 	delta := d.table.Flush(withLoads)
 	if delta != nil {
 		d.version++
 		delta.Incarnation, delta.Version = d.cfg.Incarnation, d.version
 		d.broadcast(delta)
 		d.applyOwn(delta, now)
+		isChanged = true
 	}
 	if withNotice {
 		d.broadcast(&wire.DigestNotice{Incarnation: d.cfg.Incarnation, Version: d.version})
 	}
-	d.publish()
+	if isChanged {
+		d.publish()
+	}
 }
 
 // applyOwn merges what this host owns itself. The caller holds mu.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -101,13 +101,15 @@
 	}
 }
 
-// Expire drops the owners whose grace has ended.
-func (v *View) Expire(now time.Duration) {
+// Expire drops the owners whose grace has ended and reports whether there were any.
+func (v *View) Expire(now time.Duration) bool {
+	before := len(v.owners)
 	for name, o := range v.owners {
 		if !o.connected && now-o.lostAt >= ownerGrace {
 			delete(v.owners, name)
 		}
 	}
+	return len(v.owners) != before
 }
 
 // Entries returns all upstreams, sorted by name. For each, the newest record of
--- /dev/null
+++ b/test/cmd/capacity/main.go
@@ -0,0 +1,211 @@
+// Command capacity measures what control costs with real processes: control hosts,
+// and entry hosts in several data centres, that hold the documents of many
+// workspaces. It prints bytes, messages, CPU and memory a node while idle, and how
+// long changes take until they are in force everywhere.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+const timeout = 9 * time.Minute
+
+type options struct {
+	control, centres, entries, agents int
+	teams, workspaces, changes        int
+	span                              time.Duration
+}
+
+func main() {
+	var o options
+	cmd := &cobra.Command{
+		Use:          "capacity",
+		Short:        "Measure what control costs a node, with real processes",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(*cobra.Command, []string) error { return run(o) },
+	}
+	fs := cmd.Flags()
+	fs.IntVar(&o.control, "control", 3, "control hosts")
+	fs.IntVar(&o.centres, "centres", 3, "data centres")
+	fs.IntVar(&o.entries, "entries", 3, "entry hosts in each data centre")
+	fs.IntVar(&o.agents, "agents", 0, "agents in each data centre, each with a stand-in")
+	fs.IntVar(&o.teams, "teams", 27, "documents")
+	fs.IntVar(&o.workspaces, "workspaces", 249, "workspaces in each document")
+	fs.IntVar(&o.changes, "changes", 20, "changes to time")
+	fs.DurationVar(&o.span, "span", 20*time.Second, "how long to measure idle cost")
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "sassafraspost-capacity-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin := filepath.Join(dir, "bin")
+	if err := local.Build(bin); err != nil {
+		return err
+	}
+	layout := local.Layout{Control: o.control, Entries: o.entries, Engines: o.agents}
+	for i := range o.centres {
+		layout.DataCentres = append(layout.DataCentres, fmt.Sprintf("centre-%d", i))
+	}
+	s, err := local.New(dir, bin, layout)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	if err := s.Start(); err != nil {
+		return err
+	}
+	if err := s.Found(ctx); err != nil {
+		return err
+	}
+	m := measurement{System: s, o: o}
+	if err := m.submitAll(ctx); err != nil {
+		return err
+	}
+	if err := m.idle(ctx); err != nil {
+		return err
+	}
+	return m.change(ctx)
+}
+
+type measurement struct {
+	*local.System
+	o options
+}
+
+func (m measurement) submitAll(ctx context.Context) error {
+	begin := time.Now()
+	for team := range m.o.teams {
+		if out, err := m.SubmitOver(ctx, 0, local.TeamDocument(team, m.o.workspaces, "v1")); err != nil {
+			return errors.Wrap(err, out)
+		}
+	}
+	revision, err := m.await(ctx, m.o.teams-1)
+	fmt.Printf("%d documents of %d workspaces, %d bytes each, in force on %d hosts after %v, revision %d\n",
+		m.o.teams, m.o.workspaces, len(local.TeamDocument(0, m.o.workspaces, "v1")), len(m.Entries),
+		time.Since(begin).Round(time.Millisecond), revision)
+	return err
+}
+
+type status struct {
+	Revision uint64 `json:"revision"`
+	InForce  int    `json:"inForce"`
+}
+
+// await waits until the document of a team is in force on every entry host.
+func (m measurement) await(ctx context.Context, team int) (uint64, error) {
+	var st status
+	err := local.Await(ctx, func() bool {
+		out, err := m.Tool(ctx, "status", fmt.Sprintf("team-%d", team), "-o", "json")
+		return err == nil && json.Unmarshal([]byte(out), &st) == nil && st.InForce == len(m.Entries)
+	})
+	return st.Revision, err
+}
+
+// idle measures what nodes spend while nothing changes.
+func (m measurement) idle(ctx context.Context) error {
+	kinds := []struct {
+		name  string
+		hosts []*local.Host
+	}{{"control host", m.Control}, {"entry host", m.Entries}, {"agent", m.Agents}}
+	before := make([]spent, len(kinds))
+	for i, k := range kinds {
+		var err error
+		if before[i], err = read(ctx, k.hosts); err != nil {
+			return err
+		}
+	}
+	<-time.After(m.o.span)
+	for i, k := range kinds {
+		if len(k.hosts) == 0 {
+			continue
+		}
+		after, err := read(ctx, k.hosts)
+		if err != nil {
+			return err
+		}
+		after.show(k.name, before[i], m.o.span.Seconds()*float64(len(k.hosts)), len(k.hosts))
+	}
+	return nil
+}
+
+// spent is what some hosts have spent, summed.
+type spent struct {
+	counters map[string]int64
+	cpu      time.Duration
+	resident int64
+}
+
+func read(ctx context.Context, hosts []*local.Host) (spent, error) {
+	var out spent
+	var err error
+	if out.counters, err = local.Counters(ctx, hosts); err != nil {
+		return out, err
+	}
+	for _, h := range hosts {
+		u, err := h.Usage()
+		if err != nil {
+			return out, err
+		}
+		out.cpu += u.CPU
+		out.resident += u.Resident
+	}
+	return out, nil
+}
+
+func (s spent) show(name string, before spent, per float64, hosts int) {
+	rate := func(counter string) float64 {
+		key := "sassafraspost_peer_control_" + counter
+		return float64(s.counters[key]-before.counters[key]) / per
+	}
+	fmt.Printf("%s: sends %.1f messages/s, %.0f B/s; receives %.1f messages/s, %.0f B/s; %.3f%% of a core; %.1f MiB resident\n",
+		name, rate("sent_messages"), rate("sent_bytes"), rate("received_messages"), rate("received_bytes"),
+		100*(s.cpu-before.cpu).Seconds()/per, float64(s.resident)/float64(hosts)/(1<<20))
+}
+
+// change times changes from the answer to the submission until in force everywhere.
+func (m measurement) change(ctx context.Context) error {
+	var times []time.Duration
+	for i := range m.o.changes {
+		out, err := m.Tool(ctx, "status", "team-0", "-o", "json")
+		if err != nil {
+			return errors.Wrap(err, out)
+		}
+		var st status
+		if err := json.Unmarshal([]byte(out), &st); err != nil {
+			return err
+		}
+		text := local.TeamDocument(0, m.o.workspaces, fmt.Sprintf("v%d", i+2))
+		if out, err := m.SubmitOver(ctx, st.Revision, text); err != nil {
+			return errors.Wrap(err, out)
+		}
+		accepted := time.Now()
+		if _, err := m.await(ctx, 0); err != nil {
+			return err
+		}
+		times = append(times, time.Since(accepted))
+	}
+	slices.Sort(times)
+	fmt.Printf("in force everywhere after the answer: p50 %v, max %v over %d changes\n",
+		times[len(times)/2].Round(time.Millisecond), times[len(times)-1].Round(time.Millisecond), len(times))
+	return nil
+}
--- /dev/null
+++ b/test/local/usage.go
@@ -0,0 +1,83 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ticksPerSecond is the kernel's unit of process times.
+const ticksPerSecond = 100
+
+// Usage is what a process has used.
+type Usage struct {
+	// Resident is the resident memory, in bytes.
+	Resident int64
+	CPU      time.Duration
+}
+
+// Usage reads what the process has used.
+func (p *Process) Usage() (Usage, error) {
+	p.mu.Lock()
+	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
+	p.mu.Unlock()
+	stat, err := os.ReadFile(dir + "/stat")
+	if err != nil {
+		return Usage{}, err
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const user, system, resident = 11, 12, 21
+	if len(fields) <= resident {
+		return Usage{}, errors.Errorf("no usage of %s", p.Name)
+	}
+	var n [3]int64
+	for i, f := range []int{user, system, resident} {
+		if n[i], err = strconv.ParseInt(fields[f], 10, 64); err != nil {
+			return Usage{}, err
+		}
+	}
+	return Usage{
+		Resident: n[2] * int64(os.Getpagesize()),
+		CPU:      time.Duration(n[0]+n[1]) * time.Second / ticksPerSecond,
+	}, nil
+}
+
+// Counters sums the counters of some hosts by name.
+func Counters(ctx context.Context, hosts []*Host) (map[string]int64, error) {
+	sum := make(map[string]int64)
+	for _, h := range hosts {
+		if err := addCounters(ctx, h, sum); err != nil {
+			return nil, err
+		}
+	}
+	return sum, nil
+}
+
+func addCounters(ctx context.Context, h *Host, sum map[string]int64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Metrics+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		var name string
+		var value float64
+		if _, err := fmt.Sscan(lines.Text(), &name, &value); err == nil {
+			sum[name] += int64(value)
+		}
+	}
+	return lines.Err()
+}
