Let an agent record the outcome that no entry host hears

Cause: where the entry host died or its link was cut while a booking ran, the agent read the answer to its end and threw it away; the key then counted as unknown for good, though its outcome was known. The agent now records it, if it is given a recorder and the session is lost by then or within 5 s after. It never overrides what the entry host recorded, but for may-have-run. The daemon does not give it one yet. Ruled out: recording every outcome twice, which doubles the log's work.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/answer"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -48,7 +49,10 @@
 	Remember int
 	// RetryAfter is what a refused caller is told to wait.
 	RetryAfter time.Duration
-	Metrics    metrics.Registry
+	// Recorder, if set, takes the outcomes of non-idempotent calls that no entry host
+	// hears, so that a resend finds the answer.
+	Recorder answer.Recorder
+	Metrics  metrics.Registry
 }
 
 // Agent stands in front of one upstream.
@@ -58,6 +62,8 @@
 	shared   *http.Transport
 	once     *http.Transport
 	counters counters
+	// unheard has room for the answers that are kept until they count as heard.
+	unheard chan struct{}
 
 	// mu guards the rest.
 	mu       sync.Mutex
@@ -94,6 +100,7 @@
 		seen:     newMemory[wire.AttemptID](cfg.Remember),
 		claims:   newMemory[wire.Claim](cfg.Remember),
 		idle:     make(chan struct{}, 1),
+		unheard:  make(chan struct{}, maxUnheard),
 	}, nil
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -155,6 +155,7 @@
 // relay sends the body in frames and then the end.
 func (a *Agent) relay(at *attempt, resp *http.Response) {
 	r := &relay{agent: a, at: at, end: wire.End{Attempt: at.d.Attempt}, digest: xxhash.New()}
+	r.recording.isOn = at.d.Claim != nil && a.cfg.Recorder != nil
 	err := r.copy(resp.Body)
 	if err == nil {
 		err = checkWhole(at.d, resp, r.tail)
@@ -166,6 +167,9 @@
 		r.end.Text = err.Error()
 	}
 	a.send(at, &r.end)
+	if err == nil {
+		a.recordUnheard(at, resp, &r.recording)
+	}
 }
 
 type relay struct {
@@ -174,6 +178,8 @@
 	end    wire.End
 	digest *xxhash.Digest
 	tail   []byte
+
+	recording recording
 }
 
 func (r *relay) copy(body io.Reader) error {
@@ -183,6 +189,7 @@
 	for {
 		n, err := body.Read(buf)
 		r.keepTail(buf[:n])
+		r.recording.add(buf[:n])
 		if sendErr := r.sendAll(buf[:n]); sendErr != nil {
 			return sendErr
 		}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -487,6 +487,37 @@
 	require.Zero(t, p.counter("agent.refused"), "a call that may not repeat is not cut by a lost session")
 }
 
+// A call whose entry host can't hear its end is recorded by the agent, so that a
+// resend gets the answer. Without recordUnheard this fails: the resend is told that
+// the call may have run.
+func TestAgentRecordsWhatNobodyHears(t *testing.T) {
+	p := startPath(t, nil)
+	s := standin.NewService(0)
+	started, release := make(chan struct{}, 8), make(chan struct{})
+	p.upstream("u1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-release
+		s.ServeHTTP(w, r)
+	}), func(c *agent.Config) { c.Recorder = p.claims })
+	first := make(chan reply, 1)
+	go func() { first <- p.book("k", "ana") }()
+	<-started
+	for _, open := range p.pool.Sessions() {
+		open.Close()
+	}
+	require.Equal(t, "may-have-run", (<-first).verdict())
+	close(release)
+	var again reply
+	require.Eventually(t, func() bool {
+		again = p.book("k", "ana")
+		return again.verdict() == "ran"
+	}, patience, time.Millisecond)
+	require.Equal(t, http.StatusCreated, again.status)
+	require.Equal(t, "true", again.header.Get(entry.ReplayedHeader))
+	require.Contains(t, again.body, "ana")
+	require.Equal(t, 1, s.Executions().ByKey["k"].Begun)
+}
+
 // The library sends a request again where a kept connection closes under it; a call
 // that may not repeat goes out on a connection of its own.
 func TestLibraryDoesNotRepeatACall(t *testing.T) {
