Let the mix end with keys whose end nobody knows

It now kills an entry host and the agents at once and waits until each caller knows the end of its key.

--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -315,8 +315,6 @@
 	mixRounds  = 10
 	// mixProgress is how many bookings come whole between two faults.
 	mixProgress = 25
-	// mixLong is how many bookings come whole while claims pass their deadlines.
-	mixLong = 3000
 )
 
 // mix is a crowd of callers that resend each key until they know its end.
@@ -326,11 +324,14 @@
 	wg   sync.WaitGroup
 	// whole counts the keys whose answer came, unknown those that may have run.
 	whole, unknown atomic.Int64
+	// keys is the number of the key that each caller asks for.
+	keys [mixCallers]atomic.Int64
 }
 
 func (m *mix) run(caller int, r *rand.Rand) {
 	defer m.wg.Done()
 	for n := 0; ; n++ {
+		m.keys[caller].Store(int64(n))
 		key := fmt.Sprintf("mix-%d-%d", caller, n)
 		for ended := false; !ended; {
 			select {
@@ -396,16 +397,30 @@
 	t.Logf("seed %d: %d keys whole, %d unknown; %d sendings: %+v", mixSeed, m.whole.Load(), m.unknown.Load(), len(l.sendings), count)
 }
 
-// outliveClaims kills entry hosts with bookings on their way and goes on until claims
-// that they held have passed their deadlines.
+// outliveClaims kills an entry host and the agents at once, with bookings on their way,
+// so that nobody is left who knows their ends, and goes on until each caller has
+// learnt the end of the key that it had then.
 func (m *mix) outliveClaims(r *rand.Rand) {
 	s := m.l.s
-	from := m.unknown.Load()
 	h := s.Entries[r.IntN(len(s.Entries))]
 	h.Kill()
-	whole := m.whole.Load()
-	s.await("claims that end unknown, or many bookings", func() bool {
-		return m.unknown.Load() > from || m.whole.Load() >= whole+mixLong
+	for _, a := range s.Agents[1:] {
+		a.Kill()
+	}
+	var keys [mixCallers]int64
+	for i := range keys {
+		keys[i] = m.keys[i].Load()
+	}
+	for _, a := range s.Agents[1:] {
+		require.NoError(s.t, a.Start())
+	}
+	s.await("the ends of all keys", func() bool {
+		for i := range keys {
+			if m.keys[i].Load() == keys[i] {
+				return false
+			}
+		}
+		return true
 	})
 	require.NoError(s.t, h.Start())
 }
