Leave room for the drift of a wait, and count turns only where measured

An expected wait now counts by half more against the deadline, service times with two deviations, turns with one and only after eight of them.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -52,8 +52,16 @@
 	u.last = now
 }
 
-// timeFor is how long n turns take.
-func (u *turns) timeFor(n int) time.Duration { return u.gap.times(n, admitDeviations) }
+// timeFor is how long n turns take, zero where too few were measured.
+func (u *turns) timeFor(n int) time.Duration {
+	if u.gap.samples < minTurns {
+		return 0
+	}
+	return u.gap.times(n, turnDeviations)
+}
+
+// minTurns is how many turns have to be measured before they say anything.
+const minTurns = 8
 
 // pruneAbove is how many flows without requests are kept for their finish times.
 const pruneAbove = 256
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -15,11 +15,16 @@
 	classCycle = 50
 	// meanSamples is over how many requests the measured means reach back.
 	meanSamples = 64
-	// admitDeviations is how many mean deviations above their means times count where a
-	// request asks to wait, hopelessDeviations where it waits already: what was let
-	// wait is refused only where it got clearly worse.
-	admitDeviations    = 3
+	// admitDeviations is how many mean deviations above its mean a service time counts
+	// where a request asks to wait, hopelessDeviations where it waits already: what was
+	// let wait is refused only where it got clearly worse. turnDeviations is the same
+	// for the turns ahead of a request that asks to wait.
+	admitDeviations    = 2
 	hopelessDeviations = 1
+	turnDeviations     = 1
+	// driftPart is the part of an expected wait, as its inverse, by which the mix of
+	// requests may change it meanwhile.
+	driftPart = 2
 	// unknownRetryAfter is when to ask again where no upstream is known, or no service
 	// time yet: an agent announces once a second.
 	unknownRetryAfter = time.Second
@@ -117,7 +122,7 @@
 	if !p.hasRoom(t) {
 		return append(settled, p.refuse(t, verdict.CodeOverloaded, "queue is full", wait))
 	}
-	late := now + wait + p.serviceTime(t.Class, admitDeviations) - t.Deadline
+	late := now + wait + wait/driftPart + p.serviceTime(t.Class, admitDeviations) - t.Deadline
 	if late >= 0 {
 		return append(settled, p.refuse(t, verdict.CodeOverloaded, "expected wait is past the deadline", late))
 	}
