Borrow capacity only where it is needed, and give it back

A host now borrows only after it needed all it had for two reports in a row, and gives back what the reports show as too much.

--- a/internal/admission/capacity.go
+++ b/internal/admission/capacity.go
@@ -16,11 +16,13 @@
 
 // Part is this host's part of the capacity of one pool. The zero value is ready.
 //
-// Each host may always use an equal part. It may use more of what the reports show
-// as free, but takes only its own fraction of that a report: hosts that see the same
-// report at once so never take more together than was free.
+// Each host may always use an equal part. One that needed all that it had for two
+// reports in a row may use more of what they show as free, but takes only its own
+// fraction of that a report: hosts that see the same report at once so never take more
+// together than was free. It gives back what turns out to be used by others.
 type Part struct {
-	borrowed  int
+	size      int
+	isHungry  bool
 	updatedAt time.Duration
 	updated   bool
 }
@@ -32,9 +34,24 @@
 	hosts = max(hosts, 1)
 	equal := (u.Capacity + hosts - 1) / hosts
 	if !s.updated || now-s.updatedAt >= borrowEvery {
-		free := max(0, u.Capacity-max(u.InUse, own))
-		s.borrowed = own + free/hosts
+		s.borrow(u, own, hosts)
 		s.updatedAt, s.updated = now, true
 	}
-	return min(max(equal, s.borrowed), u.Capacity)
+	return min(max(equal, s.size), u.Capacity)
+}
+
+// borrow looks at a new report.
+func (s *Part) borrow(u Usage, own, hosts int) {
+	equal := (u.Capacity + hosts - 1) / hosts
+	wasHungry := s.isHungry
+	s.isHungry = own >= max(equal, s.size)
+	free := u.Capacity - max(u.InUse, own)
+	if free < 0 {
+		s.size = max(equal, own+free)
+		return
+	}
+	s.size = max(equal, own)
+	if s.isHungry && wasHungry {
+		s.size = own + free/hosts
+	}
 }
