--- a/internal/admission/quota_test.go
+++ b/internal/admission/quota_test.go
@@ -211,8 +211,8 @@
 				running[i] = parts[i].Update(time.Duration(round)*borrowEvery, Usage{Capacity: capacity, InUse: used}, running[i], n)
 				sum += running[i]
 			}
-			if late <= 1 {
-				require.LessOrEqual(t, sum, capacity, "one late report makes the hosts take too much")
+			if late <= 2 {
+				require.LessOrEqual(t, sum, capacity, "two late reports make the hosts take too much")
 			}
 		}
 		require.Equal(t, capacity, sum, "not given back")
--- a/test/cmd/loadtool/load.go
+++ b/test/cmd/loadtool/load.go
@@ -167,9 +167,10 @@
 
 // arrivals sends at exponential distances until the phase ends.
 func (p *phase) arrivals(ctx context.Context, r *result, rate float64, rng *rand.Rand, wg *sync.WaitGroup) {
-	due := p.start
+	next := p.start
 	for n := 0; ; n++ {
-		due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		due := next
 		if due.Sub(p.start) >= p.span || ctx.Err() != nil {
 			return
 		}
