--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -51,6 +51,7 @@
 		URL:      set.UpstreamURL,
 		Engine:   set.Kind == settings.UpstreamModel,
 		Capacity: set.Capacity,
+		Recorder: control.NewClient(d.pool, addresses(set.Control)),
 		Metrics:  d.metrics,
 	})
 	if err != nil {
--- a/test/local/prepare.go
+++ b/test/local/prepare.go
@@ -29,8 +29,11 @@
 	err := Await(ctx, func() bool {
 		var err error
 		out, err = s.Tool(ctx, "init")
-		return err == nil
+		return err == nil || s.dead() != ""
 	})
+	if name := s.dead(); name != "" {
+		return errors.Errorf("%s has ended", name)
+	}
 	if err != nil {
 		return errors.Wrapf(err, "init: %s", out)
 	}
@@ -38,6 +41,16 @@
 	return errors.Wrap(err, "votes")
 }
 
+// dead returns the name of a control host that has ended, empty if all run.
+func (s *System) dead() string {
+	for _, h := range s.Control {
+		if !h.IsRunning() {
+			return h.Name
+		}
+	}
+	return ""
+}
+
 // Submit submits a document over the revision that is accepted now.
 func (s *System) Submit(ctx context.Context, document string) (string, error) {
 	st, _ := s.status(ctx)
