Prove that an old leader's orders are not carried out; serve orders on every control host

Cause: only the leader answered an agent's question, so that an agent that can't reach it had no orders while all else worked. Any control host now answers after a quorum round that it asks the leader for and that began after the question came.

The test runs with engines that check fencing numbers and with ones that don't: a leader frozen, one with its links frozen, one out of the agents' reach, and one cut off from the others while agents that have just started reach only it. Each order is carried out once, and no fencing number falls. Not shown by it: a late answer to the same question, which the session drops already; agent's unit tests hold that.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -189,9 +189,11 @@
 }
 
 // handleOrder answers only after a quorum round that began after the question came
-// in: a host that is cut off can't answer, and what it answered before is too old.
+// in: a host that is cut off can't answer, and what it answered before is too old. A
+// host that does not lead asks the leader for that round, so that an agent which
+// can't reach the leader has its orders all the same.
 func (h *Host) handleOrder(ctx context.Context, m *wire.OrderQuery) (wire.Message, error) {
-	if _, err := h.replica.Read(ctx); err != nil {
+	if _, err := (reader{h}).Read(ctx); err != nil {
 		return nil, err
 	}
 	h.syncStore()
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -20,6 +20,10 @@
 
 var binaries string
 
+// places bounds the systems that run at once, so that parallel tests don't starve
+// each other's timeouts.
+var places = make(chan struct{}, 3)
+
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "sassafraspost-integration-")
 	if err == nil {
@@ -55,6 +59,8 @@
 // startEmpty runs a system that is not founded yet.
 func startEmpty(t *testing.T, layout local.Layout) *system {
 	t.Helper()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	inner, err := local.New(t.TempDir(), binaries, layout)
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
