--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/document"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/replica"
 	"github.com/sassafraspost/sassafraspost/internal/state"
@@ -109,6 +110,10 @@
 	return e
 }
 
+// claimSlackMS makes up for the steps in which the tables' age moves on: without it a
+// claim made just before a step would count as unknown while its call still runs.
+const claimSlackMS = uint64(ageInterval / time.Millisecond)
+
 func (h *Host) handleClaim(ctx context.Context, s *peer.Session, m *wire.ClaimRequest) (wire.Message, error) {
 	if err := h.mustLead(); err != nil {
 		return nil, err
@@ -120,7 +125,7 @@
 		Attempt:     hex.EncodeToString(m.Attempt[:]),
 		Host:        s.Remote().Host,
 		Incarnation: s.Remote().Incarnation,
-		Deadline:    m.TimeoutMS,
+		Deadline:    m.TimeoutMS + claimSlackMS,
 	})
 	if err != nil {
 		return nil, err
@@ -209,10 +214,26 @@
 		Adapters:      p.Model.Adapters,
 		Role:          string(p.Model.Role),
 		ChecksFencing: p.Model.ChecksFencing,
+		Group:         groupShape(p.Document, m.Group),
 	}
 	return answer, nil
 }
 
+func groupShape(d *document.Document, name string) *wire.GroupShape {
+	g := d.Group(name)
+	if g == nil {
+		return nil
+	}
+	return &wire.GroupShape{
+		Ranks:           uint32(g.Ranks),
+		Experts:         uint32(g.Experts),
+		Layers:          uint32(g.Layers),
+		SlotsPerRank:    uint32(g.SlotsPerRank),
+		SkewWeight:      d.Objective.SkewWeight,
+		RebalanceWeight: d.Objective.RebalanceWeight,
+	}
+}
+
 func (h *Host) statusAnswer() *wire.StatusAnswer {
 	st := h.replica.Status()
 	return &wire.StatusAnswer{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -136,7 +136,8 @@
 	DefaultMaxAnswer     = 1 << 20
 	DefaultMaxRecorded   = 64 << 10
 	DefaultMaxDeadline   = 2 * time.Minute
-	DefaultWindow        = 256 << 10
+	DefaultWindow        = 64 << 10
+	DefaultMaxBuffered   = 256 << 20
 	DefaultMaxAttempts   = 3
 	DefaultRetryAfter    = time.Second
 	DefaultRetryShare    = 0.2
@@ -154,9 +155,11 @@
 	Sessions  Sessions
 	Metrics   metrics.Registry
 
-	// MaxInFlight bounds the requests served at once. Times MaxBody, MaxAnswer and
-	// Window it bounds the memory that callers can take.
+	// MaxInFlight bounds the requests served at once.
 	MaxInFlight int
+	// MaxBuffered bounds the bytes of bodies and answers that all requests hold
+	// together. A request that does not fit is refused at once.
+	MaxBuffered int64
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int64
 	// MaxAnswer bounds the bytes of an answer that is held back until it is whole.
@@ -189,6 +192,9 @@
 	cfg      Config
 	counters counters
 	attempts attempts
+	buffered byteBudget
+	// lateFinishes has room for the outcomes that are recorded beside their answers.
+	lateFinishes chan struct{}
 
 	// mu guards budget, draining, ready and running.
 	mu       sync.Mutex
@@ -208,11 +214,15 @@
 		attempts: attempts{byID: make(map[wire.AttemptID]*live)},
 		budget:   NewRetryBudget(cfg.RetryShare),
 		idle:     make(chan struct{}, 1),
+		buffered: byteBudget{left: cfg.MaxBuffered},
+
+		lateFinishes: make(chan struct{}, maxLateFinishes),
 	}
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&c.MaxBuffered, DefaultMaxBuffered)
 	setDefault(&c.MaxBody, DefaultMaxBody)
 	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
 	setDefault(&c.MaxRecorded, DefaultMaxRecorded)
@@ -237,7 +247,7 @@
 
 type counters struct {
 	requests, retries, resumed, replayed, dropped, cancelled metrics.Counter
-	aborted, unrecorded                                      metrics.Counter
+	aborted, unrecorded, granted                             metrics.Counter
 	byVerdict                                                [verdict.Ran + 1]metrics.Counter
 	firstByte                                                metrics.Histogram
 }
@@ -253,6 +263,7 @@
 		dropped:    metrics.GetOrRegisterCounter("entry.messages.dropped", r),
 		cancelled:  metrics.GetOrRegisterCounter("entry.cancelled", r),
 		aborted:    metrics.GetOrRegisterCounter("entry.answers.aborted", r),
+		granted:    metrics.GetOrRegisterCounter("entry.claims.granted", r),
 		unrecorded: metrics.GetOrRegisterCounter("entry.outcomes.unrecorded", r),
 		firstByte:  metrics.GetOrRegisterHistogram("entry.first-byte-us", r, metrics.NewUniformSample(sampleSize)),
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,8 +35,7 @@
 	Restore([]byte) error
 }
 
-// MembershipMachine is a Machine that keeps the membership too, in the log's order
-// with the commands.
+// MembershipMachine is a Machine that is told of committed memberships.
 type MembershipMachine interface {
 	ApplyMembership(index uint64, m consensus.Membership)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -37,8 +37,8 @@
 	ReportAge time.Duration
 	// InFlight counts this host's attempts in progress there.
 	InFlight int
-	// SentSince counts this host's attempts that the report can't know.
-	SentSince int
+	// Others is what the report counts beyond this host's own attempts at its time.
+	Others int
 	// Cached is the share of the prompt's blocks that should be in the cache, 0 to 1.
 	Cached float64
 }
@@ -57,7 +57,7 @@
 type Score interface {
 	// Name identifies the score in metrics.
 	Name() string
-	// Cost is in microseconds until the first token; less is better.
+	// Cost is in times to the first token of an idle upstream; less is better.
 	Cost(r *Request, c *Candidate) float64
 }
 
@@ -84,7 +84,7 @@
 	return &Policy{
 		Filters: []Filter{PoolFilter{}, ReadyFilter{}, UntriedFilter{}, VersionFilter{}, HealthyFilter{}},
 		Scores:  []Score{WaitScore{}, PrefillScore{}},
-		Picker:  TwoChoices{},
+		Picker:  Choices{Draws: 3},
 	}
 }
 
