Keep a lone control host from dividing by its number of peers

Cause: since the leadership is handed over without refusing a booking, Client.call asks at least once; the client of a lone control host has no address, and the daemon panicked at its first tick: "panic: runtime error: integer divide by zero ... control.(*Client).target". TestGracefulShutdownCutsNoStream (one control host) failed by its 180 s bound; it passes in 6.7 s. The new test panics without the check.

The proof of the lost disk refuses 25 changes in place of 50, since each refusal now waits for a hand-over.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -108,6 +108,10 @@
 // passed without a leader: long enough for a leadership that is handed over, too
 // short for an election, whose length the caller is told to come back after.
 func (c *Client) call(ctx context.Context, m wire.Message, again resend) (wire.Message, error) {
+	if len(c.addresses) == 0 {
+		// A lone control host that does not lead has nobody to ask.
+		return nil, unreachable(false, nil)
+	}
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	started := time.Now()
