--- a/test/integration/verdicts_test.go
+++ b/test/integration/verdicts_test.go
@@ -179,9 +179,10 @@
 		crowd(20, 8).Wait()
 	}
 	// Links that are cut in the middle.
+	engines := func() int { return s.begun(s.Agents[0]) + s.begun(s.Agents[1]) }
+	begun := engines()
 	wg := crowd(60, 40)
-	begun := s.begun(s.Agents[0])
-	s.await("work in progress", func() bool { return s.begun(s.Agents[0]) > begun })
+	s.await("work in progress", func() bool { return engines() > begun })
 	for _, a := range s.Agents {
 		s.Cut(a)
 	}
