Put every setting into force

Found by reading: max-header, idle-timeout and max-sessions of entry hosts had no effect on connections, and directory-replicas none at all, since agents choose their owners by a constant. The first three now bound the callers' listener; the last is gone; data-centres divides the limits of workspaces. A caller that left, or a full queue at the agent, no longer marks an upstream as failing for 3 s. The administration listener bounds slow bodies.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -46,13 +46,14 @@
 		asked: make(map[uint64]time.Duration),
 	}
 	a.controller = admission.New(admission.Config{
-		QueueLimit: set.QueueLimit,
-		Hosts:      len(hosts),
-		Usage:      func(pool string) admission.Usage { return usageOf(entries(), pool) },
-		Live:       a.live,
-		Now:        d.now,
-		Rand:       rand.Float64,
-		Metrics:    d.metrics,
+		QueueLimit:  set.QueueLimit,
+		Hosts:       len(hosts),
+		DataCentres: set.DataCentres,
+		Usage:       func(pool string) admission.Usage { return usageOf(entries(), pool) },
+		Live:        a.live,
+		Now:         d.now,
+		Rand:        rand.Float64,
+		Metrics:     d.metrics,
 	})
 	return a
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +15,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
+// operatorReadTimeout bounds how long a submission may take to arrive.
+const operatorReadTimeout = 30 * time.Second
+
 // controlRole holds the replicated state.
 type controlRole struct {
 	host *control.Host
@@ -62,7 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	srv, err := d.serve("administration API", set.APIListen.String(), api, set.APITLS)
+	srv, err := d.serveWith("administration API", set.APIListen.String(), &http.Server{
+		Handler:           api,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       operatorReadTimeout,
+	}, set.APITLS)
 	return &controlRole{host: host, api: srv}, err
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,8 +149,13 @@
 	d.unknown.Inc(1)
 }
 
-// serve opens a listener; Run begins to accept.
+// serve opens a listener for a handler; Run begins to accept.
 func (d *Daemon) serve(name, address string, h http.Handler, t settings.TLS) (*server, error) {
+	return d.serveWith(name, address, &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, t)
+}
+
+// serveWith opens a listener for a server with bounds of its own.
+func (d *Daemon) serveWith(name, address string, h *http.Server, t settings.TLS) (*server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/routing"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -76,7 +77,12 @@
 	})
 	r.server.SetReady(false)
 	var err error
-	r.callers, err = d.serve("callers", set.Listen.String(), r.server, set.TLS)
+	callers := entry.NewHTTPServer(r.server, entry.HTTPLimits{
+		MaxConns:    set.MaxSessions,
+		MaxHeader:   int(set.MaxHeader),
+		IdleTimeout: set.IdleTimeout,
+	})
+	r.callers, err = d.serveWith("callers", set.Listen.String(), callers, set.TLS)
 	return r, err
 }
 
@@ -138,10 +144,16 @@
 		return entry.Pick{}, err
 	}
 	return entry.Pick{Upstream: up, Done: func(o entry.Outcome) {
-		done(routing.Outcome{HasFailed: !o.OK})
+		done(routing.Outcome{HasFailed: !o.OK && !isHarmless(o.Code)})
 	}}, nil
 }
 
+// isHarmless reports whether an attempt ended for a reason that says nothing of the
+// upstream's health.
+func isHarmless(code verdict.Code) bool {
+	return code == verdict.CodeCancelled || code == verdict.CodeOverloaded
+}
+
 func addresses(list []netip.AddrPort) []string {
 	out := make([]string, 0, len(list))
 	for _, a := range list {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -23,8 +23,8 @@
 	http     *http.Server
 }
 
-func newServer(name string, l net.Listener, h http.Handler, t settings.TLS) (*server, error) {
-	s := &server{name: name, listener: l, http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
+func newServer(name string, l net.Listener, h *http.Server, t settings.TLS) (*server, error) {
+	s := &server{name: name, listener: l, http: h}
 	if !t.Enabled() {
 		return s, nil
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -97,6 +97,10 @@
 	o.OK = err == nil && o.Verdict == verdict.Ran
 	if err != nil {
 		o.Verdict = verdict.Of(err).Verdict
+		o.Code = verdict.Of(err).Code
+	}
+	if err != nil && a.c.r.Context().Err() != nil {
+		o.Code = verdict.CodeCancelled
 	}
 	return o
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,8 @@
 	Verdict verdict.Verdict
 	// OK tells that the answer was whole and is not of the status class 5xx.
 	OK bool
+	// Code is why there is no whole answer; empty where the status says so.
+	Code verdict.Code
 	// FirstByte is the time from dispatch to the first body byte, zero if none came.
 	FirstByte time.Duration
 	Bytes     uint64
--- a/internal/entry/httpserver.go
+++ b/internal/entry/httpserver.go
@@ -7,24 +7,34 @@
 	"time"
 )
 
-// Bounds of the callers' listener.
 const (
 	headerTimeout    = 10 * time.Second
-	idleTimeout      = 2 * time.Minute
-	maxHeaderBytes   = 64 << 10
 	maxHTTP2Requests = 256
-	// DefaultMaxConns is how many connections of callers are held at once.
-	DefaultMaxConns = 16384
 )
 
-// NewHTTPServer returns a server for callers with bounds on headers, idle time and
-// requests of one connection. A connection beyond maxConns is closed at once; zero
-// means DefaultMaxConns.
-func NewHTTPServer(h http.Handler, maxConns int) *http.Server {
-	if maxConns <= 0 {
-		maxConns = DefaultMaxConns
-	}
-	limit := connLimit{max: int64(maxConns)}
+// Defaults of HTTPLimits.
+const (
+	DefaultMaxConns    = 16384
+	DefaultMaxHeader   = 64 << 10
+	DefaultIdleTimeout = 2 * time.Minute
+)
+
+// HTTPLimits are the bounds of the callers' listener. Zero values mean the defaults.
+type HTTPLimits struct {
+	// MaxConns is how many connections are held at once; one more is closed at once.
+	MaxConns int
+	// MaxHeader bounds a request's header, in bytes.
+	MaxHeader int
+	// IdleTimeout ends a connection without a request.
+	IdleTimeout time.Duration
+}
+
+// NewHTTPServer returns a server for callers within limits.
+func NewHTTPServer(h http.Handler, limits HTTPLimits) *http.Server {
+	setDefault(&limits.MaxConns, DefaultMaxConns)
+	setDefault(&limits.MaxHeader, DefaultMaxHeader)
+	setDefault(&limits.IdleTimeout, DefaultIdleTimeout)
+	limit := connLimit{max: int64(limits.MaxConns)}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -32,8 +42,8 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeader,
 		ConnState:         limit.change,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxHTTP2Requests},
--- a/internal/entry/pure_test.go
+++ b/internal/entry/pure_test.go
@@ -47,7 +47,7 @@
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
-	srv := NewHTTPServer(http.NotFoundHandler(), 1)
+	srv := NewHTTPServer(http.NotFoundHandler(), HTTPLimits{MaxConns: 1})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = srv.Serve(l) }()
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -177,19 +177,19 @@
 
 func parseEntry(s *inifile.Section) Entry {
 	return Entry{
-		Listen:            inifile.Need(s, "listen", inifile.AddrPort),
-		TLS:               parseTLS(s, "tls-certificate", "tls-key"),
-		Control:           needAddrs(s, "control"),
-		Entries:           inifile.Need(s, "entries", entryHosts),
-		MaxBody:           inifile.Get(s, "max-body", inifile.MiB, inifile.Size),
-		MaxHeader:         inifile.Get(s, "max-header", 32*inifile.KiB, inifile.Size),
-		QueueLimit:        inifile.Get(s, "queue-limit", 1024, inifile.Int(1, maxCount)),
-		RequestTimeout:    inifile.Get(s, "request-timeout", 2*time.Minute, inifile.Duration),
-		IdleTimeout:       inifile.Get(s, "idle-timeout", time.Minute, inifile.Duration),
-		MaxSessions:       inifile.Get(s, "max-sessions", 10000, inifile.Int(1, maxCount)),
-		DirectoryReplicas: inifile.Get(s, "directory-replicas", 2, inifile.Int(1, 16)),
-		PrefixCacheSize:   inifile.Get(s, "prefix-cache-size", 100000, inifile.Int(1, maxCount)),
-		RetryBudget:       inifile.Get(s, "retry-budget", 0.1, inifile.Number(0)),
+		Listen:          inifile.Need(s, "listen", inifile.AddrPort),
+		TLS:             parseTLS(s, "tls-certificate", "tls-key"),
+		Control:         needAddrs(s, "control"),
+		Entries:         inifile.Need(s, "entries", entryHosts),
+		MaxBody:         inifile.Get(s, "max-body", inifile.MiB, inifile.Size),
+		MaxHeader:       inifile.Get(s, "max-header", 32*inifile.KiB, inifile.Size),
+		QueueLimit:      inifile.Get(s, "queue-limit", 1024, inifile.Int(1, maxCount)),
+		RequestTimeout:  inifile.Get(s, "request-timeout", 2*time.Minute, inifile.Duration),
+		IdleTimeout:     inifile.Get(s, "idle-timeout", time.Minute, inifile.Duration),
+		MaxSessions:     inifile.Get(s, "max-sessions", 10000, inifile.Int(1, maxCount)),
+		DataCentres:     inifile.Get(s, "data-centres", 1, inifile.Int(1, 64)),
+		PrefixCacheSize: inifile.Get(s, "prefix-cache-size", 100000, inifile.Int(1, maxCount)),
+		RetryBudget:     inifile.Get(s, "retry-budget", 0.1, inifile.Number(0)),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,9 +167,9 @@
 	IdleTimeout time.Duration
 	// MaxSessions bounds the connections of callers. Default 10000.
 	MaxSessions int
-	// DirectoryReplicas is how many entry hosts hold an agent's announcement.
-	// Default 2.
-	DirectoryReplicas int
+	// DataCentres is how many data centres share the limits of workspaces, each an
+	// equal part. Default 1.
+	DataCentres int
 	// PrefixCacheSize is how many prompt prefixes routing remembers. Default 100000.
 	PrefixCacheSize int
 	// RetryBudget is the share of recent requests that may be retries. Default 0.1.
