--- /dev/null
+++ b/test/integration/tls_test.go
@@ -0,0 +1,40 @@
+package integration
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+// With certificates in the settings, callers, operators and the sessions between
+// processes all go by TLS, and nobody is served without.
+func TestEverythingGoesByTLS(t *testing.T) {
+	s := startEmpty(t, local.Layout{Control: 3, Entries: 2, Engines: 1, HasTLS: true})
+	require.NoError(t, s.Found(s.ctx))
+	out, err := s.Submit(s.ctx, local.Document("v1"))
+	require.NoError(t, err, out)
+	client, err := s.TLSClient()
+	require.NoError(t, err)
+	url := "https://" + s.Entries[0].Listen + "/v1/completions"
+	s.await("an answer by TLS", func() bool {
+		q := local.Completion("by TLS", 5, false)
+		req, err := http.NewRequestWithContext(s.ctx, q.Method, url, strings.NewReader(q.Body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+local.CallerToken)
+		resp, err := client.Do(req)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body := new(strings.Builder)
+		require.NoError(t, resp.Write(body))
+		return resp.StatusCode == http.StatusOK && strings.Contains(body.String(), standin.Text("by TLS", 5))
+	})
+	plain := s.do(s.Entries[0], local.Completion("in the clear", 5, false))
+	require.NotEqual(t, http.StatusOK, plain.Status)
+}
--- a/test/local/client.go
+++ b/test/local/client.go
@@ -28,6 +28,9 @@
 		return "", err
 	}
 	all := append(args, "--server", s.APIServers(), "--token-file", token)
+	if s.Layout.HasTLS {
+		all = append(all, "--ca-file", s.certificateFile())
+	}
 	cmd := exec.CommandContext(ctx, filepath.Join(s.Bin, "sassafraspost"), all...)
 	var messages bytes.Buffer
 	cmd.Stderr = &messages
--- a/test/local/settings.go
+++ b/test/local/settings.go
@@ -54,11 +54,11 @@
 listen = %s
 advertise = %s
 secret = %s
-
+%s
 [metrics]
 listen = %s
 
-%s`, h.Name, h.DataCentre, role, s.Layout.Grace, h.Peer, advertise, secret, h.Metrics, body)
+%s`, h.Name, h.DataCentre, role, s.Layout.Grace, h.Peer, advertise, secret, s.peerTLS(), h.Metrics, body)
 	return os.WriteFile(filepath.Join(s.Dir, h.Name+".ini"), []byte(text), 0o600)
 }
 
@@ -141,12 +141,12 @@
 snapshot-entries = 500
 api-listen = %s
 peers = %s
-
+%s
 [operator "platform"]
 token-sha256 = %x
 documents = *
 admin = true
-`, s.DataFolder(h), h.Listen, peers, sha256.Sum256([]byte(OperatorToken))), nil
+`, s.DataFolder(h), h.Listen, peers, s.tlsKeys("api-"), sha256.Sum256([]byte(OperatorToken))), nil
 }
 
 // DataFolder is where a control host keeps its state.
@@ -169,7 +169,7 @@
 listen = %s
 control = %s
 entries = %s
-`, h.Listen, control, strings.Join(entries, ", ")), nil
+%s`, h.Listen, control, strings.Join(entries, ", "), s.tlsKeys("")), nil
 }
 
 func (s *System) agentSection(h *Host) (string, error) {
--- a/test/local/system.go
+++ b/test/local/system.go
@@ -38,6 +38,8 @@
 	// HasMessages puts a proxy that can cross, duplicate and drop messages behind the
 	// fault-injecting proxies of all links between agents and entry hosts.
 	HasMessages bool
+	// HasTLS puts all listeners of the product behind TLS.
+	HasTLS bool
 	// EngineArgs and ServiceArgs go to the stand-ins.
 	EngineArgs, ServiceArgs []string
 	// Grace is the shutdown grace of the daemons; 30s if zero.
@@ -90,6 +92,11 @@
 	if err := s.place(); err != nil {
 		return nil, err
 	}
+	if layout.HasTLS {
+		if err := s.makeCertificate(); err != nil {
+			return nil, err
+		}
+	}
 	return s, s.writeSettings()
 }
 
@@ -221,9 +228,13 @@
 
 // APIServers lists the addresses of the administration API.
 func (s *System) APIServers() string {
+	scheme := "http://"
+	if s.Layout.HasTLS {
+		scheme = "https://"
+	}
 	var list []string
 	for _, h := range s.Control {
-		list = append(list, "http://"+h.Listen)
+		list = append(list, scheme+h.Listen)
 	}
 	return strings.Join(list, ",")
 }
--- /dev/null
+++ b/test/local/tls.go
@@ -0,0 +1,86 @@
+package local
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// certificateLife is how long the certificate of a local system is valid.
+const certificateLife = time.Hour
+
+func (s *System) certificateFile() string { return filepath.Join(s.Dir, "certificate.pem") }
+
+func (s *System) keyFile() string { return filepath.Join(s.Dir, "key.pem") }
+
+// makeCertificate writes a certificate for loopback that signs itself.
+func (s *System) makeCertificate() error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "make key")
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             time.Now().Add(-certificateLife),
+		NotAfter:              time.Now().Add(certificateLife),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return errors.Wrap(err, "make certificate")
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	if err := writePEM(s.certificateFile(), "CERTIFICATE", cert); err != nil {
+		return err
+	}
+	return writePEM(s.keyFile(), "PRIVATE KEY", der)
+}
+
+func writePEM(path, kind string, data []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)
+}
+
+// TLSClient returns a client that trusts the system's certificate.
+func (s *System) TLSClient() (*http.Client, error) {
+	data, err := os.ReadFile(s.certificateFile())
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.New("no certificate")
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}, nil
+}
+
+// tlsKeys returns the settings' lines for a section, with a prefix to the keys.
+func (s *System) tlsKeys(prefix string) string {
+	if !s.Layout.HasTLS {
+		return ""
+	}
+	return prefix + "tls-certificate = " + s.certificateFile() + "\n" + prefix + "tls-key = " + s.keyFile() + "\n"
+}
+
+// peerTLS returns the settings' lines of the sessions between processes.
+func (s *System) peerTLS() string {
+	if !s.Layout.HasTLS {
+		return ""
+	}
+	return s.tlsKeys("") + "tls-ca = " + s.certificateFile() + "\n"
+}
