Let agents watch the hosts that wait for them; run tests side by side

Since pings are rare, an agent noticed a dead entry host late; only entry hosts held their sessions. Ruled out: the silence limit of held sessions (4 s, two looks).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -170,6 +170,7 @@
 	}
 	a.counters.accepted.Inc(1)
 	at := newAttempt(s, d)
+	s.Hold()
 	a.attempts[d.Attempt] = at
 	if a.running < a.cfg.Capacity {
 		a.start(at)
@@ -255,6 +256,7 @@
 // forget requires mu.
 func (a *Agent) forget(at *attempt) {
 	delete(a.attempts, at.d.Attempt)
+	at.s.Release()
 	at.cancel()
 	if len(a.attempts) == 0 {
 		select {
--- a/test/integration/experts_test.go
+++ b/test/integration/experts_test.go
@@ -36,6 +36,7 @@
 // popularity and agents are killed, frozen and cut off, and engines restart, at any
 // moment of a change. The group goes on after each fault.
 func TestRanksNeverMixExpertMaps(t *testing.T) {
+	t.Parallel()
 	s := start(t, local.Layout{
 		Control: 1, Entries: 2, GroupHosts: 4, RanksPerHost: 2, HasProxies: true,
 		GroupArgs: []string{"--step", "5ms", "--drift-steps", "150", "--load-time", "100ms"},
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	s := start(t, local.Layout{Control: 3, Entries: 2, Engines: 2, Services: 1})
 
 	t.Run("a document comes back as it was submitted", func(t *testing.T) {
--- a/test/integration/shutdown_test.go
+++ b/test/integration/shutdown_test.go
@@ -18,6 +18,7 @@
 // them. The engines can't resume, so that a stream that is cut stays cut. Without
 // Drained in the agent's drain this fails: streams break off.
 func TestGracefulShutdownCutsNoStream(t *testing.T) {
+	t.Parallel()
 	s := start(t, local.Layout{Control: 1, Entries: 3, Engines: 3, EngineArgs: []string{"--step", "10ms"}})
 	out, err := s.Submit(s.ctx, strings.Replace(local.Document("v1"), "resumable = true", "resumable = false", 1))
 	require.NoError(t, err, out)
@@ -36,6 +37,7 @@
 // where the directory hosts that own the upstream are frozen, the agent's refusal.
 // Without the refusal the second case fails: requests begin after the signal.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	for name, isFrozen := range map[string]bool{"announced": false, "owners frozen": true} {
 		t.Run(name, func(t *testing.T) {
 			s := start(t, local.Layout{Control: 1, Entries: 4, Engines: 2, EngineArgs: []string{"--step", "10ms"}})
@@ -103,6 +105,7 @@
 // refused, since the hand-over is shorter than what a host waits for a leader.
 // Without the hand-over bookings are refused until an election.
 func TestLeaderShutsDownWithoutCuttingABooking(t *testing.T) {
+	t.Parallel()
 	s := start(t, local.Layout{Control: 3, Entries: 2, Engines: 1, Services: 1})
 	leader := s.leader()
 	stop := make(chan struct{})
--- a/test/integration/tls_test.go
+++ b/test/integration/tls_test.go
@@ -14,6 +14,7 @@
 // With certificates in the settings, callers, operators and the sessions between
 // processes all go by TLS, and nobody is served without.
 func TestEverythingGoesByTLS(t *testing.T) {
+	t.Parallel()
 	s := startEmpty(t, local.Layout{Control: 3, Entries: 2, Engines: 1, HasTLS: true})
 	require.NoError(t, s.Found(s.ctx))
 	out, err := s.Submit(s.ctx, local.Document("v1"))
