--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -21,6 +21,10 @@
 	switch m := m.(type) {
 	case *wire.Consensus:
 		h.handleConsensus(m)
+	case *wire.ConsensusPart:
+		if data, isWhole := h.cfg.Transport.join(consensus.ReplicaID(s.Remote().Replica), m); isWhole {
+			h.handleConsensus(&wire.Consensus{To: m.To, Data: data})
+		}
 	case *wire.Watch:
 		h.watchers.add(s, m)
 	case *wire.InForce:
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -20,9 +20,13 @@
 type Transport struct {
 	dropped metrics.Counter
 
-	// mu guards sessions.
+	// mu guards the fields below.
 	mu       sync.Mutex
 	sessions map[consensus.ReplicaID]*peer.Session
+	// dividing holds the replicas to which a divided message is on its way.
+	dividing map[consensus.ReplicaID]bool
+	divided  uint64
+	parts    map[consensus.ReplicaID]*assembly
 }
 
 // NewTransport returns a Transport without sessions.
@@ -30,6 +34,8 @@
 	return &Transport{
 		dropped:  metrics.GetOrRegisterCounter("consensus.messages.dropped", reg),
 		sessions: make(map[consensus.ReplicaID]*peer.Session),
+		dividing: make(map[consensus.ReplicaID]bool),
+		parts:    make(map[consensus.ReplicaID]*assembly),
 	}
 }
 
@@ -53,6 +59,10 @@
 		return
 	}
 	data, err := wire.Marshal(m)
+	if err == nil && len(data) > partBytes {
+		t.divide(s, to, data)
+		return
+	}
 	if err == nil {
 		err = s.Post(&wire.Consensus{To: string(to), Data: data})
 	}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -19,6 +19,7 @@
 	KindStatusAnswer  Kind = 74
 	KindReadQuery     Kind = 75
 	KindReadAnswer    Kind = 76
+	KindConsensusPart Kind = 77
 )
 
 // Consensus carries an encoded consensus.Message between replicas.
@@ -30,6 +31,21 @@
 // Kind implements Message.
 func (*Consensus) Kind() Kind { return KindConsensus }
 
+// ConsensusPart carries one piece of an encoded consensus.Message that is too long to
+// travel at once. The pieces of a message are sent in order.
+type ConsensusPart struct {
+	To string `cbor:"1,keyasint"`
+	// Message numbers the divided messages of the sender.
+	Message uint64 `cbor:"2,keyasint"`
+	// Index counts the pieces from 0; there are Count.
+	Index uint32 `cbor:"3,keyasint"`
+	Count uint32 `cbor:"4,keyasint"`
+	Data  []byte `cbor:"5,keyasint"`
+}
+
+// Kind implements Message.
+func (*ConsensusPart) Kind() Kind { return KindConsensusPart }
+
 // Propose forwards an encoded command to the leader. The reply is Proposed or Failure.
 type Propose struct {
 	Data []byte `cbor:"1,keyasint"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,7 +17,7 @@
 const Version = 1
 
 // MaxMessageBytes bounds one encoded message.
-const MaxMessageBytes = 64 << 20
+const MaxMessageBytes = 16 << 20
 
 // Kind identifies the type of a message in its envelope.
 type Kind uint16
@@ -131,7 +131,7 @@
 		&Consensus{}, &Propose{}, &Proposed{}, &Watch{}, &Changes{}, &InForce{},
 		&ClaimRequest{}, &ClaimReply{}, &FinishRequest{}, &FinishReply{},
 		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &GroupQuery{}, &GroupAnswer{}, &ExpertLoad{}, &Join{}, &Ack{},
-		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{},
+		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{}, &ConsensusPart{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
 	for _, msg := range all {
