Say once what stood twice: temporary systems, process usage, pauses

Four commands each built and started a system in a folder of their own, two places read the usage of processes, three packages had a pause that a context cuts short. Now local.With, local.Process.Usage and internal/pause. The demonstration runs as before; unit tests of the packages pass.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -98,7 +99,7 @@
 		next++
 		s, err := f.cfg.Pool.Get(ctx, address)
 		if err != nil {
-			wait(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 			continue
 		}
 		f.stay(ctx, s)
@@ -110,7 +111,7 @@
 	f.setSource(s)
 	defer f.setSource(nil)
 	if s.Post(&wire.Watch{Since: f.cfg.Store.Revision()}) != nil {
-		wait(ctx, retryDelay)
+		pause.For(ctx, retryDelay)
 		return
 	}
 	ticker := time.NewTicker(retryDelay)
@@ -191,7 +192,7 @@
 				f.markReady()
 			}
 		}
-		wait(ctx, time.Second)
+		pause.For(ctx, time.Second)
 	}
 }
 
@@ -232,7 +233,7 @@
 		if s != nil {
 			f.tell(s)
 		}
-		wait(ctx, reportEvery)
+		pause.For(ctx, reportEvery)
 	}
 }
 
@@ -241,12 +242,3 @@
 	self.Revision = f.cfg.Store.InForce()
 	_ = s.Post(&wire.InForce{Hosts: []wire.HostInForce{self}})
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/command"
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
 	"github.com/sassafraspost/sassafraspost/internal/document"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/query"
 	"github.com/sassafraspost/sassafraspost/internal/state"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -149,7 +150,7 @@
 		if ctx.Err() != nil {
 			return verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no leader yet").After(noLeaderRetryAfter)
 		}
-		pause(ctx, appliedPoll)
+		pause.For(ctx, appliedPoll)
 	}
 	return nil
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -141,7 +142,7 @@
 		if leaderless >= len(c.addresses) && time.Since(started) > handOver {
 			break
 		}
-		pause(ctx, clientDelay)
+		pause.For(ctx, clientDelay)
 	}
 	return nil, unreachable(maySent, last)
 }
@@ -199,12 +200,3 @@
 		c.next++
 	}
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -18,6 +18,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/command"
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
 	"github.com/sassafraspost/sassafraspost/internal/journal"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/query"
 	"github.com/sassafraspost/sassafraspost/internal/replica"
@@ -168,7 +169,7 @@
 			h.syncStore()
 			h.watchers.send(true)
 		}
-		pause(ctx, currencyInterval)
+		pause.For(ctx, currencyInterval)
 	}
 }
 
@@ -176,7 +177,7 @@
 func (h *Host) advanceAge(ctx context.Context) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		pause(ctx, ageInterval)
+		pause.For(ctx, ageInterval)
 		now := time.Now()
 		elapsed := now.Sub(last)
 		last = now
@@ -214,7 +215,7 @@
 		if ctx.Err() != nil {
 			return verdict.New(verdict.NotRun, verdict.CodeDeadline, "this control host is behind")
 		}
-		pause(ctx, appliedPoll)
+		pause.For(ctx, appliedPoll)
 	}
 	return nil
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -51,7 +52,7 @@
 // has forgotten can't be outvoted by it.
 func (h *Host) keepJoined(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, joinInterval)
+		pause.For(ctx, joinInterval)
 		if h.replica.Status().Membership.IsVoter(h.id) {
 			continue
 		}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -106,7 +107,7 @@
 					case <-ctx.Done():
 					}
 				}
-				pause(ctx, redialInterval)
+				pause.For(ctx, redialInterval)
 			}
 		}()
 	}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -276,7 +277,7 @@
 			err = s.Post(&wire.Subscribe{})
 		}
 		if err != nil {
-			wait(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 			continue
 		}
 		select {
@@ -291,7 +292,7 @@
 func (d *Service) awaitDial(ctx context.Context, h Host) {
 	deadline := d.cfg.Now() + dialGrace
 	for ctx.Err() == nil && d.cfg.Now() < deadline && d.cfg.Pool.Live(h.Address) == nil {
-		wait(ctx, flushInterval)
+		pause.For(ctx, flushInterval)
 	}
 }
 
@@ -302,12 +303,3 @@
 	d.publish()
 	d.cfg.Log.Info("directory host lost", "host", name)
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/test/cmd/capacity/main.go
+++ b/test/cmd/capacity/main.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
@@ -53,27 +52,14 @@
 func run(o options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "sassafraspost-capacity-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bin := filepath.Join(dir, "bin")
-	if err := local.Build(bin); err != nil {
-		return err
-	}
 	layout := local.Layout{Control: o.control, Entries: o.entries, Engines: o.agents}
 	for i := range o.centres {
 		layout.DataCentres = append(layout.DataCentres, fmt.Sprintf("centre-%d", i))
 	}
-	s, err := local.New(dir, bin, layout)
-	if err != nil {
-		return err
-	}
-	defer s.Stop()
-	if err := s.Start(); err != nil {
-		return err
-	}
+	return local.With(layout, func(s *local.System) error { return measure(ctx, s, o) })
+}
+
+func measure(ctx context.Context, s *local.System, o options) error {
 	if err := s.Found(ctx); err != nil {
 		return err
 	}
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -29,25 +28,12 @@
 }
 
 func run(ctx context.Context) error {
-	dir, err := os.MkdirTemp("", "sassafraspost-demo-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bin := filepath.Join(dir, "bin")
-	fmt.Println("building")
-	if err := local.Build(bin); err != nil {
-		return err
-	}
-	s, err := local.New(dir, bin, local.Layout{Control: 3, Entries: 2, Engines: 2, Services: 1})
-	if err != nil {
-		return err
-	}
-	defer s.Stop()
-	fmt.Println("starting 3 control hosts, 2 entry hosts, 3 agents and their stand-ins")
-	if err := s.Start(); err != nil {
-		return err
-	}
+	fmt.Println("building, and starting 3 control hosts, 2 entry hosts, 3 agents and their stand-ins")
+	layout := local.Layout{Control: 3, Entries: 2, Engines: 2, Services: 1}
+	return local.With(layout, func(s *local.System) error { return present(ctx, s) })
+}
+
+func present(ctx context.Context, s *local.System) error {
 	if err := s.Prepare(ctx, local.Document("v1")); err != nil {
 		return err
 	}
--- a/test/cmd/loadtool/main.go
+++ b/test/cmd/loadtool/main.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -50,23 +49,10 @@
 }
 
 func (sc *scenario) start(ctx context.Context) error {
-	dir, err := os.MkdirTemp("", "sassafraspost-load-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	bin := filepath.Join(dir, "bin")
-	if err := local.Build(bin); err != nil {
-		return err
-	}
-	s, err := local.New(dir, bin, sc.layout)
-	if err != nil {
-		return err
-	}
-	defer s.Stop()
-	if err := s.Start(); err != nil {
-		return err
-	}
+	return local.With(sc.layout, func(s *local.System) error { return sc.prepareAndRun(ctx, s) })
+}
+
+func (sc *scenario) prepareAndRun(ctx context.Context, s *local.System) error {
 	if err := s.Prepare(ctx, document()); err != nil {
 		return err
 	}
--- a/test/cmd/loadtool/scenarios.go
+++ b/test/cmd/loadtool/scenarios.go
@@ -131,12 +131,12 @@
 				return errors.Wrap(err, f.name)
 			}
 		}
-		before, err := counters(ctx, s.Entries)
+		before, err := local.Counters(ctx, s.Entries)
 		if err != nil {
 			return err
 		}
 		p := offer(ctx, s, client, mixed(failingLoad))
-		after, err := counters(ctx, s.Entries)
+		after, err := local.Counters(ctx, s.Entries)
 		if err != nil {
 			return err
 		}
@@ -224,7 +224,7 @@
 	client := newClient()
 	token := workspaces()[0].token
 	var ok, other atomic.Int64
-	before, err := cpu(s.Entries[0].Name)
+	before, err := s.Entries[0].Usage()
 	if err != nil {
 		return err
 	}
@@ -245,29 +245,33 @@
 	}
 	wg.Wait()
 	took := time.Since(began)
-	after, err := cpu(s.Entries[0].Name)
+	after, err := s.Entries[0].Usage()
 	if err != nil {
 		return err
 	}
-	used := (after - before).Seconds()
+	used := (after.CPU - before.CPU).Seconds()
 	fmt.Printf("\n| callers | answered/s | others | cores used by the entry process | answered per core and second | RSS after MiB |\n|---|---|---|---|---|---|\n")
-	rss, err := memory(s.Entries[0].Name)
-	if err != nil {
-		return err
-	}
 	fmt.Printf("| %d | %.0f | %d | %.2f | %.0f | %.1f |\n", callers, float64(ok.Load())/took.Seconds(), other.Load(),
-		used/took.Seconds(), float64(ok.Load())/used, rss)
+		used/took.Seconds(), float64(ok.Load())/used, mebibytes(after.Resident))
 	return nil
 }
 
 func idleMemory(s *local.System) error {
 	fmt.Println("| idle process | RSS MiB |\n|---|---|")
 	for _, h := range s.Daemons() {
-		rss, err := memory(h.Name)
+		u, err := h.Usage()
 		if err != nil {
 			return err
 		}
-		fmt.Printf("| %s | %.1f |\n", h.Name, rss)
+		fmt.Printf("| %s | %.1f |\n", h.Name, mebibytes(u.Resident))
 	}
 	return nil
 }
+
+func mebibytes(n int64) float64 { return float64(n) / (1 << 20) }
+
+// Names under which entry hosts publish their counters.
+const (
+	requestsMetric = "sassafraspost_entry_requests"
+	retriesMetric  = "sassafraspost_entry_retries"
+)
--- a/test/cmd/streams/main.go
+++ b/test/cmd/streams/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -53,25 +52,12 @@
 func run(o options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "sassafraspost-streams-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bin := filepath.Join(dir, "bin")
-	if err := local.Build(bin); err != nil {
-		return err
-	}
-	s, err := local.New(dir, bin, local.Layout{
-		Control: 1, Entries: 1, Engines: 1, EngineArgs: []string{"--step", o.step.String()},
-	})
-	if err != nil {
-		return err
-	}
-	defer s.Stop()
-	if err := s.Start(); err != nil {
-		return err
-	}
+	layout := local.Layout{Control: 1, Entries: 1, Engines: 1, EngineArgs: []string{"--step", o.step.String()}}
+	return local.With(layout, func(s *local.System) error { return compare(ctx, s, o) })
+}
+
+// compare streams past the system and through it.
+func compare(ctx context.Context, s *local.System, o options) error {
 	if err := s.Prepare(ctx, local.Document("v1")); err != nil {
 		return err
 	}
--- /dev/null
+++ b/test/local/with.go
@@ -0,0 +1,29 @@
+package local
+
+import (
+	"os"
+	"path/filepath"
+)
+
+// With builds the programs, starts a system in a temporary folder, hands it to use and
+// stops it.
+func With(layout Layout, use func(*System) error) error {
+	dir, err := os.MkdirTemp("", "sassafraspost-local-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin := filepath.Join(dir, "bin")
+	if err := Build(bin); err != nil {
+		return err
+	}
+	s, err := New(dir, bin, layout)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	if err := s.Start(); err != nil {
+		return err
+	}
+	return use(s)
+}
