Settle claims ten minutes after their call has ended

Cause: claims were kept whole for 24 h, 150,000 in all and 50,000 a workspace: 1.7 bookings a second, sustained. A resend is told that the call has run, without the answer. Which ones are settled when room is short is fixed by age and name, so that replicas agree; the properties run with a room of 4. Without the look into the settled claims the new test fails: a key is granted again.

--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -21,8 +21,10 @@
 	// expires is the age at which the claim is forgotten. It never falls.
 	expires  Age
 	finished bool
-	verdict  verdict.Verdict
-	answer   *RecordedAnswer
+	// finishedAt is the age at which the call ended.
+	finishedAt Age
+	verdict    verdict.Verdict
+	answer     *RecordedAnswer
 	// gone tells that the claim was freed and only the expiry queue holds it.
 	gone bool
 }
@@ -38,6 +40,7 @@
 	max          int
 	perWorkspace int
 	maxAnswers   int
+	settleAfter  Age
 
 	// mu guards all below.
 	mu sync.RWMutex
@@ -45,8 +48,11 @@
 	retention  Age
 	workspaces map[string]*workspaceClaims
 	queue      expiryQueue
-	// count is the number of claims.
+	// count is the number of claims, without the settled ones.
 	count int
+	// ended holds the claims that are to be settled, by the age of their end.
+	ended   []ended
+	settled settled
 	// answerBytes is the sum of the recorded bodies.
 	answerBytes int
 }
@@ -56,6 +62,8 @@
 	t.perWorkspace = o.ClaimsPerWorkspace
 	t.retention = o.ClaimRetention
 	t.maxAnswers = o.AnswerBytes
+	t.settleAfter = o.SettleAfter
+	t.settled.max = o.Settled
 	t.clear()
 }
 
@@ -65,6 +73,8 @@
 	t.queue = nil
 	t.count = 0
 	t.answerBytes = 0
+	t.ended = nil
+	t.settled.clear()
 }
 
 // retain takes the span for which claims are kept from here on; zero changes nothing.
@@ -103,6 +113,9 @@
 	if held := t.find(c.Workspace, c.Key); held != nil {
 		return held.answerTo(c, age)
 	}
+	if result, ok := t.settled.find(c); ok {
+		return result
+	}
 	if t.full(c.Workspace) {
 		return ClaimResult{Outcome: ClaimRefused, Verdict: verdict.NotRun}
 	}
@@ -165,6 +178,10 @@
 		t.remove(f.Workspace, c)
 		return FinishFreed
 	}
+	if !c.finished {
+		c.finishedAt = age
+		t.ended = append(t.ended, ended{workspace: t.workspaces[f.Workspace], claim: c})
+	}
 	c.finished = true
 	c.verdict = f.Verdict
 	c.expires = max(c.expires, age+t.retention)
@@ -244,7 +261,8 @@
 			expired++
 		}
 	}
-	return expired
+	t.settle(age)
+	return expired + t.settled.expire(age)
 }
 
 // expiry is an entry of the expiry queue.
@@ -292,6 +310,7 @@
 	Finished    bool
 	Verdict     verdict.Verdict
 	Answer      *RecordedAnswer
+	FinishedAt  Age
 }
 
 // images returns the claims in no order; sortImages brings them into theirs, so
@@ -327,14 +346,16 @@
 		Finished:    c.finished,
 		Verdict:     c.verdict,
 		Answer:      c.answer,
+		FinishedAt:  c.finishedAt,
 	}
 }
 
 // restore replaces the claims. The caller holds mu.
-func (t *claims) restore(list []claimImage) {
+func (t *claims) restore(list []claimImage, settled []byte) {
 	t.clear()
+	t.settled.restore(settled)
 	for _, i := range list {
-		t.insert(i.Workspace, &claim{
+		c := &claim{
 			key:         i.Key,
 			digest:      i.Digest,
 			attempt:     i.Attempt,
@@ -345,13 +366,26 @@
 			finished:    i.Finished,
 			verdict:     i.Verdict,
 			answer:      i.Answer,
-		})
+			finishedAt:  i.FinishedAt,
+		}
+		t.insert(i.Workspace, c)
+		if c.finished {
+			t.ended = append(t.ended, ended{workspace: t.workspaces[i.Workspace], claim: c})
+		}
 	}
+	slices.SortFunc(t.ended, compareEnded)
+}
+
+// settledImage returns the settled claims as a snapshot holds them.
+func (t *claims) settledImage() []byte {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.settled.image()
 }
 
 // ClaimCount returns how many claims are open or retained.
 func (m *Machine) ClaimCount() int {
 	m.claims.mu.RLock()
 	defer m.claims.mu.RUnlock()
-	return m.claims.count
+	return m.claims.count + len(m.claims.settled.byKey)
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -61,6 +61,11 @@
 	// ClaimsPerWorkspace bounds those of one workspace, so that it cannot take the
 	// room of the others; the default is 50,000.
 	ClaimsPerWorkspace int
+	// SettleAfter is how long after its end a call's claim is kept whole; then the
+	// answer goes, and the verdict is kept for the retention. The default is 10 minutes.
+	SettleAfter Age
+	// Settled bounds the claims kept in that short form; the default is 500,000.
+	Settled int
 	// AnswerBytes bounds the recorded bodies altogether; an answer beyond it
 	// leaves the verdict only. The default is 32 MiB.
 	AnswerBytes int
@@ -74,17 +79,21 @@
 }
 
 const (
-	defaultClaims             = 150_000
-	defaultClaimsPerWorkspace = 50_000
-	defaultAnswerBytes        = 32 << 20
-	defaultOutcomes           = 10_000
-	defaultAuditRecords       = 10_000
+	defaultClaims                 = 150_000
+	defaultClaimsPerWorkspace     = 50_000
+	defaultSettleAfter        Age = 600_000
+	defaultSettled                = 500_000
+	defaultAnswerBytes            = 32 << 20
+	defaultOutcomes               = 10_000
+	defaultAuditRecords           = 10_000
 )
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.ClaimRetention, day)
 	setDefault(&o.Claims, defaultClaims)
 	setDefault(&o.ClaimsPerWorkspace, defaultClaimsPerWorkspace)
+	setDefault(&o.SettleAfter, defaultSettleAfter)
+	setDefault(&o.Settled, defaultSettled)
 	setDefault(&o.AnswerBytes, defaultAnswerBytes)
 	setDefault(&o.OutcomeRetention, day)
 	setDefault(&o.Outcomes, defaultOutcomes)
--- /dev/null
+++ b/internal/state/settled_test.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+// A claim whose call ended some time ago is kept in short form: it frees room for
+// others and never lets the key run again within the retention. Without the look into
+// the settled claims this fails: the key is granted again.
+func TestSettledClaimNeverRunsAgain(t *testing.T) {
+	l := newLog(t, Options{ClaimRetention: 5000, SettleAfter: 1000, Settled: 2, Claims: 3, ClaimsPerWorkspace: 3})
+	for _, key := range []string{"a", "b", "c"} {
+		require.Equal(t, ClaimGranted, l.claim(key, "1", 7).Outcome)
+		require.Equal(t, FinishRecorded, l.finish(key, "1", verdict.Ran, &RecordedAnswer{Status: 201, Body: []byte("slot")}))
+	}
+	require.Equal(t, ClaimRefused, l.claim("d", "1", 7).Outcome, "the table is full")
+	require.NotNil(t, l.claim("a", "2", 7).Answer)
+	l.do(AdvanceAge{Elapsed: 1000})
+
+	require.Equal(t, 3, l.m.ClaimCount())
+	require.Equal(t, ClaimResult{Outcome: ClaimFinished, Verdict: verdict.Ran}, l.claim("a", "2", 7))
+	require.Equal(t, ClaimKeyReused, l.claim("b", "2", 8).Outcome)
+	require.NotNil(t, l.claim("c", "2", 7).Answer, "the third had no room and is whole")
+	require.Equal(t, FinishIgnored, l.finish("a", "1", verdict.NotRun, nil))
+	require.Equal(t, ClaimGranted, l.claim("d", "1", 7).Outcome, "there is room again")
+
+	image, err := l.m.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, l.m.Restore(image))
+	require.Equal(t, ClaimFinished, l.claim("a", "3", 7).Outcome)
+	again, err := l.m.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, image[len(image)-2*settledBytes:], again[len(again)-2*settledBytes:])
+
+	l.do(AdvanceAge{Elapsed: 5000})
+	require.Equal(t, ClaimGranted, l.claim("a", "4", 7).Outcome, "the retention has ended")
+}
+
+func BenchmarkSettledMemory(b *testing.B) {
+	const count = 100_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := settled{max: count}
+		s.clear()
+		for i := range count {
+			s.add(newSettledKey("workspace", fmt.Sprint("key ", i)), settledClaim{expires: Age(i)})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/claim")
+		runtime.KeepAlive(s.byKey)
+	}
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -24,6 +24,8 @@
 	Audit      []AuditRecord        `cbor:"11,keyasint"`
 	// Retention is that of claims; zero in images of older builds.
 	Retention Age `cbor:"12,keyasint,omitempty"`
+	// Settled are the settled claims, in the order in which they expire.
+	Settled []byte `cbor:"13,keyasint,omitempty"`
 }
 
 // Snapshot returns the tables after the last applied entry. Changes wait only
@@ -43,6 +45,7 @@
 	i := image{Version: imageVersion, Applied: m.Applied(), Age: m.Age()}
 	m.documents.capture(&i)
 	i.Claims = m.claims.images()
+	i.Settled = m.claims.settledImage()
 	i.Retention = m.claims.span()
 	m.cluster.capture(&i)
 	m.audit.capture(&i)
@@ -84,6 +87,9 @@
 	if i.Version != imageVersion {
 		return errors.Errorf("unknown version %d of tables", i.Version)
 	}
+	if len(i.Settled)%settledBytes != 0 {
+		return errors.New("settled claims have a broken length")
+	}
 	m.applyMu.Lock()
 	defer m.applyMu.Unlock()
 	if i.Applied < m.Applied() {
@@ -95,7 +101,7 @@
 	if i.Retention > 0 {
 		m.claims.retention = i.Retention
 	}
-	m.claims.restore(i.Claims)
+	m.claims.restore(i.Claims, i.Settled)
 	m.cluster.restore(i.ClusterID, i.Membership, i.Addresses)
 	m.audit.restore(i.Audit)
 	m.age.Store(uint64(i.Age))
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -16,6 +16,8 @@
 
 var small = Options{
 	ClaimRetention:     3000,
+	SettleAfter:        1000,
+	Settled:            4,
 	Claims:             5,
 	ClaimsPerWorkspace: 3,
 	AnswerBytes:        40,
