--- /dev/null
+++ b/internal/peer/liveness.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// Hold asks for a sharp watch on the other end until Release: while something waits
+// for it, it is probed, and a silent end ends the session within seconds. A session
+// that is not held costs little and notices a dead end late.
+func (s *Session) Hold() {
+	if s.held.Add(1) == 1 {
+		s.heldSince.Store(int64(s.age()))
+	}
+}
+
+// Release undoes one Hold.
+func (s *Session) Release() { s.held.Add(-1) }
+
+func (s *Session) age() time.Duration { return time.Since(s.opened) }
+
+// isSilent reports whether the other end has been silent for too long.
+func (s *Session) isSilent() bool {
+	heard := time.Duration(s.heard.Load())
+	if s.held.Load() == 0 {
+		return s.age()-heard > s.silenceLimit()
+	}
+	return s.age()-max(heard, time.Duration(s.heldSince.Load())) > heldLimit
+}
+
+// keepAlive probes the other end of a held session, and breaks a silence of our own
+// that has become too long.
+func (s *Session) keepAlive(quiet time.Duration) {
+	isHeld := s.held.Load() > 0
+	if isHeld || quiet >= s.ping {
+		_ = s.Post(&wire.Ping{WantsEcho: isHeld})
+	}
+}
+
+// silenceLimit is how long the other end may be silent before it counts as dead.
+func (s *Session) silenceLimit() time.Duration {
+	ping := time.Duration(s.remote.PingMS) * time.Millisecond
+	if ping <= 0 {
+		ping = DefaultPingInterval
+	}
+	return silentPings * ping
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -52,22 +52,6 @@
 // ServePeer implements Handler.
 func (f HandlerFunc) ServePeer(s *Session, call uint64, m wire.Message) { f(s, call, m) }
 
-// states of an item in a session's queue.
-const (
-	itemQueued int32 = iota
-	itemStarted
-	itemWithdrawn
-)
-
-// item is a message in a session's queue, or, without data, a mark that tells when
-// all before it is written.
-type item struct {
-	kind    wire.Kind
-	data    []byte
-	state   atomic.Int32
-	started chan struct{}
-}
-
 // Session is one end of a live WebSocket.
 type Session struct {
 	conn    *websocket.Conn
@@ -149,29 +133,6 @@
 	}
 }
 
-// Hold asks for a sharp watch on the other end until Release: while something waits
-// for it, it is probed, and a silent end ends the session within seconds. A session
-// that is not held costs little and notices a dead end late.
-func (s *Session) Hold() {
-	if s.held.Add(1) == 1 {
-		s.heldSince.Store(int64(s.age()))
-	}
-}
-
-// Release undoes one Hold.
-func (s *Session) Release() { s.held.Add(-1) }
-
-func (s *Session) age() time.Duration { return time.Since(s.opened) }
-
-// isSilent reports whether the other end has been silent for too long.
-func (s *Session) isSilent() bool {
-	heard := time.Duration(s.heard.Load())
-	if s.held.Load() == 0 {
-		return s.age()-heard > s.silenceLimit()
-	}
-	return s.age()-max(heard, time.Duration(s.heldSince.Load())) > heldLimit
-}
-
 // Close ends the session.
 func (s *Session) Close() { s.fail(ErrClosed) }
 
@@ -250,45 +211,6 @@
 	return err
 }
 
-func (s *Session) enqueue(call uint64, isReply bool, m wire.Message) (*item, error) {
-	it, err := newItem(call, isReply, m)
-	if err != nil {
-		return nil, err
-	}
-	if !s.Alive() {
-		return nil, ErrClosed
-	}
-	select {
-	case s.queue <- it:
-		return it, nil
-	default:
-		return nil, ErrBusy
-	}
-}
-
-func (s *Session) enqueueWait(ctx context.Context, m wire.Message) (*item, error) {
-	it, err := newItem(0, false, m)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case s.queue <- it:
-		return it, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-s.done:
-		return nil, ErrClosed
-	}
-}
-
-func newItem(call uint64, isReply bool, m wire.Message) (*item, error) {
-	data, err := wire.Encode(call, isReply, m)
-	if err != nil {
-		return nil, err
-	}
-	return &item{kind: m.Kind(), data: data, started: make(chan struct{})}, nil
-}
-
 // run reads and writes until the session ends.
 func (s *Session) run(h Handler) {
 	go s.writeLoop()
@@ -334,15 +256,6 @@
 	}
 }
 
-// keepAlive probes the other end of a held session, and breaks a silence of our own
-// that has become too long.
-func (s *Session) keepAlive(quiet time.Duration) {
-	isHeld := s.held.Load() > 0
-	if isHeld || quiet >= s.ping {
-		_ = s.Post(&wire.Ping{WantsEcho: isHeld})
-	}
-}
-
 func (s *Session) write(data []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
@@ -387,15 +300,6 @@
 	return data, nil
 }
 
-// silenceLimit is how long the other end may be silent before it counts as dead.
-func (s *Session) silenceLimit() time.Duration {
-	ping := time.Duration(s.remote.PingMS) * time.Millisecond
-	if ping <= 0 {
-		ping = DefaultPingInterval
-	}
-	return silentPings * ping
-}
-
 func (s *Session) deliver(call uint64, m wire.Message) {
 	s.mu.Lock()
 	ch := s.calls[call]
