--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -33,14 +33,19 @@
 			ticker := time.NewTicker(observeInterval)
 			defer ticker.Stop()
 			for {
+				isLast := false
 				select {
 				case <-w.stop:
-					return
+					// What came since the last look belongs to it too.
+					isLast = true
 				case <-ticker.C:
 				}
 				if r, err := local.Executions(s.ctx, h); err == nil && r.Orders > 0 {
 					w.take(h.Name, r.Order)
 				}
+				if isLast {
+					return
+				}
 			}
 		})
 	}
