--- a/internal/daemon/resolver.go
+++ b/internal/daemon/resolver.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"net/url"
-
 	"github.com/sassafraspost/sassafraspost/internal/catalog"
 	"github.com/sassafraspost/sassafraspost/internal/document"
 	"github.com/sassafraspost/sassafraspost/internal/entry"
@@ -57,11 +55,7 @@
 }
 
 func planService(p entry.Plan, b catalog.Binding, l entry.Lookup) (entry.Plan, error) {
-	path, err := url.PathUnescape(l.Path)
-	if err != nil {
-		return p, refuse(verdict.CodeBadRequest, "path can't be read")
-	}
-	s := b.Document.PlainServiceFor(path)
+	s := b.Document.PlainServiceFor(l.Path)
 	if s == nil {
 		return p, refuse(verdict.CodeNotFound, "no service at this path")
 	}
@@ -71,7 +65,7 @@
 	p.Kind = entry.KindPlain
 	p.Pool = s.Pool
 	p.Idempotent = document.IsIdempotentMethod(l.Method)
-	if c := b.Document.CallFor(l.Method, path); c != nil {
+	if c := b.Document.CallFor(l.Method, l.Path); c != nil {
 		p.Idempotent = c.Idempotent
 	}
 	return p, nil
