--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -27,6 +27,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
+// The tables are set aside quickly for a snapshot, and encoded beside the log.
+var _ replica.Capturer = (*state.Machine)(nil)
+
 const (
 	// ageInterval is how often the leader moves the age of the tables on.
 	ageInterval = 5 * time.Second
--- a/internal/daemon/resolver_test.go
+++ b/internal/daemon/resolver_test.go
@@ -58,28 +58,28 @@
 	cases := map[string]struct {
 		lookup entry.Lookup
 		code   verdict.Code
-		check  func(p entry.Plan)
+		check  func(t *testing.T, p entry.Plan)
 	}{
 		"unknown token":       {entry.Lookup{TokenHash: sha256.Sum256([]byte("x")), Model: "drafter"}, verdict.CodeUnauthorized, nil},
 		"unknown model":       {entry.Lookup{TokenHash: token, Model: "nobody"}, verdict.CodeNotFound, nil},
 		"model not allowed":   {entry.Lookup{TokenHash: token, Model: "planner"}, verdict.CodeForbidden, nil},
 		"path of no service":  {entry.Lookup{TokenHash: token, Method: "GET", Path: "/other"}, verdict.CodeNotFound, nil},
 		"prefix of a segment": {entry.Lookup{TokenHash: token, Method: "GET", Path: "/slotsmith"}, verdict.CodeNotFound, nil},
-		"completion": {entry.Lookup{TokenHash: token, Model: "drafter"}, "", func(p entry.Plan) {
+		"completion": {entry.Lookup{TokenHash: token, Model: "drafter"}, "", func(t *testing.T, p entry.Plan) {
 			require.Equal(t, entry.Plan{
 				Workspace: "clubs", Service: "entries", Kind: entry.KindModel, Pool: "drafter", Model: "drafter",
 				Version: "v1", Idempotent: true, Resumable: true, Deadline: 2 * time.Second, Urgency: 1,
 			}, p)
 		}},
-		"call that may not repeat": {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/book"}, "", func(p entry.Plan) {
+		"call that may not repeat": {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/book"}, "", func(t *testing.T, p entry.Plan) {
 			require.False(t, p.Idempotent)
 			require.Equal(t, "slots", p.Pool)
 		}},
-		"call that may":   {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/search"}, "", func(p entry.Plan) { require.True(t, p.Idempotent) }},
-		"undescribed":     {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/other"}, "", func(p entry.Plan) { require.False(t, p.Idempotent) }},
-		"undescribed get": {entry.Lookup{TokenHash: token, Method: "GET", Path: "/slots/other"}, "", func(p entry.Plan) { require.True(t, p.Idempotent) }},
+		"call that may":   {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/search"}, "", func(t *testing.T, p entry.Plan) { require.True(t, p.Idempotent) }},
+		"undescribed":     {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/other"}, "", func(t *testing.T, p entry.Plan) { require.False(t, p.Idempotent) }},
+		"undescribed get": {entry.Lookup{TokenHash: token, Method: "GET", Path: "/slots/other"}, "", func(t *testing.T, p entry.Plan) { require.True(t, p.Idempotent) }},
 		// The path comes decoded; what is still escaped belongs to the upstream.
-		"escaped twice": {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/se%61rch"}, "", func(p entry.Plan) { require.False(t, p.Idempotent) }},
+		"escaped twice": {entry.Lookup{TokenHash: token, Method: "POST", Path: "/slots/se%61rch"}, "", func(t *testing.T, p entry.Plan) { require.False(t, p.Idempotent) }},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +90,7 @@
 				return
 			}
 			require.NoError(t, err)
-			c.check(p)
+			c.check(t, p)
 		})
 	}
 }
--- a/internal/state/settled_test.go
+++ b/internal/state/settled_test.go
@@ -59,3 +59,18 @@
 		runtime.KeepAlive(s.byKey)
 	}
 }
+
+// What was set aside does not change with what is applied before it is encoded.
+func TestCaptureIsOfOneMoment(t *testing.T) {
+	l := newLog(t, Options{})
+	require.Equal(t, ClaimGranted, l.claim("a", "1", 7).Outcome)
+	want, err := l.m.Snapshot()
+	require.NoError(t, err)
+	encode := l.m.Capture()
+	require.Equal(t, FinishRecorded, l.finish("a", "1", verdict.Ran, &RecordedAnswer{Status: 201}))
+	require.Equal(t, ClaimGranted, l.claim("b", "1", 7).Outcome)
+	l.do(AdvanceAge{Elapsed: 1000})
+	got, err := encode()
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -28,14 +28,19 @@
 	Settled []byte `cbor:"13,keyasint,omitempty"`
 }
 
-// Snapshot returns the tables after the last applied entry. Changes wait only
-// while the tables are copied; texts and answers are shared, not copied, and all
-// is sorted and encoded afterwards.
-func (m *Machine) Snapshot() ([]byte, error) {
+// Snapshot returns the tables after the last applied entry.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+
+// Capture sets the tables after the last applied entry aside. Changes wait only while
+// they are copied; texts and answers are shared, not copied. What it returns sorts and
+// encodes the copy, beside the changes that come after.
+func (m *Machine) Capture() (encode func() ([]byte, error)) {
 	i := m.capture()
-	sortImages(i.Claims)
-	data, err := encoding.Marshal(i)
-	return data, errors.Wrap(err, "encode tables")
+	return func() ([]byte, error) {
+		sortImages(i.Claims)
+		data, err := encoding.Marshal(i)
+		return data, errors.Wrap(err, "encode tables")
+	}
 }
 
 // capture copies the tables.
