--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,6 +85,7 @@
 	_, err := p.Get(context.Background(), b.address)
 	require.Error(t, err)
 	require.Empty(t, b.pool.Sessions())
+	require.Equal(t, int64(1), b.pool.traffic.strangers.Count())
 }
 
 func TestAnotherVersionEndsTheSessionAndNotTheProcess(t *testing.T) {
@@ -95,6 +96,7 @@
 	require.NoError(t, err)
 	require.NoError(t, s.conn.Write(context.Background(), websocket.MessageBinary, data))
 	require.Eventually(t, func() bool { return !s.Alive() }, 10*time.Second, time.Millisecond)
+	require.Equal(t, int64(1), b.pool.traffic.unreadable.Count())
 	_, err = a.pool.Get(context.Background(), b.address)
 	require.NoError(t, err, "a new session can begin")
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,6 +29,7 @@
 // ServeHTTP implements http.Handler. A wrong secret gets 401 before the upgrade.
 func (v *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !v.pool.secretMatches(r) {
+		v.pool.traffic.strangers.Inc(1)
 		http.Error(w, "wrong secret", http.StatusUnauthorized)
 		return
 	}
@@ -44,6 +45,7 @@
 		err = sendHello(ctx, conn, v.pool.cfg.Hello)
 	}
 	if err != nil {
+		v.pool.traffic.strangers.Inc(1)
 		_ = conn.Close(websocket.StatusPolicyViolation, "hello refused")
 		return
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -270,6 +270,7 @@
 		}
 		env, m, err := wire.Decode(data)
 		if err != nil {
+			s.traffic.unreadable.Inc(1)
 			_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
 			return err
 		}
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -31,6 +31,9 @@
 // traffic tells apart what requests cost and what control costs.
 type traffic struct {
 	controlSent, controlReceived, attemptSent, attemptReceived counts
+	// unreadable counts messages that this build can't read, strangers those who came
+	// with a wrong secret or greeting.
+	unreadable, strangers metrics.Counter
 }
 
 func newTraffic(reg metrics.Registry) *traffic {
@@ -39,6 +42,8 @@
 		controlReceived: newCounts(reg, "control.received"),
 		attemptSent:     newCounts(reg, "attempt.sent"),
 		attemptReceived: newCounts(reg, "attempt.received"),
+		unreadable:      metrics.GetOrRegisterCounter("peer.messages.unreadable", reg),
+		strangers:       metrics.GetOrRegisterCounter("peer.strangers", reg),
 	}
 }
 
