--- a/test/cmd/members/main.go
+++ b/test/cmd/members/main.go
@@ -62,6 +62,10 @@
 	pool     *peer.Pool
 	registry metrics.Registry
 	service  *directory.Service
+	// state and stop belong to an agent: what it announces, and the end of announcing.
+	state     atomic.Uint32
+	stop      context.CancelFunc
+	announcer *directory.Announcer
 }
 
 var started = time.Now()
@@ -87,9 +91,48 @@
 		}
 	}
 	measure(o, entries, agents, before)
+	return change(entries, agents)
+}
+
+// change measures how long it takes until all entry hosts know that an agent leaves,
+// and that another one has fallen silent.
+func change(entries, agents []*node) error {
+	leaving, silent := agents[0], agents[1]
+	leaving.state.Store(uint32(wire.UpstreamLeaving))
+	leaving.announcer.Wake()
+	err := timeUntil("leaving agent", entries, leaving, func(e directory.Entry) bool {
+		return e.Upstream.State == wire.UpstreamLeaving
+	})
+	if err != nil {
+		return err
+	}
+	silent.stop()
+	return timeUntil("silent agent", entries, silent, func(e directory.Entry) bool { return e.Suspect })
+}
+
+func timeUntil(what string, entries []*node, agent *node, ok func(directory.Entry) bool) error {
+	begin := time.Now()
+	for _, n := range entries {
+		for !knows(n, agent.host.Name, ok) {
+			if time.Since(begin) > patience {
+				return fmt.Errorf("%s does not know of the %s", n.host.Name, what)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	fmt.Printf("%s known everywhere after %v\n", what, time.Since(begin).Round(time.Millisecond))
 	return nil
 }
 
+func knows(n *node, name string, ok func(directory.Entry) bool) bool {
+	for _, e := range n.service.Entries() {
+		if e.Upstream.Name == name {
+			return ok(e)
+		}
+	}
+	return false
+}
+
 func newNode(name string, handler peer.Handler) (*node, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -148,20 +191,23 @@
 		if err != nil {
 			return nil, err
 		}
+		n.state.Store(uint32(wire.UpstreamReady))
 		var tick atomic.Uint32
-		announcer := directory.NewAnnouncer(directory.AnnouncerConfig{
+		n.announcer = directory.NewAnnouncer(directory.AnnouncerConfig{
 			Hosts: hosts, Pool: n.pool, Interval: o.interval, Now: now, Log: slog.New(slog.DiscardHandler),
 			Raise: func(uint64) {},
 			Record: func() (wire.Upstream, []wire.CacheEvent) {
 				t := tick.Add(1)
 				return wire.Upstream{
 					Name: n.host.Name, DataCentre: "centre-a", Address: n.host.Address, Incarnation: 1,
-					State: wire.UpstreamReady, Pool: "drafter", Version: "v3", Role: "unified", Group: "drafter-a",
+					State: wire.UpstreamState(n.state.Load()), Pool: "drafter", Version: "v3", Role: "unified", Group: "drafter-a",
 					Load: wire.Load{Running: 30 + t%8, Queued: t % 4, Capacity: 64, FirstTokenUS: 180_000 + uint64(t%1000), Tokens: 3500, CacheFree: 0.25, StepUS: 30_000, AgeMS: 100 + t%900},
 				}, nil
 			},
 		})
-		go announcer.Run(context.Background())
+		var ctx context.Context
+		ctx, n.stop = context.WithCancel(context.Background())
+		go n.announcer.Run(ctx)
 		nodes = append(nodes, n)
 	}
 	return nodes, nil
