Keep test systems apart; prove that a cut-off data centre goes on and catches up

The status showed 5 hosts in force where the system has 2, and the test waits for 2. Each local system now draws a secret of its own, so that such processes are refused as strangers. Ruled out: the product, which answered the booking (201) and had the revision in force while the test waited. It waits for the election where the leader was the one cut off.

--- /dev/null
+++ b/test/integration/centres_test.go
@@ -0,0 +1,64 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/standin"
+)
+
+// refusalBound is how soon a booking is refused where no majority can be reached.
+const refusalBound = 3 * time.Second
+
+// A data centre that is cut off goes on with idempotent work, refuses what needs a
+// majority at once, and has what was accepted meanwhile in force after the heal.
+func TestCutOffDataCentreGoesOnAndCatchesUp(t *testing.T) {
+	t.Parallel()
+	s := start(t, local.Layout{
+		Control: 3, Entries: 1, Engines: 1, Services: 1,
+		DataCentres: []string{"centre-a", "centre-b"}, HasProxies: true,
+	})
+	inside := s.Entries[1]
+	require.Equal(t, "centre-b", inside.DataCentre)
+	s.await("a booking in the data centre", func() bool {
+		return s.do(inside, local.Booking("before", "Elena")).Status == http.StatusCreated
+	})
+
+	s.CutDataCentre("centre-b")
+	for n := range 20 {
+		prompt := fmt.Sprint("cut off ", n)
+		a := s.do(inside, local.Completion(prompt, 5, false))
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+		require.Contains(t, a.Body, standin.Text(prompt, 5))
+	}
+	asked := time.Now()
+	a := s.do(inside, local.Booking("during", "Elena"))
+	require.Equal(t, http.StatusServiceUnavailable, a.Status, a.Body)
+	require.NotEqual(t, verdict.Ran, a.Verdict)
+	require.NotEmpty(t, a.Header.Get("Retry-After"))
+	require.Less(t, time.Since(asked), refusalBound)
+	// Where the leader was cut off, the others elect one first.
+	s.await("a change by the others", func() bool {
+		_, err := s.Submit(s.ctx, local.Document("v2"))
+		return err == nil
+	})
+
+	s.HealDataCentre("centre-b")
+	healed := time.Now()
+	require.NoError(t, s.AwaitInForce(s.ctx))
+	t.Logf("in force everywhere %v after the heal", time.Since(healed).Round(time.Millisecond))
+	s.await("the same booking after the heal", func() bool {
+		return s.do(inside, local.Booking("during", "Elena")).Status == http.StatusCreated
+	})
+	for _, h := range s.Agents {
+		r, err := local.Executions(s.ctx, h.Upstream)
+		require.NoError(t, err)
+		require.LessOrEqual(t, r.ByKey["during"].Begun, 1)
+	}
+}
--- a/test/local/settings.go
+++ b/test/local/settings.go
@@ -58,7 +58,7 @@
 [metrics]
 listen = %s
 
-%s`, h.Name, h.DataCentre, role, s.Layout.Grace, h.Peer, advertise, secret, s.peerTLS(), h.Metrics, body)
+%s`, h.Name, h.DataCentre, role, s.Layout.Grace, h.Peer, advertise, s.secret, s.peerTLS(), h.Metrics, body)
 	return os.WriteFile(filepath.Join(s.Dir, h.Name+".ini"), []byte(text), 0o600)
 }
 
--- a/test/local/system.go
+++ b/test/local/system.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"fmt"
 	"os"
@@ -18,7 +19,6 @@
 const (
 	OperatorToken = "local-operator-token"
 	CallerToken   = "local-caller-token"
-	secret        = "local secret of the processes"
 )
 
 // Layout says what to start.
@@ -71,6 +71,9 @@
 	inbound map[string]*faultproxy.TCP
 	// messages are between agents and entry hosts, in both ways of dialling.
 	messages []*faultproxy.Messages
+	// secret is the system's own, so that processes of another one that a test left
+	// behind are strangers here, also where they come by a port that was theirs.
+	secret string
 	// reserved holds the sockets that keep the ports of the processes from others.
 	reserved []int
 }
@@ -86,7 +89,7 @@
 		layout.Grace = 30 * time.Second
 	}
 	s := &System{
-		Dir: dir, Bin: bin, Layout: layout,
+		Dir: dir, Bin: bin, Layout: layout, secret: rand.Text(),
 		links: make(map[linkKey]*faultproxy.TCP), inbound: make(map[string]*faultproxy.TCP),
 	}
 	if err := s.place(); err != nil {
