Change expert maps beside the engines: agents, orders that expect a state, a planner by set

Cause: with map 0 the most loaded rank had 3.7 times the mean and set the pace of all. Ruled out: ordering from elsewhere, which is priced and slower than from the own host. The seconds after the first shifts are still slow.

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -43,7 +43,7 @@
 	// is sent again. Default 1.
 	RetryTicks int
 	// DeadlineTicks is the number of ticks after which a round that hasn't been
-	// answered by all is given up. It doesn't apply to commit and abort, which
+	// answered by all is given up. It doesn't apply to commit, abort and release, which
 	// go on until answered or superseded. Default 50.
 	DeadlineTicks int
 	// ArmAhead is the number of steps between the last started step and the
@@ -82,6 +82,7 @@
 	arming
 	committing
 	aborting
+	releasing
 )
 
 // peer is what a coordinator knows of one participant in its ballot.
@@ -217,6 +218,8 @@
 		return m.Committed.Ballot == c.ballot
 	case c.phase == aborting && m.Aborted != nil:
 		return m.Aborted.Ballot == c.ballot
+	case c.phase == releasing && m.Released != nil:
+		return m.Released.Ballot == c.ballot
 	}
 	return false
 }
@@ -243,7 +246,7 @@
 		return c.finish(OutcomeSuperseded)
 	case c.phase == arming:
 		return c.enter(aborting)
-	case c.phase == aborting:
+	case c.phase == aborting, c.phase == releasing:
 		// A late answer to an arm.
 		return nil
 	}
@@ -261,6 +264,8 @@
 		c.decided = c.proposed(c.armStep)
 		return c.enter(committing)
 	case aborting:
+		return c.enter(releasing)
+	case releasing:
 		if c.recovering && c.found.behind {
 			return c.enter(committing)
 		}
@@ -380,8 +385,10 @@
 		return Message{Arm: &Arm{Ballot: b, Incarnation: inc, Version: b, Step: c.armStep}}
 	case committing:
 		return Message{Commit: &Commit{Ballot: b, Incarnation: inc, Present: c.decided}}
-	default:
+	case aborting:
 		return Message{Abort: &Abort{Ballot: b, Incarnation: inc}}
+	default:
+		return Message{Release: &Release{Ballot: b, Incarnation: inc}}
 	}
 }
 
--- a/internal/expertmap/doc.go
+++ b/internal/expertmap/doc.go
@@ -16,6 +16,8 @@
 //   - A change goes through four rounds: promise, stage (load weights), arm at a
 //     step ahead, commit. An engine that reaches its armed step uncommitted
 //     holds: it doesn't start the step. Commit is sent only after all have armed.
+//   - An abort takes two rounds: first no rank is armed any more, then those that
+//     still hold go on. A rank let go while another is armed might begin the step.
 //   - A coordinator that finds an open change asks everyone before it acts: if a
 //     rank has committed a map, all commit that map; if none has, all abort.
 //   - A map's version is the ballot that proposed it, so versions are unique
--- a/internal/expertmap/engine.go
+++ b/internal/expertmap/engine.go
@@ -13,7 +13,7 @@
 	// SlotsPerRank is the number of expert slots that each rank has in a layer.
 	SlotsPerRank int `cbor:"2,keyasint"`
 	// Layers gives the expert in each slot of each layer. Slot s belongs to
-	// rank s/SlotsPerRank.
+	// rank s/SlotsPerRank. Some engines leave slots empty.
 	Layers [][]uint16 `cbor:"3,keyasint"`
 }
 
@@ -51,6 +51,9 @@
 	Armed *Change `cbor:"3,keyasint,omitempty"`
 	// Maps are the maps whose weights are loaded, the active one among them.
 	Maps []Map `cbor:"4,keyasint,omitempty"`
+	// Holding says that the engine is not armed and yet won't start some step before
+	// Release: what an abort leaves behind at engines of type Holder.
+	Holding bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Joined reports whether the engine has a map and may start steps.
@@ -114,6 +117,16 @@
 	Abort(ctx context.Context, b Ballot) error
 }
 
+// Holder is an Engine that holds by an order apart from the one that arms it, so that
+// it may be left holding without a change. Such an engine goes on holding at Abort: it
+// may start the step only once no rank of the group is armed, which Release tells. An
+// order that was given up on and is carried out late finds the engine holding until
+// then.
+type Holder interface {
+	// Release lets an engine go on that holds without being armed.
+	Release(ctx context.Context, b Ballot) error
+}
+
 // OrderKind names a call of [Engine].
 type OrderKind uint8
 
@@ -123,6 +136,7 @@
 	OrderArm
 	OrderCommit
 	OrderAbort
+	OrderRelease
 )
 
 // Order is one call to make to one engine.
@@ -130,7 +144,7 @@
 	// Engine is the index of the engine at this participant.
 	Engine int
 	Kind   OrderKind
-	// Ballot is set for OrderCommit and OrderAbort.
+	// Ballot is that of the request.
 	Ballot Ballot
 	// Change is set for OrderArm.
 	Change Change
@@ -149,6 +163,11 @@
 		return e.Commit(ctx, o.Ballot)
 	case OrderAbort:
 		return e.Abort(ctx, o.Ballot)
+	case OrderRelease:
+		if h, ok := e.(Holder); ok {
+			return h.Release(ctx, o.Ballot)
+		}
+		return nil
 	}
 	return errors.Errorf("unknown order %d", o.Kind)
 }
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -17,6 +17,8 @@
 	Abort     *Abort     `cbor:"9,keyasint,omitempty"`
 	Aborted   *Aborted   `cbor:"10,keyasint,omitempty"`
 	Refused   *Refused   `cbor:"11,keyasint,omitempty"`
+	Release   *Release   `cbor:"12,keyasint,omitempty"`
+	Released  *Released  `cbor:"13,keyasint,omitempty"`
 }
 
 // Envelope is a message to send.
@@ -104,6 +106,17 @@
 	Ballot Ballot `cbor:"1,keyasint"`
 }
 
+// Release tells the ranks to go on: no rank of the group is armed uncommitted.
+type Release struct {
+	Ballot      Ballot `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// Released says that no rank of the participant holds.
+type Released struct {
+	Ballot Ballot `cbor:"1,keyasint"`
+}
+
 // Reason says why a participant refuses.
 type Reason uint8
 
@@ -140,6 +153,8 @@
 		return header{m.Commit.Ballot, m.Commit.Incarnation}, true
 	case m.Abort != nil:
 		return header{m.Abort.Ballot, m.Abort.Incarnation}, true
+	case m.Release != nil:
+		return header{m.Release.Ballot, m.Release.Incarnation}, true
 	}
 	return header{}, false
 }
--- a/internal/expertmap/participant.go
+++ b/internal/expertmap/participant.go
@@ -149,6 +149,8 @@
 	case r.msg.Abort != nil:
 		p.aborted = true
 		m.Aborted = &Aborted{Ballot: b}
+	case r.msg.Release != nil:
+		m.Released = &Released{Ballot: b}
 	}
 	return &Envelope{To: r.from, Message: m}
 }
@@ -196,7 +198,7 @@
 
 func waiting(ranks []Status) bool {
 	for _, r := range ranks {
-		if r.Uncommitted() || !r.Joined() {
+		if r.Uncommitted() || r.Holding || !r.Joined() {
 			return true
 		}
 	}
--- a/internal/expertmap/plan.go
+++ b/internal/expertmap/plan.go
@@ -30,6 +30,8 @@
 		return planCommit(m.Commit, r)
 	case m.Abort != nil:
 		return planAbort(m.Abort, r), 0
+	case m.Release != nil:
+		return planRelease(m.Release, r), 0
 	}
 	return nil, ReasonState
 }
@@ -96,3 +98,14 @@
 	}
 	return []Order{{Kind: OrderAbort, Ballot: m.Ballot}}
 }
+
+// planRelease drops a change first that a late order has armed since the abort.
+func planRelease(m *Release, r Status) []Order {
+	switch {
+	case r.Uncommitted():
+		return []Order{{Kind: OrderAbort, Ballot: m.Ballot}}
+	case r.Holding:
+		return []Order{{Kind: OrderRelease, Ballot: m.Ballot}}
+	}
+	return nil
+}
--- a/internal/expertmap/resolve.go
+++ b/internal/expertmap/resolve.go
@@ -14,7 +14,8 @@
 // finding is what the states of all ranks of a group say together.
 type finding struct {
 	present Present
-	// abort: a rank is armed with a change that no rank has committed.
+	// abort: a rank is armed with a change that no rank has committed, or holds
+	// without one.
 	abort bool
 	// behind: a rank has no map, or hasn't committed the present one.
 	behind bool
@@ -44,7 +45,7 @@
 // add takes one rank's state into account, given the newest committed map.
 func (f *finding) add(r Status) {
 	newest := f.present.Installed.Version
-	if r.Uncommitted() && r.Armed.Version != newest {
+	if r.Holding || r.Uncommitted() && r.Armed.Version != newest {
 		f.abort = true
 	}
 	if !r.Joined() || r.Committed().Version != newest {
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -11,8 +11,8 @@
 
 const (
 	gatherTimeout = 2 * time.Second
-	// armAhead covers a round trip to all hosts at the shortest steps of the target.
-	armAhead = 32
+	// DefaultArmAhead covers a round trip to all hosts at the shortest steps of the target.
+	DefaultArmAhead = 32
 )
 
 // intent is what a coordinator is to begin with once all members are known.
@@ -45,7 +45,10 @@
 		return
 	}
 	r.members = make(map[expertmap.Address]string, len(members))
-	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: armAhead}
+	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: r.cfg.ArmAhead}
+	if r.cfg.Start != nil {
+		cfg.After.Counter = max(cfg.After.Counter, r.cfg.Start())
+	}
 	for _, m := range members {
 		r.members[expertmap.Address(m.FirstRank)] = m.Address
 		cfg.Participants = append(cfg.Participants, expertmap.Address(m.FirstRank))
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -48,10 +48,15 @@
 	// Shape returns what the document in force says of the group, nil if nothing.
 	Shape func() *wire.GroupShape
 	// Unique returns numbers that differ between all starts of all hosts.
-	Unique       func() uint64
+	Unique func() uint64
+	// Start returns a counter that is above those of earlier coordinators, as far as
+	// this host can tell; nil is no such knowledge.
+	Start        func() uint64
 	PlanInterval time.Duration
-	Log          *slog.Logger
-	Metrics      metrics.Registry
+	// ArmAhead is how many steps ahead a change is armed; DefaultArmAhead if zero.
+	ArmAhead uint64
+	Log      *slog.Logger
+	Metrics  metrics.Registry
 }
 
 // inbound is a message of another host, or of this one to itself.
@@ -110,6 +115,9 @@
 
 // New returns a Runner that Run starts.
 func New(cfg Config) *Runner {
+	if cfg.ArmAhead == 0 {
+		cfg.ArmAhead = DefaultArmAhead
+	}
 	if cfg.PlanInterval <= 0 {
 		cfg.PlanInterval = DefaultPlanInterval
 	}
@@ -130,12 +138,14 @@
 
 // HandlePeer takes a message if it concerns this host's group. It never waits: what
 // has no room is dropped, and sent again by whoever needs it.
-func (r *Runner) HandlePeer(s *peer.Session, _ uint64, m wire.Message) bool {
+func (r *Runner) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
 	switch m := m.(type) {
 	case *wire.MapRequest:
 		r.take(s, m.Group, m.From, m.Data, false)
 	case *wire.MapReply:
 		r.take(s, m.Group, m.From, m.Data, true)
+	case *wire.GroupQuery:
+		r.answerQuery(s, call, m)
 	case *wire.ExpertLoad:
 		if m.Group != r.cfg.Group {
 			return true
@@ -151,6 +161,20 @@
 	return true
 }
 
+// Own returns the ranks of this host, without its address.
+func (r *Runner) Own() []wire.GroupMember {
+	return []wire.GroupMember{{FirstRank: r.cfg.FirstRank, Ranks: uint32(len(r.cfg.Ranks))}}
+}
+
+// answerQuery tells which ranks of the group this host has.
+func (r *Runner) answerQuery(s *peer.Session, call uint64, m *wire.GroupQuery) {
+	answer := &wire.GroupAnswer{}
+	if m.Group == r.cfg.Group {
+		answer.Members = r.Own()
+	}
+	_ = s.Reply(call, answer)
+}
+
 func (r *Runner) take(s *peer.Session, group string, from uint32, data []byte, isReply bool) {
 	in := inbound{session: s, from: expertmap.Address(from), isReply: isReply}
 	if group != r.cfg.Group || wire.Unmarshal(data, &in.message) != nil {
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -48,14 +48,18 @@
 	if r.address != 0 || shape == nil || r.coordinator != nil {
 		return
 	}
-	present, ok := r.present()
-	if !ok {
-		return
-	}
 	reports := r.planner.take(shape.Ranks)
 	if reports == nil {
 		return
 	}
+	if reports[0].Picks != nil {
+		r.planByPicks(ctx, reports, shape)
+		return
+	}
+	present, ok := r.present()
+	if !ok {
+		return
+	}
 	next, isBetter := r.planner.next(present, reports, shape)
 	if !isBetter {
 		return
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -2,28 +2,214 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/group"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-// agentRole stands beside one engine.
+const (
+	// lookInterval is how often the agent looks whether its rank belongs to another group
+	// or epoch.
+	lookInterval = 500 * time.Millisecond
+	// planInterval is how often the first rank of a group plans. Popularity shifts
+	// within seconds; a change takes about one to be copied.
+	planInterval = 400 * time.Millisecond
+	// armAhead is how many passes ahead a change is armed: two rounds of messages and
+	// orders, some 50 ms, at passes of 20 ms and more.
+	armAhead = 4
+	// coordinatorBits is how many of a coordinator's number are drawn at its start; the
+	// rest is its rank.
+	coordinatorBits = 9
+	// ballotStart and ballotUnit let ballots start above those that were used before a
+	// restart, which nobody remembers: they count tenths of a second from a fixed day.
+	ballotStart = 1_700_000_000
+	ballotUnit  = 100
+)
+
+// agentRole stands beside one engine and takes part in its group.
 type agentRole struct {
 	n        *Node
 	follower *follower
+	client   rank.Client
+	table    atomic.Pointer[routetable.Table]
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	view   *registry.View
+	runner *group.Runner
 }
 
 func (n *Node) buildAgent() (role, error) {
 	n.openPool("")
-	a := &agentRole{n: n, follower: newFollower(n, "agent")}
-	a.follower.merge = func(string, []registry.Upstream) {}
-	a.follower.configure = func(*routetable.Table) bool { return true }
+	a := &agentRole{n: n, view: registry.NewView(), client: n.platform.Engine(n.set.Agent.Upstream)}
+	a.follower = newFollower(n, "agent")
+	a.follower.merge = a.merge
+	a.follower.configure = a.configure
+	follow := n.handle
+	n.handle = func(s *peer.Session, call uint64, m wire.Message) {
+		if r := a.current(); r != nil && r.HandlePeer(s, call, m) {
+			return
+		}
+		if _, ok := m.(*wire.GroupQuery); ok {
+			_ = s.Reply(call, &wire.GroupAnswer{})
+			return
+		}
+		follow(s, call, m)
+	}
 	return a, nil
 }
 
+func (a *agentRole) merge(source string, all []registry.Upstream) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.view.Merge(source, all)
+}
+
+func (a *agentRole) configure(t *routetable.Table) bool {
+	a.table.Store(t)
+	return true
+}
+
+func (a *agentRole) current() *group.Runner {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runner
+}
+
+func (a *agentRole) setRunner(r *group.Runner) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runner = r
+}
+
 func (a *agentRole) run(ctx context.Context) error {
-	a.follower.run(ctx)
+	go a.follower.run(ctx)
+	for ctx.Err() == nil {
+		r, err := a.client.Report(ctx)
+		if shape := a.shape(r); err == nil && r.IsOpen && shape != nil {
+			a.serve(ctx, r, shape)
+			continue
+		}
+		pause.For(ctx, lookInterval)
+	}
 	return nil
 }
 
 func (a *agentRole) drain(context.Context) {}
+
+// shape is what the configuration says of the engine's group, nil if nothing.
+func (a *agentRole) shape(r rank.Report) *wire.GroupShape {
+	t := a.table.Load()
+	if t == nil || r.Group == "" || r.Size == 0 {
+		return nil
+	}
+	s := t.Service(a.n.set.Agent.Service)
+	if s == nil || s.Engine == nil || s.Engine.Experts.Sets == 0 {
+		return nil
+	}
+	x := s.Engine.Experts
+	return &wire.GroupShape{
+		Ranks: uint32(r.Size), Experts: uint32(x.Count), Layers: uint32(x.Sets), SlotsPerRank: uint32(x.Slots),
+		Spare: uint32(x.Spare),
+	}
+}
+
+// serve takes part in one epoch of a group, until the rank belongs to another one.
+func (a *agentRole) serve(ctx context.Context, r rank.Report, shape *wire.GroupShape) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	name := r.Group + "/" + strconv.FormatUint(r.Epoch, 10)
+	a.n.log.Info("rank takes part in a group", "group", name, "rank", r.Rank, "size", r.Size, "map", r.Map, "step", r.Step)
+	runner := group.New(group.Config{
+		Group: name, FirstRank: uint32(r.Rank),
+		Ranks:        []group.Rank{rank.New(a.client, r.Epoch, int(shape.Layers))},
+		Pool:         a.n.pool,
+		Members:      func(ctx context.Context) ([]wire.GroupMember, error) { return a.members(ctx, name), nil },
+		Shape:        func() *wire.GroupShape { return shape },
+		Unique:       func() uint64 { return unique(r.Rank) },
+		Start:        ballotNow,
+		PlanInterval: planInterval, ArmAhead: armAhead, Log: a.n.log, Metrics: a.n.metrics,
+	})
+	a.setRunner(runner)
+	defer a.setRunner(nil)
+	go runner.Run(ctx)
+	for ctx.Err() == nil {
+		pause.For(ctx, lookInterval)
+		now, err := a.client.Report(ctx)
+		if err == nil && (now.Group != r.Group || now.Epoch != r.Epoch || now.Rank != r.Rank || !now.IsOpen) {
+			return
+		}
+	}
+}
+
+// unique returns a coordinator's number, or a participant's incarnation.
+func unique(rank int) uint64 {
+	return uint64(rank)<<coordinatorBits&(1<<16-1) | uint64(rand.IntN(1<<coordinatorBits))
+}
+
+func ballotNow() uint64 { return uint64(time.Now().UnixMilli()-ballotStart*1000) / ballotUnit }
+
+// members asks the agents of the service's upstreams for their ranks in the group.
+func (a *agentRole) members(ctx context.Context, name string) []wire.GroupMember {
+	addresses := a.addresses()
+	found := make([][]wire.GroupMember, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() { found[i] = a.ask(ctx, address, name) })
+	}
+	wg.Wait()
+	var out []wire.GroupMember
+	for _, list := range found {
+		out = append(out, list...)
+	}
+	return out
+}
+
+// addresses returns where the agents of the service's upstreams are: beside them.
+func (a *agentRole) addresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	seen := make(map[string]bool)
+	var out []string
+	for _, u := range a.view.All() {
+		at, err := netip.ParseAddrPort(u.Address)
+		if err != nil || u.Service != a.n.set.Agent.Service || u.State == registry.Gone {
+			continue
+		}
+		if address := a.n.set.peerAddress(at.Addr()); !seen[address] {
+			seen[address] = true
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// ask asks one agent, this one included.
+func (a *agentRole) ask(ctx context.Context, address, name string) []wire.GroupMember {
+	var members []wire.GroupMember
+	if address == a.n.set.peerAddress(a.n.set.IP) {
+		if r := a.current(); r != nil {
+			members = r.Own()
+		}
+	} else if s, err := a.n.pool.Get(ctx, address); err == nil {
+		reply, _, err := s.Call(ctx, &wire.GroupQuery{Group: name})
+		if answer, ok := reply.(*wire.GroupAnswer); err == nil && ok {
+			members = answer.Members
+		}
+	}
+	for i := range members {
+		members[i].Address = address
+	}
+	return members
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/gateway"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -49,6 +51,8 @@
 	Decode func(packed []byte) (*routetable.Table, error)
 	// ControlAPI serves upstreams and operators at a control host.
 	ControlAPI func(h ControlHost, address string, count func(name string)) http.Handler
+	// Engine reaches the engine at an address.
+	Engine func(address netip.AddrPort) rank.Client
 	// ReadyPath is where an entry host is asked whether it wants callers.
 	ReadyPath string
 	// Reload reads the settings anew.
--- /dev/null
+++ b/internal/placement/balance.go
@@ -0,0 +1,215 @@
+package placement
+
+import "slices"
+
+// SetParams bound a change of one set of layers.
+type SetParams struct {
+	// Slots is how many experts a rank holds at most.
+	Slots int
+	// Spare is how many experts may be new to a rank in one change.
+	Spare int
+	// LeastGain is the part of a rank's mean load by which a step has to lower the most
+	// loaded rank's to be worth its copy, without unit.
+	LeastGain float64
+}
+
+// maxSteps bounds the search in a set; each step adds a copy or exchanges two.
+const maxSteps = 400
+
+// Balance changes which experts the ranks hold in one set of layers so that the most
+// loaded rank has less to do: the ranks wait for it in every pass. Held lists the
+// experts by rank, load the tokens by expert. Each expert stays on at least one rank.
+// An expert's tokens are split evenly among the ranks that hold it.
+func Balance(held [][]uint16, load []float64, p SetParams) [][]uint16 {
+	b := newBalancer(held, load, p)
+	for range maxSteps {
+		if !b.step() {
+			break
+		}
+	}
+	return b.held
+}
+
+// SetLoads returns the tokens by rank.
+func SetLoads(held [][]uint16, load []float64) []float64 {
+	return newBalancer(held, load, SetParams{}).times
+}
+
+// balancer is a set under change.
+type balancer struct {
+	p    SetParams
+	load []float64
+	held [][]uint16
+	// before tells which experts a rank held at first, by rank and expert.
+	before [][]bool
+	// fresh counts a rank's experts that it did not hold at first.
+	fresh []int
+	// copies counts the ranks that hold an expert.
+	copies []int
+	times  []float64
+	mean   float64
+}
+
+func newBalancer(held [][]uint16, load []float64, p SetParams) *balancer {
+	b := &balancer{
+		p: p, load: load, fresh: make([]int, len(held)), copies: make([]int, len(load)),
+		times: make([]float64, len(held)),
+	}
+	for _, list := range held {
+		has := make([]bool, len(load))
+		for _, e := range list {
+			has[e] = true
+			b.copies[e]++
+		}
+		b.before = append(b.before, has)
+		b.held = append(b.held, slices.Clone(list))
+	}
+	for r, list := range held {
+		for _, e := range list {
+			b.times[r] += b.share(e)
+		}
+		b.mean += b.times[r] / float64(len(held))
+	}
+	return b
+}
+
+// share is a holder's part of an expert's tokens.
+func (b *balancer) share(e uint16) float64 { return b.load[e] / float64(b.copies[e]) }
+
+// shareOf is the part with another number of copies.
+func (b *balancer) shareOf(e uint16, copies int) float64 { return b.load[e] / float64(copies) }
+
+// none stands for no expert.
+const none = -1
+
+// move puts an expert of the most loaded rank on another one. Gives is the expert that
+// makes room there, or none; back tells that it goes to the most loaded rank, which
+// gives up its own copy.
+type move struct {
+	rank  int
+	takes uint16
+	gives int
+	back  bool
+	// gain is by how much the higher of the ranks concerned falls.
+	gain float64
+}
+
+// step makes the best move for the most loaded rank. It returns false where none is worth
+// it.
+func (b *balancer) step() bool {
+	hot := 0
+	for r := range b.times {
+		if b.times[r] > b.times[hot] {
+			hot = r
+		}
+	}
+	best := move{gain: b.p.LeastGain * b.mean}
+	found := false
+	for _, e := range b.held[hot] {
+		for r := range b.held {
+			if r == hot || slices.Contains(b.held[r], e) {
+				continue
+			}
+			for _, m := range b.moves(hot, r, e) {
+				if m.gain > best.gain {
+					best, found = m, true
+				}
+			}
+		}
+	}
+	if found {
+		b.make(hot, best)
+	}
+	return found
+}
+
+// moves returns the moves that put e on rank r.
+func (b *balancer) moves(hot, r int, e uint16) []move {
+	var out []move
+	n := b.copies[e]
+	relief := b.share(e) - b.shareOf(e, n+1)
+	extra := b.shareOf(e, n+1)
+	if len(b.held[r]) < b.p.Slots && b.mayTake(r, e, none) {
+		out = append(out, move{rank: r, takes: e, gives: none, gain: b.gain(hot, r, relief, extra)})
+	}
+	for _, f := range b.held[r] {
+		if b.copies[f] > 1 && b.mayTake(r, e, int(f)) {
+			// The other holders of f get more; the most loaded rank may be one.
+			more := b.shareOf(f, b.copies[f]-1) - b.share(f)
+			less := relief
+			if slices.Contains(b.held[hot], f) {
+				less -= more
+			}
+			if b.holdersStayBelow(f, r, hot, more, less) {
+				out = append(out, move{rank: r, takes: e, gives: int(f), gain: b.gain(hot, r, less, extra-b.share(f))})
+			}
+		}
+		if !slices.Contains(b.held[hot], f) && b.mayTake(r, e, int(f)) && b.mayTake(hot, f, int(e)) {
+			d := b.share(e) - b.share(f)
+			out = append(out, move{rank: r, takes: e, gives: int(f), back: true, gain: b.gain(hot, r, d, d)})
+		}
+	}
+	return out
+}
+
+// gain is by how much the higher of two ranks falls where hot gets less and r more.
+func (b *balancer) gain(hot, r int, less, more float64) float64 {
+	return b.times[hot] - max(b.times[hot]-less, b.times[r]+more)
+}
+
+// holdersStayBelow reports whether the other holders of f can take its tokens.
+func (b *balancer) holdersStayBelow(f uint16, r, hot int, more, less float64) bool {
+	for h := range b.held {
+		if h != r && h != hot && slices.Contains(b.held[h], f) && b.times[h]+more > b.times[hot]-less {
+			return false
+		}
+	}
+	return true
+}
+
+// mayTake reports whether rank r may take e in place of gives.
+func (b *balancer) mayTake(r int, e uint16, gives int) bool {
+	fresh := b.fresh[r]
+	if gives != none && !b.before[r][gives] {
+		fresh--
+	}
+	if !b.before[r][e] {
+		fresh++
+	}
+	return fresh <= b.p.Spare
+}
+
+// make makes a move.
+func (b *balancer) make(hot int, m move) {
+	if m.gives != none {
+		b.drop(m.rank, uint16(m.gives))
+	}
+	if m.back {
+		b.drop(hot, m.takes)
+		b.add(hot, uint16(m.gives))
+	}
+	b.add(m.rank, m.takes)
+	clear(b.times)
+	for r, list := range b.held {
+		for _, e := range list {
+			b.times[r] += b.share(e)
+		}
+	}
+}
+
+func (b *balancer) add(r int, e uint16) {
+	b.held[r] = append(b.held[r], e)
+	b.copies[e]++
+	if !b.before[r][e] {
+		b.fresh[r]++
+	}
+}
+
+func (b *balancer) drop(r int, e uint16) {
+	i := slices.Index(b.held[r], e)
+	b.held[r] = slices.Delete(b.held[r], i, i+1)
+	b.copies[e]--
+	if !b.before[r][e] {
+		b.fresh[r]--
+	}
+}
--- /dev/null
+++ b/internal/rank/rank.go
@@ -0,0 +1,350 @@
+// Package rank lets the expert-map protocol speak to an engine that takes numbered
+// orders: it prepares maps by an integer version, arms one at a step, and holds before a
+// step until it is told to go on.
+//
+// Every order expects the number of orders that the engine has begun, so of an order
+// that got no answer and the one that is sent in its place only one is carried out, and
+// one that is carried out late refuses itself once the engine has begun another.
+package rank
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// Report is an engine's state.
+type Report struct {
+	// Group is the group that the engine belongs to, empty if none; Rank its place among
+	// Size. A group that has formed anew has a new Epoch.
+	Group string
+	Epoch uint64
+	Rank  int
+	Size  int
+	// IsOpen tells that the group serves.
+	IsOpen bool
+	// Sequence counts the orders that the engine has begun.
+	Sequence uint64
+	// Step is the last pass begun.
+	Step uint64
+	// Map is the version in use, 0 the one that every group starts with.
+	Map uint64
+	// Prepared is the version whose experts are loaded, 0 if none.
+	Prepared uint64
+	// ArmedVersion is the version that the engine changes to at ArmedStep; 0 if none.
+	ArmedVersion, ArmedStep uint64
+	// HeldStep is the pass that the engine won't begin before it is told; 0 if none.
+	HeldStep uint64
+	// Running and Waiting are the requests at the engine.
+	Running, Waiting int
+	// Pace is over 1 where the engine is slow.
+	Pace float64
+}
+
+// Operation names an order.
+type Operation uint8
+
+// The orders.
+const (
+	// Prepare loads a map's experts.
+	Prepare Operation = iota + 1
+	// Arm changes to a prepared version at a step.
+	Arm
+	// Disarm takes an Arm back.
+	Disarm
+	// Hold stops the engine before a step, Go lets it begin that step.
+	Hold
+	Go
+)
+
+// Order is one order to an engine.
+type Order struct {
+	Operation Operation
+	// Epoch is that of the group in which the order holds.
+	Epoch uint64
+	// Expect is the Sequence that the engine must have.
+	Expect uint64
+	// Fence is never below that of an earlier order.
+	Fence uint64
+	// Version is for Prepare, Arm and Disarm, Step for Arm, Hold and Go.
+	Version, Step uint64
+	// Experts are for Prepare, by set and rank.
+	Experts [][][]uint16
+}
+
+// Client reaches an engine. Each call returns soon.
+type Client interface {
+	Report(ctx context.Context) (Report, error)
+	// Picks returns how often the rank's requests chose each expert since the engine
+	// started, set after set.
+	Picks(ctx context.Context) (epoch uint64, counts []uint64, err error)
+	// Experts returns the version in use and the rank's experts by set.
+	Experts(ctx context.Context) (version uint64, experts [][]uint16, err error)
+	// Order gives an order. After an error it may have been taken, or may be later.
+	Order(ctx context.Context, o Order) error
+}
+
+// idBits is how many bits of a version name its coordinator; the counter has the rest.
+const idBits = 16
+
+// MaxCoordinator is the highest coordinator that a version can name.
+const MaxCoordinator = 1<<idBits - 1
+
+// firstMap is the ballot of the map that every group starts with: below all others.
+var firstMap = expertmap.Ballot{Counter: 1}
+
+// Ballot returns the ballot that a version stands for.
+func Ballot(version uint64) expertmap.Ballot {
+	if version == 0 {
+		return firstMap
+	}
+	return expertmap.Ballot{Counter: version >> idBits, Coordinator: version & MaxCoordinator}
+}
+
+// versionOf returns the integer that stands for a ballot, in the same order.
+func versionOf(b expertmap.Ballot) uint64 {
+	if b == firstMap {
+		return 0
+	}
+	return b.Counter<<idBits | b.Coordinator&MaxCoordinator
+}
+
+// Engine is one rank in one epoch of its group. It implements expertmap.Engine,
+// expertmap.Holder and the reports of load. It remembers under which ballot the engine
+// was armed last; a new Engine takes the version's own, and is armed again by the next
+// promise.
+type Engine struct {
+	client Client
+	epoch  uint64
+	sets   int
+
+	// mu serialises the orders and guards the fields below.
+	mu       sync.Mutex
+	armed    expertmap.Ballot
+	prepared expertmap.Map
+	picks    []uint64
+	held     [][]uint16
+	heldMap  uint64
+	known    bool
+}
+
+// New returns the engine behind a client, for one epoch of its group, with that many
+// sets of layers.
+func New(c Client, epoch uint64, sets int) *Engine {
+	return &Engine{client: c, epoch: epoch, sets: sets}
+}
+
+// ErrEpoch tells that the group has formed anew.
+var ErrEpoch = errors.New("rank: the group has formed anew")
+
+// report reads the state, in the epoch of this Engine only.
+func (e *Engine) report(ctx context.Context) (Report, error) {
+	r, err := e.client.Report(ctx)
+	if err != nil {
+		return r, err
+	}
+	if r.Epoch != e.epoch || !r.IsOpen {
+		return r, ErrEpoch
+	}
+	return r, nil
+}
+
+// Status implements expertmap.Engine.
+func (e *Engine) Status(ctx context.Context) (expertmap.Status, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return expertmap.Status{}, err
+	}
+	return e.status(r), nil
+}
+
+// status translates a report. The caller holds mu.
+func (e *Engine) status(r Report) expertmap.Status {
+	s := expertmap.Status{Step: r.Step, Active: expertmap.Installed{Version: Ballot(r.Map)}}
+	if r.ArmedVersion != 0 {
+		version := Ballot(r.ArmedVersion)
+		ballot := version
+		if version.Less(e.armed) {
+			ballot = e.armed
+		}
+		s.Armed = &expertmap.Change{
+			Version: version, Ballot: ballot, Step: r.ArmedStep, Committed: r.HeldStep == 0,
+		}
+	}
+	s.Holding = r.HeldStep != 0 && r.ArmedVersion == 0
+	if r.Prepared != 0 {
+		m := expertmap.Map{Version: Ballot(r.Prepared)}
+		if e.prepared.Version == m.Version {
+			m = e.prepared
+		}
+		s.Maps = append(s.Maps, m)
+	}
+	return s
+}
+
+// order gives an order that fits the state r. The caller holds mu.
+func (e *Engine) order(ctx context.Context, r Report, fence expertmap.Ballot, o Order) error {
+	o.Epoch = e.epoch
+	o.Expect = r.Sequence
+	o.Fence = fence.Counter
+	return e.client.Order(ctx, o)
+}
+
+// Stage implements expertmap.Engine.
+func (e *Engine) Stage(ctx context.Context, m expertmap.Map) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	e.prepared = m
+	return e.order(ctx, r, m.Version, Order{Operation: Prepare, Version: versionOf(m.Version), Experts: expertsOf(m)})
+}
+
+// expertsOf returns a map's experts by set and rank.
+func expertsOf(m expertmap.Map) [][][]uint16 {
+	out := make([][][]uint16, len(m.Layers))
+	for set, slots := range m.Layers {
+		for first := 0; first < len(slots); first += m.SlotsPerRank {
+			var list []uint16
+			for _, x := range slots[first : first+m.SlotsPerRank] {
+				if x != NoExpert {
+					list = append(list, x)
+				}
+			}
+			out[set] = append(out[set], list)
+		}
+	}
+	return out
+}
+
+// NoExpert stands in a slot of a map that is empty.
+const NoExpert uint16 = 1<<16 - 1
+
+// Arm implements expertmap.Engine: the engine holds before the step first, and is armed
+// at it then.
+func (e *Engine) Arm(ctx context.Context, c expertmap.Change) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	version := versionOf(c.Version)
+	if r.ArmedVersion == version && r.ArmedStep == c.Step && r.HeldStep == c.Step {
+		e.armed = c.Ballot
+		return nil
+	}
+	if r.ArmedVersion != 0 {
+		return errors.New("rank: armed otherwise")
+	}
+	if r.HeldStep != c.Step {
+		if err := e.order(ctx, r, c.Ballot, Order{Operation: Hold, Step: c.Step}); err != nil {
+			return err
+		}
+		if r, err = e.report(ctx); err != nil || r.HeldStep != c.Step {
+			return errors.Wrap(orElse(err), "rank: hold")
+		}
+	}
+	e.armed = c.Ballot
+	return e.order(ctx, r, c.Ballot, Order{Operation: Arm, Version: version, Step: c.Step})
+}
+
+// orElse returns err, or an error that says that the state is another one.
+func orElse(err error) error {
+	if err != nil {
+		return err
+	}
+	return errors.New("not in force")
+}
+
+// Commit implements expertmap.Engine.
+func (e *Engine) Commit(ctx context.Context, b expertmap.Ballot) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	s := e.status(r)
+	if s.Armed == nil || s.Armed.Ballot != b || r.HeldStep != r.ArmedStep {
+		return errors.New("rank: not armed under this ballot")
+	}
+	return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+}
+
+// Abort implements expertmap.Engine. The engine goes on holding.
+func (e *Engine) Abort(ctx context.Context, b expertmap.Ballot) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	if r.ArmedVersion == 0 || r.HeldStep == 0 {
+		return nil
+	}
+	return e.order(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion})
+}
+
+// Release implements expertmap.Holder.
+func (e *Engine) Release(ctx context.Context, b expertmap.Ballot) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	if r.HeldStep == 0 || r.ArmedVersion != 0 {
+		return nil
+	}
+	return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+}
+
+// Load returns what the rank's requests chose since the last call, and the experts that
+// it holds.
+func (e *Engine) Load(ctx context.Context) (wire.RankLoad, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return wire.RankLoad{}, err
+	}
+	if !e.known || e.heldMap != r.Map {
+		if e.heldMap, e.held, err = e.client.Experts(ctx); err != nil {
+			return wire.RankLoad{}, err
+		}
+		e.known = true
+	}
+	_, counts, err := e.client.Picks(ctx)
+	if err != nil {
+		return wire.RankLoad{}, err
+	}
+	l := wire.RankLoad{Version: e.heldMap, Held: e.held, Pace: r.Pace, Picks: e.since(counts)}
+	return l, nil
+}
+
+// since returns the counts of each set since the last call. The caller holds mu.
+func (e *Engine) since(counts []uint64) [][]uint32 {
+	out := make([][]uint32, e.sets)
+	if e.sets == 0 || len(counts)%e.sets != 0 {
+		return out
+	}
+	per := len(counts) / e.sets
+	for i, n := range counts {
+		before := uint64(0)
+		if i < len(e.picks) && e.picks[i] <= n {
+			before = e.picks[i]
+		}
+		out[i/per] = append(out[i/per], uint32(n-before))
+	}
+	e.picks = counts
+	return out
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -217,6 +217,9 @@
 	// SkewWeight and RebalanceWeight are what skew and moves weigh against each other.
 	SkewWeight      float64 `cbor:"5,keyasint"`
 	RebalanceWeight float64 `cbor:"6,keyasint"`
+	// Spare bounds the experts of a layer that are new to a rank in one change; 0 is no
+	// bound.
+	Spare uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // OrderAnswer answers an OrderQuery. The leader made it after a quorum round that
--- a/internal/wire/group.go
+++ b/internal/wire/group.go
@@ -71,4 +71,12 @@
 	StepUS uint64 `cbor:"1,keyasint"`
 	// Tokens counts, by layer, the tokens of each of the rank's expert slots.
 	Tokens [][]uint32 `cbor:"2,keyasint"`
+	// Picks counts, by layer and expert, what the rank's own requests chose. It is set in
+	// place of Tokens where engines count so.
+	Picks [][]uint32 `cbor:"3,keyasint,omitempty"`
+	// Held lists the rank's experts by layer, under the map Version; with Picks only.
+	Held    [][]uint16 `cbor:"4,keyasint,omitempty"`
+	Version uint64     `cbor:"5,keyasint,omitempty"`
+	// Pace is the rank's time over its usual one; 0 where it is not known.
+	Pace float64 `cbor:"6,keyasint,omitempty"`
 }
