--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -55,6 +55,9 @@
 	// Voters is how many replicas vote where there are more control hosts; the others
 	// learn and take the place of a voter that falls silent. Zero lets all vote.
 	Voters int
+	// HearingSpan is how lately a replica must have been heard to count as alive;
+	// DefaultHearingSpan if zero.
+	HearingSpan time.Duration
 	// Registry are the limits of the upstreams' announcements; zero values where
 	// upstreams announce themselves elsewhere.
 	Registry registry.Limits
@@ -92,8 +95,21 @@
 	return consensus.NewReplicaID(host, r.DiskID)
 }
 
+// withDefaults fills in what is zero. The tick must be the replica's own: silence is
+// counted in ticks.
+func (c Config) withDefaults() Config {
+	if c.Tick <= 0 {
+		c.Tick = replica.DefaultTick
+	}
+	if c.HearingSpan <= 0 {
+		c.HearingSpan = DefaultHearingSpan
+	}
+	return c
+}
+
 // Open starts the replica of a host. It serves nobody before HandlePeer is called.
 func Open(cfg Config) (*Host, error) {
+	cfg = cfg.withDefaults()
 	h := &Host{
 		cfg:     cfg,
 		id:      ID(cfg.Name, cfg.Recovered),
@@ -237,7 +253,7 @@
 const appliedPoll = 5 * time.Millisecond
 
 func (h *Host) awaitApplied(ctx context.Context, index uint64) error {
-	for h.replica.Status().Applied < index {
+	for h.tables.Applied() < index {
 		if ctx.Err() != nil {
 			return verdict.New(verdict.NotRun, verdict.CodeDeadline, "this control host is behind")
 		}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	joinInterval = time.Second
+	joinInterval = 400 * time.Millisecond
 	// joinTimeout bounds one change of the membership, the catching up included.
 	joinTimeout = 5 * time.Minute
-	// hearingSpan is how lately a replica must have been heard to count as alive. It
+	// DefaultHearingSpan is how lately a replica must have been heard to count as alive. It
 	// also is how long the repair of a lost disk waits, and so bounds from below the
 	// time in which the loss of another disk counts double.
-	hearingSpan = 3 * time.Second
+	DefaultHearingSpan = 3 * time.Second
 )
 
 // joinGate lets one join run at a time.
@@ -109,7 +109,7 @@
 		}
 	}
 	if old, ok := h.predecessor(st, id); ok {
-		if isHeard(st, old, h.cfg.Tick) {
+		if h.isHeard(st, old) {
 			return verdict.New(verdict.NotRun, verdict.CodeConflict, "replica "+string(old)+" of the same host is alive")
 		}
 		return h.replica.Replace(ctx, old, id)
@@ -130,7 +130,7 @@
 	var silent []consensus.ReplicaID
 	st := h.replica.Status()
 	for _, v := range st.Membership.Voters {
-		if v != h.id && !isHeard(st, v, h.cfg.Tick) {
+		if v != h.id && !h.isHeard(st, v) {
 			silent = append(silent, v)
 		}
 	}
@@ -150,10 +150,10 @@
 	return st.Membership.Voters[i], true
 }
 
-func isHeard(st consensus.Status, id consensus.ReplicaID, tick time.Duration) bool {
+func (h *Host) isHeard(st consensus.Status, id consensus.ReplicaID) bool {
 	for _, p := range st.Peers {
 		if p.ID == id {
-			return time.Duration(p.SilentTicks)*tick < hearingSpan
+			return time.Duration(p.SilentTicks)*h.cfg.Tick < h.cfg.HearingSpan
 		}
 	}
 	return false
--- /dev/null
+++ b/internal/journal/patient.go
@@ -0,0 +1,94 @@
+package journal
+
+import (
+	"log/slog"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// spaceInterval is how often a write is tried again that found the disk full.
+const spaceInterval = 100 * time.Millisecond
+
+// Patient is an FS that waits while the disk is full, instead of failing: a replica that
+// ends then would start and fail again until there is room, and one that waits is no
+// worse off than with a disk that stalls. Only what the system refused whole or in part
+// for want of space is done again, at the same place with the same bytes. A sync that
+// fails is never repeated.
+type Patient struct {
+	FS
+	// Log is told when the disk is full and when there is room again.
+	Log *slog.Logger
+	// Pause waits for a span; time.Sleep if nil.
+	Pause func(time.Duration)
+}
+
+// wait calls do until it fails with something else than want of space, or succeeds.
+func (p Patient) wait(what string, do func() error) error {
+	err := do()
+	if !errors.Is(err, syscall.ENOSPC) {
+		return err
+	}
+	pause := p.Pause
+	if pause == nil {
+		pause = time.Sleep
+	}
+	p.Log.Warn("disk is full", "at", what)
+	for errors.Is(err, syscall.ENOSPC) {
+		pause(spaceInterval)
+		err = do()
+	}
+	p.Log.Info("disk has room again", "at", what)
+	return err
+}
+
+// Create implements FS.
+func (p Patient) Create(name string) (File, error) {
+	var f File
+	err := p.wait("create", func() (err error) {
+		f, err = p.FS.Create(name)
+		return err
+	})
+	return p.wrap(f, err)
+}
+
+// Open implements FS.
+func (p Patient) Open(name string) (File, error) {
+	f, err := p.FS.Open(name)
+	return p.wrap(f, err)
+}
+
+func (p Patient) wrap(f File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return patientFile{File: f, fs: p}, nil
+}
+
+// Rename implements FS.
+func (p Patient) Rename(from, to string) error {
+	return p.wait("rename", func() error { return p.FS.Rename(from, to) })
+}
+
+// MkdirAll implements FS.
+func (p Patient) MkdirAll(dir string) error {
+	return p.wait("make folder", func() error { return p.FS.MkdirAll(dir) })
+}
+
+// patientFile waits with its writes.
+type patientFile struct {
+	File
+	fs Patient
+}
+
+// WriteAt implements io.WriterAt.
+func (f patientFile) WriteAt(data []byte, offset int64) (int, error) {
+	done := 0
+	err := f.fs.wait("write", func() error {
+		n, err := f.File.WriteAt(data[done:], offset+int64(done))
+		done += n
+		return err
+	})
+	return done, err
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,6 +31,10 @@
 	// configurations of some 10 KB the log stays far below a disk of 128 MB.
 	snapshotEntries = 1000
 	segmentBytes    = 4 << 20
+	// hearingSpan is how long a lost disk's replica has to be silent before the host's new
+	// one takes its place. A host has to be back in full within 4 s of its start; this is
+	// well above an election, and a third of that.
+	hearingSpan = 1200 * time.Millisecond
 )
 
 // ControlHost is what upstreams and operators ask of a control host.
@@ -50,7 +54,7 @@
 
 func (n *Node) buildControl() (role, error) {
 	set := n.set.Control
-	j, recovered, err := journal.Open(journal.Options{Dir: set.DataFolder, SegmentBytes: segmentBytes, Logger: n.log})
+	j, recovered, err := journal.Open(journal.Options{Dir: set.DataFolder, SegmentBytes: segmentBytes, Logger: n.log, FS: journal.Patient{FS: journal.OS{}, Log: n.log}})
 	if err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
@@ -60,7 +64,7 @@
 	host, err := control.Open(control.Config{
 		Name: n.set.Host, Journal: j, Recovered: recovered, Transport: transport, Pool: n.pool,
 		Peers: without(n.set.seedPeers(), own), Address: own, Founders: n.founders(own),
-		Voters: n.set.voters(), SnapshotEntries: snapshotEntries,
+		Voters: n.set.voters(), HearingSpan: hearingSpan, SnapshotEntries: snapshotEntries,
 		Registry: registry.Limits{
 			Silence: time.Duration(silentAnnounces * float64(n.set.AnnounceInterval)), Forget: forgetAfter,
 		},
