--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -55,6 +55,8 @@
 	// Voters is how many replicas vote where there are more control hosts; the others
 	// learn and take the place of a voter that falls silent. Zero lets all vote.
 	Voters int
+	// ElectionTicks is as in replica.Options.
+	ElectionTicks int
 	// HearingSpan is how lately a replica must have been heard to count as alive;
 	// DefaultHearingSpan if zero.
 	HearingSpan time.Duration
@@ -129,6 +131,7 @@
 		Transport:       cfg.Transport,
 		Restored:        restored(cfg.Recovered),
 		Tick:            cfg.Tick,
+		ElectionTicks:   cfg.ElectionTicks,
 		SnapshotEntries: cfg.SnapshotEntries,
 		Logger:          cfg.Log,
 		Registry:        cfg.Metrics,
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -41,11 +41,11 @@
 // group: a participant left out could be the one that has committed.
 func (r *Runner) begin(members []wire.GroupMember) {
 	shape := r.cfg.Shape()
-	if r.coordinator != nil || shape == nil || !isWhole(members, shape.Ranks) {
+	if r.coordinator != nil || shape == nil || !IsWhole(members, shape.Ranks) {
 		return
 	}
 	r.members = make(map[expertmap.Address]string, len(members))
-	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: r.cfg.ArmAhead}
+	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: r.ahead}
 	if r.cfg.Start != nil {
 		cfg.After.Counter = max(cfg.After.Counter, r.cfg.Start())
 	}
@@ -65,8 +65,8 @@
 	r.send(c.Start(proposal, r.want.known...))
 }
 
-// isWhole reports whether the members hold each rank of a group once.
-func isWhole(members []wire.GroupMember, ranks uint32) bool {
+// IsWhole reports whether the members hold each rank of a group once.
+func IsWhole(members []wire.GroupMember, ranks uint32) bool {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b wire.GroupMember) int { return int(a.FirstRank) - int(b.FirstRank) })
 	next := uint32(0)
@@ -89,9 +89,12 @@
 	r.coordinator = nil
 	switch outcome {
 	case expertmap.OutcomeChanged:
+		r.ahead = max(r.ahead-1, r.cfg.ArmAhead)
 		r.counters.changed.Inc(1)
 		r.cfg.Log.Info("expert map changed", "group", r.cfg.Group, "version", version.String())
 	case expertmap.OutcomeAborted:
+		// Some rank began the step before it was armed: orders take longer than thought.
+		r.ahead = min(2*r.ahead, r.cfg.MostAhead)
 		r.counters.aborted.Inc(1)
 		r.cfg.Log.Info("change of the expert map given up", "group", r.cfg.Group)
 	case expertmap.OutcomeSettled, expertmap.OutcomeStale:
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -57,8 +57,11 @@
 	PlanInterval time.Duration
 	// ArmAhead is how many steps ahead a change is armed; DefaultArmAhead if zero.
 	ArmAhead uint64
-	Log      *slog.Logger
-	Metrics  metrics.Registry
+	// MostAhead bounds it where changes had to be given up since a step came too soon;
+	// ArmAhead if zero.
+	MostAhead uint64
+	Log       *slog.Logger
+	Metrics   metrics.Registry
 }
 
 // inbound is a message of another host, or of this one to itself.
@@ -100,7 +103,9 @@
 	members     map[expertmap.Address]string
 	isGathering bool
 	want        intent
-	planner     planner
+	// ahead is how many steps ahead the next change is armed.
+	ahead   uint64
+	planner planner
 }
 
 type counters struct {
@@ -120,6 +125,7 @@
 	if cfg.ArmAhead == 0 {
 		cfg.ArmAhead = DefaultArmAhead
 	}
+	cfg.MostAhead = max(cfg.MostAhead, cfg.ArmAhead)
 	if cfg.PlanInterval <= 0 {
 		cfg.PlanInterval = DefaultPlanInterval
 	}
@@ -135,6 +141,7 @@
 		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank)),
 		origin:      make(map[expertmap.Address]*peer.Session),
 		planner:     newPlanner(),
+		ahead:       cfg.ArmAhead,
 	}
 }
 
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -36,9 +36,9 @@
 		"a host of nobody": {members([2]uint32{0, 0}, [2]uint32{0, 8}), false},
 	}
 	for name, c := range cases {
-		require.Equal(t, c.isWhole, isWhole(c.members, 8), name)
+		require.Equal(t, c.isWhole, IsWhole(c.members, 8), name)
 	}
-	require.False(t, isWhole(nil, 0))
+	require.False(t, IsWhole(nil, 0))
 }
 
 func TestFirstMapHoldsEveryExpert(t *testing.T) {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -28,6 +28,8 @@
 	// armAhead is how many passes ahead a change is armed: two rounds of messages and
 	// orders, some 50 ms, at passes of 20 ms and more.
 	armAhead = 4
+	// mostAhead bounds that where orders get lost.
+	mostAhead = 16
 	// coordinatorBits is how many of a coordinator's number are drawn at its start; the
 	// rest is its rank.
 	coordinatorBits = 9
@@ -48,12 +50,17 @@
 	mu     sync.Mutex
 	view   *registry.View
 	runner *group.Runner
+	// whole are the members of the present epoch once all were found: within an epoch
+	// ranks stay where they are.
+	whole []wire.GroupMember
 }
 
 func (n *Node) buildAgent() (role, error) {
 	n.openPool("")
 	a := &agentRole{n: n, view: registry.NewView(), client: n.platform.Engine(n.set.Agent.Upstream)}
 	a.follower = newFollower(n, "agent")
+	// The shape of a group is all that an agent needs; an older one will do.
+	a.follower.isCurrent = true
 	a.follower.merge = a.merge
 	a.follower.configure = a.configure
 	follow := n.handle
@@ -91,6 +98,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.runner = r
+	a.whole = nil
 }
 
 func (a *agentRole) run(ctx context.Context) error {
@@ -135,11 +143,11 @@
 		Group: name, FirstRank: uint32(r.Rank),
 		Ranks:        []group.Rank{rank.New(a.client, r.Epoch, int(shape.Layers))},
 		Pool:         a.n.pool,
-		Members:      func(ctx context.Context) ([]wire.GroupMember, error) { return a.members(ctx, name), nil },
+		Members:      func(ctx context.Context) ([]wire.GroupMember, error) { return a.members(ctx, name, r.Size), nil },
 		Shape:        func() *wire.GroupShape { return shape },
 		Unique:       func() uint64 { return unique(r.Rank) },
 		Start:        ballotNow,
-		PlanInterval: planInterval, ArmAhead: armAhead, Log: a.n.log, Metrics: a.n.metrics,
+		PlanInterval: planInterval, ArmAhead: armAhead, MostAhead: mostAhead, Log: a.n.log, Metrics: a.n.metrics,
 	})
 	a.setRunner(runner)
 	defer a.setRunner(nil)
@@ -160,8 +168,25 @@
 
 func ballotNow() uint64 { return uint64(time.Now().UnixMilli()-ballotStart*1000) / ballotUnit }
 
-// members asks the agents of the service's upstreams for their ranks in the group.
-func (a *agentRole) members(ctx context.Context, name string) []wire.GroupMember {
+// members returns the agents of a group's ranks.
+func (a *agentRole) members(ctx context.Context, name string, size int) []wire.GroupMember {
+	a.mu.Lock()
+	whole := a.whole
+	a.mu.Unlock()
+	if whole != nil {
+		return whole
+	}
+	found := a.find(ctx, name)
+	if group.IsWhole(found, uint32(size)) {
+		a.mu.Lock()
+		a.whole = found
+		a.mu.Unlock()
+	}
+	return found
+}
+
+// find asks the agents of the service's upstreams for their ranks in the group.
+func (a *agentRole) find(ctx context.Context, name string) []wire.GroupMember {
 	addresses := a.addresses()
 	found := make([][]wire.GroupMember, len(addresses))
 	var wg sync.WaitGroup
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,6 +31,9 @@
 	// configurations of some 10 KB the log stays far below a disk of 128 MB.
 	snapshotEntries = 1000
 	segmentBytes    = 4 << 20
+	// electionTicks is the least election timeout in ticks of 50 ms: six heartbeats, and
+	// many times a round trip between data centres.
+	electionTicks = 12
 	// hearingSpan is how long a lost disk's replica has to be silent before the host's new
 	// one takes its place. A host has to be back in full within 4 s of its start; this is
 	// well above an election, and a third of that.
@@ -64,7 +67,7 @@
 	host, err := control.Open(control.Config{
 		Name: n.set.Host, Journal: j, Recovered: recovered, Transport: transport, Pool: n.pool,
 		Peers: without(n.set.seedPeers(), own), Address: own, Founders: n.founders(own),
-		Voters: n.set.voters(), HearingSpan: hearingSpan, SnapshotEntries: snapshotEntries,
+		Voters: n.set.voters(), HearingSpan: hearingSpan, ElectionTicks: electionTicks, SnapshotEntries: snapshotEntries,
 		Registry: registry.Limits{
 			Silence: time.Duration(silentAnnounces * float64(n.set.AnnounceInterval)), Forget: forgetAfter,
 		},
