Queue for places at engines by the loads that agents report by way of control hosts

Cause: above a rank's places more requests slow all streams; during an outage callers were told to come back at once and refused again.

--- /dev/null
+++ b/internal/balance/engine.go
@@ -0,0 +1,48 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/routetable"
+)
+
+const (
+	// worstSkew is the load of a group's most loaded rank over the mean one that passes
+	// have to bear: after popularity has jumped, until the map has followed. Measured on
+	// drifting popularity: 2.2 to 3.5.
+	worstSkew = 3.0
+	// gapPart is the part of the longest pause between events that a pass may take; the
+	// rest is for prompts that are read in it, and the way to the caller.
+	gapPart = 0.95
+	// leastPart is the least part of an engine's slots that is used: below, batching is
+	// lost.
+	leastPart = 0.5
+)
+
+// Places returns how many requests a rank of an engine should work on at once so that
+// events come within the gap, also while its group's map is behind popularity. The pace
+// of all is set by the slowest: what one request more at each rank adds to a pass, all
+// streams wait for. Without a gap, or an engine's figures, all slots count.
+func Places(e *routetable.Engine, gap time.Duration) int {
+	if gap <= 0 || e.Stride <= 0 || e.PerRequest <= 0 {
+		return e.Slots
+	}
+	skew := 1.0
+	if e.Experts.Sets > 0 {
+		skew = 1 - e.Experts.Share + e.Experts.Share*worstSkew
+	}
+	step := float64(gap) * gapPart / float64(e.Stride) / skew
+	n := int((step - float64(e.Step)) / float64(e.PerRequest))
+	return min(max(n, int(leastPart*float64(e.Slots)), 1), e.Slots)
+}
+
+// FirstEvent is about how long an idle engine takes to the first event of a usual
+// request: to read the prompt, and two passes.
+func FirstEvent(e *routetable.Engine, places int) time.Duration {
+	pass := time.Duration(max(e.Stride, 1)) * (e.Step + time.Duration(places)*e.PerRequest)
+	read := time.Duration(0)
+	if e.ReadRate > 0 {
+		read = time.Duration(e.Prompt / e.ReadRate * float64(time.Second))
+	}
+	return read + 2*pass
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -23,6 +23,9 @@
 	// quietLimit is how long an attached host may have been silent to be waited for.
 	// Attached hosts probe their sessions several times in that span.
 	quietLimit = 2 * time.Second
+	// loadInterval is how often the loads of engines are passed on: well below the time
+	// in which a request at an engine ends.
+	loadInterval = 100 * time.Millisecond
 	// fleetTick is how often silence is judged.
 	fleetTick = time.Second
 )
@@ -38,12 +41,16 @@
 	registry *registry.Registry
 	// attached holds the role of each host that wants to be told.
 	attached map[*peer.Session]string
+	// loads are those that have come since they were passed on, by address.
+	loads map[string]wire.EngineLoad
+	// isPassing is set while a timer runs that passes them on.
+	isPassing bool
 }
 
 func newFleet(h *Host) *fleet {
 	return &fleet{
 		h: h, started: time.Now(), registry: registry.New(h.cfg.Registry),
-		attached: make(map[*peer.Session]string),
+		attached: make(map[*peer.Session]string), loads: make(map[string]wire.EngineLoad),
 	}
 }
 
@@ -76,13 +83,42 @@
 func (f *fleet) tellHosts() {
 	m := &wire.Hosts{Control: append(f.h.book.List(), f.h.cfg.Address)}
 	for s, role := range f.attached {
-		if role == "entry" && s.Alive() {
+		if role == "entry" && s.Alive() && s.Quiet() < quietLimit {
 			m.Entries++
 		}
 	}
 	f.post(m)
 }
 
+// load takes in the load of an engine, to be passed on with others.
+func (f *fleet) load(m *wire.EngineLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[m.Address] = *m
+	if !f.isPassing {
+		f.isPassing = true
+		time.AfterFunc(loadInterval, f.passLoads)
+	}
+}
+
+// passLoads tells the entry hosts.
+func (f *fleet) passLoads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isPassing = false
+	m := &wire.EngineLoads{}
+	for _, l := range f.loads {
+		m.All = append(m.All, l)
+	}
+	clear(f.loads)
+	for s, role := range f.attached {
+		// What is lost is made up for by the next message.
+		if role == "entry" && s.Alive() {
+			_ = s.Post(m)
+		}
+	}
+}
+
 func (f *fleet) now() time.Duration { return time.Since(f.started) }
 
 // run keeps the attached hosts up to date until ctx ends.
@@ -123,7 +159,12 @@
 			f.h.cfg.Log.Info("upstream is silent", "upstream", u.ID, "address", u.Address, "sequence", u.Sequence)
 		}
 	}
-	hosts := len(f.attached) + len(f.h.book.List())
+	hosts := len(f.h.book.List())
+	for s := range f.attached {
+		if s.Alive() && s.Quiet() < quietLimit {
+			hosts++
+		}
+	}
 	if hosts != before {
 		f.tellHosts()
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -27,6 +27,8 @@
 		}
 	case *wire.Attach:
 		h.fleet.attach(s, m)
+	case *wire.EngineLoad:
+		h.fleet.load(m)
 	case *wire.ConfigurationQuery:
 		h.answer(s, call, func(ctx context.Context) (wire.Message, error) { return h.handleConfigurationQuery(ctx, m) })
 	case *wire.Watch:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -48,9 +49,9 @@
 
 // send picks an upstream and sends it the request. Where ok is false, c.last tells why.
 func (c *call) send(ctx context.Context, resume string) (*dispatch.Answer, *ticket, bool) {
-	u, hold, ok := c.g.choose(c.service.Name, c.size, c.tried)
-	if !ok {
-		c.last = verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream is left")
+	u, hold, err := c.reserve(ctx)
+	if err != nil {
+		c.last = err
 		return nil, nil, false
 	}
 	c.sends++
@@ -70,6 +71,19 @@
 	return answer, hold, true
 }
 
+// reserve picks an upstream, where the service has engines after waiting for a place
+// there. Errors are *verdict.Error, always NotRun.
+func (c *call) reserve(ctx context.Context) (registry.Upstream, *ticket, error) {
+	if c.service.Engine != nil {
+		return c.await(ctx, c.service.Engine)
+	}
+	u, hold, ok := c.g.choose(c.service.Name, c.size, c.tried)
+	if !ok {
+		return u, nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream is left")
+	}
+	return u, hold, nil
+}
+
 // judge tells what a failed attempt says of its upstream.
 func judge(ctx context.Context, err error) outcome {
 	var refused *dispatch.RefusedError
@@ -90,7 +104,7 @@
 	if time.Until(c.deadline) < leastLeft {
 		return false
 	}
-	if verdict.Of(c.last).Verdict != verdict.NotRun && !c.route.MayRepeat() {
+	if c.mayHaveRun() && !c.route.MayRepeat() {
 		return false
 	}
 	if !c.g.mayRepeat(c.service.Name) {
@@ -100,6 +114,14 @@
 	return true
 }
 
+// mayHaveRun notes and reports whether an attempt of the request may have run.
+func (c *call) mayHaveRun() bool {
+	if c.sends > 0 && verdict.Of(c.last).Verdict != verdict.NotRun {
+		c.isTainted = true
+	}
+	return c.isTainted
+}
+
 // passWhole reads the answer to its end and passes it on. It reports whether the caller
 // has its answer.
 func (c *call) passWhole(ctx context.Context, a *dispatch.Answer, hold *ticket) bool {
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -11,9 +11,9 @@
 
 // counters are the gateway's metrics. Their names do not grow with callers or requests.
 type counters struct {
-	registry                                             metrics.Registry
-	budgetEmpty, streamsCut, streamsResumed, callersGone metrics.Counter
-	firstEvent, whole                                    metrics.Timer
+	registry                                                     metrics.Registry
+	budgetEmpty, queued, streamsCut, streamsResumed, callersGone metrics.Counter
+	firstEvent, whole, queue                                     metrics.Timer
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -21,7 +21,7 @@
 	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer("gateway."+name, reg) }
 	return counters{
 		registry:    reg,
-		budgetEmpty: counter("retries.budget-empty"), streamsCut: counter("streams.cut"),
+		budgetEmpty: counter("retries.budget-empty"), queued: counter("queue.entered"), queue: timer("queue"), streamsCut: counter("streams.cut"),
 		streamsResumed: counter("streams.resumed"), callersGone: counter("callers.gone"),
 		firstEvent: timer("first-event"), whole: timer("answer"),
 	}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -44,6 +44,9 @@
 // giveUp sends the final answer after the last attempt.
 func (c *call) giveUp(ctx context.Context) {
 	e := verdict.Of(c.last)
+	if c.mayHaveRun() && e.Verdict == verdict.NotRun {
+		e = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "an attempt failed, and no other was possible")
+	}
 	if c.r.Context().Err() != nil {
 		c.g.counts.callersGone.Inc(1)
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	serving   map[string][]registry.Upstream
 	upstreams map[string]*upstream
 	services  map[string]*service
+	// loads are those of engines, by the upstream's address.
+	loads map[string]load
 }
 
 // New returns a Gateway that answers 503 until it has a configuration.
@@ -77,7 +79,7 @@
 	g := &Gateway{
 		cfg: cfg, started: time.Now(), counts: newCounters(cfg.Metrics),
 		view: registry.NewView(), serving: map[string][]registry.Upstream{},
-		upstreams: map[string]*upstream{}, services: map[string]*service{},
+		upstreams: map[string]*upstream{}, services: map[string]*service{}, loads: map[string]load{},
 	}
 	g.hosts.Store(1)
 	return g
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -41,6 +41,8 @@
 	// sends counts the attempts, tried names the upstreams that had one.
 	sends int
 	tried []string
+	// isTainted is set once an attempt may have run: no later refusal says otherwise.
+	isTainted bool
 	// last tells how the last attempt ended.
 	last error
 }
--- /dev/null
+++ b/internal/gateway/queue.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/balance"
+	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// freshLoad is how old an engine's load may be to count.
+	freshLoad = 700 * time.Millisecond
+	// longestWait is how long a request waits for a place at most. Callers leave a stream
+	// that is silent for two seconds.
+	longestWait = 1400 * time.Millisecond
+	// outageRetryAfter is what callers are told while a group does not serve: it forms
+	// anew within seconds, and a caller that comes back sooner would only be refused
+	// again.
+	outageRetryAfter = 2500 * time.Millisecond
+	// fullRetryAfter is what callers are told that have waited for a place in vain.
+	fullRetryAfter = 1500 * time.Millisecond
+	// mayReturn is the part of a route's timeout that a caller must have left to be sent
+	// away during an outage; one with less time waits here.
+	mayReturn = 0.8
+)
+
+// load is what is known of an upstream's engine.
+type load struct {
+	isOpen bool
+	// total is the requests there, when the report was made.
+	total int
+	at    time.Duration
+	// inflight is this host's part of total: the attempts in flight there when the report
+	// before came, which is about when this one was made.
+	inflight, next int
+}
+
+// waiter is a request that waits for a place at an engine.
+type waiter struct {
+	size  Size
+	tried []string
+	// onTime is until when it can begin to be on time.
+	onTime time.Duration
+	// granted gets the place; it has room for one.
+	granted chan grant
+}
+
+type grant struct {
+	upstream registry.Upstream
+	hold     *ticket
+}
+
+// SetLoads takes in the loads of engines.
+func (g *Gateway) SetLoads(all []wire.EngineLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, l := range all {
+		before := g.loads[l.Address]
+		g.loads[l.Address] = load{
+			isOpen: l.IsOpen, total: l.Running + l.Waiting, at: now,
+			inflight: before.next, next: g.inflightAt(l.Address),
+		}
+	}
+	for name, s := range g.services {
+		if len(s.waiters) > 0 {
+			g.pump(name, s, g.share(name, s), anyWaiter)
+		}
+	}
+}
+
+// inflightAt returns this host's attempts at an address. The caller holds mu.
+func (g *Gateway) inflightAt(address string) int {
+	n := 0
+	for _, list := range g.serving {
+		for i := range list {
+			if list[i].Address == address {
+				n += g.upstreams[list[i].ID].inflight
+			}
+		}
+	}
+	return n
+}
+
+// engineOf returns the engine figures of a service, nil where it has none.
+func (g *Gateway) engineOf(name string) *routetable.Engine {
+	if t := g.table.Load(); t != nil {
+		if s := t.Service(name); s != nil {
+			return s.Engine
+		}
+	}
+	return nil
+}
+
+// isClosed reports whether every engine that is heard of says that its group does not
+// serve. The caller holds mu.
+func (g *Gateway) isClosed(name string) bool {
+	heard := false
+	for _, u := range g.serving[name] {
+		if l, ok := g.loads[u.Address]; ok && g.now()-l.at < freshLoad {
+			if l.isOpen {
+				return false
+			}
+			heard = true
+		}
+	}
+	return heard
+}
+
+// taken estimates the requests at an upstream from the last report and what this host
+// has done since, or from this host's own alone. The caller holds mu.
+func (g *Gateway) taken(u *registry.Upstream, now time.Duration) float64 {
+	own := g.upstreams[u.ID].inflight
+	l, ok := g.loads[u.Address]
+	if !ok || now-l.at > freshLoad {
+		// The other hosts are thought to have as many as this one, evenly spread.
+		return float64(own) + float64(g.hosts.Load()-1)*g.meanInflight(u.Service)
+	}
+	return max(float64(l.total+own-l.inflight), float64(own))
+}
+
+// meanInflight is this host's attempts at an upstream of the service, on the mean. The
+// caller holds mu.
+func (g *Gateway) meanInflight(service string) float64 {
+	list := g.serving[service]
+	sum := 0
+	for i := range list {
+		sum += g.upstreams[list[i].ID].inflight
+	}
+	return float64(sum) / float64(max(len(list), 1))
+}
+
+// free counts the places of a service that are free. The caller holds mu.
+func (g *Gateway) free(name string, s *service) float64 {
+	now := g.now()
+	sum := 0.0
+	for i := range g.serving[name] {
+		sum += max(float64(s.places)-g.taken(&g.serving[name][i], now), 0)
+	}
+	return sum
+}
+
+// share returns how many of a service's free places this host may take at once: all
+// hosts see the same ones. The caller holds mu.
+func (g *Gateway) share(name string, s *service) int {
+	part := g.free(name, s) / float64(g.hosts.Load())
+	n := int(part)
+	if draw() < part-float64(n) {
+		n++
+	}
+	return n
+}
+
+// which tells which waiters may take a place.
+type which bool
+
+const (
+	// onTimeOnly leaves a place that has just become free to the requests of other hosts
+	// rather than to one that is late anyway.
+	onTimeOnly which = false
+	anyWaiter  which = true
+)
+
+// pump gives up to n places to requests that wait: first to those that can still be on
+// time, in their order. The caller holds mu.
+func (g *Gateway) pump(name string, s *service, n int, who which) {
+	for ; n > 0 && len(s.waiters) > 0 && !g.isClosed(name); n-- {
+		i, isOnTime := s.first(g.now())
+		if !isOnTime && who == onTimeOnly {
+			return
+		}
+		w := s.waiters[i]
+		u, hold, ok := g.place(name, s, w.size, w.tried)
+		if !ok {
+			return
+		}
+		s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+		w.granted <- grant{u, hold}
+	}
+}
+
+// first returns the waiter that is served next, and whether it can be on time.
+func (s *service) first(now time.Duration) (int, bool) {
+	for i, w := range s.waiters {
+		if now < w.onTime {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// place takes a place at the engine with the fewest requests, if it has one free. The
+// caller holds mu.
+func (g *Gateway) place(name string, s *service, size Size, tried []string) (registry.Upstream, *ticket, bool) {
+	u, ok := g.pick(name, tried)
+	if !ok || g.taken(&u, g.now()) >= float64(s.places) {
+		return registry.Upstream{}, nil, false
+	}
+	return u, g.hold(u.ID, name, size), true
+}
+
+// await takes a place at an engine, and waits for one where there is none. Errors are
+// *verdict.Error, always NotRun.
+func (c *call) await(ctx context.Context, e *routetable.Engine) (registry.Upstream, *ticket, error) {
+	g, name := c.g, c.service.Name
+	g.mu.Lock()
+	s := g.service(name)
+	s.places = balance.Places(e, c.route.Gap)
+	isClosed := g.isClosed(name)
+	if len(g.serving[name]) == 0 || isClosed && c.mayReturn() {
+		g.mu.Unlock()
+		return registry.Upstream{}, nil, refuse("the group does not serve", outageRetryAfter)
+	}
+	if !isClosed && len(s.waiters) == 0 {
+		if u, hold, ok := g.place(name, s, c.size, c.tried); ok {
+			g.mu.Unlock()
+			return u, hold, nil
+		}
+	}
+	w := &waiter{size: c.size, tried: c.tried, granted: make(chan grant, 1)}
+	w.onTime = c.began.Add(c.route.Target - balance.FirstEvent(e, s.places)).Sub(g.started)
+	s.waiters = append(s.waiters, w)
+	g.mu.Unlock()
+	return c.wait(ctx, s, w)
+}
+
+// mayReturn reports whether the caller has time to come back.
+func (c *call) mayReturn() bool {
+	return c.sends == 0 && time.Until(c.deadline) > time.Duration(mayReturn*float64(c.route.Timeout))
+}
+
+func refuse(text string, after time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, text).After(after)
+}
+
+// wait waits for the place.
+func (c *call) wait(ctx context.Context, s *service, w *waiter) (registry.Upstream, *ticket, error) {
+	c.g.counts.queued.Inc(1)
+	began := time.Now()
+	defer c.g.counts.queue.UpdateSince(began)
+	timer := time.NewTimer(longestWait)
+	defer timer.Stop()
+	select {
+	case got := <-w.granted:
+		return got.upstream, got.hold, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	select {
+	case got := <-w.granted:
+		// It was granted just now.
+		return got.upstream, got.hold, nil
+	default:
+	}
+	s.remove(w)
+	return registry.Upstream{}, nil, refuse("no place became free in time", fullRetryAfter)
+}
+
+// remove takes a waiter out. The caller holds Gateway.mu.
+func (s *service) remove(w *waiter) {
+	for i := range s.waiters {
+		if s.waiters[i] == w {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -30,12 +30,17 @@
 // service is this host's own experience of a service. Gateway.mu guards it.
 type service struct {
 	budget retrybudget.Budget
+	// places is how many requests an engine should work on at once; waiters are the
+	// requests that wait for one, in the order in which they came.
+	places  int
+	waiters []*waiter
 }
 
 // ticket is an attempt's hold on an upstream; it ends once.
 type ticket struct {
 	g        *Gateway
 	id       string
+	service  string
 	prompt   int
 	reading  bool
 	isClosed bool
@@ -46,6 +51,15 @@
 func (g *Gateway) choose(name string, size Size, tried []string) (registry.Upstream, *ticket, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	u, ok := g.pick(name, tried)
+	if !ok {
+		return u, nil, false
+	}
+	return u, g.hold(u.ID, name, size), true
+}
+
+// pick picks an upstream of the service that was not tried. The caller holds mu.
+func (g *Gateway) pick(name string, tried []string) (registry.Upstream, bool) {
 	list := g.serving[name]
 	now := g.now()
 	all := make([]balance.Candidate, 0, len(list))
@@ -56,18 +70,22 @@
 	left := balance.Untried(all, tried)
 	i := picker.Pick(left, draw())
 	if i < 0 {
-		return registry.Upstream{}, nil, false
+		return registry.Upstream{}, false
 	}
-	id := left[i].ID
 	for _, u := range list {
-		if u.ID == id {
-			own := g.upstreams[id]
-			own.inflight++
-			own.tokens += size.Prompt
-			return u, &ticket{g: g, id: id, prompt: size.Prompt, reading: true}, true
+		if u.ID == left[i].ID {
+			return u, true
 		}
 	}
-	return registry.Upstream{}, nil, false
+	return registry.Upstream{}, false
+}
+
+// hold counts an attempt at an upstream. The caller holds mu.
+func (g *Gateway) hold(id, service string, size Size) *ticket {
+	own := g.upstreams[id]
+	own.inflight++
+	own.tokens += size.Prompt
+	return &ticket{g: g, id: id, service: service, prompt: size.Prompt, reading: true}
 }
 
 // candidate is the snapshot of one upstream. The caller holds mu.
@@ -75,6 +93,7 @@
 	own := g.upstreams[u.ID]
 	return balance.Candidate{
 		ID: u.ID, Address: u.Address, Slots: u.Slots, Inflight: own.inflight, Tokens: own.tokens,
+		Elsewhere: g.taken(u, now) - float64(own.inflight),
 		IsLocal:   u.DataCentre == g.cfg.DataCentre,
 		IsSuspect: u.IsSilent || now < own.suspectUntil,
 	}
@@ -123,6 +142,10 @@
 		return
 	}
 	u.inflight--
+	if s := g.services[t.service]; s != nil {
+		// The place that this attempt gives back is this host's to take.
+		defer g.pump(t.service, s, 1, onTimeOnly)
+	}
 	switch o {
 	case outcomeGood:
 		u.failures = 0
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -15,6 +15,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/placement"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -51,6 +52,9 @@
 	Shape func() *wire.GroupShape
 	// Unique returns numbers that differ between all starts of all hosts.
 	Unique func() uint64
+	// Load is what was known of popularity when the host took part in an earlier epoch of
+	// the group, nil if nothing; see Runner.Load.
+	Load placement.Load
 	// Start returns a counter that is above those of earlier coordinators, as far as
 	// this host can tell; nil is no such knowledge.
 	Start        func() uint64
@@ -140,7 +144,7 @@
 		ready:       make(chan []wire.GroupMember, 1),
 		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank)),
 		origin:      make(map[expertmap.Address]*peer.Session),
-		planner:     newPlanner(),
+		planner:     newPlanner(cfg.Load),
 		ahead:       cfg.ArmAhead,
 	}
 }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestPlannerWaitsForAllRanks(t *testing.T) {
-	p := newPlanner()
+	p := newPlanner(nil)
 	load := func(first uint32, ranks int) *wire.ExpertLoad {
 		return &wire.ExpertLoad{FirstRank: first, Ranks: make([]wire.RankLoad, ranks)}
 	}
--- a/internal/group/picks.go
+++ b/internal/group/picks.go
@@ -65,11 +65,13 @@
 	if !ok {
 		return expertmap.Map{}, 0, f, false
 	}
-	weight := picksWeight
-	if p.load.Distance(tokens) > jump {
-		weight = 1
+	if placement.Sum(tokens) > 0 || p.load == nil {
+		weight := picksWeight
+		if p.load.Distance(tokens) > jump {
+			weight = 1
+		}
+		p.load = p.load.Observe(tokens, weight)
 	}
-	p.load = p.load.Observe(tokens, weight)
 	params := placement.SetParams{
 		Slots: int(shape.SlotsPerRank), Spare: min(spareAtOnce, int(shape.Spare)), LeastGain: leastStep,
 	}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -18,7 +18,12 @@
 	load   placement.Load
 }
 
-func newPlanner() planner { return planner{byHost: make(map[uint32]*wire.ExpertLoad)} }
+func newPlanner(load placement.Load) planner {
+	return planner{byHost: make(map[uint32]*wire.ExpertLoad), load: load}
+}
+
+// Load returns what is known of popularity. It must only be called once Run has ended.
+func (r *Runner) Load() placement.Load { return r.planner.load }
 
 func (p *planner) add(l *wire.ExpertLoad) { p.byHost[l.FirstRank] = l }
 
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/group"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/placement"
 	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
@@ -19,9 +20,9 @@
 )
 
 const (
-	// lookInterval is how often the agent looks whether its rank belongs to another group
-	// or epoch.
-	lookInterval = 500 * time.Millisecond
+	// lookInterval is how often the agent reads its engine's load, and looks whether its
+	// rank belongs to another group or epoch.
+	lookInterval = 100 * time.Millisecond
 	// planInterval is how often the first rank of a group plans. Popularity shifts
 	// within seconds; a change takes about half a one.
 	planInterval = 200 * time.Millisecond
@@ -53,6 +54,9 @@
 	// whole are the members of the present epoch once all were found: within an epoch
 	// ranks stay where they are.
 	whole []wire.GroupMember
+
+	// load is the popularity that the last epoch knew. It belongs to the goroutine of run.
+	load placement.Load
 }
 
 func (n *Node) buildAgent() (role, error) {
@@ -104,7 +108,7 @@
 func (a *agentRole) run(ctx context.Context) error {
 	go a.follower.run(ctx)
 	for ctx.Err() == nil {
-		r, err := a.client.Report(ctx)
+		r, err := a.look(ctx)
 		if shape := a.shape(r); err == nil && r.IsOpen && shape != nil {
 			a.serve(ctx, r, shape)
 			continue
@@ -147,20 +151,44 @@
 		Shape:        func() *wire.GroupShape { return shape },
 		Unique:       func() uint64 { return unique(r.Rank) },
 		Start:        ballotNow,
+		Load:         a.load,
 		PlanInterval: planInterval, ArmAhead: armAhead, MostAhead: mostAhead, Log: a.n.log, Metrics: a.n.metrics,
 	})
 	a.setRunner(runner)
 	defer a.setRunner(nil)
-	go runner.Run(ctx)
+	ended := make(chan struct{})
+	go func() {
+		runner.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+		a.load = runner.Load()
+	}()
 	for ctx.Err() == nil {
 		pause.For(ctx, lookInterval)
-		now, err := a.client.Report(ctx)
+		now, err := a.look(ctx)
 		if err == nil && (now.Group != r.Group || now.Epoch != r.Epoch || now.Rank != r.Rank || !now.IsOpen) {
 			return
 		}
 	}
 }
 
+// look reads the engine's state and tells its load.
+func (a *agentRole) look(ctx context.Context) (rank.Report, error) {
+	r, err := a.client.Report(ctx)
+	if err != nil {
+		return r, err
+	}
+	if s := a.n.controlSession(); s != nil {
+		_ = s.Post(&wire.EngineLoad{
+			Address: a.n.set.Agent.Upstream.String(), IsOpen: r.IsOpen, Running: r.Running, Waiting: r.Waiting,
+		})
+	}
+	return r, nil
+}
+
 // unique returns a coordinator's number, or a participant's incarnation.
 func unique(rank int) uint64 {
 	return uint64(rank)<<coordinatorBits&(1<<16-1) | uint64(rand.IntN(1<<coordinatorBits))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -49,6 +49,7 @@
 	n.openPool("")
 	f := newFollower(n, "entry")
 	f.merge, f.lose, f.hosts, f.configure = e.gateway.Merge, e.gateway.Lose, e.gateway.SetHosts, e.gateway.SetTable
+	f.loads = e.gateway.SetLoads
 	e.follower = f
 	callers, err := net.Listen("tcp", n.set.Entry.Listen.String())
 	if err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -40,7 +40,9 @@
 	lose      func(source string)
 	hosts     func(entries int)
 	configure func(t *routetable.Table) bool
-	started   time.Time
+	// loads takes the loads of engines; nil where they don't matter.
+	loads   func(all []wire.EngineLoad)
+	started time.Time
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -112,6 +114,10 @@
 		if f.hosts != nil {
 			f.hosts(m.Entries)
 		}
+	case *wire.EngineLoads:
+		if f.loads != nil {
+			f.loads(m.All)
+		}
 	case *wire.ConfigurationNotice:
 		f.noticed(s, m.Number)
 	}
@@ -153,6 +159,19 @@
 	}
 }
 
+// controlSession returns the live session with the control host of the lowest address,
+// so that hosts of one kind tell the same one; nil if there is none.
+func (n *Node) controlSession() *peer.Session {
+	var lowest *peer.Session
+	for _, s := range n.pool.Sessions() {
+		r := s.Remote()
+		if r.Replica != "" && (lowest == nil || r.Address < lowest.Remote().Address) {
+			lowest = s
+		}
+	}
+	return lowest
+}
+
 // another returns a live session with a control host, nil if there is none.
 func (f *follower) another(not *peer.Session) *peer.Session {
 	for _, s := range f.n.pool.Sessions() {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -84,3 +84,12 @@
 	}
 	return sum
 }
+
+// Sum returns all tokens of an interval.
+func Sum(tokens Load) float64 {
+	sum := 0.0
+	for i := range tokens {
+		sum += total(tokens[i])
+	}
+	return sum
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -11,6 +11,8 @@
 	KindConfigurationQuery  Kind = 93
 	KindConfigurationAnswer Kind = 94
 	KindHosts               Kind = 95
+	KindEngineLoad          Kind = 96
+	KindEngineLoads         Kind = 97
 )
 
 // Attach asks a control host for all that it knows, and for what changes from then on:
@@ -62,6 +64,29 @@
 // Kind implements Message.
 func (*ConfigurationAnswer) Kind() Kind { return KindConfigurationAnswer }
 
+// EngineLoad is what an agent reads at its engine. Agents send it to one control host,
+// which passes it on with those of the others.
+type EngineLoad struct {
+	// Address is that of the upstream.
+	Address string `cbor:"1,keyasint"`
+	// IsOpen tells that the engine's group serves.
+	IsOpen bool `cbor:"2,keyasint,omitempty"`
+	// Running and Waiting are the requests at the engine.
+	Running int `cbor:"3,keyasint,omitempty"`
+	Waiting int `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*EngineLoad) Kind() Kind { return KindEngineLoad }
+
+// EngineLoads passes on the loads that have come since the last such message.
+type EngineLoads struct {
+	All []EngineLoad `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*EngineLoads) Kind() Kind { return KindEngineLoads }
+
 // Hosts tells which hosts of the system the sender knows.
 type Hosts struct {
 	// Control are the peer addresses of control hosts.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -132,7 +132,7 @@
 		&ClaimRequest{}, &ClaimReply{}, &FinishRequest{}, &FinishReply{},
 		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &GroupQuery{}, &GroupAnswer{}, &ExpertLoad{}, &Join{}, &Ack{},
 		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{}, &ConsensusPart{},
-		&Attach{}, &Upstreams{}, &ConfigurationNotice{}, &ConfigurationQuery{}, &ConfigurationAnswer{}, &Hosts{},
+		&Attach{}, &Upstreams{}, &ConfigurationNotice{}, &ConfigurationQuery{}, &ConfigurationAnswer{}, &Hosts{}, &EngineLoad{}, &EngineLoads{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
 	for _, msg := range all {
