Copy fewer experts; send callers away for longer where nothing can serve them

Cause: passes are 15% slower while experts are copied, and changes that save little were made all the time; callers refused by a group that had just failed came back into the same outage.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// startRetryAfter is what callers are told by a host that has no configuration yet;
-	// it usually has one within a second of its start.
-	startRetryAfter = 500 * time.Millisecond
+	// startRetryAfter is what callers are told by a host that has no configuration yet.
+	// Where control hosts start too, it takes their election first.
+	startRetryAfter = 1500 * time.Millisecond
 	// refusedRetryAfter is what callers are told where upstreams refused: about the time
 	// in which a place becomes free.
 	refusedRetryAfter = 300 * time.Millisecond
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -230,7 +230,7 @@
 
 // mayReturn reports whether the caller has time to come back.
 func (c *call) mayReturn() bool {
-	return c.sends == 0 && time.Until(c.deadline) > time.Duration(mayReturn*float64(c.route.Timeout))
+	return !c.mayHaveRun() && time.Until(c.deadline) > time.Duration(mayReturn*float64(c.route.Timeout))
 }
 
 func refuse(text string, after time.Duration) error {
--- a/internal/group/picks.go
+++ b/internal/group/picks.go
@@ -24,12 +24,13 @@
 	// below 1% against three at once.
 	spareAtOnce = 1
 	// leastStep is the part of a rank's mean load that a copied expert has to save. At
-	// 0.04 a quarter less is copied than at 0.02, at the same skew.
-	leastStep = 0.04
+	// 0.04 a quarter less is copied than at 0.02, at the same skew; at 0.07 passes are a
+	// little shorter still, since copying slows them.
+	leastStep = 0.07
 	// leastChange is the part of the mean load by which the most loaded ranks of all sets
 	// together have to fall for a change: it costs a round of orders, and slower passes
 	// while experts are copied.
-	leastChange = 0.04
+	leastChange = 0.1
 )
 
 // planByPicks begins a change where the ranks' own counts show that one is worth it.
