--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,55 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/routetable"
+)
+
+func TestPickTakesTheLeastLoadedThatIsTrusted(t *testing.T) {
+	p := Picker{Filters: []Filter{Trusted}, Score: LeastLoaded}
+	all := []Candidate{
+		{ID: "a", Slots: 4, Inflight: 2},
+		{ID: "b", Slots: 4, Inflight: 0, IsSuspect: true},
+		{ID: "c", Slots: 8, Inflight: 2},
+		{ID: "d", Slots: 8, Inflight: 1, Elsewhere: 3},
+	}
+	require.Equal(t, 2, p.Pick(all, 0.5))
+	require.Equal(t, 0, p.Pick(all[1:2], 0), "a suspect is better than none")
+	require.Equal(t, -1, p.Pick(nil, 0))
+}
+
+func TestDrawDecidesBetweenEquals(t *testing.T) {
+	p := Picker{Score: LeastLoaded}
+	all := []Candidate{{ID: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4, Inflight: 1}}
+	require.Equal(t, 0, p.Pick(all, 0.49))
+	require.Equal(t, 1, p.Pick(all, 0.51))
+}
+
+func TestUntriedIsBinding(t *testing.T) {
+	all := []Candidate{{ID: "a"}, {ID: "b"}}
+	require.Len(t, Untried(all, nil), 2)
+	require.Equal(t, "b", Untried(all, []string{"a"})[0].ID)
+	require.Empty(t, Untried(all, []string{"a", "b"}))
+}
+
+func TestPlacesKeepPassesInsideTheGap(t *testing.T) {
+	e := &routetable.Engine{
+		Slots: 12, Step: 4840 * time.Microsecond, PerRequest: 362 * time.Microsecond, Stride: 6,
+		Prompt: 800, ReadRate: 74800,
+		Experts: routetable.Experts{Sets: 4, Count: 72, Slots: 8, Spare: 3, Share: 0.85},
+	}
+	n := Places(e, 120*time.Millisecond)
+	const slower = 6 * (1 - 0.85 + 0.85*worstSkew)
+	pass := time.Duration(slower * float64(e.Step+time.Duration(n)*e.PerRequest))
+	require.Less(t, pass, 120*time.Millisecond)
+	require.Greater(t, n, 6)
+	require.Equal(t, 12, Places(e, 0), "no gap, no bound")
+	require.Equal(t, 6, Places(e, time.Millisecond), "half of the slots at least")
+	e.Experts.Sets = 0
+	require.Equal(t, 12, Places(e, 120*time.Millisecond))
+	require.Less(t, FirstEvent(e, 10), 200*time.Millisecond)
+}
--- /dev/null
+++ b/internal/placement/balance_test.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// inTurn holds each expert on one rank, as a group begins.
+func inTurn(ranks, experts int) [][]uint16 {
+	held := make([][]uint16, ranks)
+	for e := range experts {
+		held[e%ranks] = append(held[e%ranks], uint16(e))
+	}
+	return held
+}
+
+func TestBalanceRelievesAHotExpert(t *testing.T) {
+	held := inTurn(4, 8)
+	load := []float64{100, 1, 1, 1, 1, 1, 1, 1}
+	next := Balance(held, load, SetParams{Slots: 3, Spare: 1, LeastGain: 0.01})
+	require.InDelta(t, 101, slices.Max(SetLoads(held, load)), 1e-9)
+	require.Less(t, slices.Max(SetLoads(next, load)), 35.0)
+	require.Equal(t, inTurn(4, 8), held, "the map in use is not touched")
+}
+
+func TestBalanceKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ranks := rapid.IntRange(2, 6).Draw(t, "ranks")
+		experts := rapid.IntRange(ranks, 4*ranks).Draw(t, "experts")
+		p := SetParams{
+			Slots:     (experts+ranks-1)/ranks + rapid.IntRange(0, 3).Draw(t, "free"),
+			Spare:     rapid.IntRange(0, 3).Draw(t, "spare"),
+			LeastGain: 0.001,
+		}
+		held := inTurn(ranks, experts)
+		for round := range 3 {
+			load := make([]float64, experts)
+			for e := range load {
+				load[e] = rapid.Float64Range(0, 100).Draw(t, "load")
+			}
+			next := Balance(held, load, p)
+			if slices.Max(SetLoads(next, load)) > slices.Max(SetLoads(held, load))+1e-6 {
+				t.Fatalf("round %d: the most loaded rank has more to do", round)
+			}
+			checkSet(t, held, next, experts, p)
+			held = next
+		}
+	})
+}
+
+func checkSet(t *rapid.T, before, after [][]uint16, experts int, p SetParams) {
+	seen := make([]bool, experts)
+	for r, list := range after {
+		fresh := 0
+		for i, e := range list {
+			seen[e] = true
+			if slices.Contains(list[:i], e) {
+				t.Fatalf("rank %d holds expert %d twice", r, e)
+			}
+			if !slices.Contains(before[r], e) {
+				fresh++
+			}
+		}
+		if len(list) > p.Slots || fresh > p.Spare {
+			t.Fatalf("rank %d holds %d, %d of them new", r, len(list), fresh)
+		}
+	}
+	if slices.Contains(seen, false) {
+		t.Fatal("an expert is on no rank")
+	}
+}
+
+func TestDistance(t *testing.T) {
+	l := Load{{1, 1}, {3, 1}}
+	require.InDelta(t, 0, l.Distance(Load{{5, 5}, {30, 10}}), 1e-9)
+	require.InDelta(t, 0.25+0.125, l.Distance(Load{{0, 1}, {2, 2}}), 1e-9)
+	require.Zero(t, Load(nil).Distance(l))
+}
+
+func BenchmarkBalance(b *testing.B) {
+	held := inTurn(12, 72)
+	load := make([]float64, 72)
+	for e := range load {
+		load[e] = 1 + float64((e*37)%72)*float64((e*37)%72)
+	}
+	for b.Loop() {
+		Balance(held, load, SetParams{Slots: 8, Spare: 1, LeastGain: 0.07})
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,110 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{Silence: 4 * time.Second, Forget: time.Minute}
+
+func up(id string, sequence uint64, s State) Upstream {
+	return Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", State: s, Sequence: sequence, Slots: 4}
+}
+
+func TestLateAnnouncementDoesNotBringALeavingUpstreamBack(t *testing.T) {
+	r := New(limits)
+	_, changed := r.Announce(up("a", 1, Ready), 0)
+	require.True(t, changed)
+	_, changed = r.Announce(up("a", 3, Draining), time.Second)
+	require.True(t, changed)
+	known, changed := r.Announce(up("a", 2, Ready), 2*time.Second)
+	require.False(t, changed)
+	require.Equal(t, Draining, known.State)
+	known, _ = r.Announce(up("a", 4, Ready), 3*time.Second)
+	require.Equal(t, Draining, known.State, "not even by a later number")
+}
+
+func TestLeaveIsKnownWithoutAnAnnouncementBefore(t *testing.T) {
+	r, v := New(limits), NewView()
+	known, changed := r.Announce(Upstream{ID: "a", State: Gone}, 0)
+	require.True(t, changed)
+	require.True(t, v.Merge("c1", []Upstream{up("a", 5, Ready)}))
+	require.Len(t, v.Serving()["s"], 1)
+	require.True(t, v.Merge("c2", []Upstream{known}))
+	require.Empty(t, v.Serving()["s"])
+}
+
+func TestSilenceIsToldOnceAndTakenBack(t *testing.T) {
+	r := New(limits)
+	r.Announce(up("a", 1, Ready), 0)
+	require.Empty(t, r.Tick(3*time.Second))
+	silent := r.Tick(5 * time.Second)
+	require.Len(t, silent, 1)
+	require.True(t, silent[0].IsSilent)
+	require.Empty(t, r.Tick(6*time.Second))
+	known, changed := r.Announce(up("a", 2, Ready), 7*time.Second)
+	require.True(t, changed)
+	require.False(t, known.IsSilent)
+	require.Empty(t, r.Tick(8*time.Second))
+	r.Tick(2 * time.Minute)
+	require.Empty(t, r.All())
+}
+
+// An upstream announces itself to one control host at a time: that another one has
+// stopped hearing it says nothing.
+func TestSilentOnlyWhereAllControlHostsSaySo(t *testing.T) {
+	v := NewView()
+	u := up("a", 1, Ready)
+	v.Merge("c1", []Upstream{u})
+	v.Merge("c2", []Upstream{up("a", 9, Ready)})
+	u.IsSilent = true
+	v.Merge("c1", []Upstream{u})
+	require.False(t, v.Serving()["s"][0].IsSilent)
+	require.True(t, v.Lose("c2"))
+	require.True(t, v.Serving()["s"][0].IsSilent)
+}
+
+func TestRevokedIncarnationStaysOut(t *testing.T) {
+	v := NewView()
+	v.Merge("c1", []Upstream{up("old", 9, Ready), up("new", 1, Ready)})
+	require.True(t, v.Revoke("old"))
+	require.False(t, v.Revoke("old"))
+	v.Merge("c1", []Upstream{up("old", 10, Ready)})
+	list := v.Serving()["s"]
+	require.Len(t, list, 1)
+	require.Equal(t, "new", list[0].ID)
+}
+
+// Whatever the order in which announcements come, the latest state wins.
+func TestOrderOfAnnouncementsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		last := rapid.IntRange(1, 6).Draw(t, "last")
+		drained := rapid.IntRange(1, last).Draw(t, "drained")
+		var all []Upstream
+		for i := 1; i <= last; i++ {
+			s := Ready
+			if i >= drained {
+				s = Draining
+			}
+			all = append(all, up("a", uint64(i), s))
+		}
+		v := NewView()
+		for _, i := range rapid.Permutation(indexes(len(all))).Draw(t, "order") {
+			v.Merge("c", []Upstream{all[i]})
+		}
+		if got := v.All()[0]; got.State != Draining || got.Sequence != uint64(last) {
+			t.Fatalf("got %+v", got)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
--- /dev/null
+++ b/internal/retrybudget/budget_test.go
@@ -0,0 +1,62 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var params = Params{Ratio: 0.2, Extra: 90, Window: 10 * time.Second}
+
+func TestExtraIsDividedAndComesBack(t *testing.T) {
+	var b Budget
+	taken := 0
+	for b.Take(params, 9, time.Second) {
+		taken++
+	}
+	require.Equal(t, 8, taken, "a ninth of 90, with caution")
+	require.False(t, b.Take(params, 9, 9*time.Second))
+	require.True(t, b.Take(params, 9, 12*time.Second))
+}
+
+// No window of all hosts together holds more repeats than the shared budget allows for
+// the requests in it, the window before it, or half a window before it.
+func TestHostsTogetherStayInside(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 5).Draw(t, "hosts")
+		budgets := make([]Budget, hosts)
+		type event struct {
+			at       time.Duration
+			isRepeat bool
+		}
+		var events []event
+		now := time.Duration(0)
+		for range rapid.IntRange(50, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			b := &budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			b.Request(params, now)
+			events = append(events, event{at: now})
+			for rapid.Bool().Draw(t, "again") && b.Take(params, hosts, now) {
+				events = append(events, event{now, true})
+			}
+		}
+		count := func(from, to time.Duration, repeats bool) float64 {
+			n := 0.0
+			for _, e := range events {
+				if e.isRepeat == repeats && e.at > from && e.at <= to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, e := range events {
+			to, w := e.at, params.Window
+			most := max(count(to-w, to, false), count(to-2*w, to-w, false), count(to-w*3/2, to-w/2, false))
+			if got, bound := count(to-w, to, true), params.Ratio*most+params.Extra; got > bound {
+				t.Fatalf("%v repeats up to %v, allowed are %v", got, to, bound)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/routetable/table_test.go
@@ -0,0 +1,84 @@
+package routetable
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func route(name, host, prefix string, shares ...Share) Route {
+	return Route{Name: name, HostName: host, Prefix: prefix, Timeout: time.Second, Shares: shares}
+}
+
+func table(change func(*Table)) *Table {
+	t := &Table{
+		Number: 1,
+		Routes: []Route{
+			route("wide", "a.example", "/", Share{"s", 1}),
+			route("narrow", "A.example", "/x/", Share{"s", 1}),
+			route("narrower", "a.example", "/x/y/", Share{"s", 90}, Share{"t", 10}),
+		},
+		Services:   []Service{{Name: "s"}, {Name: "t"}},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"k1", "k2"}}, {Name: "v", Keys: []string{"k3"}}},
+	}
+	if change != nil {
+		change(t)
+	}
+	return t
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	tb := table(nil)
+	require.NoError(t, tb.Build())
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "narrower"},
+		{"a.example:8080", "/x/z", "narrow"},
+		{"A.EXAMPLE", "/xy", "wide"},
+		{"b.example", "/x/", ""},
+	} {
+		got := ""
+		if r := tb.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		require.Equal(t, c.want, got, c)
+	}
+}
+
+func TestBuildRefusesWhatIsInvalid(t *testing.T) {
+	for name, change := range map[string]func(*Table){
+		"no number":       func(t *Table) { t.Number = 0 },
+		"unknown service": func(t *Table) { t.Routes[0].Shares[0].Service = "u" },
+		"same place":      func(t *Table) { t.Routes[1].Prefix = "/" },
+		"no weight":       func(t *Table) { t.Routes[0].Shares[0].Weight = 0 },
+		"no timeout":      func(t *Table) { t.Routes[0].Timeout = 0 },
+		"shared key":      func(t *Table) { t.Workspaces[1].Keys = []string{"k2"} },
+		"open prefix":     func(t *Table) { t.Routes[0].Prefix = "/x" },
+	} {
+		require.Error(t, table(change).Build(), name)
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	tb := table(nil)
+	require.NoError(t, tb.Build())
+	r := tb.Match("a.example", "/x/y/")
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	require.Equal(t, map[string]int{"s": 900, "t": 100}, counts)
+}
+
+func TestKeysAndRepeats(t *testing.T) {
+	tb := table(nil)
+	require.NoError(t, tb.Build())
+	require.Equal(t, "w", tb.Workspace("k2").Name)
+	require.Nil(t, tb.Workspace("k9"))
+	require.True(t, tb.NeedsKey(&tb.Routes[0]))
+	require.False(t, tb.NeedsKey(&Route{IsPublic: true}))
+	require.False(t, (&Route{Kind: Unsafe}).MayRepeat())
+	require.False(t, (&Route{Kind: Stream}).MayRepeat())
+	require.True(t, (&Route{Kind: Stream, IsResumable: true}).MayRepeat())
+	require.True(t, (&Route{Kind: Safe}).MayRepeat())
+}
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,31 @@
+package sse
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestEventsComeWholeHoweverTheyAreCut(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda"
+	rapid.Check(t, func(t *rapid.T) {
+		var s Splitter
+		var got []string
+		for rest := stream; rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
+			s.Write([]byte(rest[:n]))
+			rest = rest[n:]
+			for e := s.Next(); e != nil; e = s.Next() {
+				got = append(got, string(e))
+			}
+		}
+		require.Equal(t, []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\ndata: c\n\n"}, got)
+		require.Equal(t, "id: 3\nda", string(s.Rest()))
+	})
+}
+
+func TestID(t *testing.T) {
+	require.Equal(t, "17", ID([]byte("weight: 2\nid: 17\ndata: id: 9\n\n")))
+	require.Empty(t, ID([]byte("data: id: 9\n\n")))
+}
