Abort a change that a late order has let go

Cause, found by a test that follows one rank's order across the death of its agent: a 'go' that was given up on and comes after another coordinator has counted the rank as uncommitted made it look committed, so the abort left it armed and the group would have begun a pass on two maps. The abort now names the newest committed map and drops what is newer; a rank that holds without being armed shows that the change ahead of the others is not committed. Ruled out: the release in two rounds alone.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -178,7 +178,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	target := Target{ID: "i1", Address: address, Connections: 1}
-	go func() { _, _ = c.Send(ctx, target, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}) }()
+	go func() {
+		_, _ = c.Send(ctx, target, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+	}()
 	require.Eventually(t, func() bool {
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -386,9 +386,9 @@
 	case committing:
 		return Message{Commit: &Commit{Ballot: b, Incarnation: inc, Present: c.decided}}
 	case aborting:
-		return Message{Abort: &Abort{Ballot: b, Incarnation: inc}}
+		return Message{Abort: &Abort{Ballot: b, Incarnation: inc, Present: c.found.present.Installed.Version}}
 	default:
-		return Message{Release: &Release{Ballot: b, Incarnation: inc}}
+		return Message{Release: &Release{Ballot: b, Incarnation: inc, Present: c.found.present.Installed.Version}}
 	}
 }
 
--- a/internal/expertmap/directed_test.go
+++ b/internal/expertmap/directed_test.go
@@ -57,7 +57,7 @@
 	p, e := armed(t)
 	require.NotNil(t, ask(p, e, Message{Promise: &Promise{Ballot: v3}}).Promised)
 	commit := Message{Commit: &Commit{v2, 7, Present{Installed: Installed{v2, 6}}}}
-	for _, m := range []Message{{Promise: &Promise{Ballot: v2}}, {Arm: &Arm{v2, 7, v2, 6}}, commit, {Abort: &Abort{v2, 7}}} {
+	for _, m := range []Message{{Promise: &Promise{Ballot: v2}}, {Arm: &Arm{v2, 7, v2, 6}}, commit, {Abort: &Abort{Ballot: v2, Incarnation: 7}}} {
 		refused := ask(p, e, m).Refused
 		require.NotNil(t, refused)
 		require.Equal(t, ReasonBallot, refused.Reason)
@@ -79,7 +79,7 @@
 
 func TestLateArmDoesNotUndoAbort(t *testing.T) {
 	p, e := armed(t)
-	require.NotNil(t, ask(p, e, Message{Abort: &Abort{v2, 7}}).Aborted)
+	require.NotNil(t, ask(p, e, Message{Abort: &Abort{Ballot: v2, Incarnation: 7}}).Aborted)
 	require.Equal(t, ReasonState, reason(ask(p, e, Message{Arm: &Arm{v2, 7, v2, 6}})))
 	require.Nil(t, e.status.Armed)
 }
--- a/internal/expertmap/engine.go
+++ b/internal/expertmap/engine.go
@@ -71,6 +71,12 @@
 	return s.Active
 }
 
+// mustDrop reports whether an abort has to drop the change that the engine is armed
+// with, given the newest committed map.
+func (s Status) mustDrop(present Version) bool {
+	return s.Armed != nil && (!s.Armed.Committed || present.Less(s.Armed.Version))
+}
+
 // highest returns the highest ballot that the engine shows a trace of.
 func (s Status) highest() Ballot {
 	if s.Armed == nil {
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -99,6 +99,10 @@
 type Abort struct {
 	Ballot      Ballot `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
+	// Present is the newest committed map. A newer one that an engine is armed with is
+	// dropped although the engine would not hold any more: it was let go by an order of
+	// an earlier ballot that came late.
+	Present Version `cbor:"3,keyasint"`
 }
 
 // Aborted says that no rank of the participant is armed uncommitted.
@@ -110,6 +114,8 @@
 type Release struct {
 	Ballot      Ballot `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
+	// Present is as in Abort.
+	Present Version `cbor:"3,keyasint"`
 }
 
 // Released says that no rank of the participant holds.
--- a/internal/expertmap/plan.go
+++ b/internal/expertmap/plan.go
@@ -93,7 +93,7 @@
 }
 
 func planAbort(m *Abort, r Status) []Order {
-	if !r.Uncommitted() {
+	if !r.mustDrop(m.Present) {
 		return nil
 	}
 	return []Order{{Kind: OrderAbort, Ballot: m.Ballot}}
@@ -102,7 +102,7 @@
 // planRelease drops a change first that a late order has armed since the abort.
 func planRelease(m *Release, r Status) []Order {
 	switch {
-	case r.Uncommitted():
+	case r.mustDrop(m.Present):
 		return []Order{{Kind: OrderAbort, Ballot: m.Ballot}}
 	case r.Holding:
 		return []Order{{Kind: OrderRelease, Ballot: m.Ballot}}
--- a/internal/expertmap/resolve.go
+++ b/internal/expertmap/resolve.go
@@ -1,5 +1,7 @@
 package expertmap
 
+import "slices"
+
 // Present is the map that a group uses, as a coordinator has found or decided
 // it.
 type Present struct {
@@ -14,6 +16,8 @@
 // finding is what the states of all ranks of a group say together.
 type finding struct {
 	present Present
+	// holding: a rank holds without being armed.
+	holding bool
 	// abort: a rank is armed with a change that no rank has committed, or holds
 	// without one.
 	abort bool
@@ -29,10 +33,9 @@
 // given every rank of the group: one rank left out may be the one that has
 // committed.
 func resolve(ranks []Status) finding {
-	var f finding
+	f := finding{holding: slices.ContainsFunc(ranks, func(r Status) bool { return r.Holding })}
 	for _, r := range ranks {
-		c := r.Committed()
-		if f.present.Installed.Version.Less(c.Version) {
+		if c := f.committed(r); f.present.Installed.Version.Less(c.Version) {
 			f.present.Installed = c
 		}
 	}
@@ -42,13 +45,24 @@
 	return f
 }
 
+// committed returns what counts as committed at a rank. Where some rank holds without
+// being armed, it was never armed or has begun to abort: the change ahead of the others
+// is not committed, whatever an order that came late has made of it.
+func (f finding) committed(r Status) Installed {
+	if f.holding {
+		return r.Active
+	}
+	return r.Committed()
+}
+
 // add takes one rank's state into account, given the newest committed map.
 func (f *finding) add(r Status) {
 	newest := f.present.Installed.Version
-	if r.Holding || r.Uncommitted() && r.Armed.Version != newest {
+	isAhead := r.Uncommitted() && r.Armed.Version != newest
+	if r.Holding || isAhead || f.holding && r.mustDrop(newest) {
 		f.abort = true
 	}
-	if !r.Joined() || r.Committed().Version != newest {
+	if !r.Joined() || f.committed(r).Version != newest {
 		f.behind = true
 	}
 	if r.Joined() && r.Active.Version != newest {
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -288,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	if r.ArmedVersion == 0 || r.HeldStep == 0 {
+	if r.ArmedVersion == 0 {
 		return nil
 	}
 	return e.order(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion})
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -405,3 +405,36 @@
 	require.Zero(t, first.state.ArmedVersion)
 	require.Zero(t, second.state.HeldStep)
 }
+
+// A coordinator dies while it aborts, and an order to go on from before it comes late: a
+// rank then looks as if it had committed what another has dropped. The next coordinator
+// has to abort, and the group goes on.
+func TestLateGoAfterAnAbortBeganIsAborted(t *testing.T) {
+	w := newWorld(2)
+	first, second := w.group.engines[0], w.group.engines[1]
+	w.start(0, true)
+	for first.state.ArmedVersion == 0 || second.state.ArmedVersion == 0 {
+		p := w.net[0]
+		w.net = w.net[1:]
+		w.deliver(p)
+	}
+	late := Order{Operation: Go, Epoch: 1, Expect: first.state.Sequence, Step: first.state.HeldStep}
+	w.net = nil
+	w.restart(0)
+	w.start(1, false)
+	for second.state.ArmedVersion != 0 {
+		p := w.net[0]
+		w.net = w.net[1:]
+		if p.message.Abort == nil || p.to != 0 {
+			w.deliver(p)
+		}
+	}
+	w.net = nil
+	w.restart(1)
+	require.NoError(t, first.carryOut(late))
+	w.settle()
+	require.False(t, w.group.mixed)
+	require.Zero(t, first.state.ArmedVersion)
+	require.Zero(t, second.state.HeldStep)
+	require.Zero(t, first.state.Map)
+}
