--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
@@ -51,9 +53,12 @@
 // is a stranger to the others until a committed change lets it in, so that what it
 // has forgotten can't be outvoted by it.
 func (h *Host) keepJoined(ctx context.Context) {
+	voter := metrics.GetOrRegisterGauge("control.voter", h.cfg.Metrics)
 	for ctx.Err() == nil {
 		pause.For(ctx, joinInterval)
-		if !h.shouldJoin() {
+		needs := h.shouldJoin()
+		voter.Update(int64(boolToInt(h.replica.Status().Membership.IsVoter(h.id))))
+		if !needs {
 			continue
 		}
 		askCtx, cancel := context.WithTimeout(ctx, clientTimeout)
@@ -62,6 +67,13 @@
 	}
 }
 
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // shouldJoin reports whether this replica lacks a vote, or hears no leader: one that was
 // replaced while it was cut off still believes that it votes.
 func (h *Host) shouldJoin() bool {
--- /dev/null
+++ b/test/integration/platform_test.go
@@ -0,0 +1,395 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/test/platformlab"
+)
+
+// platform is a lab under test.
+type platform struct {
+	*platformlab.Lab
+	t   *testing.T
+	ctx context.Context
+}
+
+var usualLayout = platformlab.Layout{Control: 3, Entries: 2, Plain: 2}
+
+// startPlatform runs a system on the stand-in platform, with a configuration in force at
+// all entry hosts and all plain workers known.
+func startPlatform(t *testing.T, layout platformlab.Layout) *platform {
+	t.Helper()
+	t.Parallel()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
+	lab, err := platformlab.Start(t.TempDir(), filepath.Join(binaries, "sassafraspost-node"), layout)
+	require.NoError(t, err)
+	t.Cleanup(lab.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
+	t.Cleanup(cancel)
+	p := &platform{Lab: lab, t: t, ctx: ctx}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(lab.Logs())
+		}
+	})
+	require.NoError(t, lab.Operator.Replace(ctx))
+	for _, e := range lab.Entries {
+		p.awaitServing(e)
+	}
+	return p
+}
+
+// awaitServing waits until an entry host reaches all plain workers.
+func (p *platform) awaitServing(e *platformlab.Host) {
+	p.t.Helper()
+	p.eventually(func() bool { return e.IsReady(p.ctx) })
+	seen := map[string]bool{}
+	p.eventually(func() bool {
+		a, err := e.Ask(p.ctx, "/safe/", p.attempt())
+		if err == nil && a.Status == http.StatusOK {
+			seen[a.Header.Get("X-Response-Signature")] = true
+		}
+		return len(seen) == len(p.Plain)
+	})
+}
+
+func (p *platform) eventually(ok func() bool) {
+	p.t.Helper()
+	require.Eventually(p.t, ok, patience, 10*time.Millisecond)
+}
+
+var attempts atomic.Int64
+
+func (p *platform) attempt() string { return fmt.Sprintf("%016x", attempts.Add(1)) }
+
+// runs counts how often all plain workers worked on an attempt.
+func (p *platform) runs(attempt string) int {
+	n := 0
+	for _, w := range p.Plain {
+		n += w.Runs(attempt)
+	}
+	return n
+}
+
+func (p *platform) ask(path, attempt string) platformlab.Answer {
+	p.t.Helper()
+	a, err := p.Entries[0].Ask(p.ctx, path, attempt)
+	require.NoError(p.t, err)
+	return a
+}
+
+func TestPlatformServesAllKinds(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	for _, e := range p.Entries {
+		id := p.attempt()
+		a, err := e.Ask(p.ctx, "/unsafe/a//b?c=%20d", id)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.Status)
+		require.Equal(t, "POST /unsafe/a//b?c=%20d body of "+id+" lab", a.Body)
+		require.Equal(t, id, a.Header.Get("X-Attempt-Id"))
+	}
+	a := p.ask("/stream/x", p.attempt())
+	require.NoError(t, a.Err)
+	require.Equal(t, platformlab.WholeStream(), a.Body)
+	require.Equal(t, http.StatusNotFound, p.ask("/none/", p.attempt()).Status)
+	metrics, err := p.Entries[0].Metrics(p.ctx)
+	require.NoError(t, err)
+	require.Contains(t, metrics, "sassafraspost_gateway_answers_200")
+}
+
+// A second answer on a connection, at once or late, reaches no other caller.
+func TestPlatformSurplusAnswersReachNobody(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	for _, w := range p.Plain {
+		w.Behave(func(rw http.ResponseWriter, r *http.Request) bool {
+			w.Run(r)
+			conn, b, err := rw.(http.Hijacker).Hijack()
+			if err != nil {
+				return true
+			}
+			go answerTwice(conn, b, r.Header.Get("X-Attempt-Id"))
+			return true
+		})
+	}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 25 {
+				id := p.attempt()
+				a, err := p.Entries[0].Ask(p.ctx, "/safe/", id)
+				if err != nil || a.Status != http.StatusOK {
+					continue
+				}
+				if a.Body != "for "+id {
+					t.Errorf("caller of %s got %q", id, a.Body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// answerTwice serves a connection on which the answer to each request comes again: as
+// surplus behind it, or late, before the answer to the next one.
+func answerTwice(conn interface{ Close() error }, b *bufio.ReadWriter, id string) {
+	defer func() { _ = conn.Close() }()
+	answer := func(id string) {
+		body := "for " + id
+		_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
+			id, len(body), body)
+		_ = b.Flush()
+	}
+	answer(id)
+	for {
+		r, err := http.ReadRequest(b.Reader)
+		if err != nil {
+			return
+		}
+		_, _ = b.Discard(int(r.ContentLength))
+		answer(id)
+		id = r.Header.Get("X-Attempt-Id")
+		answer(id)
+	}
+}
+
+func TestPlatformResumesABrokenStream(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	var broken atomic.Int64
+	for _, w := range p.Plain {
+		w.Behave(func(rw http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("Last-Event-Id") != "" {
+				return false
+			}
+			broken.Add(1)
+			rw.Header().Set("X-Response-Signature", "first")
+			platformlab.Events(rw, r, 5)
+			return true
+		})
+	}
+	a := p.ask("/stream/x", p.attempt())
+	require.NoError(t, a.Err)
+	require.Equal(t, platformlab.WholeStream(), a.Body)
+	require.Equal(t, "first", a.Header.Get("X-Response-Signature"))
+	require.EqualValues(t, 1, broken.Load())
+}
+
+func TestPlatformRepeatsOnlyWhatItMay(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	var refusals atomic.Int64
+	p.Plain[0].Behave(func(rw http.ResponseWriter, r *http.Request) bool {
+		refusals.Add(1)
+		return platformlab.NotRun(rw, r)
+	})
+	p.eventually(func() bool {
+		id := p.attempt()
+		require.Equal(t, http.StatusOK, p.ask("/unsafe/", id).Status)
+		require.Equal(t, 1, p.runs(id))
+		return refusals.Load() > 0
+	})
+	for _, w := range p.Plain {
+		w.Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+			w.Run(r)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	for range 20 {
+		id := p.attempt()
+		require.Equal(t, http.StatusBadGateway, p.ask("/unsafe/", id).Status)
+		require.Equal(t, 1, p.runs(id))
+	}
+	id := p.attempt()
+	require.Equal(t, http.StatusBadGateway, p.ask("/safe/", id).Status)
+	require.Equal(t, 2, p.runs(id))
+}
+
+// A worker whose leaving was acknowledged gets nothing more, from any entry host.
+func TestPlatformDrainIsInForceWhenAcknowledged(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	ctx, stop := context.WithCancel(p.ctx)
+	var wg sync.WaitGroup
+	for _, e := range p.Entries {
+		for range 4 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = e.Ask(ctx, "/safe/", p.attempt())
+				}
+			})
+		}
+	}
+	require.NoError(t, p.Plain[0].Drain(p.ctx))
+	acknowledged := time.Now()
+	before := p.Plain[1].LastRun()
+	p.eventually(func() bool { return p.Plain[1].LastRun().Sub(before) > time.Second })
+	stop()
+	wg.Wait()
+	// What was on its way when the acknowledgement went out is allowed.
+	require.Less(t, p.Plain[0].LastRun().Sub(acknowledged), 500*time.Millisecond)
+}
+
+func TestPlatformConfiguration(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	require.Equal(t, http.StatusNotFound, p.ask("/extra/", p.attempt()).Status)
+	require.NoError(t, p.Operator.Replace(p.ctx, "extra"))
+	version := p.Operator.Version()
+	for _, e := range p.Entries {
+		p.eventually(func() bool {
+			a, err := e.Ask(p.ctx, "/extra/", p.attempt())
+			return err == nil && a.Status == http.StatusOK
+		})
+	}
+	want, err := json.Marshal(platformlab.Configuration(version, "extra"))
+	require.NoError(t, err)
+	for i := range p.Control {
+		status, body, err := p.Operator.Read(p.ctx, i)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, string(want), body, "byte for byte")
+	}
+	older, err := json.Marshal(platformlab.Configuration(version - 1))
+	require.NoError(t, err)
+	same, err := json.Marshal(platformlab.Configuration(version))
+	require.NoError(t, err)
+	for i, body := range [][]byte{older, same, want} {
+		status, err := p.Operator.Send(p.ctx, i, body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, "acknowledged without effect")
+	}
+	for _, invalid := range []string{`{"version":99,"routes":[{"name":"r"`, `{"version":99,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"safe","timeoutMs":5,"service":"none"}]}`} {
+		status, err := p.Operator.Send(p.ctx, 0, []byte(invalid))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, status)
+	}
+	_, body, err := p.Operator.Read(p.ctx, 1)
+	require.NoError(t, err)
+	require.Equal(t, string(want), body)
+}
+
+// Killed hosts come back by themselves; what was acknowledged stays, also when the next
+// disk is lost right after the last one was made good.
+func TestPlatformKillsAndLostDisks(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	for round := range 3 {
+		lost := p.Control[round]
+		lost.Kill()
+		require.NoError(t, lost.LoseDisk())
+		require.NoError(t, p.Operator.Replace(p.ctx, fmt.Sprint("round", round)))
+		require.NoError(t, lost.Restart())
+		p.awaitVoter(lost)
+	}
+	p.Entries[0].Kill()
+	require.NoError(t, p.Entries[0].Restart())
+	p.awaitServing(p.Entries[0])
+	require.Equal(t, http.StatusOK, p.ask("/round2/", p.attempt()).Status)
+	want, err := json.Marshal(platformlab.Configuration(p.Operator.Version(), "round2"))
+	require.NoError(t, err)
+	for _, c := range p.Control {
+		c.Kill()
+	}
+	for _, c := range p.Control {
+		require.NoError(t, c.Restart())
+	}
+	for i := range p.Control {
+		p.eventually(func() bool {
+			status, body, err := p.Operator.Read(p.ctx, i)
+			return err == nil && status == http.StatusOK && body == string(want)
+		})
+	}
+}
+
+// awaitVoter waits until a control host whose disk was lost has a vote again: then each
+// of the others may be lost.
+func (p *platform) awaitVoter(h *platformlab.Host) {
+	p.t.Helper()
+	others := slices.DeleteFunc(slices.Clone(p.Control), func(c *platformlab.Host) bool { return c == h })
+	p.eventually(func() bool {
+		metrics, err := h.Metrics(p.ctx)
+		return err == nil && platformlab.Value(metrics, "sassafraspost_control_voter") == 1
+	})
+	for _, c := range others {
+		require.True(p.t, c.IsRunning())
+	}
+}
+
+// A stopped entry host serves what it has and what still comes, and then ends.
+func TestPlatformShutdownCutsNothing(t *testing.T) {
+	p := startPlatform(t, usualLayout)
+	release := make(chan struct{})
+	var waiting atomic.Int64
+	for _, w := range p.Plain {
+		w.Behave(func(http.ResponseWriter, *http.Request) bool {
+			waiting.Add(1)
+			<-release
+			return false
+		})
+	}
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() {
+			a, err := p.Entries[0].Ask(p.ctx, "/unsafe/", p.attempt())
+			if err != nil || a.Status != http.StatusOK || a.Err != nil {
+				t.Errorf("cut: %v %v", a, err)
+			}
+		})
+	}
+	p.eventually(func() bool { return waiting.Load() == 6 })
+	p.Entries[0].Terminate()
+	p.eventually(func() bool { return !p.Entries[0].IsReady(p.ctx) })
+	close(release)
+	wg.Wait()
+	<-p.Entries[0].Done()
+	require.NoError(t, p.Entries[0].Err())
+}
+
+// The expert map follows popularity, and no pass begins on two maps: with orders that are
+// carried out late, and agents killed at any point of a change.
+func TestPlatformExpertMaps(t *testing.T) {
+	p := startPlatform(t, platformlab.Layout{Control: 3, Entries: 1, Ranks: 3})
+	r := rand.New(rand.NewPCG(7, 11))
+	changed := func(more int) {
+		_, before, _ := p.Group.State()
+		hot := 0
+		p.eventually(func() bool {
+			_, now, isMixed := p.Group.State()
+			require.False(t, isMixed, "a pass has begun on two maps")
+			if hot++; hot%100 == 0 {
+				p.Group.Shift(r.IntN(12))
+			}
+			return now >= before+more
+		})
+	}
+	changed(2)
+	var mu sync.Mutex
+	p.Group.LoseOrders(func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.IntN(6) == 0
+	}, 300*time.Millisecond)
+	changed(3)
+	for round := range 6 {
+		agent := p.Agents[round%len(p.Agents)]
+		agent.Kill()
+		require.NoError(t, agent.Restart())
+		changed(1)
+	}
+	p.Group.LoseOrders(nil, 0)
+	step, _, _ := p.Group.State()
+	p.eventually(func() bool {
+		now, _, isMixed := p.Group.State()
+		require.False(t, isMixed)
+		return now > step+50
+	})
+}
--- a/test/local/build.go
+++ b/test/local/build.go
@@ -9,7 +9,7 @@
 )
 
 // programs are what a system is made of.
-var programs = []string{"./cmd/sassafraspostd", "./cmd/sassafraspost", "./test/cmd/standin"}
+var programs = []string{"./cmd/sassafraspostd", "./cmd/sassafraspost", "./cmd/sassafraspost-node", "./test/cmd/standin"}
 
 // Build compiles the programs into dir.
 func Build(dir string) error {
--- a/test/local/process.go
+++ b/test/local/process.go
@@ -16,6 +16,8 @@
 // Process is one running program of the system.
 type Process struct {
 	Name string
+	// Env is the program's environment; nil is that of the test.
+	Env  []string
 	path string
 	args []string
 	log  string
@@ -26,6 +28,11 @@
 	err  error
 }
 
+// NewProcess returns a program that writes its log into dir; Start starts it.
+func NewProcess(dir, name, path string, args ...string) *Process {
+	return newProcess(dir, name, path, args...)
+}
+
 func newProcess(dir, name, path string, args ...string) *Process {
 	return &Process{Name: name, path: path, args: args, log: filepath.Join(dir, name+".log")}
 }
@@ -40,6 +47,7 @@
 	}
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = p.Env
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
 		return errors.Wrapf(err, "start %s", p.Name)
--- /dev/null
+++ b/test/platformlab/group.go
@@ -0,0 +1,229 @@
+package platformlab
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The shape of a lab's group.
+const (
+	groupSets    = 2
+	groupExperts = 12
+	groupSlots   = 6
+	groupSpare   = 2
+	// passTime is how long a pass takes.
+	passTime = 20 * time.Millisecond
+)
+
+// Group is a stand-in of ranks in lock-step.
+type Group struct {
+	workers []*Worker
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	ranks []rankState
+	step  uint64
+	mixed bool
+	// changes counts the passes at which the map changed.
+	changes int
+	// lose decides whether an order gets no answer; it is then carried out after delay.
+	lose  func() bool
+	delay time.Duration
+	// hot is the expert that requests choose most.
+	hot    int
+	counts []uint64
+}
+
+type rankState struct {
+	sequence, version, prepared, armed, armedStep, held uint64
+	mapping, next                                       [][]uint16
+}
+
+func newGroup(ranks int) *Group {
+	g := &Group{counts: make([]uint64, groupSets*groupExperts), lose: func() bool { return false }}
+	for rank := range ranks {
+		s := rankState{}
+		for range groupSets {
+			var experts []uint16
+			for e := rank; e < groupExperts; e += ranks {
+				experts = append(experts, uint16(e))
+			}
+			s.mapping = append(s.mapping, experts)
+		}
+		g.ranks = append(g.ranks, s)
+	}
+	return g
+}
+
+// run begins passes until ctx ends.
+func (g *Group) run(ctx context.Context) {
+	tick := time.NewTicker(passTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.pass()
+		}
+	}
+}
+
+func (g *Group) pass() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		if r.held == g.step+1 {
+			return
+		}
+	}
+	g.step++
+	isChange := false
+	for i := range g.ranks {
+		r := &g.ranks[i]
+		if r.armed != 0 && r.armedStep == g.step {
+			r.version, r.mapping, r.armed, r.armedStep, r.prepared = r.armed, r.next, 0, 0, 0
+			isChange = true
+		}
+		g.mixed = g.mixed || r.version != g.ranks[0].version
+	}
+	if isChange {
+		g.changes++
+	}
+	for set := range groupSets {
+		for e := range groupExperts {
+			g.counts[set*groupExperts+e]++
+		}
+		g.counts[set*groupExperts+g.hot] += 100
+	}
+}
+
+// Shift makes another expert the most chosen one.
+func (g *Group) Shift(expert int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hot = expert
+}
+
+// LoseOrders lets some orders go unanswered and be carried out late; nil ends that.
+func (g *Group) LoseOrders(lose func() bool, delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if lose == nil {
+		lose = func() bool { return false }
+	}
+	g.lose, g.delay = lose, delay
+}
+
+// State returns the number of passes and of changes of the map, and whether a pass has
+// begun on two maps.
+func (g *Group) State() (step uint64, changes int, isMixed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step, g.changes, g.mixed
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// orNull returns null for 0.
+func orNull(n uint64) any {
+	if n == 0 {
+		return nil
+	}
+	return n
+}
+
+func (w *Worker) report(rw http.ResponseWriter, _ *http.Request) {
+	g := w.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[w.rank]
+	var armed any
+	if r.armed != 0 {
+		armed = map[string]uint64{"version": r.armed, "step": r.armedStep}
+	}
+	reply(rw, map[string]any{
+		"stage": "both", "busy": false, "sequenceNumber": r.sequence, "waiting": 0, "running": 1, "pace": 1.0,
+		"group": map[string]any{"name": "g", "epoch": 1, "rank": w.rank, "state": "open"}, "size": len(g.ranks),
+		"step": g.step, "mapping": r.version, "prepared": orNull(r.prepared), "armed": armed, "held": orNull(r.held),
+	})
+}
+
+func (w *Worker) picked(rw http.ResponseWriter, r *http.Request) {
+	g := w.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.URL.Query().Get("lists") != "" {
+		s := g.ranks[w.rank]
+		reply(rw, map[string]any{"epoch": 1, "mapping": map[string]any{"version": s.version, "experts": s.mapping}})
+		return
+	}
+	reply(rw, map[string]any{"step": g.step, "epoch": 1, "counts": g.counts})
+}
+
+// order is the body of an order.
+type order struct {
+	Operation string       `json:"operation"`
+	Epoch     uint64       `json:"epoch"`
+	Expect    uint64       `json:"expect"`
+	Version   uint64       `json:"version"`
+	Step      uint64       `json:"step"`
+	Mapping   [][][]uint16 `json:"mapping"`
+}
+
+func (w *Worker) order(rw http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	g := w.group
+	g.mu.Lock()
+	isLost, delay := g.lose(), g.delay
+	g.mu.Unlock()
+	if isLost {
+		time.AfterFunc(delay, func() { g.carryOut(w.rank, o) })
+		panic(http.ErrAbortHandler)
+	}
+	if !g.carryOut(w.rank, o) {
+		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	rw.WriteHeader(http.StatusAccepted)
+}
+
+// carryOut carries an order out if it fits the rank's state.
+func (g *Group) carryOut(rank int, o order) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &g.ranks[rank]
+	if o.Epoch != 1 || o.Expect != s.sequence {
+		return false
+	}
+	switch {
+	case o.Operation == "prepare" && o.Version > max(s.version, s.prepared) && s.armed == 0:
+		s.prepared = o.Version
+		s.next = nil
+		for _, set := range o.Mapping {
+			s.next = append(s.next, set[rank])
+		}
+	case o.Operation == "arm" && s.prepared == o.Version && o.Step > g.step && s.armed == 0:
+		s.armed, s.armedStep = o.Version, o.Step
+	case o.Operation == "disarm" && s.armed == o.Version:
+		s.armed, s.armedStep = 0, 0
+	case o.Operation == "hold" && o.Step > g.step && s.held == 0:
+		s.held = o.Step
+	case o.Operation == "go" && s.held == o.Step:
+		s.held = 0
+	default:
+		return false
+	}
+	s.sequence++
+	return true
+}
--- /dev/null
+++ b/test/platformlab/lab.go
@@ -0,0 +1,255 @@
+// Package platformlab is a small stand-in of the users' platform, written from its
+// published protocol: workers, groups of ranks, an operator and callers, around real
+// processes of the system on loopback. Each host has an address of its own below 127/8
+// and all share their ports, which come from the kernel. Tests only.
+package platformlab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+// The ports of a host, counted from the first.
+const (
+	portPeer = iota
+	portMetrics
+	portControl
+	portFront
+	portReady
+	portWorker
+	portLast
+)
+
+// hostsPerKind bounds the hosts of one kind in a lab.
+const hostsPerKind = 20
+
+// The first host number of each kind.
+const (
+	firstControl = 1 + hostsPerKind*iota
+	firstEntry
+	firstAgent
+	firstPlain
+)
+
+var labs atomic.Int32
+
+// Lab is one system with its surroundings.
+type Lab struct {
+	dir, binary string
+	prefix      string
+	port        int
+	Control     []*Host
+	Entries     []*Host
+	Agents      []*Host
+	// Group is the group of ranks beside the agents, Plain the plain workers.
+	Group *Group
+	Plain []*Worker
+	// Operator changes the configuration.
+	Operator *Operator
+	stop     context.CancelFunc
+}
+
+// Host is one host of the system.
+type Host struct {
+	*local.Process
+	IP       string
+	settings string
+	data     string
+	lab      *Lab
+}
+
+// Layout says how many hosts there are of each kind.
+type Layout struct{ Control, Entries, Ranks, Plain int }
+
+// Start starts a lab in dir with the node program binary.
+func Start(dir, binary string, layout Layout) (*Lab, error) {
+	l := &Lab{dir: dir, binary: binary, prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, labs.Add(1))}
+	if err := l.pickPorts(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop = stop
+	for i := range layout.Control {
+		l.Control = append(l.Control, l.host("control", "control", firstControl+i))
+	}
+	for i := range layout.Entries {
+		l.Entries = append(l.Entries, l.host("entry", "front", firstEntry+i))
+	}
+	for i := range layout.Ranks {
+		l.Agents = append(l.Agents, l.host("agent", "side", firstAgent+i))
+	}
+	for _, h := range l.hosts() {
+		if err := h.launch(true); err != nil {
+			l.Close()
+			return nil, err
+		}
+	}
+	l.Operator = &Operator{lab: l}
+	if err := l.startWorkers(ctx, layout); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lab) startWorkers(ctx context.Context, layout Layout) error {
+	l.Group = newGroup(layout.Ranks)
+	for i := range layout.Ranks {
+		w, err := l.worker(ctx, ServiceEngine, l.ip(firstAgent+i), l.Group, i)
+		if err != nil {
+			return err
+		}
+		l.Group.workers = append(l.Group.workers, w)
+	}
+	go l.Group.run(ctx)
+	for i := range layout.Plain {
+		w, err := l.worker(ctx, ServicePlain, l.ip(firstPlain+i), nil, 0)
+		if err != nil {
+			return err
+		}
+		l.Plain = append(l.Plain, w)
+	}
+	return nil
+}
+
+// AddPlain adds a plain worker at a host of its own.
+func (l *Lab) AddPlain() (*Worker, error) {
+	w, err := l.worker(context.Background(), ServicePlain, l.ip(firstPlain+len(l.Plain)), nil, 0)
+	if err == nil {
+		l.Plain = append(l.Plain, w)
+	}
+	return w, err
+}
+
+func (l *Lab) hosts() []*Host {
+	var all []*Host
+	all = append(all, l.Control...)
+	all = append(all, l.Entries...)
+	return append(all, l.Agents...)
+}
+
+// pickPorts finds ports in a row that are free at the lab's first address.
+func (l *Lab) pickPorts() error {
+	for range 50 {
+		first, err := net.Listen("tcp", l.ip(firstControl)+":0")
+		if err != nil {
+			return errors.Wrap(err, "port from the kernel")
+		}
+		l.port = first.Addr().(*net.TCPAddr).Port
+		_ = first.Close()
+		if l.port+portLast < 1<<16 && l.areFree() {
+			return nil
+		}
+	}
+	return errors.New("no ports in a row are free")
+}
+
+func (l *Lab) areFree() bool {
+	for p := range portLast {
+		c, err := net.Listen("tcp", fmt.Sprintf("%s:%d", l.ip(firstControl), l.port+p))
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+	}
+	return true
+}
+
+func (l *Lab) ip(host int) string { return l.prefix + fmt.Sprint(host) }
+
+func (l *Lab) address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, l.port+port) }
+
+func (l *Lab) host(name, serves string, number int) *Host {
+	ip := l.ip(number)
+	full := fmt.Sprintf("%s-%d", name, number)
+	h := &Host{
+		Process: local.NewProcess(l.dir, full, l.binary), IP: ip, lab: l,
+		settings: filepath.Join(l.dir, full+".conf"), data: filepath.Join(l.dir, full+"-data"),
+	}
+	h.Env = []string{"SASSAFRASPOST_BOOT=" + h.settings, "PATH=" + os.Getenv("PATH")}
+	return h
+}
+
+// launch writes the settings and starts the process.
+func (h *Host) launch(isFirst bool) error {
+	if err := os.WriteFile(h.settings, []byte(h.lab.settingsOf(h, isFirst)), 0o600); err != nil {
+		return err
+	}
+	return h.Start()
+}
+
+// Restart starts a host again that has ended.
+func (h *Host) Restart() error { return h.launch(false) }
+
+// LoseDisk removes the data of a host that does not run.
+func (h *Host) LoseDisk() error { return os.RemoveAll(h.data) }
+
+// serves returns the role of a host.
+func (h *Host) serves() string {
+	switch {
+	case strings.HasPrefix(h.Name, "control"):
+		return "control"
+	case strings.HasPrefix(h.Name, "entry"):
+		return "front"
+	}
+	return "side"
+}
+
+func (l *Lab) settingsOf(h *Host, isFirst bool) string {
+	var seeds []string
+	for _, c := range l.Control {
+		seeds = append(seeds, l.address(c.IP, portControl))
+	}
+	lines := []string{
+		"nodeName=" + h.Name, "zone=z", "region=r", "serves=" + h.serves(), "ipAddress=" + h.IP,
+		"listenAddresses.front=" + l.address(h.IP, portFront),
+		"listenAddresses.ready=" + l.address(h.IP, portReady),
+		"listenAddresses.control=" + l.address(h.IP, portControl),
+		fmt.Sprintf("internalPortRange=%d,%d", l.port+portPeer, l.port+portMetrics),
+		"seeds=" + strings.Join(seeds, ","), fmt.Sprintf("firstStart=%t", isFirst),
+		"limits.memoryMb=280", "limits.cpuShare=0.4", "dataDirectory=" + h.data,
+		fmt.Sprintf("heartbeatIntervalMs=%d", beatInterval/time.Millisecond),
+		"bounds.gracePeriodS=8", "bounds.drainMs=2000", "bounds.configPropagationMs=2000",
+		"bounds.retryBudgetRatio=0.2", "bounds.retryBudgetExtra=90", "bounds.budgetWindowS=10",
+		"faultTolerance.machines=1", "app=" + l.address(h.IP, portWorker), "service=" + ServiceEngine,
+		"unknown.key=is ignored",
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// Close ends everything.
+func (l *Lab) Close() {
+	l.stop()
+	for _, h := range l.hosts() {
+		h.Kill()
+	}
+	for _, w := range l.Plain {
+		w.close()
+	}
+	if l.Group != nil {
+		for _, w := range l.Group.workers {
+			w.close()
+		}
+	}
+}
+
+// Logs returns the end of the processes' logs, for a test that has failed.
+func (l *Lab) Logs() string {
+	const most = 3000
+	var b strings.Builder
+	for _, h := range l.hosts() {
+		text := h.Log()
+		fmt.Fprintf(&b, "== %s\n%s\n", h.Name, text[max(0, len(text)-most):])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/test/platformlab/operator.go
@@ -0,0 +1,154 @@
+package platformlab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Key is that of the lab's workspace.
+const Key = "lab-key"
+
+// HostName is that of the lab's routes.
+const HostName = "lab.example"
+
+// Operator changes the configuration of a lab.
+type Operator struct {
+	lab     *Lab
+	version int
+}
+
+// Configuration returns a configuration with the usual routes, and extra ones to the
+// plain service.
+func Configuration(version int, extra ...string) map[string]any {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": HostName, "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 20000,
+			"targetLatencyMs": 1000, "priority": 1, "service": service, "maxAttempts": 2, "public": false,
+			"streamResumption": kind == "stream",
+		}
+	}
+	routes := []any{
+		route("safe", "safe", ServicePlain), route("unsafe", "unsafe", ServicePlain), route("stream", "stream", ServicePlain),
+		route("engine", "stream", ServiceEngine),
+	}
+	for _, name := range extra {
+		routes = append(routes, route(name, "safe", ServicePlain))
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": ServicePlain, "connectionLimit": 200},
+			map[string]any{"name": ServiceEngine, "connectionLimit": 200, "engine": map[string]any{
+				"slots": 8, "stride": 1, "step_ms": 1, "layerSets": groupSets, "experts": groupExperts,
+				"placements": groupSlots, "spare": groupSpare, "expertShare": 0.8,
+			}},
+		},
+		"limits":  map[string]any{"maxBodyBytes": 1 << 20},
+		"tenants": []any{map[string]any{"name": "lab", "apiKeys": []string{Key}}},
+	}
+}
+
+// Replace puts a configuration into force with the next version; it is sent again, to
+// one control host after the other, until one acknowledges it or refuses it for good.
+func (o *Operator) Replace(ctx context.Context, extra ...string) error {
+	o.version += 3
+	body, err := json.Marshal(Configuration(o.version, extra...))
+	if err != nil {
+		return err
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		status, err := o.Send(ctx, i, body)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		if err == nil && status/100 == 4 {
+			return errors.Errorf("configuration refused with %d", status)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// Send sends a configuration once to a control host.
+func (o *Operator) Send(ctx context.Context, host int, body []byte) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	c := o.lab.Control[host%len(o.lab.Control)]
+	status, _, err := post(ctx, o.lab.address(c.IP, portControl), "/Configuration.Replace", body)
+	return status, err
+}
+
+// Version returns the number of the last configuration that was sent.
+func (o *Operator) Version() int { return o.version }
+
+// Read reads the configuration at a control host. It returns the status and the body.
+func (o *Operator) Read(ctx context.Context, host int) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	return get(ctx, o.lab.address(o.lab.Control[host].IP, portControl), "/Configuration.Get")
+}
+
+func get(ctx context.Context, address, path string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Err is set where the answer is not whole.
+	Err error
+}
+
+// Ask sends a request to an entry host as a caller does.
+func (h *Host) Ask(ctx context.Context, path, attempt string) (Answer, error) {
+	url := "http://" + h.lab.address(h.IP, portFront) + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body of "+attempt))
+	if err != nil {
+		return Answer{}, err
+	}
+	req.Host = HostName
+	req.Header.Set("X-Attempt-Id", attempt)
+	req.Header.Set("X-Credential", Key)
+	req.Header.Set("X-Deadline-Milliseconds", "15000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err}, nil
+}
+
+// IsReady reports whether an entry host wants callers.
+func (h *Host) IsReady(ctx context.Context) bool {
+	status, _, err := get(ctx, h.lab.address(h.IP, portReady), "/readiness")
+	return err == nil && status == http.StatusOK
+}
+
+// Metrics returns a host's metrics.
+func (h *Host) Metrics(ctx context.Context) (string, error) {
+	status, body, err := get(ctx, h.lab.address(h.IP, portMetrics), "/metrics")
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("metrics answered %d", status)
+	}
+	return body, err
+}
--- /dev/null
+++ b/test/platformlab/worker.go
@@ -0,0 +1,257 @@
+package platformlab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The services of a lab.
+const (
+	ServicePlain  = "plain"
+	ServiceEngine = "engine"
+)
+
+const (
+	beatInterval = 300 * time.Millisecond
+	beatTimeout  = time.Second
+	// streamEvents is how many events a stream has.
+	streamEvents = 8
+)
+
+// Behaviour is what a worker does with a request before it answers; nil is to answer it.
+// It reports whether it has dealt with the request.
+type Behaviour func(w http.ResponseWriter, r *http.Request) bool
+
+// Worker is a stand-in of a worker.
+type Worker struct {
+	lab     *Lab
+	ID      string
+	service string
+	address string
+	server  *http.Server
+	group   *Group
+	rank    int
+	stop    context.CancelFunc
+	left    atomic.Bool
+	// drained is closed once a control host has acknowledged that the worker drains.
+	drained   chan struct{}
+	drainOnce sync.Once
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	behaviour Behaviour
+	state     string
+	sequence  int
+	// runs counts the requests that were worked on, by attempt.
+	runs map[string]int
+	// lastRun is when the last one began.
+	lastRun time.Time
+}
+
+var workers atomic.Int64
+
+func (l *Lab) worker(ctx context.Context, service, ip string, g *Group, rank int) (*Worker, error) {
+	ctx, stop := context.WithCancel(ctx)
+	w := &Worker{
+		lab: l, ID: fmt.Sprintf("i-%d", workers.Add(1)), service: service, address: l.address(ip, portWorker),
+		group: g, rank: rank, stop: stop, drained: make(chan struct{}), state: "ready", runs: map[string]int{},
+	}
+	listener, err := net.Listen("tcp", w.address)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	w.server = &http.Server{Handler: http.HandlerFunc(w.handle)}
+	go func() { _ = w.server.Serve(listener) }()
+	go w.beat(ctx)
+	return w, nil
+}
+
+func (w *Worker) close() {
+	w.stop()
+	_ = w.server.Close()
+}
+
+// Behave sets what the worker does with requests.
+func (w *Worker) Behave(b Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behaviour = b
+}
+
+// Runs returns how often the worker worked on an attempt.
+func (w *Worker) Runs(attempt string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[attempt]
+}
+
+// LastRun returns when the worker began to work on a request last.
+func (w *Worker) LastRun() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastRun
+}
+
+// Drain announces that the worker leaves, and returns once that is acknowledged.
+func (w *Worker) Drain(ctx context.Context) error {
+	w.mu.Lock()
+	w.state = "draining"
+	w.mu.Unlock()
+	select {
+	case <-w.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// beat announces the worker at intervals, to one control host after the other until one
+// acknowledges.
+func (w *Worker) beat(ctx context.Context) {
+	tick := time.NewTicker(beatInterval)
+	defer tick.Stop()
+	for {
+		w.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (w *Worker) announce(ctx context.Context) {
+	w.mu.Lock()
+	w.sequence++
+	state := w.state
+	body, _ := json.Marshal(map[string]any{
+		"service": w.service, "address": w.address, "zone": "z", "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequenceNumber": w.sequence,
+	})
+	w.mu.Unlock()
+	for _, c := range w.lab.Control {
+		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		status, _, err := post(ctx, w.lab.address(c.IP, portControl), "/Instances.Heartbeat/"+w.ID, body)
+		cancel()
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		if state == "draining" {
+			w.drainOnce.Do(func() { close(w.drained) })
+		}
+		return
+	}
+}
+
+// post makes a call with a JSON body.
+func post(ctx context.Context, address, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+// handle tells the calls of agents from the requests of callers, whose paths are taken as
+// they come.
+func (w *Worker) handle(rw http.ResponseWriter, r *http.Request) {
+	if w.group == nil {
+		w.serve(rw, r)
+		return
+	}
+	switch r.URL.Path {
+	case "/report":
+		w.report(rw, r)
+	case "/picked":
+		w.picked(rw, r)
+	case "/order":
+		w.order(rw, r)
+	default:
+		w.serve(rw, r)
+	}
+}
+
+// serve works on a caller's request.
+func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	attempt := r.Header.Get("X-Attempt-Id")
+	rw.Header().Set("X-Attempt-Id", attempt)
+	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
+		rw.Header().Set("X-Instance-Id", w.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	b := w.behaviour
+	w.mu.Unlock()
+	if b != nil && b(rw, r) {
+		return
+	}
+	w.run(attempt)
+	rw.Header().Set("X-Response-Signature", "sig."+w.ID)
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		Events(rw, r, 0)
+		return
+	}
+	_, _ = fmt.Fprintf(rw, "%s %s %s %s", r.Method, r.RequestURI, body, r.Header.Get("X-Tenant"))
+}
+
+func (w *Worker) run(attempt string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[attempt]++
+	w.lastRun = time.Now()
+}
+
+// Run counts a request as worked on; behaviours that answer by themselves call it.
+func (w *Worker) Run(r *http.Request) { w.run(r.Header.Get("X-Attempt-Id")) }
+
+// NotRun refuses a request without working on it.
+func NotRun(w http.ResponseWriter, _ *http.Request) bool {
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// Events writes a stream from the event after the caller's last one, and breaks off in
+// the middle of event stop, unless that is 0.
+func Events(w http.ResponseWriter, r *http.Request, stop int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for id := first + 1; id <= streamEvents; id++ {
+		if id == stop {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: hal", id)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", id, id)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// WholeStream is the body of a stream that was not broken.
+func WholeStream() string {
+	var b strings.Builder
+	for id := 1; id <= streamEvents; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", id, id)
+	}
+	return b.String()
+}
