Reach the index of a read at followers; ask the leader alone; dial sooner

Cause: after an election a follower waited until its tables had applied the index of a read, and the leader's empty entry is none of theirs: reads at followers hung until the next entry, up to 5 s, and entry hosts that had started waited for their configuration as long. Ruled out: the election (1 s), sessions (0.3 s after the dials were shortened), lost rounds.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -246,17 +246,45 @@
 	if !errors.As(err, &notLeader) {
 		return index, err
 	}
-	index, err = r.h.client.Read(ctx)
+	index, err = r.h.readAtLeader(ctx)
 	if err != nil {
 		return 0, err
 	}
 	return index, r.h.awaitApplied(ctx, index)
 }
 
+// readAtLeader asks the leader that this replica knows, on the session that carries its
+// log. While none is known it waits here, for the time of a hand-over: asking the other
+// hosts then would only keep them from electing one.
+func (h *Host) readAtLeader(ctx context.Context) (uint64, error) {
+	began := time.Now()
+	leader, isKnown := h.replica.Leader()
+	for !isKnown && ctx.Err() == nil && time.Since(began) < handOver {
+		pause.For(ctx, clientDelay)
+		leader, isKnown = h.replica.Leader()
+	}
+	if leader == h.id {
+		return h.replica.Read(ctx)
+	}
+	s := h.cfg.Transport.session(leader)
+	if s == nil {
+		return 0, unreachable(false, nil)
+	}
+	reply, _, err := s.Call(ctx, &wire.ReadQuery{})
+	if err != nil {
+		return 0, unreachable(false, err)
+	}
+	answer, ok := reply.(*wire.ReadAnswer)
+	if !ok {
+		return 0, unreachable(false, errors.Errorf("reply of kind %d", reply.Kind()))
+	}
+	return answer.Index, nil
+}
+
 const appliedPoll = 5 * time.Millisecond
 
 func (h *Host) awaitApplied(ctx context.Context, index uint64) error {
-	for h.tables.Applied() < index {
+	for h.replica.Applied() < index {
 		if ctx.Err() != nil {
 			return verdict.New(verdict.NotRun, verdict.CodeDeadline, "this control host is behind")
 		}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -16,9 +17,9 @@
 
 const (
 	// fetchTimeout bounds one question for a configuration.
-	fetchTimeout = 1500 * time.Millisecond
+	fetchTimeout = 600 * time.Millisecond
 	// fetchDelay is the pause after a question that failed.
-	fetchDelay = 150 * time.Millisecond
+	fetchDelay = 100 * time.Millisecond
 	// trustAfter is how long a host that starts looks for a control host that can show
 	// that its configuration is the newest. Where none can, as in a data centre that is
 	// cut off, it goes on with the newest that it found.
@@ -199,6 +200,8 @@
 	reply, _, err := s.Call(ctx, &wire.ConfigurationQuery{Above: held, Linearizable: isLinearizable})
 	answer, ok := reply.(*wire.ConfigurationAnswer)
 	if err != nil || !ok {
+		f.n.log.Info("configuration not fetched", "from", s.Remote().Host, "held", held,
+			"linearizable", isLinearizable, "error", fmt.Sprint(err))
 		return false
 	}
 	if answer.Number > held && !f.apply(answer) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,9 @@
 	// the 3 s after which a host that is reachable again has to be up to date.
 	heldLimit = 1500 * time.Millisecond
 	// dialTimeout bounds an attempt to reach a host: many times a round trip between
-	// data centres, so that a lost packet alone does not fail it.
-	dialTimeout = 800 * time.Millisecond
+	// data centres. A host that was dark at the first packet is dialled anew well before
+	// that packet would be sent again.
+	dialTimeout = 400 * time.Millisecond
 	// pingInterval is the longest silence on a session that nobody watches.
 	pingInterval = 3 * time.Second
 	// headerTimeout bounds the head of a request of another host, an upstream or an
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -159,12 +159,18 @@
 	case len(e.Data) > 0:
 		value = r.opts.Machine.Apply(e.Index, e.Data)
 	}
-	r.applied = e.Index
+	r.setApplied(e.Index)
 	r.metrics.applied.Inc(1)
 	r.resolve(e, value)
 	return nil
 }
 
+// setApplied notes up to where the machine is. Entries without data count too.
+func (r *Replica) setApplied(index uint64) {
+	r.applied = index
+	r.shownApplied.Store(index)
+}
+
 func (r *Replica) applyMembership(e consensus.Entry) error {
 	machine, ok := r.opts.Machine.(MembershipMachine)
 	if !ok {
@@ -182,7 +188,7 @@
 	if err := r.opts.Machine.Restore(s.Data); err != nil {
 		return errors.Wrap(err, "restore the leader's snapshot")
 	}
-	r.applied = s.Meta.Index
+	r.setApplied(s.Meta.Index)
 	r.snapshot = s.Meta.Index
 	r.metrics.restores.Inc(1)
 	r.resolveSnapshot(s.Meta)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -140,6 +140,8 @@
 	// soft and last are published by the loop.
 	soft atomic.Pointer[consensus.SoftState]
 	last atomic.Pointer[consensus.Status]
+	// shownApplied is applied, for other goroutines.
+	shownApplied atomic.Uint64
 
 	// The fields below belong to the loop.
 	core *consensus.Core
@@ -176,6 +178,7 @@
 			return nil, errors.Wrap(err, "restore the machine")
 		}
 	}
+	r.shownApplied.Store(r.applied)
 	r.publish()
 	go r.run()
 	return r, nil
@@ -221,6 +224,10 @@
 // IsLeader reports whether this replica believes that it leads.
 func (r *Replica) IsLeader() bool { return r.soft.Load().Role == consensus.Leader }
 
+// Applied returns up to which entry the machine is, those that change nothing in it
+// included. It does not wait for the loop, which may wait for a disk.
+func (r *Replica) Applied() uint64 { return r.shownApplied.Load() }
+
 // Status returns the state of the core, the last one when the replica has stopped.
 func (r *Replica) Status() consensus.Status {
 	var s consensus.Status
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -294,3 +294,14 @@
 	requireVerdict(t, (<-p.outcome).err, verdict.MayHaveRun, verdict.CodeNoQuorum)
 	require.Empty(t, r.waiting)
 }
+
+// A follower that waits to be as far as a read at the leader gets there without another
+// entry: the leader's own first entry, which changes nothing, counts.
+func TestFollowersReachTheIndexOfARead(t *testing.T) {
+	c := newCluster(t, idA, idB, idC)
+	index, err := c.leader("").Read(c.ctx())
+	require.NoError(t, err)
+	for _, m := range c.members {
+		require.Eventually(t, func() bool { return m.Applied() >= index }, patience, glance)
+	}
+}
