--- /dev/null
+++ b/internal/cli/observe.go
@@ -0,0 +1,150 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sassafraspost/sassafraspost/internal/logtrace"
+)
+
+// maxMetricsBytes bounds the metrics of one host.
+const maxMetricsBytes = 4 << 20
+
+func newTrace(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace ID [FILE...]",
+		Short: "Follow a request through logs, given as files or on standard input",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			all, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			t := logtrace.Find(all, args[0])
+			if len(t.Lines) == 0 {
+				return errors.Errorf("no line of request %q in %d lines", args[0], len(all))
+			}
+			return t.Write(o.out.stdout)
+		},
+	}
+}
+
+func readLogs(stdin io.Reader, files []string) ([]logtrace.Line, error) {
+	if len(files) == 0 {
+		return logtrace.Read(stdin)
+	}
+	var all []logtrace.Line
+	for _, name := range files {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(name string) ([]logtrace.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	return logtrace.Read(f)
+}
+
+func newStats(o *options) *cobra.Command {
+	var match string
+	cmd := &cobra.Command{
+		Use:   "stats ADDRESS...",
+		Short: "Print the metrics of hosts as a table, a column each",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			table, err := o.fetchStats(cmd.Context(), args, match)
+			if err != nil {
+				return err
+			}
+			return table.write(o.out.stdout)
+		},
+	}
+	cmd.Flags().StringVar(&match, "match", "", "only metrics whose names contain this")
+	return cmd
+}
+
+// stats is a table of metrics by host.
+type stats struct {
+	hosts []string
+	// values are by metric and host.
+	values map[string]map[string]string
+}
+
+// fetchStats reads the metrics at each address, "ip:port" of the metrics listener.
+func (o *options) fetchStats(ctx context.Context, addresses []string, match string) (*stats, error) {
+	s := &stats{hosts: addresses, values: make(map[string]map[string]string)}
+	for _, address := range addresses {
+		body, err := o.fetchMetrics(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		lines := bufio.NewScanner(strings.NewReader(body))
+		for lines.Scan() {
+			name, value, ok := strings.Cut(lines.Text(), " ")
+			if !ok || strings.HasPrefix(name, "#") || !strings.Contains(name, match) {
+				continue
+			}
+			if s.values[name] == nil {
+				s.values[name] = make(map[string]string)
+			}
+			s.values[name][address] = value
+		}
+	}
+	return s, nil
+}
+
+func (o *options) fetchMetrics(ctx context.Context, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return "", errors.Wrap(err, address)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", errors.Wrap(err, address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMetricsBytes))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("answered %s", resp.Status)
+	}
+	return string(body), errors.Wrap(err, address)
+}
+
+// write prints the table, a row a metric.
+func (s *stats) write(w io.Writer) error {
+	names := make([]string, 0, len(s.values))
+	for name := range s.values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "metric\t%s\n", strings.Join(s.hosts, "\t"))
+	for _, name := range names {
+		row := []string{strings.TrimPrefix(name, "sassafraspost_")}
+		for _, host := range s.hosts {
+			row = append(row, s.values[name][host])
+		}
+		_, _ = fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/cli/observe_test.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
+)
+
+func TestStatsShowsHostsSideBySide(t *testing.T) {
+	var addresses []string
+	for i := range 2 {
+		reg := metrics.NewRegistry()
+		metrics.GetOrRegisterCounter("gateway.queue.entered", reg).Inc(int64(7 + i))
+		metrics.GetOrRegisterCounter("other", reg).Inc(1)
+		s := httptest.NewServer(telemetry.Handler(reg))
+		t.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	var out, failures bytes.Buffer
+	args := append([]string{"stats", "--match", "gateway"}, addresses...)
+	require.Equal(t, ExitOK, Run(t.Context(), args, &out, &failures), failures.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Equal(t, []string{"gateway_queue_entered", "7", "8"}, strings.Fields(lines[1]))
+	require.Equal(t, ExitUsage, Run(t.Context(), []string{"stats"}, &out, &failures))
+}
+
+func TestTraceReadsFiles(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "log")
+	line := `{"time":"2026-05-07T09:12:53Z","level":"WARN","msg":"request failed","host":"entry-1","request":"r1","status":503}`
+	require.NoError(t, os.WriteFile(name, []byte(line+"\n"), 0o600))
+	var out, failures bytes.Buffer
+	require.Equal(t, ExitOK, Run(t.Context(), []string{"trace", "r1", name}, &out, &failures), failures.String())
+	require.Contains(t, out.String(), "request failed")
+	require.NotEqual(t, ExitOK, Run(t.Context(), []string{"trace", "r2", name}, &out, &failures))
+	require.Contains(t, failures.String(), "no line of request")
+	require.NotEqual(t, ExitOK, Run(t.Context(), []string{"trace", "r1", name + "x"}, &out, &failures))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,12 +60,15 @@
 	request := &dispatch.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.header(resume), Body: c.body,
 	}
+	c.log("request sent", "upstream", u.ID, "send", c.sends, "resume", resume, "taken", hold.taken,
+		"load_age_ms", hold.loadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
+		"left_ms", time.Until(c.deadline).Milliseconds())
 	answer, err := c.g.cfg.Client.Send(ctx, target, request)
 	if err != nil {
 		c.last = err
 		hold.end(judge(ctx, err))
 		c.g.counts.attemptFailed(err)
-		c.log("attempt failed", "upstream", u.ID, "send", c.sends, "error", err.Error())
+		c.warn("attempt failed", "upstream", u.ID, "send", c.sends, "error", err.Error())
 		return nil, nil, false
 	}
 	return answer, hold, true
@@ -130,7 +133,7 @@
 	if err != nil {
 		c.last = broken(ctx, err)
 		hold.end(judge(ctx, c.last))
-		c.log("answer broke off", "send", c.sends, "error", err.Error())
+		c.warn("answer broke off", "send", c.sends, "error", err.Error())
 		return false
 	}
 	isFailure := a.Status >= http.StatusInternalServerError
@@ -200,6 +203,7 @@
 	c.w.WriteHeader(a.Status)
 	_, _ = c.w.Write(body)
 	c.g.counts.answered(a.Status, time.Since(c.began))
+	c.log("request answered", "status", a.Status, "sends", c.sends, "elapsed_ms", time.Since(c.began).Milliseconds())
 }
 
 func bodyAllowed(status int) bool {
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
@@ -13,17 +14,17 @@
 type counters struct {
 	registry                                                     metrics.Registry
 	budgetEmpty, queued, streamsCut, streamsResumed, callersGone metrics.Counter
-	firstEvent, whole, queue                                     metrics.Timer
+	firstEvent, gap, whole, queue                                *telemetry.Latency
 }
 
 func newCounters(reg metrics.Registry) counters {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gateway."+name, reg) }
-	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer("gateway."+name, reg) }
+	latency := func(name string) *telemetry.Latency { return telemetry.GetLatency("gateway."+name, reg) }
 	return counters{
 		registry:    reg,
-		budgetEmpty: counter("retries.budget-empty"), queued: counter("queue.entered"), queue: timer("queue"), streamsCut: counter("streams.cut"),
+		budgetEmpty: counter("retries.budget-empty"), queued: counter("queue.entered"), queue: latency("queue"), streamsCut: counter("streams.cut"),
 		streamsResumed: counter("streams.resumed"), callersGone: counter("callers.gone"),
-		firstEvent: timer("first-event"), whole: timer("answer"),
+		firstEvent: latency("first-event"), gap: latency("gap"), whole: latency("answer"),
 	}
 }
 
@@ -33,7 +34,7 @@
 
 func (c *counters) answered(status int, took time.Duration) {
 	c.count("answers." + strconv.Itoa(status))
-	c.whole.Update(took)
+	c.whole.Add(took)
 }
 
 func (c *counters) failed(e *verdict.Error, status int) {
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -77,15 +78,25 @@
 	c.w.WriteHeader(code)
 	_, _ = c.w.Write([]byte(e.Text + "\n"))
 	c.g.counts.failed(e, code)
-	c.log("request failed", "status", code, "code", string(e.Code), "verdict", e.Verdict.String(),
+	level := slog.LevelWarn
+	if code == http.StatusNotFound || code == http.StatusUnauthorized {
+		level = slog.LevelInfo
+	}
+	c.write(level, "request failed", "status", code, "code", string(e.Code), "verdict", e.Verdict.String(),
 		"sends", c.sends, "elapsed_ms", time.Since(c.began).Milliseconds(), "reason", e.Error())
 }
 
-// log writes a line about the request.
-func (c *call) log(message string, args ...any) {
+// log writes a line about what became of the request.
+func (c *call) log(message string, args ...any) { c.write(slog.LevelInfo, message, args...) }
+
+// warn writes a line about a failure, which goes before other lines where there are too
+// many.
+func (c *call) warn(message string, args ...any) { c.write(slog.LevelWarn, message, args...) }
+
+func (c *call) write(level slog.Level, message string, args ...any) {
 	args = append([]any{"request", c.attempt}, args...)
 	if c.route != nil {
 		args = append(args, "route", c.route.Name, "configuration", c.table.Number)
 	}
-	c.g.cfg.Log.Info(message, args...)
+	c.g.cfg.Log.Log(context.Background(), level, message, args...)
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -200,7 +200,7 @@
 	if !ok || g.taken(&u, g.now()) >= float64(s.places) {
 		return registry.Upstream{}, nil, false
 	}
-	return u, g.hold(u.ID, name, size), true
+	return u, g.hold(&u, size), true
 }
 
 // await takes a place at an engine, and waits for one where there is none. Errors are
@@ -241,7 +241,7 @@
 func (c *call) wait(ctx context.Context, s *service, w *waiter) (registry.Upstream, *ticket, error) {
 	c.g.counts.queued.Inc(1)
 	began := time.Now()
-	defer c.g.counts.queue.UpdateSince(began)
+	defer c.g.counts.queue.AddSince(began)
 	timer := time.NewTimer(longestWait)
 	defer timer.Stop()
 	select {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,10 @@
 	// isBegun tells that the answer's head is sent.
 	isBegun bool
 	buffer  []byte
+	// first is when the first event went to the caller, gap the longest pause after it;
+	// at is when the last one did.
+	first, gap time.Duration
+	at         time.Time
 }
 
 // errOutOfOrder tells that an upstream's events do not follow the last one.
@@ -45,11 +49,13 @@
 		if err == nil {
 			hold.end(outcomeGood)
 			c.g.counts.answered(a.Status, time.Since(c.began))
+			c.log("request answered", "status", a.Status, "sends", c.sends, "elapsed_ms", time.Since(c.began).Milliseconds(),
+				"event", r.last, "first_ms", r.first.Milliseconds(), "gap_ms", r.gap.Milliseconds())
 			return true
 		}
 		c.last = broken(ctx, err)
 		hold.end(judge(ctx, c.last))
-		c.log("stream broke off", "send", c.sends, "event", r.last, "error", err.Error())
+		c.warn("stream broke off", "send", c.sends, "event", r.last, "error", err.Error())
 		if !r.isBegun {
 			return false
 		}
@@ -57,10 +63,11 @@
 		if a, hold, ok = r.resume(ctx); !ok {
 			// The caller must not take what it has for the whole.
 			c.g.counts.streamsCut.Inc(1)
-			c.log("stream cut", "send", c.sends, "event", r.last)
+			c.warn("stream cut", "send", c.sends, "event", r.last, "reason", c.last.Error())
 			panic(http.ErrAbortHandler)
 		}
 		c.g.counts.streamsResumed.Inc(1)
+		c.log("stream resumed", "send", c.sends, "event", r.last)
 	}
 }
 
@@ -129,9 +136,22 @@
 	if !sent {
 		return nil
 	}
+	r.clock(time.Now())
 	return errors.Wrap(http.NewResponseController(r.c.w).Flush(), "caller")
 }
 
+// clock measures the pauses between events.
+func (r *relay) clock(now time.Time) {
+	if r.at.IsZero() {
+		r.first = now.Sub(r.c.began)
+	} else {
+		pause := now.Sub(r.at)
+		r.gap = max(r.gap, pause)
+		r.c.g.counts.gap.Add(pause)
+	}
+	r.at = now
+}
+
 // accept reports whether an event is the next one. One that the caller has already is
 // left out; a gap is an error.
 func (r *relay) accept(event []byte) (bool, error) {
@@ -161,5 +181,5 @@
 	r.isBegun = true
 	r.c.copyHead(a)
 	r.c.w.WriteHeader(a.Status)
-	r.c.g.counts.firstEvent.UpdateSince(r.c.began)
+	r.c.g.counts.firstEvent.AddSince(r.c.began)
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -38,11 +38,15 @@
 
 // ticket is an attempt's hold on an upstream; it ends once.
 type ticket struct {
-	g        *Gateway
-	id       string
-	service  string
-	prompt   int
-	reading  bool
+	g       *Gateway
+	id      string
+	service string
+	prompt  int
+	reading bool
+	// taken is how many requests the upstream was thought to have, by a report of its
+	// load of that age; a negative age is none.
+	taken    float64
+	loadAge  time.Duration
 	isClosed bool
 }
 
@@ -55,7 +59,7 @@
 	if !ok {
 		return u, nil, false
 	}
-	return u, g.hold(u.ID, name, size), true
+	return u, g.hold(&u, size), true
 }
 
 // pick picks an upstream of the service that was not tried. The caller holds mu.
@@ -81,11 +85,16 @@
 }
 
 // hold counts an attempt at an upstream. The caller holds mu.
-func (g *Gateway) hold(id, service string, size Size) *ticket {
-	own := g.upstreams[id]
+func (g *Gateway) hold(u *registry.Upstream, size Size) *ticket {
+	taken := g.taken(u, g.now())
+	own := g.upstreams[u.ID]
 	own.inflight++
 	own.tokens += size.Prompt
-	return &ticket{g: g, id: id, service: service, prompt: size.Prompt, reading: true}
+	t := &ticket{g: g, id: u.ID, service: u.Service, prompt: size.Prompt, reading: true, taken: taken, loadAge: -1}
+	if l, ok := g.loads[u.Address]; ok {
+		t.loadAge = g.now() - l.at
+	}
+	return t
 }
 
 // candidate is the snapshot of one upstream. The caller holds mu.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -92,11 +92,11 @@
 	if s.Remote().Replica == "" {
 		return
 	}
-	f.n.log.Info("control host found", "host", s.Remote().Host, "address", s.Remote().Address)
+	f.n.log.Info("control host found", "control_host", s.Remote().Host, "address", s.Remote().Address)
 	_ = s.Post(&wire.Attach{Role: f.role})
 	go func() {
 		<-s.Done()
-		f.n.log.Info("control host lost", "host", s.Remote().Host, "quiet_ms", s.Quiet().Milliseconds())
+		f.n.log.Info("control host lost", "control_host", s.Remote().Host, "quiet_ms", s.Quiet().Milliseconds())
 		if f.lose != nil && f.n.pool.Live(s.Remote().Address) == nil {
 			f.lose(s.Remote().Host)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/telemetry"
+	"github.com/sassafraspost/sassafraspost/internal/version"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -85,6 +86,7 @@
 func Run(ctx context.Context, set Settings, p Platform, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryPart))
 	debug.SetGCPercent(collectAt)
+	log = log.With("host", set.Host)
 	n := &Node{set: set, platform: p, log: log, metrics: metrics.NewRegistry()}
 	r, err := n.build()
 	if err != nil {
@@ -117,7 +119,7 @@
 const endMargin = 700 * time.Millisecond
 
 func (n *Node) build() (role, error) {
-	n.log.Info("process starts", "host", n.set.Host, "role", n.set.role(), "data_centre", n.set.DataCentre,
+	n.log.Info("process starts", "version", version.Release, "role", n.set.role(), "data_centre", n.set.DataCentre,
 		"seeds", n.set.seedPeers(), "first_start", n.set.FirstStart)
 	switch n.set.role() {
 	case "entry":
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -130,6 +130,11 @@
 	if r.Level >= slog.LevelWarn {
 		most = failuresPerSecond
 	}
+	if r.Level < slog.LevelWarn && len(h.queue.lines) > boundedQueue/2 {
+		// The second half of the queue is for failures.
+		h.queue.dropped.Add(1)
+		return nil
+	}
 	suppressed, ok := h.limits.take(r.Message, most, r.Time)
 	if !ok {
 		return nil
--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+)
+
+// Nobody reads the pipe: lines are dropped, and whoever logs goes on at once.
+func TestBlockedReaderHoldsNobody(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = r.Close() }()
+	log, flush := NewBoundedLogger(w, slog.LevelInfo)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 20_000 {
+			log.Warn(fmt.Sprint("line ", i%500), "text", strings.Repeat("x", 200))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(60 * time.Second):
+		t.Fatal("logging waits for a reader")
+	}
+	flush()
+	_ = w.Close()
+}
+
+func TestLimitCountsWhatItLeavesOut(t *testing.T) {
+	l := &limits{kinds: map[string]*kindLimit{}}
+	at := time.Unix(100, 0)
+	written := 0
+	for range 50 {
+		if _, ok := l.take("sent", linesPerSecond, at); ok {
+			written++
+		}
+	}
+	require.Equal(t, linesPerSecond, written)
+	_, ok := l.take("failed", linesPerSecond, at)
+	require.True(t, ok, "each kind has its own limit")
+	suppressed, ok := l.take("sent", linesPerSecond, at.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, 50-linesPerSecond, suppressed)
+}
+
+// With the queue half full, what is left of it is for failures.
+func TestFailuresGoBeforeSuccesses(t *testing.T) {
+	r, w := io.Pipe()
+	log, flush := NewBoundedLogger(w, slog.LevelInfo)
+	for i := range 4 * boundedQueue {
+		log.Info(fmt.Sprint("success ", i))
+	}
+	log.Warn("failure")
+	var out bytes.Buffer
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(&out, r)
+	}()
+	flush()
+	_ = w.Close()
+	<-read
+	require.True(t, strings.Contains(out.String(), `"msg":"failure"`))
+	require.True(t, strings.Contains(out.String(), `"dropped":`))
+}
+
+func TestLatencyInTheText(t *testing.T) {
+	reg := metrics.NewRegistry()
+	l := GetLatency("gateway.answer", reg)
+	require.Same(t, l, GetLatency("gateway.answer", reg))
+	for i := 1; i <= 100; i++ {
+		l.Add(time.Duration(i) * time.Millisecond)
+	}
+	text := Text(reg)
+	require.Contains(t, text, "sassafraspost_gateway_answer_seconds_count 100")
+	require.Contains(t, text, `sassafraspost_gateway_answer_seconds{quantile="0.5"} 0.05`)
+}
+
+func BenchmarkBoundedLine(b *testing.B) {
+	log, flush := NewBoundedLogger(io.Discard, slog.LevelInfo)
+	defer flush()
+	for b.Loop() {
+		log.Info("request sent", "request", "9c41d07be2a35f68", "upstream", "i-7f3a91c2", "send", 1, "left_ms", 8000)
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -60,6 +60,9 @@
 		return fmt.Sprintf("# TYPE %s gauge\n%s %g\n", name, name, m.Value())
 	case metrics.Meter:
 		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case *Latency:
+		values, sum, count := m.snapshot()
+		return latencySummary(name+"_seconds", values, sum, count)
 	case metrics.Histogram:
 		s := m.Snapshot()
 		return summary(name, s.Percentiles(quantiles), s.Sum(), s.Count())
@@ -71,11 +74,15 @@
 }
 
 func summary(name string, values []float64, sum, count int64) string {
+	return latencySummary(name, values, float64(sum), count)
+}
+
+func latencySummary(name string, values []float64, sum float64, count int64) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "# TYPE %s summary\n", name)
 	for i, q := range quantiles {
 		fmt.Fprintf(&b, "%s{quantile=\"%g\"} %g\n", name, q, values[i])
 	}
-	fmt.Fprintf(&b, "%s_sum %d\n%s_count %d\n", name, sum, name, count)
+	fmt.Fprintf(&b, "%s_sum %g\n%s_count %d\n", name, sum, name, count)
 	return b.String()
 }
--- a/test/platformlab/lab.go
+++ b/test/platformlab/lab.go
@@ -22,7 +22,6 @@
 // The ports of a host, counted from the first.
 const (
 	portPeer = iota
-	portMetrics
 	portControl
 	portFront
 	portReady
@@ -30,6 +29,9 @@
 	portLast
 )
 
+// metricsPort is the same on all hosts, on any day.
+const metricsPort = 9464
+
 // hostsPerKind bounds the hosts of one kind in a lab.
 const hostsPerKind = 20
 
@@ -215,7 +217,7 @@
 		"listenAddresses.front=" + l.address(h.IP, portFront),
 		"listenAddresses.ready=" + l.address(h.IP, portReady),
 		"listenAddresses.control=" + l.address(h.IP, portControl),
-		fmt.Sprintf("internalPortRange=%d,%d", l.port+portPeer, l.port+portMetrics),
+		fmt.Sprintf("internalPortRange=%d,%d", l.port+portPeer, l.port+portPeer),
 		"seeds=" + strings.Join(seeds, ","), fmt.Sprintf("firstStart=%t", isFirst),
 		"limits.memoryMb=280", "limits.cpuShare=0.4", "dataDirectory=" + h.data,
 		fmt.Sprintf("heartbeatIntervalMs=%d", beatInterval/time.Millisecond),
--- a/test/platformlab/operator.go
+++ b/test/platformlab/operator.go
@@ -146,7 +146,7 @@
 
 // Metrics returns a host's metrics.
 func (h *Host) Metrics(ctx context.Context) (string, error) {
-	status, body, err := get(ctx, h.lab.address(h.IP, portMetrics), "/metrics")
+	status, body, err := get(ctx, fmt.Sprintf("%s:%d", h.IP, metricsPort), "/metrics")
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("metrics answered %d", status)
 	}
