--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -14,15 +14,10 @@
 	// of those of other hosts.
 	Inflight  int
 	Elsewhere float64
-	// Tokens is the prompt tokens of this host's requests there that wait for their
-	// first event.
-	Tokens int
 	// IsLocal tells that it is in the data centre of this host.
 	IsLocal bool
 	// IsSuspect tells that it is silent, or that attempts of late have failed there.
 	IsSuspect bool
-	// Slowness is its time for a request over that of its peers; 1 is usual.
-	Slowness float64
 }
 
 // Filter drops candidates. An empty result means that the filter does not apply.
@@ -114,11 +109,11 @@
 // request's part, so that it decides between equals only.
 const localBonus = 0.02
 
-// LeastLoaded ranks by the part of the slots that is taken, weighed by slowness.
+// LeastLoaded ranks by the part of the slots that is taken.
 func LeastLoaded(c *Candidate) float64 {
 	load := (float64(c.Inflight) + c.Elsewhere) / float64(max(c.Slots, 1))
 	if c.IsLocal {
 		load -= localBonus
 	}
-	return load * max(c.Slowness, 1)
+	return load
 }
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -185,7 +185,12 @@
 }
 
 // Error implements error.
-func (e *RefusedError) Error() string { return e.Err.Error() }
+func (e *RefusedError) Error() string {
+	if e.Fault == "" {
+		return e.Err.Error()
+	}
+	return e.Err.Error() + ", at fault is " + e.Fault
+}
 
 // Unwrap returns the verdict.
 func (e *RefusedError) Unwrap() error { return e.Err }
--- a/internal/dispatch/names.go
+++ b/internal/dispatch/names.go
@@ -10,8 +10,6 @@
 	Deadline string
 	// NotRun marks an answer to a request that did not run.
 	NotRun string
-	// Signature proves that the answer is an upstream's.
-	Signature string
 	// Fault names the upstream at fault in a refusal.
 	Fault string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,10 +24,6 @@
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 )
 
-// Size is what a request says of its work at a model engine, in tokens. Zero where it
-// says nothing.
-type Size struct{ Prompt, Output int }
-
 // Dialect is what callers and upstreams call things. It only translates.
 type Dialect struct {
 	// Dispatch are the names that upstreams understand.
@@ -38,8 +34,6 @@
 	Resume string
 	// Deadline returns how long the caller waits, if it says so.
 	Deadline func(http.Header) (time.Duration, bool)
-	// Size returns the request's size.
-	Size func(http.Header) Size
 }
 
 // Config is what a Gateway needs.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,7 +38,6 @@
 			ms, err := strconv.Atoi(h.Get("X-D"))
 			return time.Duration(ms) * time.Millisecond, err == nil
 		},
-		Size: func(http.Header) Size { return Size{} },
 	}
 	g := New(Config{
 		Dialect: d, Client: dispatch.New(dispatch.Config{Names: d.Dispatch, DialTimeout: 5 * time.Second}),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -33,7 +33,6 @@
 	workspace string
 	service   *routetable.Service
 	attempt   string
-	size      Size
 	body      []byte
 	began     time.Time
 	// deadline is when the caller is given its final answer at the latest.
@@ -84,7 +83,6 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.size = g.cfg.Dialect.Size(c.r.Header)
 	wait := c.route.Timeout
 	if stated, ok := g.cfg.Dialect.Deadline(c.r.Header); ok {
 		wait = min(wait, stated-answerMargin)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -41,7 +41,6 @@
 
 // waiter is a request that waits for a place at an engine.
 type waiter struct {
-	size  Size
 	tried []string
 	// onTime is until when it can begin to be on time.
 	onTime time.Duration
@@ -86,16 +85,6 @@
 	return n
 }
 
-// engineOf returns the engine figures of a service, nil where it has none.
-func (g *Gateway) engineOf(name string) *routetable.Engine {
-	if t := g.table.Load(); t != nil {
-		if s := t.Service(name); s != nil {
-			return s.Engine
-		}
-	}
-	return nil
-}
-
 // isClosed reports whether every engine that is heard of says that its group does not
 // serve. The caller holds mu.
 func (g *Gateway) isClosed(name string) bool {
@@ -174,7 +163,7 @@
 			return
 		}
 		w := s.waiters[i]
-		u, hold, ok := g.place(name, s, w.size, w.tried)
+		u, hold, ok := g.place(name, s, w.tried)
 		if !ok {
 			return
 		}
@@ -195,12 +184,12 @@
 
 // place takes a place at the engine with the fewest requests, if it has one free. The
 // caller holds mu.
-func (g *Gateway) place(name string, s *service, size Size, tried []string) (registry.Upstream, *ticket, bool) {
+func (g *Gateway) place(name string, s *service, tried []string) (registry.Upstream, *ticket, bool) {
 	u, ok := g.pick(name, tried)
 	if !ok || g.taken(&u, g.now()) >= float64(s.places) {
 		return registry.Upstream{}, nil, false
 	}
-	return u, g.hold(&u, size), true
+	return u, g.hold(&u), true
 }
 
 // await takes a place at an engine, and waits for one where there is none. Errors are
@@ -216,12 +205,12 @@
 		return registry.Upstream{}, nil, refuse("the group does not serve", outageRetryAfter)
 	}
 	if !isClosed && len(s.waiters) == 0 {
-		if u, hold, ok := g.place(name, s, c.size, c.tried); ok {
+		if u, hold, ok := g.place(name, s, c.tried); ok {
 			g.mu.Unlock()
 			return u, hold, nil
 		}
 	}
-	w := &waiter{size: c.size, tried: c.tried, granted: make(chan grant, 1)}
+	w := &waiter{tried: c.tried, granted: make(chan grant, 1)}
 	w.onTime = c.began.Add(c.route.Target - balance.FirstEvent(e, s.places)).Sub(g.started)
 	s.waiters = append(s.waiters, w)
 	g.mu.Unlock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 		r.last, r.hasID = id, true
 	}
 	for {
-		err := r.pass(a, hold)
+		err := r.pass(a)
 		a.Close()
 		if err == nil {
 			hold.end(outcomeGood)
@@ -91,13 +91,13 @@
 
 // pass passes on the events of one upstream until its stream ends. It returns nil where
 // the stream came to its own end.
-func (r *relay) pass(a *dispatch.Answer, hold *ticket) error {
+func (r *relay) pass(a *dispatch.Answer) error {
 	var events sse.Splitter
 	for {
 		n, err := a.Read(r.buffer)
 		events.Write(r.buffer[:n])
 		if n > 0 {
-			if werr := r.forward(a, hold, &events); werr != nil {
+			if werr := r.forward(a, &events); werr != nil {
 				return werr
 			}
 		}
@@ -114,7 +114,7 @@
 }
 
 // forward sends the whole events to the caller at once.
-func (r *relay) forward(a *dispatch.Answer, hold *ticket, events *sse.Splitter) error {
+func (r *relay) forward(a *dispatch.Answer, events *sse.Splitter) error {
 	sent := false
 	for event := events.Next(); event != nil; event = events.Next() {
 		ok, err := r.accept(event)
@@ -124,9 +124,6 @@
 		if !ok {
 			continue
 		}
-		if !r.isBegun {
-			hold.began()
-		}
 		r.begin(a)
 		if _, err := r.c.w.Write(event); err != nil {
 			return errors.Wrap(err, "caller")
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -21,7 +21,6 @@
 // upstream is this host's own experience of an upstream. Gateway.mu guards it.
 type upstream struct {
 	inflight int
-	tokens   int
 	// failures counts the attempts that failed in a row.
 	failures     int
 	suspectUntil time.Duration
@@ -41,8 +40,6 @@
 	g       *Gateway
 	id      string
 	service string
-	prompt  int
-	reading bool
 	// taken is how many requests the upstream was thought to have, by a report of its
 	// load of that age; a negative age is none.
 	taken    float64
@@ -52,14 +49,14 @@
 
 // choose picks an upstream of the service that was not tried, and counts the attempt
 // there. It returns false where there is none.
-func (g *Gateway) choose(name string, size Size, tried []string) (registry.Upstream, *ticket, bool) {
+func (g *Gateway) choose(name string, tried []string) (registry.Upstream, *ticket, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u, ok := g.pick(name, tried)
 	if !ok {
 		return u, nil, false
 	}
-	return u, g.hold(&u, size), true
+	return u, g.hold(&u), true
 }
 
 // pick picks an upstream of the service that was not tried. The caller holds mu.
@@ -85,12 +82,11 @@
 }
 
 // hold counts an attempt at an upstream. The caller holds mu.
-func (g *Gateway) hold(u *registry.Upstream, size Size) *ticket {
+func (g *Gateway) hold(u *registry.Upstream) *ticket {
 	taken := g.taken(u, g.now())
 	own := g.upstreams[u.ID]
 	own.inflight++
-	own.tokens += size.Prompt
-	t := &ticket{g: g, id: u.ID, service: u.Service, prompt: size.Prompt, reading: true, taken: taken, loadAge: -1}
+	t := &ticket{g: g, id: u.ID, service: u.Service, taken: taken, loadAge: -1}
 	if l, ok := g.loads[u.Address]; ok {
 		t.loadAge = g.now() - l.at
 	}
@@ -101,28 +97,13 @@
 func (g *Gateway) candidate(u *registry.Upstream, now time.Duration) balance.Candidate {
 	own := g.upstreams[u.ID]
 	return balance.Candidate{
-		ID: u.ID, Address: u.Address, Slots: u.Slots, Inflight: own.inflight, Tokens: own.tokens,
+		ID: u.ID, Address: u.Address, Slots: u.Slots, Inflight: own.inflight,
 		Elsewhere: g.taken(u, now) - float64(own.inflight),
 		IsLocal:   u.DataCentre == g.cfg.DataCentre,
 		IsSuspect: u.IsSilent || now < own.suspectUntil,
 	}
 }
 
-// began tells that the upstream has read the prompt.
-func (t *ticket) began() {
-	t.g.mu.Lock()
-	defer t.g.mu.Unlock()
-	t.read()
-}
-
-// read takes the prompt off the tokens that wait. The caller holds mu.
-func (t *ticket) read() {
-	if u := t.g.upstreams[t.id]; u != nil && t.reading {
-		u.tokens -= t.prompt
-	}
-	t.reading = false
-}
-
 // outcome is how an attempt went, as far as it says something of the upstream.
 type outcome uint8
 
@@ -145,7 +126,6 @@
 		return
 	}
 	t.isClosed = true
-	t.read()
 	u := g.upstreams[t.id]
 	if u == nil {
 		return
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -21,18 +21,14 @@
 	Seeds []netip.AddrPort
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart bool
-	// MemoryMB and CPUShare are what the process may use, in MB and parts of a core.
+	// MemoryMB is what the process may use.
 	MemoryMB int
-	CPUShare float64
 	// AnnounceInterval is how often upstreams announce themselves.
 	AnnounceInterval time.Duration
 	// GracePeriod is how long the process has to end.
 	GracePeriod time.Duration
 	// TolerateHosts is how many control hosts may be lost at once.
 	TolerateHosts int
-	// DrainWithin is how soon after an acknowledgement a leaving upstream gets no new
-	// work, ConfigurationSpan how soon a configuration is in force everywhere.
-	DrainWithin, ConfigurationSpan time.Duration
 	// Budget bounds the repeats of all hosts together.
 	Budget retrybudget.Params
 
--- a/test/platformlab/worker.go
+++ b/test/platformlab/worker.go
@@ -42,7 +42,6 @@
 	group   *Group
 	rank    int
 	stop    context.CancelFunc
-	left    atomic.Bool
 	// drained is closed once a control host has acknowledged that the worker drains.
 	drained   chan struct{}
 	drainOnce sync.Once
