Give a slow rank fewer experts to work for; say why there is no place

The engines report their pace; a rank's load is weighed by it. Lines: the inputs of a refusal, a rank's pace, a group that does not serve.

--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -201,6 +201,7 @@
 	s.places = balance.Places(e, c.route.Gap)
 	isClosed := g.isClosed(name)
 	if len(g.serving[name]) == 0 || isClosed && c.mayReturn() {
+		c.logRefusal(s)
 		g.mu.Unlock()
 		return registry.Upstream{}, nil, refuse("the group does not serve", outageRetryAfter)
 	}
@@ -248,9 +249,36 @@
 	default:
 	}
 	s.remove(w)
+	c.logRefusal(s)
 	return registry.Upstream{}, nil, refuse("no place became free in time", fullRetryAfter)
 }
 
+// logRefusal says by what a request got no place. The caller holds Gateway.mu; writing a
+// line does not wait.
+func (c *call) logRefusal(s *service) {
+	g := c.g
+	now := g.now()
+	upstreams, heard, open, taken := 0, 0, 0, 0.0
+	oldest := time.Duration(0)
+	for i := range g.serving[c.service.Name] {
+		u := &g.serving[c.service.Name][i]
+		upstreams++
+		taken += g.taken(u, now)
+		l, ok := g.loads[u.Address]
+		if !ok || now-l.at > freshLoad {
+			continue
+		}
+		heard++
+		oldest = max(oldest, now-l.at)
+		if l.isOpen {
+			open++
+		}
+	}
+	c.warn("no place", "upstreams", upstreams, "loads_heard", heard, "groups_open", open,
+		"load_age_ms", oldest.Milliseconds(), "places", s.places*upstreams, "taken", taken, "waiting", len(s.waiters),
+		"hosts", g.hosts.Load(), "waited_ms", time.Since(c.began).Milliseconds())
+}
+
 // remove takes a waiter out. The caller holds Gateway.mu.
 func (s *service) remove(w *waiter) {
 	for i := range s.waiters {
--- a/internal/group/picks.go
+++ b/internal/group/picks.go
@@ -74,7 +74,7 @@
 		p.load = p.load.Observe(tokens, weight)
 	}
 	params := placement.SetParams{
-		Slots: int(shape.SlotsPerRank), Spare: min(spareAtOnce, int(shape.Spare)), LeastGain: leastStep,
+		Pace: paces(reports), Slots: int(shape.SlotsPerRank), Spare: min(spareAtOnce, int(shape.Spare)), LeastGain: leastStep,
 	}
 	m := expertmap.Map{SlotsPerRank: params.Slots}
 	top, topAfter, mean := 0.0, 0.0, 0.0
@@ -84,7 +84,7 @@
 			held[i] = reports[i].Held[set]
 		}
 		next := placement.Balance(held, p.load[set], params)
-		before, after := placement.SetLoads(held, p.load[set]), placement.SetLoads(next, p.load[set])
+		before, after := placement.SetTimes(held, p.load[set], params.Pace), placement.SetTimes(next, p.load[set], params.Pace)
 		top += highest(before)
 		topAfter += highest(after)
 		f.copies += copies(held, next)
@@ -111,6 +111,15 @@
 	return n
 }
 
+// paces returns the ranks' paces as they were reported.
+func paces(reports []wire.RankLoad) []float64 {
+	out := make([]float64, len(reports))
+	for r := range reports {
+		out[r] = reports[r].Pace
+	}
+	return out
+}
+
 // layer writes the ranks' experts into slots.
 func layer(held [][]uint16, slots int) []uint16 {
 	out := make([]uint16, 0, len(held)*slots)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -57,6 +57,8 @@
 
 	// load is the popularity that the last epoch knew. It belongs to the goroutine of run.
 	load placement.Load
+	// isSlow is what was last said of the engine's pace; it belongs to that goroutine too.
+	isSlow bool
 }
 
 func (n *Node) buildAgent() (role, error) {
@@ -170,6 +172,8 @@
 		pause.For(ctx, lookInterval)
 		now, err := a.look(ctx)
 		if err == nil && (now.Group != r.Group || now.Epoch != r.Epoch || now.Rank != r.Rank || !now.IsOpen) {
+			a.n.log.Info("group does not serve as it did", "group", name, "rank", r.Rank, "epoch_now", now.Epoch,
+				"rank_now", now.Rank, "open", now.IsOpen, "step", now.Step)
 			return
 		}
 	}
@@ -181,6 +185,7 @@
 	if err != nil {
 		return r, err
 	}
+	a.notePace(r)
 	if s := a.n.controlSession(); s != nil {
 		_ = s.Post(&wire.EngineLoad{
 			Address: a.n.set.Agent.Upstream.String(), IsOpen: r.IsOpen, Running: r.Running, Waiting: r.Waiting,
@@ -189,6 +194,19 @@
 	return r, nil
 }
 
+// slowPace is the pace from which an engine counts as slow: a rank that slow sets the
+// pace of its whole group.
+const slowPace = 1.2
+
+// notePace says when the engine becomes slow, and when it is no more.
+func (a *agentRole) notePace(r rank.Report) {
+	isSlow := r.Pace > slowPace
+	if isSlow != a.isSlow {
+		a.n.log.Warn("pace of the engine has changed", "rank", r.Rank, "pace", r.Pace, "slow", isSlow, "step", r.Step)
+	}
+	a.isSlow = isSlow
+}
+
 // unique returns a coordinator's number, or a participant's incarnation.
 func unique(rank int) uint64 {
 	return uint64(rank)<<coordinatorBits&(1<<16-1) | uint64(rand.IntN(1<<coordinatorBits))
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -11,6 +11,9 @@
 	// LeastGain is the part of a rank's mean load by which a step has to lower the most
 	// loaded rank's to be worth its copy, without unit.
 	LeastGain float64
+	// Pace is each rank's time over its usual one; nil is 1 for all. A rank that is slow
+	// gets less to do.
+	Pace []float64
 }
 
 // maxSteps bounds the search in a set; each step adds a copy or exchanges two.
@@ -30,9 +33,9 @@
 	return b.held
 }
 
-// SetLoads returns the tokens by rank.
-func SetLoads(held [][]uint16, load []float64) []float64 {
-	return newBalancer(held, load, SetParams{}).times
+// SetTimes returns each rank's time, in tokens of a rank at its usual pace.
+func SetTimes(held [][]uint16, load, pace []float64) []float64 {
+	return newBalancer(held, load, SetParams{Pace: pace}).times
 }
 
 // balancer is a set under change.
@@ -64,13 +67,30 @@
 		b.before = append(b.before, has)
 		b.held = append(b.held, slices.Clone(list))
 	}
-	for r, list := range held {
+	b.measure()
+	for _, time := range b.times {
+		b.mean += time / float64(len(held))
+	}
+	return b
+}
+
+// measure derives the ranks' times from what they hold.
+func (b *balancer) measure() {
+	for r, list := range b.held {
+		tokens := 0.0
 		for _, e := range list {
-			b.times[r] += b.share(e)
+			tokens += b.share(e)
 		}
-		b.mean += b.times[r] / float64(len(held))
+		b.times[r] = tokens * b.pace(r)
 	}
-	return b
+}
+
+// pace returns a rank's time over its usual one.
+func (b *balancer) pace(r int) float64 {
+	if r < len(b.p.Pace) && b.p.Pace[r] > 0 {
+		return b.p.Pace[r]
+	}
+	return 1
 }
 
 // share is a holder's part of an expert's tokens.
@@ -152,15 +172,16 @@
 	return out
 }
 
-// gain is by how much the higher of two ranks falls where hot gets less and r more.
+// gain is by how much the higher of two ranks' times falls where hot gets fewer tokens
+// and r more.
 func (b *balancer) gain(hot, r int, less, more float64) float64 {
-	return b.times[hot] - max(b.times[hot]-less, b.times[r]+more)
+	return b.times[hot] - max(b.times[hot]-less*b.pace(hot), b.times[r]+more*b.pace(r))
 }
 
 // holdersStayBelow reports whether the other holders of f can take its tokens.
 func (b *balancer) holdersStayBelow(f uint16, r, hot int, more, less float64) bool {
 	for h := range b.held {
-		if h != r && h != hot && slices.Contains(b.held[h], f) && b.times[h]+more > b.times[hot]-less {
+		if h != r && h != hot && slices.Contains(b.held[h], f) && b.times[h]+more*b.pace(h) > b.times[hot]-less*b.pace(hot) {
 			return false
 		}
 	}
@@ -189,12 +210,7 @@
 		b.add(hot, uint16(m.gives))
 	}
 	b.add(m.rank, m.takes)
-	clear(b.times)
-	for r, list := range b.held {
-		for _, e := range list {
-			b.times[r] += b.share(e)
-		}
-	}
+	b.measure()
 }
 
 func (b *balancer) add(r int, e uint16) {
--- a/internal/placement/balance_test.go
+++ b/internal/placement/balance_test.go
@@ -21,8 +21,8 @@
 	held := inTurn(4, 8)
 	load := []float64{100, 1, 1, 1, 1, 1, 1, 1}
 	next := Balance(held, load, SetParams{Slots: 3, Spare: 1, LeastGain: 0.01})
-	require.InDelta(t, 101, slices.Max(SetLoads(held, load)), 1e-9)
-	require.Less(t, slices.Max(SetLoads(next, load)), 35.0)
+	require.InDelta(t, 101, slices.Max(SetTimes(held, load, nil)), 1e-9)
+	require.Less(t, slices.Max(SetTimes(next, load, nil)), 35.0)
 	require.Equal(t, inTurn(4, 8), held, "the map in use is not touched")
 }
 
@@ -42,7 +42,7 @@
 				load[e] = rapid.Float64Range(0, 100).Draw(t, "load")
 			}
 			next := Balance(held, load, p)
-			if slices.Max(SetLoads(next, load)) > slices.Max(SetLoads(held, load))+1e-6 {
+			if slices.Max(SetTimes(next, load, nil)) > slices.Max(SetTimes(held, load, nil))+1e-6 {
 				t.Fatalf("round %d: the most loaded rank has more to do", round)
 			}
 			checkSet(t, held, next, experts, p)
@@ -90,3 +90,15 @@
 		Balance(held, load, SetParams{Slots: 8, Spare: 1, LeastGain: 0.07})
 	}
 }
+
+func TestBalanceSparesASlowRank(t *testing.T) {
+	held := inTurn(4, 16)
+	load := make([]float64, 16)
+	for e := range load {
+		load[e] = 10
+	}
+	pace := []float64{1, 3, 1, 1}
+	next := Balance(held, load, SetParams{Slots: 6, Spare: 3, LeastGain: 0.001, Pace: pace})
+	require.InDelta(t, 120, slices.Max(SetTimes(held, load, pace)), 1e-9)
+	require.Less(t, slices.Max(SetTimes(next, load, pace)), 70.0)
+}
