Report a group that stands still, so that callers are told to come back

Ruled out: our own cancelling (the connection was closed in the same millisecond). Kept: agents report a group that makes no step as not serving.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -59,6 +59,8 @@
 	load placement.Load
 	// isSlow is what was last said of the engine's pace; it belongs to that goroutine too.
 	isSlow bool
+	// progress belongs to it as well.
+	progress progress
 }
 
 func (n *Node) buildAgent() (role, error) {
@@ -188,7 +190,8 @@
 	a.notePace(r)
 	if s := a.n.controlSession(); s != nil {
 		_ = s.Post(&wire.EngineLoad{
-			Address: a.n.set.Agent.Upstream.String(), IsOpen: r.IsOpen, Running: r.Running, Waiting: r.Waiting,
+			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting,
+			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()),
 		})
 	}
 	return r, nil
@@ -207,6 +210,18 @@
 	a.isSlow = isSlow
 }
 
+// noteProgress reports whether the group stands still with work to do: a rank holds whose
+// agent is away, or waits for one that is cut off. It says so when that begins and ends.
+func (a *agentRole) noteProgress(r rank.Report, now time.Time) bool {
+	wasStalled := a.progress.isStalled
+	isStalled := a.progress.observe(r.Step, r.Running+r.Waiting > 0, now)
+	if isStalled != wasStalled {
+		a.n.log.Warn("progress of the group has changed", "rank", r.Rank, "stalled", isStalled, "step", r.Step,
+			"held", r.HeldStep, "running", r.Running, "waiting", r.Waiting)
+	}
+	return isStalled
+}
+
 // unique returns a coordinator's number, or a participant's incarnation.
 func unique(rank int) uint64 {
 	return uint64(rank)<<coordinatorBits&(1<<16-1) | uint64(rand.IntN(1<<coordinatorBits))
--- /dev/null
+++ b/internal/node/progress_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestProgress(t *testing.T) {
+	var p progress
+	at := time.Unix(1000, 0)
+	look := func(step uint64, hasWork bool, after time.Duration) bool {
+		at = at.Add(after)
+		return p.observe(step, hasWork, at)
+	}
+	for step := uint64(1); step < 20; step++ {
+		require.False(t, look(step, true, 100*time.Millisecond))
+	}
+	require.False(t, look(19, true, 400*time.Millisecond))
+	require.True(t, look(19, true, 200*time.Millisecond), "no step for 600 ms")
+	require.False(t, look(20, true, 100*time.Millisecond))
+	require.False(t, look(20, false, 5*time.Second), "an idle group makes no steps")
+	require.False(t, look(20, true, 100*time.Millisecond))
+	for step := uint64(21); step < 40; step++ {
+		look(step, true, 700*time.Millisecond)
+	}
+	require.False(t, look(39, true, time.Second), "a slow group is no stalled one")
+	require.True(t, look(39, true, 4*time.Second))
+}
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -118,10 +118,12 @@
 	agents []*simAgent
 	net    []packet
 	unique uint64
+	// ghosts are agents that were replaced although they go on, as one that was frozen.
+	ghosts map[expertmap.Address]*simAgent
 }
 
 func newWorld(ranks int) *simWorld {
-	w := &simWorld{group: newGroup(ranks)}
+	w := &simWorld{group: newGroup(ranks), ghosts: map[expertmap.Address]*simAgent{}}
 	for i := range ranks {
 		w.agents = append(w.agents, &simAgent{address: expertmap.Address(i)})
 		w.restart(i)
@@ -264,6 +266,10 @@
 	case 2:
 		w.start(agent, false)
 	case 3:
+		if rapid.Bool().Draw(t, "ghost") {
+			ghost := *w.agents[agent]
+			w.ghosts[ghost.address] = &ghost
+		}
 		w.restart(agent)
 	case 4, 5, 6, 7, 8:
 		w.group.pass()
@@ -293,6 +299,13 @@
 		w.net = slices.Delete(w.net, i, i+1)
 	case 1:
 		w.deliver(p)
+	case 2, 3, 4:
+		w.net = slices.Delete(w.net, i, i+1)
+		if ghost := w.ghosts[p.to]; ghost != nil && !p.isReply {
+			w.work(ghost, ghost.participant.Step(p.from, p.message))
+			return
+		}
+		w.deliver(p)
 	default:
 		w.net = slices.Delete(w.net, i, i+1)
 		w.deliver(p)
