--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,10 +125,11 @@
 // publish derives the candidates from the view. The caller holds mu.
 func (g *Gateway) publish() {
 	g.serving = g.view.Serving()
-	known := make(map[string]bool)
+	known, addresses := make(map[string]bool), make(map[string]bool)
 	for _, list := range g.serving {
 		for _, u := range list {
 			known[u.ID] = true
+			addresses[u.Address] = true
 			if g.upstreams[u.ID] == nil {
 				g.upstreams[u.ID] = &upstream{}
 			}
@@ -139,6 +140,11 @@
 			delete(g.upstreams, id)
 		}
 	}
+	for address := range g.loads {
+		if !addresses[address] {
+			delete(g.loads, address)
+		}
+	}
 }
 
 // service returns the state of a service. The caller holds mu.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,6 +102,17 @@
 	})
 }
 
+func TestGoneIncarnationsAreForgottenInTheEnd(t *testing.T) {
+	v := NewView()
+	for i := range keepGone + 10 {
+		v.Merge("c", []Upstream{up(fmt.Sprint("u", i), 1, Gone)})
+		v.Merge("c", []Upstream{up(fmt.Sprint("u", i), 2, Gone)})
+	}
+	require.Len(t, v.All(), keepGone)
+	v.Merge("c", []Upstream{up(fmt.Sprint("u", keepGone), 9, Ready)})
+	require.Empty(t, v.Serving()["s"])
+}
+
 func indexes(n int) []int {
 	out := make([]int, n)
 	for i := range out {
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -12,12 +12,20 @@
 	byID map[string]*seen
 	// revoked holds the incarnations found to have lost their address to another one.
 	revoked map[string]bool
+	// gone lists the incarnations that have left, the first to leave first.
+	gone []string
 }
 
+// keepGone is how many incarnations that have left are remembered, so that a late
+// announcement does not bring one back: hours of replacements at the target's size.
+const keepGone = 4096
+
 type seen struct {
 	Upstream
 	// silentBy holds what each control host that is in touch said last.
 	silentBy map[string]bool
+	// isListed tells that it stands in View.gone.
+	isListed bool
 }
 
 // NewView returns an empty View.
@@ -36,12 +44,27 @@
 		} else if s.merge(u) {
 			changed = true
 		}
+		v.noteGone(s)
 		s.silentBy[source] = u.IsSilent
 		changed = s.judge() || changed
 	}
 	return changed
 }
 
+// noteGone remembers an incarnation that has left, and forgets the oldest such ones.
+func (v *View) noteGone(s *seen) {
+	if s.State != Gone || s.isListed {
+		return
+	}
+	s.isListed = true
+	v.gone = append(v.gone, s.ID)
+	if len(v.gone) > keepGone {
+		delete(v.byID, v.gone[0])
+		delete(v.revoked, v.gone[0])
+		v.gone = v.gone[1:]
+	}
+}
+
 // Lose forgets what a control host said of silence, since it can't be asked any more.
 func (v *View) Lose(source string) bool {
 	changed := false
