Send nothing to an engine whose host has fallen silent

An attempt there ended by the caller's leaving, which said nothing of the upstream, so 60 requests a minute went on being sent; they were read when the machine woke, after their callers had left. Ruled out: a held group (0.4 s in all), late cancelling (the connection closed at once). An upstream whose load is no longer told, while those of most others are, is a suspect now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -318,3 +318,44 @@
 	require.Equal(t, 0, i)
 	require.False(t, isOnTime)
 }
+
+// An engine whose load is no longer told, while those of most others are, gets nothing:
+// its host is frozen, and what is sent there would be read when the caller has left.
+func TestDarkEngineGetsNothing(t *testing.T) {
+	l := newLab(t)
+	l.table(engine)
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		l.upstream(id, func(http.ResponseWriter, *http.Request) {})
+		l.load(id, 0, true)
+	}
+	g := l.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	age := func(id string, by time.Duration) {
+		for _, u := range g.serving["s"] {
+			if u.ID == id {
+				at := g.loads[u.Address]
+				at.at = g.now() - by
+				g.loads[u.Address] = at
+			}
+		}
+	}
+	picked := func() map[string]bool {
+		seen := map[string]bool{}
+		for range 200 {
+			u, ok := g.pick("s", nil)
+			require.True(t, ok)
+			seen[u.ID] = true
+		}
+		return seen
+	}
+	require.Len(t, picked(), 4)
+	age("u2", time.Second)
+	for _, id := range []string{"u1", "u3", "u4"} {
+		age(id, 0)
+	}
+	require.Equal(t, map[string]bool{"u1": true, "u3": true, "u4": true}, picked())
+	age("u1", time.Second)
+	age("u3", time.Second)
+	require.Len(t, picked(), 4, "most are not heard: it is the reports that are missing")
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/balance"
@@ -14,6 +15,10 @@
 const (
 	// freshLoad is how old an engine's load may be to count.
 	freshLoad = 700 * time.Millisecond
+	// darkLoad is how old an engine's load may be while those of most others are younger:
+	// four reports missed in a row. The host beside it is then frozen or cut off, and what
+	// is sent there is not read.
+	darkLoad = 400 * time.Millisecond
 	// longestWait is how long a request waits for a place at most. Callers leave a stream
 	// that is silent for two seconds.
 	longestWait = 1400 * time.Millisecond
@@ -100,6 +105,23 @@
 	return heard
 }
 
+// darkest returns from which age of its load on an upstream of the service counts as dark.
+// Where most are not heard, the reports are what is missing, and none does. The caller
+// holds mu.
+func (g *Gateway) darkest(name string, now time.Duration) time.Duration {
+	list := g.serving[name]
+	fresh := 0
+	for i := range list {
+		if l, ok := g.loads[list[i].Address]; ok && now-l.at < darkLoad {
+			fresh++
+		}
+	}
+	if 2*fresh <= len(list) {
+		return math.MaxInt64
+	}
+	return darkLoad
+}
+
 // taken estimates the requests at an upstream from the last report and what this host
 // has done since, or from this host's own alone. The caller holds mu.
 func (g *Gateway) taken(u *registry.Upstream, now time.Duration) float64 {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -63,9 +63,14 @@
 func (g *Gateway) pick(name string, tried []string) (registry.Upstream, bool) {
 	list := g.serving[name]
 	now := g.now()
+	darkest := g.darkest(name, now)
 	all := make([]balance.Candidate, 0, len(list))
 	for i := range list {
-		all = append(all, g.candidate(&list[i], now))
+		c := g.candidate(&list[i], now)
+		if l, ok := g.loads[list[i].Address]; ok && now-l.at >= darkest {
+			c.IsSuspect = true
+		}
+		all = append(all, c)
 	}
 	picker := balance.Picker{Filters: []balance.Filter{balance.Trusted}, Score: balance.LeastLoaded}
 	left := balance.Untried(all, tried)
