Repeat what a starting host could not answer; wait for the follower's leader in tests

Cause: beside load two tests failed. One asked a follower for its leader before the follower had heard of it; the other put a change to a host that had just been started again and counted a refused connection as a refusal without a problem. Neither says anything of the code under test.

Now the first waits until the follower knows the leader, and the second repeats an attempt that no process answered. What is required stays as strict: each attempt is not accepted and has not run, each counted refusal is a 503, and as many are counted as before.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -30,6 +30,10 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, index, res.Index)
 	f := c.follower(l)
+	require.Eventually(t, func() bool {
+		id, ok := f.Leader()
+		return ok && id == l.ID()
+	}, patience, glance)
 	_, err = f.Propose(c.ctx(), []byte("y"))
 	requireVerdict(t, err, verdict.NotRun, verdict.CodeNoQuorum)
 	var to *NotLeaderError
--- a/test/integration/disks_test.go
+++ b/test/integration/disks_test.go
@@ -78,13 +78,19 @@
 	require.Equal(s.t, oas.ProblemVerdictNotRun, problem.Response.Verdict)
 }
 
-// refuses awaits n refusals of changes, each of which has not run.
+// refuses awaits n refusals of changes, each of which has not run. An attempt that no
+// process answered, since the host is still starting, is repeated and not counted.
 func (s *system) refuses(n int, c change, hosts ...*local.Host) {
 	s.t.Helper()
 	for i := range n {
-		r := s.put(hosts[i%len(hosts)], c)
-		require.False(s.t, r.isAccepted(), "%s accepted: %s", hosts[i%len(hosts)].Name, r)
-		require.True(s.t, r.isNotRun(), "%s", r)
+		h := hosts[i%len(hosts)]
+		var r submitted
+		s.await("an answer of "+h.Name, func() bool {
+			r = s.put(h, c)
+			require.False(s.t, r.isAccepted(), "%s accepted: %s", h.Name, r)
+			require.True(s.t, r.isNotRun(), "%s", r)
+			return r.problem != nil
+		})
 		require.Equal(s.t, http.StatusServiceUnavailable, r.problem.StatusCode, "%s", r)
 	}
 }
