--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,7 +33,7 @@
 func newLab(t *testing.T) *lab {
 	d := Dialect{
 		Dispatch: dispatch.Names{Attempt: "X-A", Instance: "X-I", Deadline: "X-D", NotRun: "X-N"},
-		Key:      "X-K", Workspace: "X-W", Resume: "Last-Event-Id",
+		Key:      "X-K", Workspace: "X-W", Resume: "X-R",
 		Deadline: func(h http.Header) (time.Duration, bool) {
 			ms, err := strconv.Atoi(h.Get("X-D"))
 			return time.Duration(ms) * time.Millisecond, err == nil
@@ -200,7 +200,7 @@
 // events writes the events after the caller's last one, and breaks off before stop.
 func events(stop int) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		first, _ := strconv.Atoi(r.Header.Get("X-R"))
 		w.Header().Set("Content-Type", "text/event-stream")
 		for id := first + 1; id <= 6; id++ {
 			if id == stop {
