--- /dev/null
+++ b/internal/control/applied_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/journal"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+)
+
+// patience bounds the wait for any condition; it only ends a test that has failed.
+const patience = 10 * time.Second
+
+// openLone opens the only control host of a cluster on a data folder, without its
+// background work: no entry comes that the test does not ask for.
+func openLone(t *testing.T, dir string) (*Host, func()) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	j, recovered, err := journal.Open(journal.Options{Dir: dir, Logger: log})
+	require.NoError(t, err)
+	reg := metrics.NewRegistry()
+	h, err := Open(Config{
+		Name: "a", Journal: j, Recovered: recovered, Transport: NewTransport(reg),
+		Pool: peer.NewPool(peer.Config{}), Tick: 5 * time.Millisecond, Log: log, Metrics: reg,
+	})
+	require.NoError(t, err)
+	return h, func() {
+		require.NoError(t, h.Close(context.Background()))
+		require.NoError(t, j.Close())
+	}
+}
+
+// After an election the newest entry is the leader's empty one, which changes no table. A
+// read at its index has to be answered without waiting for another entry.
+func TestReadAfterAnElectionNeedsNoOtherEntry(t *testing.T) {
+	dir := t.TempDir()
+	h, closeHost := openLone(t, dir)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, h.replica.Bootstrap(ctx, consensus.Membership{Voters: []consensus.ReplicaID{h.id}}))
+	require.Eventually(t, h.replica.IsLeader, patience, time.Millisecond)
+	closeHost()
+
+	h, closeHost = openLone(t, dir)
+	defer closeHost()
+	require.Eventually(t, h.replica.IsLeader, patience, time.Millisecond)
+	index, err := h.replica.Read(ctx)
+	require.NoError(t, err)
+	require.NoError(t, h.awaitApplied(ctx, index))
+}
