Repeat an order that got no answer within 15 ms, by the agent

Cause: where engines leave orders unanswered, a lost `go` held the whole group for 80 ms (time limit of the order) and up to 25 ms (next tick of the coordinator).

Change: rank.Engine gives an order again by itself, five times at most, as long as the engine's count of orders shows that none was begun. The expected count tells a late first from its repeat, as before.

--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -84,10 +85,24 @@
 	Picks(ctx context.Context) (epoch uint64, counts []uint64, err error)
 	// Experts returns the version in use and the rank's experts by set.
 	Experts(ctx context.Context) (version uint64, experts [][]uint16, err error)
-	// Order gives an order. After an error it may have been taken, or may be later.
+	// Order gives an order. After an error it may have been taken, or may be later; of an
+	// order that got no answer before ctx ended the error is ErrUnanswered.
 	Order(ctx context.Context, o Order) error
 }
 
+// ErrUnanswered tells that an order got no answer: it was lost, or is carried out later.
+var ErrUnanswered = errors.New("rank: the engine did not answer the order")
+
+const (
+	// answerTime is how long an answer to an order is waited for. An engine on the own
+	// host gives it within a few milliseconds or not at all, and while a rank holds,
+	// every request of the group waits.
+	answerTime = 15 * time.Millisecond
+	// mostSends is how often an order is sent at once; after that the coordinator asks
+	// again.
+	mostSends = 5
+)
+
 // idBits is how many bits of a version name its coordinator; the counter has the rest.
 const idBits = 16
 
@@ -188,11 +203,29 @@
 	return s
 }
 
-// order gives an order that fits the state r. The caller holds mu.
+// order gives an order that fits the state r, and repeats it while it gets no answer and
+// the engine has begun no order since r. The caller holds mu.
 func (e *Engine) order(ctx context.Context, r Report, fence expertmap.Ballot, o Order) error {
 	o.Epoch = e.epoch
 	o.Expect = r.Sequence
 	o.Fence = fence.Counter
+	var err error
+	for range mostSends {
+		if err = e.send(ctx, o); !errors.Is(err, ErrUnanswered) {
+			return err
+		}
+		now, unread := e.report(ctx)
+		if unread != nil || now.Sequence != o.Expect {
+			return err
+		}
+	}
+	return err
+}
+
+// send gives an order once.
+func (e *Engine) send(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
 	return e.client.Order(ctx, o)
 }
 
@@ -246,11 +279,13 @@
 		return errors.New("rank: armed otherwise")
 	}
 	if r.HeldStep != c.Step {
-		if err := e.order(ctx, r, c.Ballot, Order{Operation: Hold, Step: c.Step}); err != nil {
+		// An order without an answer may have been taken: the state tells.
+		orderErr := e.order(ctx, r, c.Ballot, Order{Operation: Hold, Step: c.Step})
+		if r, err = e.report(ctx); err != nil {
 			return err
 		}
-		if r, err = e.report(ctx); err != nil || r.HeldStep != c.Step {
-			return errors.Wrap(orElse(err), "rank: hold")
+		if r.HeldStep != c.Step {
+			return errors.Wrap(orElse(orderErr), "rank: hold")
 		}
 	}
 	e.armed = c.Ballot
