Arm a change of map at the first step that can be met

The number of steps ahead was chosen as the ballot began, from a pace measured before the jump: three steps of 65 ms, which had become three of 130 ms. The orders themselves take about 65 ms.

Change: the pace follows the last two steps, and the step to arm at is chosen when the ranks are ready, as the first one that begins after the round of orders. Where a step takes longer than any route to the service allows between two events, it is the very next one: the coordinator arms its own rank alone, before which the group waits, and then the others; if that rank has begun the step it is asked for the next. A participant refuses another step than the one it is armed at, and says in a refusal which step has begun, so that late or doubled messages of an earlier try end nothing.

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -47,8 +47,11 @@
 	// go on until answered or superseded. Default 50.
 	DeadlineTicks int
 	// ArmAhead is the number of steps between the last started step and the
-	// armed one; it should cover a round trip to all participants. Default 16.
+	// armed one; it should cover a round trip to all participants. Default 16. With
+	// one, Own is armed before the others are asked: see [Coordinator.SetArmAhead].
 	ArmAhead uint64
+	// Own is the participant on the coordinator's host, which it reaches at once.
+	Own Address
 }
 
 func (c Config) withDefaults() Config {
@@ -113,6 +116,8 @@
 	// recovering: this ballot closes what another one left open.
 	recovering bool
 	armStep    uint64
+	// alone: only Own has been asked to arm so far.
+	alone bool
 }
 
 // NewCoordinator returns an idle coordinator.
@@ -140,6 +145,12 @@
 	return c.enter(promising)
 }
 
+// SetArmAhead changes how many steps ahead a change is armed, from the next time on. One
+// is the very next step: it may begin before the round of messages ends, so Own alone is
+// armed at first, and the group waits for it before that step. If the step has begun, Own
+// is asked for the next one; no other participant knows of a step by then.
+func (c *Coordinator) SetArmAhead(steps uint64) { c.cfg.ArmAhead = max(steps, 1) }
+
 // Outcome returns how the ballot ended, or OutcomeRunning.
 func (c *Coordinator) Outcome() Outcome { return c.outcome }
 
@@ -183,6 +194,10 @@
 		return nil
 	}
 	p.answered = true
+	if c.alone {
+		c.alone = false
+		return c.send()
+	}
 	for i := range c.peers {
 		if !c.peers[i].answered {
 			return nil
@@ -213,7 +228,7 @@
 		p.step = m.Staged.Step
 		return m.Staged.Ballot == c.ballot
 	case c.phase == arming && m.Armed != nil:
-		return m.Armed.Ballot == c.ballot
+		return m.Armed.Ballot == c.ballot && m.Armed.Step == c.armStep
 	case c.phase == committing && m.Committed != nil:
 		return m.Committed.Ballot == c.ballot
 	case c.phase == aborting && m.Aborted != nil:
@@ -239,11 +254,18 @@
 	if r.Ballot != c.ballot || c.phase == idle {
 		return nil
 	}
+	if r.Reason == ReasonStep && (c.phase != arming || r.Started < c.armStep) {
+		// An arm at an earlier step came late, or twice.
+		return nil
+	}
 	c.counter = max(c.counter, r.Promised.Counter)
 	late := r.Reason == ReasonStep || r.Reason == ReasonState
 	switch {
 	case !late:
 		return c.finish(OutcomeSuperseded)
+	case c.phase == arming && c.alone && r.Reason == ReasonStep:
+		c.armStep = r.Started + 1
+		return c.send()
 	case c.phase == arming:
 		return c.enter(aborting)
 	case c.phase == aborting, c.phase == releasing:
@@ -354,6 +376,7 @@
 // enter begins a round.
 func (c *Coordinator) enter(p phase) []Envelope {
 	c.phase = p
+	c.alone = p == arming && c.cfg.ArmAhead == 1 && c.peer(c.cfg.Own) != nil
 	c.ticks = 0
 	for i := range c.peers {
 		c.peers[i].answered = false
@@ -365,7 +388,7 @@
 func (c *Coordinator) send() []Envelope {
 	var out []Envelope
 	for i := range c.peers {
-		if c.peers[i].answered {
+		if c.peers[i].answered || c.alone && c.peers[i].addr != c.cfg.Own {
 			continue
 		}
 		m := c.message(&c.peers[i])
--- a/internal/expertmap/directed_test.go
+++ b/internal/expertmap/directed_test.go
@@ -195,3 +195,87 @@
 		}
 	}
 }
+
+// staged brings a proposal of host 0, to be armed at the next step, up to the arm that is
+// sent to that host alone.
+func staged(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(3, 1)
+	w.newCoordinator(w.hosts[0], 10)
+	v, _ := w.change(w.hosts[0])
+	require.False(t, v.IsZero())
+	w.newCoordinator(w.hosts[0], 1)
+	w.propose(w.hosts[0], v)
+	isArm := func(m Message) bool { return m.Arm != nil }
+	for range 5 {
+		arms := w.drainTo(isArm)
+		w.net = append(w.net, arms...)
+		if len(arms) > 0 {
+			break
+		}
+		w.enginesWorkWithoutSteps()
+		w.sendAll(w.hosts[0], w.hosts[0].coord.Tick())
+	}
+	require.Len(t, w.net, 1, "only the own participant is asked")
+	require.Equal(t, Address(0), w.net[0].to)
+	return w
+}
+
+// enginesWorkWithoutSteps loads what is staged.
+func (w *world) enginesWorkWithoutSteps() {
+	for _, e := range w.engines {
+		e.loadAll()
+	}
+}
+
+// steps lets all engines begin and end some steps.
+func (w *world) steps(n int) {
+	for range 2 * n {
+		w.enginesWork(w.engines)
+	}
+}
+
+func TestNextStepIsArmedAtTheOwnRankFirst(t *testing.T) {
+	w := staged(t)
+	step := w.net[0].msg.Arm.Step
+	w.deliver(0)
+	w.agentsWork()
+	require.NotNil(t, w.engines[0].status.Armed)
+	w.steps(5)
+	require.Less(t, w.engines[0].status.Step, step, "the armed rank waits")
+	w.drain()
+}
+
+func TestOwnRankThatCameTooLateIsAskedForTheNextStep(t *testing.T) {
+	w := staged(t)
+	w.steps(3)
+	began := w.engines[0].status.Step
+	require.GreaterOrEqual(t, began, w.net[0].msg.Arm.Step)
+	commits := w.drain()
+	require.Len(t, commits, 3)
+	for _, e := range w.engines {
+		require.Equal(t, began+1, e.status.Armed.Step)
+	}
+}
+
+// The message to the own rank comes twice, and the refusal of the first makes way for a
+// later step that reaches the rank: whatever comes when, all ranks are armed at one step.
+func TestRepeatedArmOfTheOwnRankLeavesOneStep(t *testing.T) {
+	w := staged(t)
+	w.net = append(w.net, w.net[0])
+	w.steps(3)
+	commits := w.drain()
+	require.Len(t, commits, 3)
+	for _, e := range w.engines {
+		require.Equal(t, w.engines[0].status.Armed.Step, e.status.Armed.Step)
+	}
+	old := &Refused{Ballot: w.hosts[0].coord.Ballot(), Reason: ReasonStep, Started: 1}
+	require.Empty(t, w.hosts[0].coord.Step(0, Message{Refused: old}))
+	require.Equal(t, OutcomeRunning, w.hosts[0].coord.Outcome(), "an old refusal ends nothing")
+}
+
+func TestArmedRankRefusesAnotherStep(t *testing.T) {
+	p, e := armed(t)
+	require.Equal(t, ReasonStep, reason(ask(p, e, Message{Arm: &Arm{v2, 7, v2, 7}})))
+	require.EqualValues(t, 6, e.status.Armed.Step)
+}
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -131,7 +131,7 @@
 	ReasonBallot Reason = iota + 1
 	// ReasonIncarnation: the participant has restarted since its promise.
 	ReasonIncarnation
-	// ReasonStep: a rank has already started the step to arm at.
+	// ReasonStep: a rank has already started the step to arm at, or is armed at another.
 	ReasonStep
 	// ReasonState: a rank has no map, or not the state that the order assumes;
 	// a new ballot has to look first.
@@ -145,6 +145,8 @@
 	// Promised is the highest ballot that the participant knows.
 	Promised Ballot `cbor:"2,keyasint"`
 	Reason   Reason `cbor:"3,keyasint"`
+	// Started is the last step that a rank has begun; it is known with ReasonStep.
+	Started uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // header returns the ballot and incarnation of a request that follows a
--- a/internal/expertmap/participant.go
+++ b/internal/expertmap/participant.go
@@ -116,7 +116,9 @@
 	orders, reason := plan(r.msg, ranks)
 	switch {
 	case reason != 0:
-		return p.finish(p.refusal(r, reason))
+		refusal := p.refusal(r, reason)
+		refusal.Message.Refused.Started = lastStep(ranks)
+		return p.finish(refusal)
 	case len(orders) == 0:
 		return p.finish(p.answer(r, ranks))
 	case r.rounds == maxRounds || slices.Equal(orders, r.last):
--- a/internal/expertmap/plan.go
+++ b/internal/expertmap/plan.go
@@ -64,6 +64,8 @@
 func planArm(m *Arm, r Status) ([]Order, Reason) {
 	armed := r.Uncommitted() && r.Armed.Version == m.Version && r.Armed.Ballot == m.Ballot
 	switch {
+	case armed && r.Armed.Step != m.Step:
+		return nil, ReasonStep
 	case armed, r.Committed().Version == m.Version:
 		return nil, 0
 	case !r.Joined(), !r.loaded(m.Version):
--- a/internal/expertmap/world_test.go
+++ b/internal/expertmap/world_test.go
@@ -74,7 +74,7 @@
 }
 
 func (w *world) newCoordinator(h *fakeHost, ahead uint64) {
-	cfg := Config{ID: w.nextUnique(), ArmAhead: ahead, DeadlineTicks: 8, After: h.part.Promised()}
+	cfg := Config{ID: w.nextUnique(), ArmAhead: ahead, Own: h.addr, DeadlineTicks: 8, After: h.part.Promised()}
 	for _, o := range w.hosts {
 		cfg.Participants = append(cfg.Participants, o.addr)
 	}
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -16,8 +16,6 @@
 	// armTime is how long it takes to arm all ranks: a round of messages and of four calls
 	// at the engine, on hosts with a quarter of a core.
 	armTime = 100 * time.Millisecond
-	// leastAhead is the least number of steps ahead: the next one may begin at any moment.
-	leastAhead = 2
 )
 
 // intent is what a coordinator is to begin with once all members are known.
@@ -27,14 +25,23 @@
 	known      []expertmap.Map
 }
 
-// ahead is how many steps ahead a change is armed: as few as cover the round of orders,
-// since until then all wait for the slowest rank of the old map.
-func (r *Runner) ahead() uint64 {
-	steps := r.cfg.ArmAhead
-	if step := r.pace.step(); step > 0 {
-		steps = min(steps, max(leastAhead, 1+uint64((armTime+step-1)/step)))
+// ahead is how many steps ahead a change is armed: the first that begins once the round
+// of orders is over, since until then all wait for the slowest rank of the old map. Where
+// a step takes so long that its streams are late anyway, it is the next one, and the
+// group may wait for the round.
+func (r *Runner) ahead(now time.Time) uint64 {
+	step := r.pace.mean()
+	if step == 0 {
+		return min(r.cfg.ArmAhead+r.extra, r.cfg.MostAhead)
 	}
-	return min(steps+r.extra, r.cfg.MostAhead)
+	if r.cfg.LateStep != nil {
+		if late := r.cfg.LateStep(); late > 0 && step >= late {
+			return 1
+		}
+	}
+	short := max(armTime-r.pace.toNext(now), 0)
+	steps := 1 + uint64((short+step-1)/step)
+	return min(min(steps, r.cfg.ArmAhead)+r.extra, r.cfg.MostAhead)
 }
 
 // gather asks the directory for the group's hosts, beside the loop.
@@ -60,7 +67,7 @@
 		return
 	}
 	r.members = make(map[expertmap.Address]string, len(members))
-	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), ArmAhead: r.ahead()}
+	cfg := expertmap.Config{ID: r.cfg.Unique(), After: r.participant.Promised(), Own: r.address}
 	if r.cfg.Start != nil {
 		cfg.After.Counter = max(cfg.After.Counter, r.cfg.Start())
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -65,8 +65,11 @@
 	// MostAhead bounds it where changes had to be given up since a step came too soon;
 	// ArmAhead if zero.
 	MostAhead uint64
-	Log       *slog.Logger
-	Metrics   metrics.Registry
+	// LateStep is how long a step may take without its streams being late; nil or 0 if
+	// nothing is known of that.
+	LateStep func() time.Duration
+	Log      *slog.Logger
+	Metrics  metrics.Registry
 }
 
 // inbound is a message of another host, or of this one to itself.
@@ -241,6 +244,7 @@
 func (r *Runner) handle(ctx context.Context, in inbound) {
 	if in.isReply {
 		if r.coordinator != nil {
+			r.coordinator.SetArmAhead(r.ahead(time.Now()))
 			r.send(r.coordinator.Step(in.from, in.message))
 			r.conclude()
 		}
--- a/internal/group/pace.go
+++ b/internal/group/pace.go
@@ -2,30 +2,40 @@
 
 import "time"
 
-// paceSpan is over how long steps are counted: some ten at the usual pace.
-const paceSpan = 400 * time.Millisecond
+// idleSpan is how long no step has to begin for the pace to be unknown.
+const idleSpan = time.Second
 
-// pace measures how long a step takes.
+// pace measures how long a step takes, from looks at the number of the last one begun:
+// the mean over the last two looks that found a new one.
 type pace struct {
-	since time.Time
-	first uint64
-	last  time.Duration
+	step    uint64
+	changed time.Time
+	// took are the times of a step at the last two changes, 0 if unknown.
+	took [2]time.Duration
 }
 
 // observe takes the number of the last step begun.
 func (p *pace) observe(step uint64, now time.Time) {
-	if p.since.IsZero() || step < p.first {
-		p.since, p.first = now, step
-		return
+	idle := now.Sub(p.changed)
+	switch {
+	case p.changed.IsZero() || step < p.step:
+		*p = pace{step: step, changed: now}
+	case step > p.step:
+		*p = pace{step: step, changed: now, took: [2]time.Duration{p.took[1], idle / time.Duration(step-p.step)}}
+	case idle >= idleSpan:
+		p.took = [2]time.Duration{}
 	}
-	if span := now.Sub(p.since); span >= paceSpan {
-		p.last = 0
-		if n := step - p.first; n > 0 {
-			p.last = span / time.Duration(n)
-		}
-		p.since, p.first = now, step
+}
+
+// mean returns the time of a step, 0 while it is not known or none is made.
+func (p *pace) mean() time.Duration {
+	if p.took[0] == 0 {
+		return p.took[1]
 	}
+	return (p.took[0] + p.took[1]) / 2
 }
 
-// step returns the time of a step, 0 while it is not known or none is made.
-func (p *pace) step() time.Duration { return p.last }
+// toNext returns about how long it is until the next step begins, at the mean pace.
+func (p *pace) toNext(now time.Time) time.Duration {
+	return max(p.mean()-now.Sub(p.changed), 0)
+}
--- a/internal/group/pace_test.go
+++ b/internal/group/pace_test.go
@@ -14,27 +14,55 @@
 	for step := range uint64(20) {
 		p.observe(step, at.Add(time.Duration(step)*50*time.Millisecond))
 	}
-	require.Equal(t, 50*time.Millisecond, p.step())
-	p.observe(19, at.Add(3*time.Second))
-	p.observe(19, at.Add(4*time.Second))
-	require.Zero(t, p.step(), "no steps, no pace")
+	require.Equal(t, 50*time.Millisecond, p.mean())
+	last := at.Add(19 * 50 * time.Millisecond)
+	p.observe(20, last.Add(150*time.Millisecond))
+	p.observe(21, last.Add(300*time.Millisecond))
+	require.Equal(t, 150*time.Millisecond, p.mean(), "it follows within two steps")
+	p.observe(41, last.Add(400*time.Millisecond))
+	p.observe(61, last.Add(500*time.Millisecond))
+	require.Equal(t, 5*time.Millisecond, p.mean(), "several steps between two looks")
+	p.observe(61, at.Add(3*time.Second))
+	require.Zero(t, p.mean(), "no steps, no pace")
 	p.observe(2, at.Add(5*time.Second))
-	require.Zero(t, p.step(), "another epoch")
+	require.Zero(t, p.mean(), "another epoch")
 }
 
-// Long steps need few of them, and changes that were given up some more.
+// A change is armed at the first step that begins once the round of orders is over, and
+// further ahead after changes that were given up.
 func TestAheadCoversTheRoundOfOrders(t *testing.T) {
 	r := New(Config{ArmAhead: 6, MostAhead: 12, Unique: func() uint64 { return 1 }, Metrics: metrics.NewRegistry()})
-	require.EqualValues(t, 6, r.ahead(), "no pace is known")
+	began := time.Unix(100, 0)
+	require.EqualValues(t, 6, r.ahead(began), "no pace is known")
 	for _, c := range []struct {
-		step  time.Duration
-		extra uint64
-		want  uint64
+		step, since time.Duration
+		extra       uint64
+		want        uint64
 	}{
-		{150 * time.Millisecond, 0, 2}, {60 * time.Millisecond, 0, 3}, {5 * time.Millisecond, 0, 6},
-		{60 * time.Millisecond, 4, 7}, {5 * time.Millisecond, 64, 12},
+		{150 * time.Millisecond, 10 * time.Millisecond, 0, 1},
+		{150 * time.Millisecond, 100 * time.Millisecond, 0, 2},
+		{60 * time.Millisecond, 10 * time.Millisecond, 0, 2},
+		{60 * time.Millisecond, 40 * time.Millisecond, 0, 3},
+		{60 * time.Millisecond, time.Second, 0, 3},
+		{5 * time.Millisecond, 0, 0, 6},
+		{60 * time.Millisecond, 40 * time.Millisecond, 4, 7},
+		{5 * time.Millisecond, 0, 64, 12},
 	} {
-		r.pace.last, r.extra = c.step, c.extra
-		require.Equal(t, c.want, r.ahead(), c)
+		r.pace = pace{changed: began, took: [2]time.Duration{c.step, c.step}}
+		r.extra = c.extra
+		require.Equal(t, c.want, r.ahead(began.Add(c.since)), c)
 	}
 }
+
+func TestStepThatIsLateAnywayIsFollowedByTheChange(t *testing.T) {
+	r := New(Config{
+		ArmAhead: 6, Unique: func() uint64 { return 1 }, Metrics: metrics.NewRegistry(),
+		LateStep: func() time.Duration { return 120 * time.Millisecond },
+	})
+	began := time.Unix(100, 0)
+	late := began.Add(110 * time.Millisecond)
+	r.pace = pace{changed: began, took: [2]time.Duration{100 * time.Millisecond, 120 * time.Millisecond}}
+	require.EqualValues(t, 2, r.ahead(late), "streams are in time, and must not wait")
+	r.pace.took = [2]time.Duration{130 * time.Millisecond, 130 * time.Millisecond}
+	require.EqualValues(t, 1, r.ahead(late))
+}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// lateStep is the longest pass with which some stream of the service is on time, 0 if that
+// is not known.
+func (a *agentRole) lateStep() time.Duration {
+	t := a.table.Load()
+	if t == nil {
+		return 0
+	}
+	return t.LongestGap(a.n.set.Agent.Service)
+}
+
 // serve takes part in one epoch of a group, until the rank belongs to another one.
 func (a *agentRole) serve(ctx context.Context, r rank.Report, shape *wire.GroupShape) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -156,6 +166,7 @@
 		Unique:       func() uint64 { return unique(r.Rank) },
 		Start:        ballotNow,
 		Load:         a.load,
+		LateStep:     a.lateStep,
 		PlanInterval: planInterval, ArmAhead: armAhead, MostAhead: mostAhead, Log: a.n.log, Metrics: a.n.metrics,
 	})
 	a.setRunner(runner)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -257,3 +257,16 @@
 
 // NeedsKey reports whether requests of the route have to name a workspace.
 func (t *Table) NeedsKey(r *Route) bool { return len(t.Workspaces) > 0 && !r.IsPublic }
+
+// LongestGap returns the longest pause between events that a route to a service declares,
+// 0 if none does.
+func (t *Table) LongestGap(service string) time.Duration {
+	longest := time.Duration(0)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			longest = max(longest, r.Gap)
+		}
+	}
+	return longest
+}
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -82,3 +82,16 @@
 	require.True(t, (&Route{Kind: Stream, IsResumable: true}).MayRepeat())
 	require.True(t, (&Route{Kind: Safe}).MayRepeat())
 }
+
+func TestLongestGapIsThatOfTheServicesOwnRoutes(t *testing.T) {
+	tb := table(func(t *Table) {
+		t.Routes[0].Gap = 100 * time.Millisecond
+		t.Routes[1].Gap = 50 * time.Millisecond
+		t.Routes[2].Gap = 120 * time.Millisecond
+		t.Routes[2].Shares = []Share{{"t", 1}}
+	})
+	require.NoError(t, tb.Build())
+	require.Equal(t, 100*time.Millisecond, tb.LongestGap("s"))
+	require.Equal(t, 120*time.Millisecond, tb.LongestGap("t"))
+	require.Zero(t, tb.LongestGap("u"))
+}
