Give up a request without any event in a group that stands still

Cause: the machine of an agent freezes while its rank holds.

Change: while a group does not serve, an attempt that has no head of an answer 1.7 s after its caller came, or after a stream was to go on elsewhere, is taken back, and the caller gets 502 with Retry-After. Only requests that may be repeated. A group that breaks refuses by itself before that.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,12 @@
 	c.log("request sent", "upstream", u.ID, "send", c.sends, "resume", resume, "taken", hold.taken,
 		"load_age_ms", hold.loadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds())
-	answer, err := c.g.cfg.Client.Send(ctx, target, request)
+	// The caller has been without an event since then.
+	since := c.began
+	if resume != "" {
+		since = time.Now()
+	}
+	answer, err := c.exchange(ctx, hold, since, target, request)
 	if err != nil {
 		c.last = err
 		hold.end(judge(ctx, err))
@@ -74,6 +79,26 @@
 	return answer, hold, true
 }
 
+// exchange sends an attempt and waits for the head of its answer. Where the request may be
+// repeated, an engine whose group does not serve is not waited for to the end.
+func (c *call) exchange(
+	ctx context.Context, hold *ticket, since time.Time, t dispatch.Target, r *dispatch.Request,
+) (*dispatch.Answer, error) {
+	if c.service.Engine == nil || !c.route.MayRepeat() {
+		return c.g.cfg.Client.Send(ctx, t, r)
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	hold.cancel = end
+	stop := c.g.listen(hold, since.Sub(c.g.started), end)
+	defer stop()
+	answer, err := c.g.cfg.Client.Send(ctx, t, r)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		c.isStalled = true
+		return nil, stalled()
+	}
+	return answer, err
+}
+
 // reserve picks an upstream, where the service has engines after waiting for a place
 // there. Errors are *verdict.Error, always NotRun.
 func (c *call) reserve(ctx context.Context) (registry.Upstream, *ticket, error) {
@@ -101,7 +126,7 @@
 
 // mayGoOn reports whether one more attempt is allowed after c.last.
 func (c *call) mayGoOn(ctx context.Context) bool {
-	if ctx.Err() != nil || c.sends == 0 || c.sends >= c.route.Attempts {
+	if ctx.Err() != nil || c.isStalled || c.sends == 0 || c.sends >= c.route.Attempts {
 		return false
 	}
 	if time.Until(c.deadline) < leastLeft {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -42,6 +42,8 @@
 	tried []string
 	// isTainted is set once an attempt may have run: no later refusal says otherwise.
 	isTainted bool
+	// isStalled is set once an attempt was given up since its group does not serve.
+	isStalled bool
 	// last tells how the last attempt ended.
 	last error
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -71,6 +71,7 @@
 		}
 	}
 	for name, s := range g.services {
+		g.endStalled(name, s)
 		if len(s.waiters) > 0 {
 			g.pump(name, s, g.share(name, s), anyWaiter)
 		}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/balance"
@@ -33,6 +34,9 @@
 	// requests that wait for one, in the order in which they came.
 	places  int
 	waiters []*waiter
+	// unheard are the attempts at engines that have no head of an answer yet and may be
+	// taken back.
+	unheard map[*ticket]unheard
 }
 
 // ticket is an attempt's hold on an upstream; it ends once.
@@ -45,6 +49,8 @@
 	taken    float64
 	loadAge  time.Duration
 	isClosed bool
+	// cancel frees what the attempt's context holds; nil if it has none of its own.
+	cancel context.CancelCauseFunc
 }
 
 // choose picks an upstream of the service that was not tried, and counts the attempt
@@ -131,6 +137,9 @@
 		return
 	}
 	t.isClosed = true
+	if t.cancel != nil {
+		t.cancel(nil)
+	}
 	u := g.upstreams[t.id]
 	if u == nil {
 		return
