Let agents find each other again at once after a cut

To learn who has which rank, agents ask each other. The connections to those that had been cut off waited for their own retransmission, and the question for its 2 s.

Ruled out: a missing report of some rank after the group had formed; once all ranks were found, the plan came within 0.1 s.

Change: a question to another agent that has no answer in 300 ms ends the session, so that the next one dials anew. The session over which a host reports its counts is held as well: reports are not answered, and a connection that is silently dead took up to 9 s to be noticed.

Tests: TestUnansweredQuestionEndsTheSession.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -116,6 +116,8 @@
 	pace    pace
 	extra   uint64
 	planner planner
+	// watch is on the session to the planning host.
+	watch watch
 }
 
 type counters struct {
@@ -212,6 +214,7 @@
 
 // Run takes part until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
+	defer r.watch.end()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	plan := time.NewTicker(r.cfg.PlanInterval)
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -160,6 +160,7 @@
 			continue
 		}
 		if s, err := r.cfg.Pool.Get(ctx, member.Address); err == nil {
+			r.watch.set(s)
 			_ = s.Post(m)
 		}
 	}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -23,6 +23,8 @@
 	// lookInterval is how often the agent reads its engine's load, and looks whether its
 	// rank belongs to another group or epoch.
 	lookInterval = 100 * time.Millisecond
+	// askTimeout bounds a question to another agent, which answers from memory.
+	askTimeout = 300 * time.Millisecond
 	// planInterval is how often the first rank of a group plans. Popularity shifts
 	// within seconds; a change takes about half a one.
 	planInterval = 100 * time.Millisecond
@@ -300,7 +302,7 @@
 			members = r.Own()
 		}
 	} else if s, err := a.n.pool.Get(ctx, address); err == nil {
-		reply, _, err := s.Call(ctx, &wire.GroupQuery{Group: name})
+		reply, _, err := s.CallWithin(ctx, askTimeout, &wire.GroupQuery{Group: name})
 		if answer, ok := reply.(*wire.GroupAnswer); err == nil && ok {
 			members = answer.Members
 		}
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -18,6 +21,19 @@
 // Release undoes one Hold.
 func (s *Session) Release() { s.held.Add(-1) }
 
+// CallWithin is Call where the other end answers at once if it is there: without an answer
+// within the limit the session ends, so that whoever needs the host next dials anew. A
+// connection that was cut for a while would else wait for its own retransmission.
+func (s *Session) CallWithin(ctx context.Context, limit time.Duration, m wire.Message) (wire.Message, bool, error) {
+	short, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, sent, err := s.Call(short, m)
+	if err != nil && short.Err() != nil && ctx.Err() == nil {
+		s.fail(errors.Wrap(err, "peer: no answer"))
+	}
+	return reply, sent, err
+}
+
 func (s *Session) age() time.Duration { return time.Since(s.opened) }
 
 // Quiet returns how long ago the other end was heard.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -154,3 +154,30 @@
 		require.Equal(t, itemWithdrawn, (<-s.queue).state.Load())
 	}
 }
+
+// An end that gives no answer in time loses its session, and the next one is a new one: a
+// connection that was cut may take seconds to find out that it is whole again.
+func TestUnansweredQuestionEndsTheSession(t *testing.T) {
+	b := startHost(t, "b", HandlerFunc(func(s *Session, call uint64, m wire.Message) {
+		if q := m.(*wire.GroupQuery); q.Group == "known" {
+			_ = s.Reply(call, &wire.GroupAnswer{})
+		}
+	}))
+	proxy, err := faultproxy.NewTCP(b.address)
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	a := startHost(t, "a", nil)
+	s, err := a.pool.Get(t.Context(), proxy.Address())
+	require.NoError(t, err)
+	_, _, err = s.CallWithin(t.Context(), DefaultPingInterval, &wire.GroupQuery{Group: "known"})
+	require.NoError(t, err)
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	_, _, err = s.CallWithin(gone, DefaultPingInterval, &wire.GroupQuery{})
+	require.Error(t, err)
+	require.True(t, s.Alive(), "the asker left; that says nothing of the other end")
+	proxy.Freeze()
+	_, _, err = s.CallWithin(t.Context(), 10*time.Millisecond, &wire.GroupQuery{Group: "known"})
+	require.Error(t, err)
+	require.False(t, s.Alive())
+}
