Give the orders of a rank one frame, and lists of upstreams one order

The lock and the reading of the state stood in each order of rank.Engine, the sort by id in three places of the registry. A read of a rank's experts that fails makes the next one read again; before, a group on its first map could have reported none after it. No other change of behaviour.

--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -156,6 +156,17 @@
 // ErrEpoch tells that the group has formed anew.
 var ErrEpoch = errors.New("rank: the group has formed anew")
 
+// inState calls f with the engine's state, alone.
+func (e *Engine) inState(ctx context.Context, f func(r Report) error) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, err := e.report(ctx)
+	if err != nil {
+		return err
+	}
+	return f(r)
+}
+
 // report reads the state, in the epoch of this Engine only.
 func (e *Engine) report(ctx context.Context) (Report, error) {
 	r, err := e.client.Report(ctx)
@@ -170,13 +181,12 @@
 
 // Status implements expertmap.Engine.
 func (e *Engine) Status(ctx context.Context) (expertmap.Status, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return expertmap.Status{}, err
-	}
-	return e.status(r), nil
+	var out expertmap.Status
+	err := e.inState(ctx, func(r Report) error {
+		out = e.status(r)
+		return nil
+	})
+	return out, err
 }
 
 // status translates a report. The caller holds mu.
@@ -231,14 +241,10 @@
 
 // Stage implements expertmap.Engine.
 func (e *Engine) Stage(ctx context.Context, m expertmap.Map) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return err
-	}
-	e.prepared = m
-	return e.order(ctx, r, m.Version, Order{Operation: Prepare, Version: versionOf(m.Version), Experts: expertsOf(m)})
+	return e.inState(ctx, func(r Report) error {
+		e.prepared = m
+		return e.order(ctx, r, m.Version, Order{Operation: Prepare, Version: versionOf(m.Version), Experts: expertsOf(m)})
+	})
 }
 
 // expertsOf returns a map's experts by set and rank.
@@ -264,32 +270,37 @@
 // Arm implements expertmap.Engine: the engine holds before the step first, and is armed
 // at it then.
 func (e *Engine) Arm(ctx context.Context, c expertmap.Change) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return err
-	}
-	version := versionOf(c.Version)
-	if r.ArmedVersion == version && r.ArmedStep == c.Step && r.HeldStep == c.Step {
-		e.armed = c.Ballot
-		return nil
-	}
-	if r.ArmedVersion != 0 {
-		return errors.New("rank: armed otherwise")
-	}
-	if r.HeldStep != c.Step {
-		// An order without an answer may have been taken: the state tells.
-		orderErr := e.order(ctx, r, c.Ballot, Order{Operation: Hold, Step: c.Step})
-		if r, err = e.report(ctx); err != nil {
-			return err
+	return e.inState(ctx, func(r Report) error {
+		version := versionOf(c.Version)
+		if r.ArmedVersion == version && r.ArmedStep == c.Step && r.HeldStep == c.Step {
+			e.armed = c.Ballot
+			return nil
+		}
+		if r.ArmedVersion != 0 {
+			return errors.New("rank: armed otherwise")
 		}
-		if r.HeldStep != c.Step {
-			return errors.Wrap(orElse(orderErr), "rank: hold")
+		r, err := e.hold(ctx, r, c)
+		if err != nil {
+			return err
 		}
+		e.armed = c.Ballot
+		return e.order(ctx, r, c.Ballot, Order{Operation: Arm, Version: version, Step: c.Step})
+	})
+}
+
+// hold lets the engine hold before a change's step, and returns its state then. The caller
+// holds mu.
+func (e *Engine) hold(ctx context.Context, r Report, c expertmap.Change) (Report, error) {
+	if r.HeldStep == c.Step {
+		return r, nil
+	}
+	// An order without an answer may have been taken: the state tells.
+	orderErr := e.order(ctx, r, c.Ballot, Order{Operation: Hold, Step: c.Step})
+	r, err := e.report(ctx)
+	if err == nil && r.HeldStep != c.Step {
+		err = errors.Wrap(orElse(orderErr), "rank: hold")
 	}
-	e.armed = c.Ballot
-	return e.order(ctx, r, c.Ballot, Order{Operation: Arm, Version: version, Step: c.Step})
+	return r, err
 }
 
 // orElse returns err, or an error that says that the state is another one.
@@ -302,68 +313,63 @@
 
 // Commit implements expertmap.Engine.
 func (e *Engine) Commit(ctx context.Context, b expertmap.Ballot) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return err
-	}
-	s := e.status(r)
-	if s.Armed == nil || s.Armed.Ballot != b || r.HeldStep != r.ArmedStep {
-		return errors.New("rank: not armed under this ballot")
-	}
-	return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+	return e.inState(ctx, func(r Report) error {
+		s := e.status(r)
+		if s.Armed == nil || s.Armed.Ballot != b || r.HeldStep != r.ArmedStep {
+			return errors.New("rank: not armed under this ballot")
+		}
+		return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+	})
 }
 
 // Abort implements expertmap.Engine. The engine goes on holding.
 func (e *Engine) Abort(ctx context.Context, b expertmap.Ballot) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return err
-	}
-	if r.ArmedVersion == 0 {
-		return nil
-	}
-	return e.order(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion})
+	return e.inState(ctx, func(r Report) error {
+		if r.ArmedVersion == 0 {
+			return nil
+		}
+		return e.order(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion})
+	})
 }
 
 // Release implements expertmap.Holder.
 func (e *Engine) Release(ctx context.Context, b expertmap.Ballot) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return err
-	}
-	if r.HeldStep == 0 || r.ArmedVersion != 0 {
-		return nil
-	}
-	return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+	return e.inState(ctx, func(r Report) error {
+		if r.HeldStep == 0 || r.ArmedVersion != 0 {
+			return nil
+		}
+		return e.order(ctx, r, b, Order{Operation: Go, Step: r.HeldStep})
+	})
 }
 
 // Load returns what the rank's requests chose since the last call, and the experts that
 // it holds.
 func (e *Engine) Load(ctx context.Context) (wire.RankLoad, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, err := e.report(ctx)
-	if err != nil {
-		return wire.RankLoad{}, err
-	}
-	if !e.known || e.heldMap != r.Map {
-		if e.heldMap, e.held, err = e.client.Experts(ctx); err != nil {
-			return wire.RankLoad{}, err
+	var out wire.RankLoad
+	err := e.inState(ctx, func(r Report) error {
+		if err := e.readExperts(ctx, r.Map); err != nil {
+			return err
 		}
-		e.known = true
-	}
-	_, counts, err := e.client.Picks(ctx)
-	if err != nil {
-		return wire.RankLoad{}, err
+		_, counts, err := e.client.Picks(ctx)
+		if err != nil {
+			return err
+		}
+		out = wire.RankLoad{Version: e.heldMap, Held: e.held, Pace: r.Pace, Picks: e.since(counts)}
+		return nil
+	})
+	return out, err
+}
+
+// readExperts reads which experts the rank holds, unless those of the version are known.
+// The caller holds mu.
+func (e *Engine) readExperts(ctx context.Context, version uint64) error {
+	if e.known && e.heldMap == version {
+		return nil
 	}
-	l := wire.RankLoad{Version: e.heldMap, Held: e.held, Pace: r.Pace, Picks: e.since(counts)}
-	return l, nil
+	var err error
+	e.heldMap, e.held, err = e.client.Experts(ctx)
+	e.known = err == nil
+	return err
 }
 
 // since returns the counts of each set since the last call. The caller holds mu.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -127,6 +127,11 @@
 	for _, e := range r.byID {
 		out = append(out, e.Upstream)
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	sortByID(out)
 	return out
 }
+
+// sortByID gives lists of upstreams the same order on all hosts.
+func sortByID(list []Upstream) {
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -1,10 +1,5 @@
 package registry
 
-import (
-	"slices"
-	"strings"
-)
-
 // View merges what several control hosts say of the upstreams. An upstream is silent
 // only where every control host that speaks of it says so: its announcements reach one
 // of them at a time.
@@ -109,7 +104,7 @@
 		}
 	}
 	for _, list := range out {
-		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+		sortByID(list)
 	}
 	return out
 }
@@ -120,6 +115,6 @@
 	for _, s := range v.byID {
 		out = append(out, s.Upstream)
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	sortByID(out)
 	return out
 }
