Serve urgent requests first where an engine has no place free

The queue for places at engines took no account of priorities: a deployment with several saw no order between them. A workspace's own priority goes before its route's.

Tests: TestUrgentRequestsGoFirstButStarveNobody and TestWorkspacePriorityGoesBeforeTheRoutes, which fail without the change.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -319,6 +319,24 @@
 	require.False(t, isOnTime)
 }
 
+// A more urgent request goes before those that came shortly before it, and not before
+// those that have waited long.
+func TestUrgentRequestsGoFirstButStarveNobody(t *testing.T) {
+	at := func(came time.Duration, priority int) *waiter {
+		return &waiter{onTime: time.Minute, turn: came + priorityStep*time.Duration(priority)}
+	}
+	first := func(all ...*waiter) int {
+		i, _ := (&service{waiters: all}).first(time.Second)
+		return i
+	}
+	require.Equal(t, 1, first(at(0, 2), at(priorityStep, 0)))
+	require.Equal(t, 0, first(at(0, 2), at(3*priorityStep, 0)))
+	require.Equal(t, 0, first(at(0, 1), at(0, 1)), "equals are served as they came")
+	late := at(0, 0)
+	late.onTime = 0
+	require.Equal(t, 1, first(late, at(0, 9)), "who can be on time goes first")
+}
+
 // An engine whose load is no longer told, while those of most others are, gets nothing:
 // its host is frozen, and what is sent there would be read when the caller has left.
 func TestDarkEngineGetsNothing(t *testing.T) {
@@ -359,3 +377,28 @@
 	age("u3", time.Second)
 	require.Len(t, picked(), 4, "most are not heard: it is the reports that are missing")
 }
+
+// A workspace's own priority goes before that of the route.
+func TestWorkspacePriorityGoesBeforeTheRoutes(t *testing.T) {
+	l := newLab(t)
+	route := routetable.Route{
+		Name: "stream", HostName: "127.0.0.1", Prefix: "/stream/", Kind: routetable.Stream, Timeout: 20 * time.Second,
+		Target: 20 * time.Second, Attempts: 1, Priority: 100, Shares: []routetable.Share{{Service: "s", Weight: 1}},
+	}
+	tb := &routetable.Table{
+		Number: 1, Routes: []routetable.Route{route}, Services: []routetable.Service{{Name: "s", Engine: engine}},
+		Workspaces: []routetable.Workspace{
+			{Name: "w", Keys: []string{"key"}}, {Name: "urgent", Keys: []string{"other"}, HasPriority: true},
+		},
+	}
+	require.NoError(t, tb.Build())
+	require.True(t, l.gateway.SetTable(tb))
+	for key, want := range map[string]int{"key": 100, "other": 0} {
+		r := httptest.NewRequest(http.MethodPost, "/stream/", nil)
+		r.Host = "127.0.0.1"
+		r.Header.Set("X-K", key)
+		c := &call{g: l.gateway, r: r, began: time.Now()}
+		require.NoError(t, c.prepare())
+		require.Equal(t, want, c.priority, key)
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -31,10 +31,12 @@
 	route *routetable.Route
 	// workspace is who asks, empty on public routes.
 	workspace string
-	service   *routetable.Service
-	attempt   string
-	body      []byte
-	began     time.Time
+	// priority is the workspace's rank, else the route's; 0 is the most urgent.
+	priority int
+	service  *routetable.Service
+	attempt  string
+	body     []byte
+	began    time.Time
 	// deadline is when the caller is given its final answer at the latest.
 	deadline time.Time
 	// sends counts the attempts, tried names the upstreams that had one.
@@ -75,12 +77,16 @@
 	if c.route == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for this host and path")
 	}
+	c.priority = c.route.Priority
 	if c.table.NeedsKey(c.route) {
 		w := c.table.Workspace(c.r.Header.Get(g.cfg.Dialect.Key))
 		if w == nil {
 			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
 		}
 		c.workspace = w.Name
+		if w.HasPriority {
+			c.priority = w.Priority
+		}
 	}
 	if err := c.readBody(); err != nil {
 		return err
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -28,6 +28,9 @@
 	outageRetryAfter = 2500 * time.Millisecond
 	// fullRetryAfter is what callers are told that have waited for a place in vain.
 	fullRetryAfter = 1500 * time.Millisecond
+	// priorityStep is by how much a request goes before those of the next lower priority.
+	// It is a part of a usual wait, so that none waits for ever behind more urgent ones.
+	priorityStep = 100 * time.Millisecond
 	// mayReturn is the part of a route's timeout that a caller must have left to be sent
 	// away during an outage; one with less time waits here.
 	mayReturn = 0.8
@@ -49,6 +52,9 @@
 	tried []string
 	// onTime is until when it can begin to be on time.
 	onTime time.Duration
+	// turn orders those that wait: it is when the request began to wait, later by
+	// priorityStep for each rank of its priority.
+	turn time.Duration
 	// granted gets the place; it has room for one.
 	granted chan grant
 }
@@ -195,14 +201,25 @@
 	}
 }
 
-// first returns the waiter that is served next, and whether it can be on time.
+// first returns the waiter that is served next, and whether it can be on time. There has
+// to be one.
 func (s *service) first(now time.Duration) (int, bool) {
+	next := 0
 	for i, w := range s.waiters {
-		if now < w.onTime {
-			return i, true
+		if w.isBefore(s.waiters[next], now) {
+			next = i
 		}
 	}
-	return 0, false
+	return next, now < s.waiters[next].onTime
+}
+
+// isBefore reports whether w is served before o: those that can be on time go first, then
+// it is their turns that count.
+func (w *waiter) isBefore(o *waiter, now time.Duration) bool {
+	if isOnTime := now < w.onTime; isOnTime != (now < o.onTime) {
+		return isOnTime
+	}
+	return w.turn < o.turn
 }
 
 // place takes a place at the engine with the fewest requests, if it has one free. The
@@ -234,7 +251,7 @@
 			return u, hold, nil
 		}
 	}
-	w := &waiter{tried: c.tried, granted: make(chan grant, 1)}
+	w := &waiter{tried: c.tried, granted: make(chan grant, 1), turn: g.now() + priorityStep*time.Duration(c.priority)}
 	w.onTime = c.began.Add(c.route.Target - balance.FirstEvent(e, s.places)).Sub(g.started)
 	s.waiters = append(s.waiters, w)
 	g.mu.Unlock()
