--- a/internal/expertmap/directed_test.go
+++ b/internal/expertmap/directed_test.go
@@ -246,6 +246,14 @@
 	w.drain()
 }
 
+func TestAnswerOfAnotherStepArmsNobodyElse(t *testing.T) {
+	w := staged(t)
+	c := w.hosts[0].coord
+	step := w.net[0].msg.Arm.Step
+	require.Empty(t, c.Step(0, Message{Armed: &Armed{Ballot: c.Ballot(), Step: step + 1}}))
+	require.Len(t, c.Step(0, Message{Armed: &Armed{Ballot: c.Ballot(), Step: step}}), 2)
+}
+
 func TestOwnRankThatCameTooLateIsAskedForTheNextStep(t *testing.T) {
 	w := staged(t)
 	w.steps(3)
