Send a slow rank only the requests that let it keep up

Cause: all ranks of a group wait in every pass for the slowest one's own part.

Change: agents report the engine's pace with its load. A rank that is slower than the fastest one that is heard has as many places as let its step end when the others' full ones do, at 1.6 two of ten, at 2 and more none. Where all are slow alike nothing changes.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -53,3 +53,15 @@
 	require.Equal(t, 12, Places(e, 120*time.Millisecond))
 	require.Less(t, FirstEvent(e, 10), 200*time.Millisecond)
 }
+
+// A slow rank gets as many requests as let it keep up with the others.
+func TestSlowRankGetsFewerPlaces(t *testing.T) {
+	e := &routetable.Engine{Step: 5 * time.Millisecond, PerRequest: 500 * time.Microsecond}
+	for _, c := range []struct {
+		slowness float64
+		want     int
+	}{{0, 10}, {0.9, 10}, {1, 10}, {1.25, 6}, {1.6, 2}, {2, 0}, {12, 0}} {
+		require.Equal(t, c.want, PlacesAt(e, 10, c.slowness), c)
+	}
+	require.Equal(t, 10, PlacesAt(&routetable.Engine{}, 10, 3), "nothing is known of the engine")
+}
--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -37,6 +37,18 @@
 	return min(max(n, int(leastPart*float64(e.Slots)), 1), e.Slots)
 }
 
+// PlacesAt returns how many of the places of the ranks one has that is slower than the
+// others, by its time for a step over theirs: as many as let it be done when they are, since
+// they wait for it in every pass. It may be none.
+func PlacesAt(e *routetable.Engine, places int, slowness float64) int {
+	if slowness <= 1 || e.PerRequest <= 0 {
+		return places
+	}
+	usual := float64(e.Step) + float64(places)*float64(e.PerRequest)
+	n := int((usual/slowness - float64(e.Step)) / float64(e.PerRequest))
+	return min(max(n, 0), places)
+}
+
 // FirstEvent is about how long an idle engine takes to the first event of a usual
 // request: to read the prompt, and two passes.
 func FirstEvent(e *routetable.Engine, places int) time.Duration {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -45,6 +45,8 @@
 	// inflight is this host's part of total: the attempts in flight there when the report
 	// before came, which is about when this one was made.
 	inflight, next int
+	// pace is the engine's time for a step over its usual one.
+	pace float64
 }
 
 // waiter is a request that waits for a place at an engine.
@@ -73,7 +75,7 @@
 		before := g.loads[l.Address]
 		g.loads[l.Address] = load{
 			isOpen: l.IsOpen, total: l.Running + l.Waiting, at: now,
-			inflight: before.next, next: g.inflightAt(l.Address),
+			inflight: before.next, next: g.inflightAt(l.Address), pace: l.Pace,
 		}
 	}
 	for name, s := range g.services {
@@ -152,12 +154,37 @@
 	return float64(sum) / float64(max(len(list), 1))
 }
 
+// leastPace is the pace of the fastest engine of a service that is heard, 0 where none tells
+// it. The caller holds mu.
+func (g *Gateway) leastPace(name string, now time.Duration) float64 {
+	least := 0.0
+	for _, u := range g.serving[name] {
+		l, ok := g.loads[u.Address]
+		if ok && now-l.at < freshLoad && l.pace > 0 && (least == 0 || l.pace < least) {
+			least = l.pace
+		}
+	}
+	return least
+}
+
+// placesAt returns how many requests an engine should work on at once, fewer where it is
+// slower than the fastest. The caller holds mu.
+func (g *Gateway) placesAt(s *service, u *registry.Upstream, least float64, now time.Duration) int {
+	l, ok := g.loads[u.Address]
+	if !ok || now-l.at > freshLoad || least == 0 {
+		return s.places
+	}
+	return balance.PlacesAt(s.engine, s.places, l.pace/least)
+}
+
 // free counts the places of a service that are free. The caller holds mu.
 func (g *Gateway) free(name string, s *service) float64 {
 	now := g.now()
+	least := g.leastPace(name, now)
 	sum := 0.0
 	for i := range g.serving[name] {
-		sum += max(float64(s.places)-g.taken(&g.serving[name][i], now), 0)
+		u := &g.serving[name][i]
+		sum += max(float64(g.placesAt(s, u, least, now))-g.taken(u, now), 0)
 	}
 	return sum
 }
@@ -225,8 +252,9 @@
 // place takes a place at the engine with the fewest requests, if it has one free. The
 // caller holds mu.
 func (g *Gateway) place(name string, s *service, tried []string) (registry.Upstream, *ticket, bool) {
+	now := g.now()
 	u, ok := g.pick(name, tried)
-	if !ok || g.taken(&u, g.now()) >= float64(s.places) {
+	if !ok || g.taken(&u, now) >= float64(g.placesAt(s, &u, g.leastPace(name, now), now)) {
 		return registry.Upstream{}, nil, false
 	}
 	return u, g.hold(&u), true
@@ -238,7 +266,7 @@
 	g, name := c.g, c.service.Name
 	g.mu.Lock()
 	s := g.service(name)
-	s.places = balance.Places(e, c.route.Gap)
+	s.places, s.engine = balance.Places(e, c.route.Gap), e
 	isClosed := g.isClosed(name)
 	if len(g.serving[name]) == 0 || isClosed && c.mayReturn() {
 		c.logRefusal(s)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -30,9 +30,11 @@
 // service is this host's own experience of a service. Gateway.mu guards it.
 type service struct {
 	budget retrybudget.Budget
-	// places is how many requests an engine should work on at once; waiters are the
+	// places is how many requests an engine should work on at once, by the figures of
+	// engine, which is nil for plain services; waiters are the
 	// requests that wait for one, in the order in which they came.
 	places  int
+	engine  *routetable.Engine
 	waiters []*waiter
 	// unheard are the attempts at engines that have no head of an answer yet and may be
 	// taken back.
@@ -70,9 +72,15 @@
 	list := g.serving[name]
 	now := g.now()
 	darkest := g.darkest(name, now)
+	s, least := g.services[name], g.leastPace(name, now)
 	all := make([]balance.Candidate, 0, len(list))
 	for i := range list {
 		c := g.candidate(&list[i], now)
+		if s != nil && s.engine != nil {
+			if c.Slots = g.placesAt(s, &list[i], least, now); c.Slots == 0 {
+				continue
+			}
+		}
 		if l, ok := g.loads[list[i].Address]; ok && now-l.at >= darkest {
 			c.IsSuspect = true
 		}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -203,7 +203,7 @@
 	a.notePace(r)
 	if s := a.n.controlSession(); s != nil {
 		_ = s.Post(&wire.EngineLoad{
-			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting,
+			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
 			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()),
 		})
 	}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -74,6 +74,8 @@
 	// Running and Waiting are the requests at the engine.
 	Running int `cbor:"3,keyasint,omitempty"`
 	Waiting int `cbor:"4,keyasint,omitempty"`
+	// Pace is the engine's time for a step over its usual one, 0 if it is not known.
+	Pace float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind implements Message.
