Give a request up at once where no upstream is left for it

Cause: a request that had been sent once and found no further upstream, or no free place, was tried again and again until its deadline: at a plain service as fast as it could, each time with one of the repeats that all hosts share, and at engines with a wait of 1.4 s each time. One request that a single upstream refused emptied this host's part of the budget (found by a test meant for something else). Streams to be resumed did the same.

Change: once there is nowhere to send it, a request has its final answer.

Tests: TestNoUpstreamLeftIsTheEnd (no repeat left without the change, all but one with it).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,7 +51,7 @@
 func (c *call) send(ctx context.Context, resume string) (*dispatch.Answer, *ticket, bool) {
 	u, hold, err := c.reserve(ctx)
 	if err != nil {
-		c.last = err
+		c.last, c.isGivenUp = err, true
 		return nil, nil, false
 	}
 	c.sends++
@@ -93,7 +93,7 @@
 	defer stop()
 	answer, err := c.g.cfg.Client.Send(ctx, t, r)
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
-		c.isStalled = true
+		c.isGivenUp = true
 		return nil, stalled()
 	}
 	return answer, err
@@ -126,7 +126,7 @@
 
 // mayGoOn reports whether one more attempt is allowed after c.last.
 func (c *call) mayGoOn(ctx context.Context) bool {
-	if ctx.Err() != nil || c.isStalled || c.sends == 0 || c.sends >= c.route.Attempts {
+	if ctx.Err() != nil || c.isGivenUp || c.sends == 0 || c.sends >= c.route.Attempts {
 		return false
 	}
 	if time.Until(c.deadline) < leastLeft {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,8 +44,9 @@
 	tried []string
 	// isTainted is set once an attempt may have run: no later refusal says otherwise.
 	isTainted bool
-	// isStalled is set once an attempt was given up since its group does not serve.
-	isStalled bool
+	// isGivenUp is set once there is no upstream for another attempt, or the group of the
+	// last one does not serve: the caller is not held any longer.
+	isGivenUp bool
 	// last tells how the last attempt ended.
 	last error
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -87,3 +87,28 @@
 	close(answer)
 	require.Equal(t, http.StatusOK, <-done)
 }
+
+// Once no upstream is left the caller has its answer at once, and the repeats that others
+// share are not spent on looking again.
+func TestNoUpstreamLeftIsTheEnd(t *testing.T) {
+	// repeats counts those that are left after one request.
+	repeats := func(l *lab) int {
+		l.gateway.mu.Lock()
+		defer l.gateway.mu.Unlock()
+		left := 0
+		for l.gateway.service("s").budget.Take(l.gateway.cfg.Budget, 1, l.gateway.now()) {
+			left++
+		}
+		return left
+	}
+	one, none := newLab(t), newLab(t)
+	one.table(nil)
+	one.upstream("u1", func(http.ResponseWriter, *http.Request) {})
+	resp, _ := one.ask("/safe/", nil)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	none.table(nil)
+	none.upstream("u1", notRun)
+	resp, _ = none.ask("/safe/", nil)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, repeats(one)-1, repeats(none))
+}
