--- a/internal/balance/engine.go
+++ b/internal/balance/engine.go
@@ -37,9 +37,10 @@
 	return min(max(n, int(leastPart*float64(e.Slots)), 1), e.Slots)
 }
 
-// PlacesAt returns how many of the places of the ranks one has that is slower than the
-// others, by its time for a step over theirs: as many as let it be done when they are, since
-// they wait for it in every pass. It may be none.
+// PlacesAt returns how many requests a slow rank should work on at once, where the others
+// have that many places: as many as let its step end with theirs, since all ranks wait for
+// the slowest in every pass. It may be none. Slowness is its time for a step over theirs,
+// without unit.
 func PlacesAt(e *routetable.Engine, places int, slowness float64) int {
 	if slowness <= 1 || e.PerRequest <= 0 {
 		return places
--- a/internal/placement/balance_test.go
+++ b/internal/placement/balance_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -132,17 +133,40 @@
 	for e := range load {
 		load[e] = 1 + float64((e*37)%72)*float64((e*37)%72)
 	}
-	four, loads := [][][]uint16{held, held, held, held}, [][]float64{load, load, load, load}
 	b.Run("one set", func(b *testing.B) {
 		for b.Loop() {
 			Balance(held, load, SetParams{Slots: 8, Spare: 1, LeastGain: 0.07})
 		}
 	})
-	b.Run("four sets", func(b *testing.B) {
-		for b.Loop() {
-			BalanceSets(four, loads, SetParams{Slots: 8, Spare: 1, RankSpare: 2, LeastGain: 0.07})
+	for _, c := range []struct{ ranks, experts, sets, slots int }{
+		{12, 72, 4, 8}, {63, 252, 8, 5}, {128, 64, 58, 2},
+	} {
+		name := fmt.Sprintf("%d ranks, %d experts in %d sets", c.ranks, c.experts, c.sets)
+		b.Run(name, func(b *testing.B) {
+			held, load := skewed(c.ranks, c.experts, c.sets)
+			for b.Loop() {
+				BalanceSets(held, load, SetParams{Slots: c.slots, Spare: 1, RankSpare: 1, LeastGain: 0.07})
+			}
+		})
+	}
+}
+
+// skewed holds the experts of each set in turn, or several times where there are more
+// ranks, under loads that differ much.
+func skewed(ranks, experts, sets int) ([][][]uint16, [][]float64) {
+	held, load := make([][][]uint16, sets), make([][]float64, sets)
+	for set := range held {
+		held[set] = make([][]uint16, ranks)
+		for i := range max(ranks, experts) {
+			held[set][i%ranks] = append(held[set][i%ranks], uint16(i%experts))
 		}
-	})
+		load[set] = make([]float64, experts)
+		for e := range load[set] {
+			x := float64((e*37 + set*11) % experts)
+			load[set][e] = 1 + x*x
+		}
+	}
+	return held, load
 }
 
 func TestBalanceSparesASlowRank(t *testing.T) {
