--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,12 +49,16 @@
 	return l
 }
 
+// usualPriority is that of the lab's routes: far from the most urgent one, so that no
+// pause of a test makes up for the difference.
+const usualPriority = 1000
+
 // table has a route of each kind to the service "s".
 func (l *lab) table(engine *routetable.Engine) {
 	route := func(name string, kind routetable.Kind, attempts int) routetable.Route {
 		return routetable.Route{
 			Name: name, HostName: "127.0.0.1", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second,
-			Target: time.Second, Attempts: attempts, IsResumable: kind == routetable.Stream,
+			Target: time.Second, Priority: usualPriority, Attempts: attempts, IsResumable: kind == routetable.Stream,
 			Shares: []routetable.Share{{Service: "s", Weight: 1}},
 		}
 	}
@@ -262,15 +266,19 @@
 var engine = &routetable.Engine{Slots: 2, Stride: 1, Step: time.Millisecond}
 
 func (l *lab) load(id string, total int, isOpen bool) {
+	l.tell(id, wire.EngineLoad{IsOpen: isOpen, Running: total})
+}
+
+// tell hands the load of an upstream to the gateway.
+func (l *lab) tell(id string, load wire.EngineLoad) {
 	l.gateway.mu.Lock()
-	address := ""
 	for _, u := range l.gateway.serving["s"] {
 		if u.ID == id {
-			address = u.Address
+			load.Address = u.Address
 		}
 	}
 	l.gateway.mu.Unlock()
-	l.gateway.SetLoads([]wire.EngineLoad{{Address: address, IsOpen: isOpen, Running: total}})
+	l.gateway.SetLoads([]wire.EngineLoad{load})
 }
 
 func TestRequestWaitsForAPlace(t *testing.T) {
@@ -286,8 +294,9 @@
 	require.Eventually(t, func() bool {
 		l.gateway.mu.Lock()
 		defer l.gateway.mu.Unlock()
-		return len(l.gateway.service("s").waiters) == 1
-	}, 20*time.Second, time.Millisecond)
+		waiters := l.gateway.service("s").waiters
+		return len(waiters) == 1 && waiters[0].turn > usualPriority*priorityStep/2
+	}, 20*time.Second, time.Millisecond, "it waits, behind those of higher priority")
 	l.load("u1", 0, true)
 	require.Equal(t, http.StatusOK, <-done)
 }
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -12,17 +12,7 @@
 )
 
 // paced tells an idle engine's pace.
-func (l *lab) paced(id string, pace float64) {
-	l.gateway.mu.Lock()
-	address := ""
-	for _, u := range l.gateway.serving["s"] {
-		if u.ID == id {
-			address = u.Address
-		}
-	}
-	l.gateway.mu.Unlock()
-	l.gateway.SetLoads([]wire.EngineLoad{{Address: address, IsOpen: true, Pace: pace}})
-}
+func (l *lab) paced(id string, pace float64) { l.tell(id, wire.EngineLoad{IsOpen: true, Pace: pace}) }
 
 // All ranks of a group wait for the slowest in every pass, so a slow one gets fewer
 // requests, or none. Where all are as slow, none counts as slow.
