Know an upstream by its id and its start

Cause: an upstream was known by its id alone; what had left, was revoked or had a higher sequence stayed so for ever, and an upstream that started again under its id would never have been served.

Change: the later start of an id takes the place of the earlier one whole, and a late word of the earlier one changes nothing; loads and experience begin anew, and an agent whose engine has started again takes part anew.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,9 +136,7 @@
 		for _, u := range list {
 			known[u.ID] = true
 			addresses[u.Address] = true
-			if g.upstreams[u.ID] == nil {
-				g.upstreams[u.ID] = &upstream{}
-			}
+			g.know(&u)
 		}
 	}
 	for id, u := range g.upstreams {
@@ -153,6 +151,19 @@
 	}
 }
 
+// know keeps the experience with an upstream. One that has started again begins without,
+// but for the attempts that have not ended. The caller holds mu.
+func (g *Gateway) know(u *registry.Upstream) {
+	own := g.upstreams[u.ID]
+	switch {
+	case own == nil:
+		g.upstreams[u.ID] = &upstream{born: u.Born}
+	case own.born != u.Born:
+		own.born, own.failures, own.suspectUntil = u.Born, 0, 0
+		delete(g.loads, u.Address)
+	}
+}
+
 // service returns the state of a service. The caller holds mu.
 func (g *Gateway) service(name string) *service {
 	s := g.services[name]
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -21,6 +21,8 @@
 
 // upstream is this host's own experience of an upstream. Gateway.mu guards it.
 type upstream struct {
+	// born is the incarnation's.
+	born     int64
 	inflight int
 	// failures counts the attempts that failed in a row.
 	failures     int
@@ -45,6 +47,7 @@
 type ticket struct {
 	g       *Gateway
 	id      string
+	born    int64
 	service string
 	// taken is how many requests the upstream was thought to have, by a report of its
 	// load of that age; a negative age is none.
@@ -105,7 +108,7 @@
 	taken := g.taken(u, g.now())
 	own := g.upstreams[u.ID]
 	own.inflight++
-	t := &ticket{g: g, id: u.ID, service: u.Service, taken: taken, loadAge: -1}
+	t := &ticket{g: g, id: u.ID, born: u.Born, service: u.Service, taken: taken, loadAge: -1}
 	if l, ok := g.loads[u.Address]; ok {
 		t.loadAge = g.now() - l.at
 	}
@@ -167,7 +170,7 @@
 			g.cfg.Log.Info("upstream suspected", "upstream", t.id, "failures", u.failures)
 		}
 	case outcomeMisdirected:
-		if g.view.Revoke(t.id) {
+		if g.view.Revoke(t.id, t.born) {
 			g.cfg.Log.Info("upstream revoked: another one has its address", "upstream", t.id)
 			g.publish()
 		}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -186,7 +186,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, lookInterval)
 		now, err := a.look(ctx)
-		if err == nil && (now.Group != r.Group || now.Epoch != r.Epoch || now.Rank != r.Rank || !now.IsOpen) {
+		if err == nil && (now.Group != r.Group || now.Epoch != r.Epoch || now.Rank != r.Rank || now.Born != r.Born || !now.IsOpen) {
 			a.n.log.Info("group does not serve as it did", "group", name, "rank", r.Rank, "epoch_now", now.Epoch,
 				"rank_now", now.Rank, "open", now.IsOpen, "step", now.Step)
 			return
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -25,6 +25,8 @@
 	Epoch uint64
 	Rank  int
 	Size  int
+	// Born is when the engine started, in Unix milliseconds; 0 where it does not say.
+	Born int64
 	// IsOpen tells that the group serves.
 	IsOpen bool
 	// Sequence counts the orders that the engine has begun.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -26,9 +26,9 @@
 	Gone
 )
 
-// Upstream is one incarnation of an upstream.
+// Upstream is one incarnation of an upstream: ID and Born together name it.
 type Upstream struct {
-	// ID names the incarnation; each start has another one.
+	// ID names the upstream. One that starts again may keep it.
 	ID      string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint,omitempty"`
 	// Address is "ip:port".
@@ -42,11 +42,21 @@
 	ColdMS int64 `cbor:"8,keyasint,omitempty"`
 	// IsSilent is set by a control host that has not heard the upstream for long.
 	IsSilent bool `cbor:"9,keyasint,omitempty"`
+	// Born is when the incarnation started, in Unix milliseconds by its own clock; 0 where
+	// upstreams don't say. The highest one is the present; it holds nothing of those before.
+	Born int64 `cbor:"10,keyasint,omitempty"`
 }
 
-// merge takes over what a later announcement says. It reports whether anything that
-// matters to callers has changed.
+// merge takes over what an announcement says: all of one by a later incarnation, nothing
+// of one by an earlier. It reports whether anything that matters to callers has changed.
 func (u *Upstream) merge(next Upstream) bool {
+	if next.Born != u.Born {
+		if next.Born > u.Born {
+			*u = next
+			return true
+		}
+		return false
+	}
 	before := *u
 	if next.Sequence > u.Sequence {
 		u.Sequence = next.Sequence
@@ -93,13 +103,13 @@
 		r.byID[u.ID] = &entry{Upstream: u, heard: now}
 		return u, true
 	}
-	if u.Sequence != 0 && u.Sequence <= e.Sequence && u.State <= e.State {
+	if u.Born < e.Born || u.Born == e.Born && u.Sequence != 0 && u.Sequence <= e.Sequence && u.State <= e.State {
 		return e.Upstream, false
 	}
 	wasSilent := e.IsSilent
-	e.IsSilent = false
 	e.heard = now
 	changed := e.merge(u)
+	e.IsSilent = false
 	return e.Upstream, changed || wasSilent
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -71,8 +71,8 @@
 func TestRevokedIncarnationStaysOut(t *testing.T) {
 	v := NewView()
 	v.Merge("c1", []Upstream{up("old", 9, Ready), up("new", 1, Ready)})
-	require.True(t, v.Revoke("old"))
-	require.False(t, v.Revoke("old"))
+	require.True(t, v.Revoke("old", 0))
+	require.False(t, v.Revoke("old", 0))
 	v.Merge("c1", []Upstream{up("old", 10, Ready)})
 	list := v.Serving()["s"]
 	require.Len(t, list, 1)
@@ -120,3 +120,52 @@
 	}
 	return out
 }
+
+func born(u Upstream, at int64) Upstream {
+	u.Born = at
+	return u
+}
+
+// An upstream that starts again under its id serves, whatever its earlier start said or
+// still says, and one word of the earlier start that is late changes nothing.
+func TestUpstreamThatStartsAgainHoldsNothingOfBefore(t *testing.T) {
+	for name, last := range map[string]Upstream{
+		"ready": born(up("a", 900, Ready), 5), "draining": born(up("a", 900, Draining), 5),
+		"gone": born(Upstream{ID: "a", State: Gone}, 5),
+	} {
+		r := New(Limits{Silence: 4 * time.Second, Forget: time.Minute})
+		v := NewView()
+		say := func(u Upstream) Upstream {
+			known, _ := r.Announce(u, 0)
+			v.Merge("c", []Upstream{known})
+			return known
+		}
+		say(born(up("a", 1, Ready), 5))
+		say(last)
+		v.Revoke("a", 5)
+		require.Empty(t, v.Serving()["s"], name)
+		say(born(up("a", 1, Ready), 6))
+		require.Len(t, v.Serving()["s"], 1, name)
+		for _, late := range []Upstream{last, born(up("a", 901, Draining), 5), up("a", 999, Draining), {ID: "a", State: Gone}} {
+			require.Equal(t, int64(6), say(late).Born, name)
+			v.Merge("other", []Upstream{late})
+			require.Len(t, v.Serving()["s"], 1, name)
+			require.Equal(t, uint64(1), v.Serving()["s"][0].Sequence, name)
+		}
+		require.False(t, v.Revoke("a", 5), "a revocation of the earlier start")
+		require.Len(t, v.Serving()["s"], 1, name)
+		say(born(Upstream{ID: "a", State: Gone}, 6))
+		require.Empty(t, v.Serving()["s"], name)
+	}
+}
+
+// What a control host said of the silence of the earlier start is no word on the new one.
+func TestSilenceOfAnEarlierStartIsForgotten(t *testing.T) {
+	v := NewView()
+	silent := born(up("a", 3, Ready), 5)
+	silent.IsSilent = true
+	v.Merge("c", []Upstream{silent})
+	v.Merge("d", []Upstream{born(up("a", 1, Ready), 6)})
+	v.Merge("c", []Upstream{silent})
+	require.False(t, v.Serving()["s"][0].IsSilent)
+}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -1,12 +1,15 @@
 package registry
 
+import "slices"
+
 // View merges what several control hosts say of the upstreams. An upstream is silent
 // only where every control host that speaks of it says so: its announcements reach one
 // of them at a time.
 type View struct {
 	byID map[string]*seen
-	// revoked holds the incarnations found to have lost their address to another one.
-	revoked map[string]bool
+	// revoked holds the incarnations found to have lost their address to another one, by
+	// id: when they were born.
+	revoked map[string]int64
 	// gone lists the incarnations that have left, the first to leave first.
 	gone []string
 }
@@ -24,7 +27,7 @@
 }
 
 // NewView returns an empty View.
-func NewView() *View { return &View{byID: make(map[string]*seen), revoked: make(map[string]bool)} }
+func NewView() *View { return &View{byID: make(map[string]*seen), revoked: make(map[string]int64)} }
 
 // Merge takes what a control host says. It reports whether anything has changed.
 func (v *View) Merge(source string, all []Upstream) bool {
@@ -36,16 +39,32 @@
 			s.IsSilent = false
 			v.byID[u.ID] = s
 			changed = true
-		} else if s.merge(u) {
-			changed = true
+		} else {
+			born := s.Born
+			changed = s.merge(u) || changed
+			if s.Born != born {
+				v.renew(s)
+			}
 		}
 		v.noteGone(s)
-		s.silentBy[source] = u.IsSilent
+		if u.Born == s.Born {
+			s.silentBy[source] = u.IsSilent
+		}
 		changed = s.judge() || changed
 	}
 	return changed
 }
 
+// renew lets an incarnation start without what was known of the one before.
+func (v *View) renew(s *seen) {
+	s.IsSilent = false
+	clear(s.silentBy)
+	if s.isListed {
+		s.isListed = false
+		v.gone = slices.DeleteFunc(v.gone, func(id string) bool { return id == s.ID })
+	}
+}
+
 // noteGone remembers an incarnation that has left, and forgets the oldest such ones.
 func (v *View) noteGone(s *seen) {
 	if s.State != Gone || s.isListed {
@@ -86,20 +105,26 @@
 }
 
 // Revoke drops an incarnation whose address was found to be another one's.
-func (v *View) Revoke(id string) bool {
-	if v.revoked[id] {
+func (v *View) Revoke(id string, born int64) bool {
+	if before, ok := v.revoked[id]; ok && born <= before {
 		return false
 	}
-	v.revoked[id] = true
+	v.revoked[id] = born
 	return true
 }
 
+// isRevoked reports whether the incarnation, or a later one, was revoked.
+func (v *View) isRevoked(u *Upstream) bool {
+	born, ok := v.revoked[u.ID]
+	return ok && u.Born <= born
+}
+
 // Serving returns the upstreams that may get new work, by service, in the order of
 // their ids.
 func (v *View) Serving() map[string][]Upstream {
 	out := make(map[string][]Upstream)
-	for id, s := range v.byID {
-		if s.State == Ready && !v.revoked[id] && s.Address != "" {
+	for _, s := range v.byID {
+		if s.State == Ready && !v.isRevoked(&s.Upstream) && s.Address != "" {
 			out[s.Service] = append(out[s.Service], s.Upstream)
 		}
 	}
