Decide on requests in one pure package, by groups of ranks

Cause: serving was blind to groups: it asked whether every engine of a service was closed, and went on sending into a broken group while another one served. With many entry hosts, all of them sent to the engine that the same late reports showed as the emptiest.

Change: internal/schedule holds a host's services, groups and engines and decides on places, waiting and refusals; gateway is left with HTTP, streams and retries. Loads name the group and its epoch: one rank that is broken or stands still closes its group, a newer epoch opens it, and a group of which nothing is heard while others are gets nothing. Engines are drawn by what they are below the level to which all hosts together have filled them since the last report.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,8 +60,8 @@
 	request := &dispatch.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.header(resume), Body: c.body,
 	}
-	c.log("request sent", "upstream", u.ID, "send", c.sends, "resume", resume, "taken", hold.taken,
-		"load_age_ms", hold.loadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
+	c.log("request sent", "upstream", u.ID, "send", c.sends, "resume", resume, "taken", hold.Taken,
+		"load_age_ms", hold.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds())
 	// The caller has been without an event since then.
 	since := c.began
@@ -92,9 +92,10 @@
 	stop := c.g.listen(hold, since.Sub(c.g.started), end)
 	defer stop()
 	answer, err := c.g.cfg.Client.Send(ctx, t, r)
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+	var stalled *stalledError
+	if err != nil && errors.As(context.Cause(ctx), &stalled) {
 		c.isGivenUp = true
-		return nil, stalled()
+		return nil, stalled.verdict()
 	}
 	return answer, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,12 +3,12 @@
 //
 // # Locks
 //
-// Gateway.mu guards the view of upstreams and the tables by upstream and by service. It
-// is never held over I/O. The configuration and the list of candidates are published as
-// immutable values.
+// Gateway.mu guards the view of upstreams and the scheduler. It is never held over I/O.
+// The configuration is published as an immutable value.
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -22,6 +22,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/schedule"
 )
 
 // Dialect is what callers and upstreams call things. It only translates.
@@ -63,11 +64,11 @@
 	// mu guards the fields below.
 	mu        sync.Mutex
 	view      *registry.View
-	serving   map[string][]registry.Upstream
-	upstreams map[string]*upstream
-	services  map[string]*service
-	// loads are those of engines, by the upstream's address.
-	loads map[string]load
+	scheduler *schedule.Scheduler
+	// waiting holds where those that wait for a place are told of it, each with room for one.
+	waiting map[*schedule.Waiter]chan schedule.Grant
+	// taken holds how to end the attempts that may be taken back.
+	taken map[*schedule.Ticket]context.CancelCauseFunc
 }
 
 // New returns a Gateway. Before it has a configuration, requests wait for it as long as
@@ -75,10 +76,12 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, started: time.Now(), counts: newCounters(cfg.Metrics), hasTable: make(chan struct{}),
-		view: registry.NewView(), serving: map[string][]registry.Upstream{},
-		upstreams: map[string]*upstream{}, services: map[string]*service{}, loads: map[string]load{},
+		view: registry.NewView(),
+		scheduler: schedule.New(schedule.Config{
+			DataCentre: cfg.DataCentre, Budget: cfg.Budget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+		waiting: map[*schedule.Waiter]chan schedule.Grant{}, taken: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
-	g.hosts.Store(1)
 	return g
 }
 
@@ -104,9 +107,6 @@
 	}
 }
 
-// SetHosts tells how many hosts share the budgets.
-func (g *Gateway) SetHosts(n int) { g.hosts.Store(int64(max(n, 1))) }
-
 // Leave makes each answer the last one on its connection.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
@@ -128,51 +128,8 @@
 	}
 }
 
-// publish derives the candidates from the view. The caller holds mu.
-func (g *Gateway) publish() {
-	g.serving = g.view.Serving()
-	known, addresses := make(map[string]bool), make(map[string]bool)
-	for _, list := range g.serving {
-		for _, u := range list {
-			known[u.ID] = true
-			addresses[u.Address] = true
-			g.know(&u)
-		}
-	}
-	for id, u := range g.upstreams {
-		if !known[id] && u.inflight == 0 {
-			delete(g.upstreams, id)
-		}
-	}
-	for address := range g.loads {
-		if !addresses[address] {
-			delete(g.loads, address)
-		}
-	}
-}
-
-// know keeps the experience with an upstream. One that has started again begins without,
-// but for the attempts that have not ended. The caller holds mu.
-func (g *Gateway) know(u *registry.Upstream) {
-	own := g.upstreams[u.ID]
-	switch {
-	case own == nil:
-		g.upstreams[u.ID] = &upstream{born: u.Born}
-	case own.born != u.Born:
-		own.born, own.failures, own.suspectUntil = u.Born, 0, 0
-		delete(g.loads, u.Address)
-	}
-}
-
-// service returns the state of a service. The caller holds mu.
-func (g *Gateway) service(name string) *service {
-	s := g.services[name]
-	if s == nil {
-		s = &service{}
-		g.services[name] = s
-	}
-	return s
-}
+// publish takes the candidates from the view. The caller holds mu.
+func (g *Gateway) publish() { g.scheduler.SetUpstreams(g.view.Serving()) }
 
 // draw returns a number in [0, 1).
 func draw() float64 { return rand.Float64() }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -204,7 +204,7 @@
 	if s := a.n.controlSession(); s != nil {
 		_ = s.Post(&wire.EngineLoad{
 			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
-			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()),
+			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()), Group: r.Group, Epoch: r.Epoch, Born: r.Born,
 		})
 	}
 	return r, nil
--- /dev/null
+++ b/internal/schedule/admit.go
@@ -0,0 +1,186 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/routetable"
+)
+
+const (
+	// LongestWait is how long a request waits for a place at most. Callers leave a stream
+	// that is silent for two seconds.
+	LongestWait = 1400 * time.Millisecond
+	// outageRetryAfter is what callers are told while a group does not serve: it forms
+	// anew within seconds, and a caller that comes back sooner would only be refused
+	// again.
+	outageRetryAfter = 2500 * time.Millisecond
+	// fullRetryAfter is what callers are told that find no place in time.
+	fullRetryAfter = 1500 * time.Millisecond
+	// priorityStep is by how much a request goes before those of the next lower priority.
+	// It is a part of a usual wait, so that none waits for ever behind more urgent ones.
+	priorityStep = 100 * time.Millisecond
+)
+
+// Request is a request that needs a place at an engine.
+type Request struct {
+	Service string
+	// Engine are the figures of the service's engines.
+	Engine *routetable.Engine
+	// Gap is the longest pause between events that is on time, 0 if none is declared.
+	Gap time.Duration
+	// OnTimeUntil is when the first event has to be there to be on time.
+	OnTimeUntil time.Duration
+	// Priority is the rank of the request, 0 the most urgent.
+	Priority int
+	// Tried are the upstreams that had an attempt of it.
+	Tried []string
+	// MayReturn tells that its caller has time to come back.
+	MayReturn bool
+}
+
+// Waiter is a request that waits for a place.
+type Waiter struct {
+	tried []string
+	// onTime is until when it can begin to be on time.
+	onTime time.Duration
+	// turn orders those that wait: it is when the request began to wait, later by
+	// priorityStep for each rank of its priority.
+	turn time.Duration
+}
+
+// Grant is a place at an engine for a request that has waited.
+type Grant struct {
+	Waiter   *Waiter
+	Upstream registry.Upstream
+	Ticket   *Ticket
+}
+
+// Reason is why a request is refused.
+type Reason uint8
+
+// The reasons.
+const (
+	// Outage: no group of the service serves.
+	Outage Reason = iota + 1
+	// Full: no place becomes free in time.
+	Full
+)
+
+// String is the text for callers and logs.
+func (r Reason) String() string {
+	if r == Outage {
+		return "the group does not serve"
+	}
+	return "no place became free in time"
+}
+
+// Name names the reason in counters and logs.
+func (r Reason) Name() string {
+	if r == Outage {
+		return "outage"
+	}
+	return "full"
+}
+
+// Decision is what becomes of a request: it has a Ticket for Upstream, or waits as Waiter,
+// or is refused for a Reason and may come back after RetryAfter.
+type Decision struct {
+	Upstream   registry.Upstream
+	Ticket     *Ticket
+	Waiter     *Waiter
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Admit decides on a request that has come.
+func (s *Scheduler) Admit(r *Request, now time.Duration) Decision {
+	sv := s.service(r.Service)
+	sv.places, sv.shape = Places(r.Engine, r.Gap), r.Engine
+	w := &Waiter{
+		tried: r.Tried, turn: now + priorityStep*time.Duration(r.Priority),
+		onTime: r.OnTimeUntil - FirstEvent(r.Engine, sv.places),
+	}
+	if w.isOnTime(now) {
+		sv.demand.fresh.add(now)
+	}
+	isOut := sv.isOut(now)
+	if len(sv.all) == 0 || isOut && r.MayReturn {
+		return refuse(Outage)
+	}
+	if !isOut && len(sv.waiters) == 0 {
+		if u, ok := s.place(sv, r.Tried, now); ok {
+			t := s.grant(sv, u, w, now)
+			return Decision{Upstream: u.Upstream, Ticket: t}
+		}
+	}
+	sv.waiters = append(sv.waiters, w)
+	return Decision{Waiter: w}
+}
+
+func refuse(why Reason) Decision {
+	after := fullRetryAfter
+	if why == Outage {
+		after = outageRetryAfter
+	}
+	return Decision{Reason: why, RetryAfter: after}
+}
+
+// grant holds a place for a request.
+func (s *Scheduler) grant(sv *service, u *upstream, w *Waiter, now time.Duration) *Ticket {
+	t := s.hold(u, now)
+	sv.demand.grants.add(now)
+	if t.isLate = !w.isOnTime(now); t.isLate {
+		sv.late++
+	}
+	return t
+}
+
+// GiveUp takes a request that has waited too long out, and says what its caller is told.
+func (s *Scheduler) GiveUp(name string, w *Waiter) Decision {
+	sv := s.service(name)
+	if i := slices.Index(sv.waiters, w); i >= 0 {
+		sv.waiters = slices.Delete(sv.waiters, i, i+1)
+	}
+	return refuse(Full)
+}
+
+// pump gives up to n places to requests that wait: first to those that can still be on
+// time, in their order.
+func (s *Scheduler) pump(grants []Grant, sv *service, n int, now time.Duration) []Grant {
+	for ; n > 0 && len(sv.waiters) > 0; n-- {
+		i := sv.first(now)
+		w := sv.waiters[i]
+		u, ok := s.place(sv, w.tried, now)
+		if !ok {
+			break
+		}
+		sv.waiters = slices.Delete(sv.waiters, i, i+1)
+		grants = append(grants, Grant{Waiter: w, Upstream: u.Upstream, Ticket: s.grant(sv, u, w, now)})
+	}
+	return grants
+}
+
+// first returns the waiter that is served next. There has to be one.
+func (sv *service) first(now time.Duration) int {
+	next := 0
+	for i, w := range sv.waiters {
+		if w.isBefore(sv.waiters[next], now) {
+			next = i
+		}
+	}
+	return next
+}
+
+// isOnTime reports whether the request can be on time if it gets its place now.
+func (w *Waiter) isOnTime(now time.Duration) bool { return now < w.onTime }
+
+// isBefore reports whether w is served before o: those that can be on time go first, then
+// it is their turns that count.
+func (w *Waiter) isBefore(o *Waiter, now time.Duration) bool {
+	if isOnTime := w.isOnTime(now); isOnTime != o.isOnTime(now) {
+		return isOnTime
+	}
+	return w.turn < o.turn
+}
--- /dev/null
+++ b/internal/schedule/loads.go
@@ -0,0 +1,223 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const (
+	// freshLoad is how old an engine's load may be to count.
+	freshLoad = 700 * time.Millisecond
+	// darkLoad is how old an engine's load may be while those of most others are younger:
+	// four reports missed in a row. The host beside it is then frozen or cut off, and what
+	// is sent there is not read.
+	darkLoad = 400 * time.Millisecond
+	// loadLag is how old a load is when it comes: half an interval of the agent that reads
+	// it, half of the control host's that passes it on.
+	loadLag = 100 * time.Millisecond
+)
+
+// load is what is known of an upstream's engine.
+type load struct {
+	isKnown bool
+	isOpen  bool
+	epoch   uint64
+	// total is the requests there, when the report was made.
+	total int
+	at    time.Duration
+	// inflight is this host's part of total: the attempts in flight there when the report
+	// before came, which is about when this one was made.
+	inflight, next int
+	// pace is the engine's time for a step over its usual one, 0 if not known.
+	pace float64
+}
+
+// isFresh reports whether the load counts.
+func (l *load) isFresh(now time.Duration) bool { return l.isKnown && now-l.at <= freshLoad }
+
+// group is a set of ranks that serve together or not at all.
+type group struct {
+	name  string
+	epoch uint64
+	// isClosed tells that it does not serve, as one of its ranks says.
+	isClosed bool
+	// heard is when a rank was heard last.
+	heard time.Duration
+}
+
+// SetLoads takes in the loads of engines. It returns the places that waiting requests get,
+// and the attempts that are to end since their group does not serve.
+func (s *Scheduler) SetLoads(all []wire.EngineLoad, now time.Duration) ([]Grant, []Stalled) {
+	for i := range all {
+		s.setLoad(&all[i], now)
+	}
+	var grants []Grant
+	var stalled []Stalled
+	for _, sv := range s.services {
+		sv.regroup()
+		stalled = sv.stalled(stalled, now)
+		if len(sv.waiters) > 0 {
+			grants = s.pump(grants, sv, s.share(sv, now), now)
+		}
+	}
+	return grants, stalled
+}
+
+func (s *Scheduler) setLoad(l *wire.EngineLoad, now time.Duration) {
+	u := s.byAddress[l.Address]
+	if u == nil || l.Born != 0 && l.Born < u.Born {
+		return
+	}
+	sv := u.service
+	if u.group == nil || u.group.name != l.Group {
+		u.group = sv.group(l.Group)
+	}
+	u.load = load{
+		isKnown: true, isOpen: l.IsOpen, epoch: l.Epoch, total: l.Running + l.Waiting, at: now,
+		inflight: u.load.next, next: u.inflight, pace: l.Pace,
+	}
+	u.group.heard = now
+	sv.heard, sv.wasHeard = now, true
+}
+
+func (sv *service) group(name string) *group {
+	g := sv.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		sv.groups[name] = g
+	}
+	return g
+}
+
+// regroup derives the states of the groups from what their ranks said last: in its newest
+// epoch a group serves once no rank says otherwise, since a rank that breaks or stands
+// still stops them all. What ranks said of an earlier epoch no longer counts.
+func (sv *service) regroup() {
+	for name, g := range sv.groups {
+		g.isClosed, g.epoch = false, 0
+		if !sv.hasRank(g) {
+			delete(sv.groups, name)
+		}
+	}
+	for _, u := range sv.all {
+		if u.group != nil && u.load.isKnown {
+			u.group.epoch = max(u.group.epoch, u.load.epoch)
+		}
+	}
+	for _, u := range sv.all {
+		if g := u.group; g != nil && u.load.isKnown && u.load.epoch == g.epoch && !u.load.isOpen && g.heard-u.load.at <= freshLoad {
+			g.isClosed = true
+		}
+	}
+}
+
+func (sv *service) hasRank(g *group) bool {
+	for _, u := range sv.all {
+		if u.group == g {
+			return true
+		}
+	}
+	return false
+}
+
+// serves reports whether an upstream can serve, as far as is known of its group: nothing
+// is sent into one that is broken, nor into one of which nothing is heard while others are.
+func (sv *service) serves(u *upstream, now time.Duration) bool {
+	g := u.group
+	if g == nil || !sv.isHeard(now) {
+		return true
+	}
+	return !g.isClosed && now-g.heard <= freshLoad
+}
+
+// isHeard reports whether loads come at all.
+func (sv *service) isHeard(now time.Duration) bool { return sv.wasHeard && now-sv.heard <= freshLoad }
+
+// isOut reports whether no upstream of a service with engines serves.
+func (sv *service) isOut(now time.Duration) bool {
+	for _, u := range sv.all {
+		if sv.serves(u, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// darkest returns from which age of its load on an upstream of the service counts as dark.
+// Where most are not heard, the reports are what is missing, and none does.
+func (sv *service) darkest(now time.Duration) time.Duration {
+	fresh, serving := 0, 0
+	for _, u := range sv.all {
+		if !sv.serves(u, now) {
+			continue
+		}
+		serving++
+		if u.load.isKnown && now-u.load.at < darkLoad {
+			fresh++
+		}
+	}
+	if 2*fresh <= serving {
+		return math.MaxInt64
+	}
+	return darkLoad
+}
+
+// taken estimates the requests at an upstream from the last report and what this host
+// has done since, or from this host's own alone.
+func (s *Scheduler) taken(u *upstream, now time.Duration) float64 {
+	if !u.load.isFresh(now) {
+		// The other hosts are thought to have as many as this one, evenly spread.
+		mean := float64(u.service.inflight) / float64(max(len(u.service.all), 1))
+		return float64(u.inflight) + float64(s.hosts-1)*mean
+	}
+	return max(float64(u.load.total+u.inflight-u.load.inflight), float64(u.inflight))
+}
+
+// leastPace is the pace of the fastest engine of a service that is heard, 0 where none tells
+// it.
+func (sv *service) leastPace(now time.Duration) float64 {
+	least := 0.0
+	for _, u := range sv.all {
+		if u.load.isFresh(now) && u.load.pace > 0 && (least == 0 || u.load.pace < least) {
+			least = u.load.pace
+		}
+	}
+	return least
+}
+
+// placesAt returns how many requests an engine should work on at once, fewer where it is
+// slower than the fastest.
+func (sv *service) placesAt(u *upstream, least float64, now time.Duration) int {
+	if !u.load.isFresh(now) || least == 0 {
+		return sv.places
+	}
+	return PlacesAt(sv.shape, sv.places, u.load.pace/least)
+}
+
+// room counts the places of a service that serve, and those of them that are free.
+func (s *Scheduler) room(sv *service, now time.Duration) (places, free float64) {
+	least := sv.leastPace(now)
+	for _, u := range sv.all {
+		if !sv.serves(u, now) {
+			continue
+		}
+		n := float64(sv.placesAt(u, least, now))
+		places += n
+		free += max(n-s.taken(u, now), 0)
+	}
+	return places, free
+}
+
+// share returns how many of a service's free places this host may take at once: all
+// hosts see the same ones.
+func (s *Scheduler) share(sv *service, now time.Duration) int {
+	_, free := s.room(sv, now)
+	part := free / float64(s.hosts)
+	n := int(part)
+	if s.cfg.Random.Float64() < part-float64(n) {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/schedule/place.go
@@ -0,0 +1,235 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/registry"
+)
+
+const (
+	// suspectAfter is how many attempts in a row have to fail at an upstream before
+	// others are preferred: a single one fails by chance too often.
+	suspectAfter = 2
+	// suspectFor is how long others are preferred then. It is about the time between
+	// two announcements, which show that an upstream is back.
+	suspectFor = 1500 * time.Millisecond
+	// localBonus is what being near is worth, in parts of a full upstream: less than one
+	// request's part, so that it decides between equals only.
+	localBonus = 0.02
+	// localWeight is how much likelier a near upstream is drawn than a far one that is as
+	// free: its answers cross no data centre.
+	localWeight = 1.5
+	// mostTaken bounds the requests at an engine that are told apart.
+	mostTaken = 64
+)
+
+// Ticket is an attempt's hold on an upstream; it ends once.
+type Ticket struct {
+	up      *upstream
+	service *service
+	born    int64
+	// Taken is how many requests the upstream was thought to have, by a report of its
+	// load of the age LoadAge; a negative age is none.
+	Taken   float64
+	LoadAge time.Duration
+	began   time.Duration
+	isLate  bool
+	isEnded bool
+}
+
+// ID returns the id of the upstream.
+func (t *Ticket) ID() string { return t.up.ID }
+
+// Born returns when the upstream's incarnation started.
+func (t *Ticket) Born() int64 { return t.born }
+
+// Choose takes hold of an upstream of a plain service that was not tried: the least loaded
+// that is trusted. It returns false where there is none.
+func (s *Scheduler) Choose(name string, tried []string, now time.Duration) (registry.Upstream, *Ticket, bool) {
+	sv := s.service(name)
+	for _, mayBeSuspect := range []bool{false, true} {
+		if u := s.leastLoaded(sv, tried, mayBeSuspect, now); u != nil {
+			return u.Upstream, s.hold(u, now), true
+		}
+	}
+	return registry.Upstream{}, nil, false
+}
+
+// leastLoaded returns the upstream with the least part of its slots taken, drawn between
+// equals; nil if there is none.
+func (s *Scheduler) leastLoaded(sv *service, tried []string, mayBeSuspect bool, now time.Duration) *upstream {
+	var best *upstream
+	lowest, equals := 0.0, 0
+	for _, u := range sv.all {
+		if slices.Contains(tried, u.ID) || !mayBeSuspect && u.isSuspect(now) {
+			continue
+		}
+		score := s.taken(u, now) / float64(max(u.Slots, 1))
+		if u.DataCentre == s.cfg.DataCentre {
+			score -= localBonus
+		}
+		switch {
+		case best == nil || score < lowest:
+			best, lowest, equals = u, score, 1
+		case score == lowest:
+			// Each of the equals is kept with the same probability.
+			if equals++; s.cfg.Random.IntN(equals) == 0 {
+				best = u
+			}
+		}
+	}
+	return best
+}
+
+// isSuspect reports whether others are preferred to the upstream.
+func (u *upstream) isSuspect(now time.Duration) bool { return u.IsSilent || now < u.suspectUntil }
+
+// place takes a place at an engine that was not tried and has one free.
+func (s *Scheduler) place(sv *service, tried []string, now time.Duration) (*upstream, bool) {
+	least, darkest := sv.leastPace(now), sv.darkest(now)
+	free := func(u *upstream, mayBeSuspect bool) float64 {
+		isDark := u.load.isKnown && now-u.load.at >= darkest
+		if !sv.serves(u, now) || slices.Contains(tried, u.ID) || !mayBeSuspect && (isDark || u.isSuspect(now)) {
+			return 0
+		}
+		return float64(sv.placesAt(u, least, now)) - s.taken(u, now)
+	}
+	for _, mayBeSuspect := range []bool{false, true} {
+		if u := s.draw(sv, now, func(u *upstream) float64 { return free(u, mayBeSuspect) }); u != nil {
+			return u, true
+		}
+		if sv.hasTrusted(tried, darkest, now) {
+			// Suspects are for the time when there is nobody else, not for that when all
+			// others are full.
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+// hasTrusted reports whether some engine that serves is no suspect and was not tried.
+func (sv *service) hasTrusted(tried []string, darkest, now time.Duration) bool {
+	for _, u := range sv.all {
+		isDark := u.load.isKnown && now-u.load.at >= darkest
+		if sv.serves(u, now) && !isDark && !u.isSuspect(now) && !slices.Contains(tried, u.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// draw returns one of the engines with free places, nil if there is none. The requests
+// that other hosts have placed since the loads were read are not known, only about how
+// many there are; all hosts together fill the emptiest engines up to one level. So an
+// engine is drawn by what it is below that level: with few hosts the least loaded, with
+// many one of those with room.
+func (s *Scheduler) draw(sv *service, now time.Duration, free func(*upstream) float64) *upstream {
+	level := s.level(sv, now, free)
+	var best *upstream
+	sum := 0.0
+	for _, u := range sv.all {
+		if free(u) <= 0 {
+			continue
+		}
+		weight := max(level-s.taken(u, now), 0)
+		if u.DataCentre == s.cfg.DataCentre {
+			weight *= localWeight
+		}
+		sum += weight
+		if weight > 0 && s.cfg.Random.Float64()*sum < weight {
+			best = u
+		}
+	}
+	return best
+}
+
+// level returns up to how many requests the engines with free places have been filled by
+// now, this one included.
+func (s *Scheduler) level(sv *service, now time.Duration, free func(*upstream) float64) float64 {
+	var count [mostTaken + 1]int
+	var sum [mostTaken + 1]float64
+	for _, u := range sv.all {
+		if free(u) <= 0 {
+			continue
+		}
+		t := s.taken(u, now)
+		i := min(int(t), mostTaken)
+		count[i]++
+		sum[i] += t
+	}
+	want := 1 + s.unseen(sv, now)
+	below, taken := 0, 0.0
+	for l := range mostTaken {
+		below += count[l]
+		taken += sum[l]
+		if top := float64(l + 1); float64(below)*top-taken >= want {
+			return top
+		}
+	}
+	return mostTaken
+}
+
+// unseen is about how many requests the other hosts have placed since the loads were read:
+// as many as this host in that time, each.
+func (s *Scheduler) unseen(sv *service, now time.Duration) float64 {
+	if !sv.isHeard(now) {
+		return 0
+	}
+	age := (now - sv.heard + loadLag).Seconds()
+	return sv.demand.grants.rate(now) * age * float64(s.hosts-1)
+}
+
+// hold counts an attempt at an upstream.
+func (s *Scheduler) hold(u *upstream, now time.Duration) *Ticket {
+	t := &Ticket{up: u, service: u.service, born: u.Born, Taken: s.taken(u, now), LoadAge: -1, began: now}
+	if u.load.isKnown {
+		t.LoadAge = now - u.load.at
+	}
+	u.inflight++
+	u.service.inflight++
+	return t
+}
+
+// Outcome is how an attempt went, as far as it says something of the upstream.
+type Outcome uint8
+
+const (
+	// Neutral: the attempt was ended for a reason of the caller's.
+	Neutral Outcome = iota
+	Good
+	// Bad: the upstream broke off, refused or failed.
+	Bad
+)
+
+// End gives a hold back. It returns the places that waiting requests get, and whether the
+// upstream is suspected from now on.
+func (s *Scheduler) End(t *Ticket, o Outcome, now time.Duration) (grants []Grant, isSuspected bool) {
+	if t.isEnded {
+		return nil, false
+	}
+	t.isEnded = true
+	u, sv := t.up, t.service
+	delete(sv.unheard, t)
+	u.inflight--
+	sv.inflight--
+	if t.isLate {
+		sv.late--
+	}
+	switch {
+	case t.born != u.Born:
+	case o == Good:
+		u.failures, u.suspectUntil = 0, 0
+		sv.demand.stayed(now - t.began)
+	case o == Bad:
+		u.failures++
+		if isSuspected = u.failures >= suspectAfter; isSuspected {
+			u.suspectUntil = now + suspectFor
+		}
+	}
+	if len(sv.waiters) > 0 {
+		// The place that this attempt gives back is this host's to take.
+		grants = s.pump(nil, sv, 1, now)
+	}
+	return grants, isSuspected
+}
--- a/internal/balance/engine.go
+++ b/internal/schedule/places.go
@@ -1,4 +1,4 @@
-package balance
+package schedule
 
 import (
 	"time"
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,153 @@
+// Package schedule decides where the requests of callers go: at which upstream a request
+// gets a place, whether it waits for one, in which order, and when it is refused and what
+// its caller is told.
+//
+// A Scheduler is what one entry host knows of services, their groups of ranks and their
+// upstreams: what control hosts say of them, the loads that agents tell, and the host's own
+// experience. It is pure: it reads no clock and does no I/O, times are a monotonic clock
+// of the caller's, and draws come from the source that it was given. It is not safe for
+// concurrent use; whoever holds it calls it under one lock.
+package schedule
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
+	"github.com/sassafraspost/sassafraspost/internal/routetable"
+)
+
+// Config is what a Scheduler needs.
+type Config struct {
+	// DataCentre is that of the host.
+	DataCentre string
+	// Budget bounds the repeats of all hosts together.
+	Budget retrybudget.Params
+	// Random decides between equals.
+	Random *rand.Rand
+}
+
+// Scheduler is the table of one host.
+type Scheduler struct {
+	cfg   Config
+	hosts int
+	// upstreams holds those that serve, and those that attempts of this host have not left
+	// yet, by id; byAddress those that serve.
+	upstreams map[string]*upstream
+	byAddress map[string]*upstream
+	services  map[string]*service
+}
+
+// New returns an empty Scheduler of a host that is alone.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg: cfg, hosts: 1,
+		upstreams: map[string]*upstream{}, byAddress: map[string]*upstream{}, services: map[string]*service{},
+	}
+}
+
+// upstream is one incarnation of an upstream as this host sees it.
+type upstream struct {
+	registry.Upstream
+	service *service
+	group   *group
+	// inflight counts this host's attempts there.
+	inflight int
+	// failures counts the attempts that failed in a row.
+	failures     int
+	suspectUntil time.Duration
+	load         load
+	isServing    bool
+}
+
+// service is what this host knows of a service.
+type service struct {
+	name string
+	// all are the upstreams that serve, in the order of their ids.
+	all    []*upstream
+	groups map[string]*group
+	budget retrybudget.Budget
+	// inflight counts this host's attempts at all upstreams, late those of requests that
+	// had no chance to be on time when they got their place.
+	inflight, late int
+	// heard is when the last load of one of them came; wasHeard tells that one ever did.
+	heard    time.Duration
+	wasHeard bool
+	// shape are the figures of the engines, nil for plain services; places is how many
+	// requests an engine should work on at once.
+	shape   *routetable.Engine
+	places  int
+	waiters []*Waiter
+	demand  demand
+	// unheard are the attempts that have no head of an answer yet and may be taken back.
+	unheard map[*Ticket]unheard
+}
+
+// SetHosts tells how many hosts share the upstreams and the budgets.
+func (s *Scheduler) SetHosts(n int) { s.hosts = max(n, 1) }
+
+// Hosts returns how many hosts share the upstreams.
+func (s *Scheduler) Hosts() int { return s.hosts }
+
+// SetUpstreams replaces the upstreams that serve, by service in the order of their ids.
+// The experience with those that stay is kept; one that has started again begins anew.
+func (s *Scheduler) SetUpstreams(serving map[string][]registry.Upstream) {
+	for _, u := range s.upstreams {
+		u.isServing = false
+	}
+	for _, sv := range s.services {
+		sv.all = sv.all[:0]
+	}
+	clear(s.byAddress)
+	for name, list := range serving {
+		sv := s.service(name)
+		for _, known := range list {
+			u := s.know(known)
+			u.isServing, u.service = true, sv
+			sv.all = append(sv.all, u)
+			s.byAddress[u.Address] = u
+		}
+	}
+	for id, u := range s.upstreams {
+		if !u.isServing && u.inflight == 0 {
+			delete(s.upstreams, id)
+		}
+	}
+	for _, sv := range s.services {
+		sv.regroup()
+	}
+}
+
+// know returns the record of an upstream.
+func (s *Scheduler) know(known registry.Upstream) *upstream {
+	u := s.upstreams[known.ID]
+	switch {
+	case u == nil:
+		u = &upstream{}
+		s.upstreams[known.ID] = u
+	case u.Born != known.Born:
+		u.failures, u.suspectUntil, u.load = 0, 0, load{}
+	}
+	u.Upstream = known
+	return u
+}
+
+func (s *Scheduler) service(name string) *service {
+	sv := s.services[name]
+	if sv == nil {
+		sv = &service{name: name, groups: map[string]*group{}, unheard: map[*Ticket]unheard{}}
+		s.services[name] = sv
+	}
+	return sv
+}
+
+// Arrive counts a caller's request to a service.
+func (s *Scheduler) Arrive(name string, now time.Duration) {
+	s.service(name).budget.Request(s.cfg.Budget, now)
+}
+
+// MayRepeat takes one repeat from the service's budget.
+func (s *Scheduler) MayRepeat(name string, now time.Duration) bool {
+	return s.service(name).budget.Take(s.cfg.Budget, s.hosts, now)
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -76,6 +76,11 @@
 	Waiting int `cbor:"4,keyasint,omitempty"`
 	// Pace is the engine's time for a step over its usual one, 0 if it is not known.
 	Pace float64 `cbor:"5,keyasint,omitempty"`
+	// Group and Epoch name the group of ranks in which the engine serves; empty if none.
+	Group string `cbor:"6,keyasint,omitempty"`
+	Epoch uint64 `cbor:"7,keyasint,omitempty"`
+	// Born is the incarnation's start in Unix milliseconds, 0 where it does not say.
+	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind implements Message.
