Know upstreams again at once after a common restart, and wait for what is on its way

Two of three voters that start together voted for themselves at the same tick and elected a leader after 0.9 s.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "slices"
+
 // campaign starts a pre-vote (PreCandidate) or a real election (Candidate).
 func (c *Core) campaign(role Role, transfer bool) {
 	term := c.hard.Term + 1
@@ -127,11 +129,18 @@
 
 // drawTimeout returns the next election timeout, in ticks. Until a leader was known since
 // the start it begins short and doubles with each campaign, so that replicas which are
-// further apart than that still elect one.
+// further apart than that still elect one. The first is staggered by the order of the
+// voters: replicas that start together would vote for themselves at the same tick.
 func (c *Core) drawTimeout() int {
 	span := c.cfg.ElectionTicks
-	if !c.hasHeard && c.campaigns < startPart {
-		span = min(max(span/startPart, leastTimeout)<<c.campaigns, span)
+	first := max(span/startPart, leastTimeout)
+	switch {
+	case c.hasHeard || c.campaigns >= startPart:
+	case c.campaigns == 0:
+		voters := c.members.latest().membership.Voters
+		return min(first+leastTimeout*max(slices.Index(voters, c.id), 0), span)
+	default:
+		span = min(first<<c.campaigns, span)
 	}
 	return span + c.cfg.Rand.IntN(span)
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -34,6 +34,8 @@
 type fleet struct {
 	h       *Host
 	started time.Time
+	// changed tells that the list of upstreams has changed since it was saved.
+	changed chan struct{}
 
 	// mu guards the fields below. Under it messages are only queued, which does not
 	// wait.
@@ -48,10 +50,12 @@
 }
 
 func newFleet(h *Host) *fleet {
-	return &fleet{
-		h: h, started: time.Now(), registry: registry.New(h.cfg.Registry),
+	f := &fleet{
+		h: h, started: time.Now(), changed: make(chan struct{}, 1), registry: registry.New(h.cfg.Registry),
 		attached: make(map[*peer.Session]string), loads: make(map[string]wire.EngineLoad),
 	}
+	f.restore()
+	return f
 }
 
 // attach begins to tell a host, with all that is known so far.
@@ -123,6 +127,7 @@
 
 // run keeps the attached hosts up to date until ctx ends.
 func (f *fleet) run(ctx context.Context) {
+	go f.remember(ctx)
 	tick := time.NewTicker(fleetTick)
 	defer tick.Stop()
 	var told uint64
@@ -186,6 +191,7 @@
 		f.mu.Unlock()
 		return nil
 	}
+	f.note()
 	h.cfg.Log.Info("upstream announced", "upstream", known.ID, "service", known.Service,
 		"address", known.Address, "state", known.State, "sequence", known.Sequence)
 	m := &wire.Upstreams{All: []registry.Upstream{known}}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -63,6 +63,8 @@
 	// Registry are the limits of the upstreams' announcements; zero values where
 	// upstreams announce themselves elsewhere.
 	Registry registry.Limits
+	// Recall keeps the list of upstreams over a restart; nil where it is not kept.
+	Recall *Recall
 	// Address is this host's own peer address.
 	Address string
 	// Tick and SnapshotEntries are as in replica.Options.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,7 +106,7 @@
 	if c.service.Engine != nil {
 		return c.await(ctx, c.service.Engine)
 	}
-	u, hold, ok := c.g.choose(c.service.Name, c.tried)
+	u, hold, ok := c.g.choose(ctx, c.service.Name, c.tried)
 	if !ok {
 		return u, nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream is left")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,8 @@
 	scheduler *schedule.Scheduler
 	// waiting holds where those that wait for a place are told of it, each with room for one.
 	waiting map[*schedule.Waiter]chan schedule.Grant
+	// published is closed when the upstreams change.
+	published chan struct{}
 	// taken holds how to end the attempts that may be taken back.
 	taken map[*schedule.Ticket]context.CancelCauseFunc
 }
@@ -79,8 +81,9 @@
 		view: registry.NewView(),
 		scheduler: schedule.New(schedule.Config{
 			DataCentre: cfg.DataCentre, Budget: cfg.Budget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Starting: startWait,
 		}),
-		waiting: map[*schedule.Waiter]chan schedule.Grant{}, taken: map[*schedule.Ticket]context.CancelCauseFunc{},
+		published: make(chan struct{}), waiting: map[*schedule.Waiter]chan schedule.Grant{}, taken: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
 	return g
 }
@@ -129,7 +132,11 @@
 }
 
 // publish takes the candidates from the view. The caller holds mu.
-func (g *Gateway) publish() { g.scheduler.SetUpstreams(g.view.Serving()) }
+func (g *Gateway) publish() {
+	g.deliver(g.scheduler.SetUpstreams(g.view.Serving(), g.now()))
+	close(g.published)
+	g.published = make(chan struct{})
+}
 
 // draw returns a number in [0, 1).
 func draw() float64 { return rand.Float64() }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -115,13 +115,7 @@
 	if t := g.table.Load(); t != nil || wait <= 0 {
 		return t
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-g.hasTable:
-	case <-timer.C:
-	case <-c.r.Context().Done():
-	}
+	isClosedWithin(c.r.Context(), g.hasTable, wait)
 	return g.table.Load()
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -19,15 +19,35 @@
 }
 
 // choose picks an upstream of a plain service that was not tried, and counts the attempt
-// there. It returns false where there is none.
-func (g *Gateway) choose(name string, tried []string) (registry.Upstream, *ticket, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	u, t, ok := g.scheduler.Choose(name, tried, g.now())
-	if !ok {
-		return u, nil, false
+// there. Where the host has just started, it waits for one to be known. It returns false
+// where there is none.
+func (g *Gateway) choose(ctx context.Context, name string, tried []string) (registry.Upstream, *ticket, bool) {
+	for {
+		g.mu.Lock()
+		u, t, ok := g.scheduler.Choose(name, tried, g.now())
+		published := g.published
+		g.mu.Unlock()
+		if ok {
+			return u, &ticket{Ticket: t, g: g}, true
+		}
+		wait := startWait - g.now()
+		if len(tried) > 0 || wait <= 0 || !isClosedWithin(ctx, published, wait) {
+			return u, nil, false
+		}
+	}
+}
+
+// isClosedWithin waits for c to be closed, until ctx ends or the time is over.
+func isClosedWithin(ctx context.Context, c <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return u, &ticket{Ticket: t, g: g}, true
+	return false
 }
 
 // outcome is how an attempt went, as far as it says something of the upstream.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,6 +31,8 @@
 	// configurations of some 10 KB the log stays far below a disk of 128 MB.
 	snapshotEntries = 1000
 	segmentBytes    = 4 << 20
+	// recallSuffix names the folder beside the data folder with the list of upstreams.
+	recallSuffix = "-upstreams"
 	// electionTicks is the least election timeout in ticks of 50 ms: six heartbeats, and
 	// many times a round trip between data centres.
 	electionTicks = 12
@@ -57,7 +59,8 @@
 
 func (n *Node) buildControl() (role, error) {
 	set := n.set.Control
-	j, recovered, err := journal.Open(journal.Options{Dir: set.DataFolder, SegmentBytes: segmentBytes, Logger: n.log, FS: journal.Patient{FS: journal.OS{}, Log: n.log}})
+	disk := journal.Patient{FS: journal.OS{}, Log: n.log}
+	j, recovered, err := journal.Open(journal.Options{Dir: set.DataFolder, SegmentBytes: segmentBytes, Logger: n.log, FS: disk})
 	if err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
@@ -71,7 +74,8 @@
 		Registry: registry.Limits{
 			Silence: time.Duration(silentAnnounces * float64(n.set.AnnounceInterval)), Forget: forgetAfter,
 		},
-		Log: n.log, Metrics: n.metrics,
+		Recall: control.NewRecall(journal.OS{}, set.DataFolder+recallSuffix),
+		Log:    n.log, Metrics: n.metrics,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -19,7 +19,7 @@
 	// fetchTimeout bounds one question for a configuration.
 	fetchTimeout = 600 * time.Millisecond
 	// fetchDelay is the pause after a question that failed.
-	fetchDelay = 100 * time.Millisecond
+	fetchDelay = 50 * time.Millisecond
 	// trustAfter is how long a host that starts looks for a control host that can show
 	// that its configuration is the newest. Where none can, as in a data centre that is
 	// cut off, it goes on with the newest that it found.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -113,6 +113,17 @@
 	return e.Upstream, changed || wasSilent
 }
 
+// Restore takes in what was known before a restart, as if it had been heard just now.
+// Upstreams that announced themselves since keep what they said.
+func (r *Registry) Restore(all []Upstream, now time.Duration) {
+	for _, u := range all {
+		if r.byID[u.ID] == nil {
+			u.IsSilent = false
+			r.byID[u.ID] = &entry{Upstream: u, heard: now}
+		}
+	}
+}
+
 // Tick marks what has become silent and forgets what is long gone. It returns the
 // upstreams that the hosts which serve callers have to be told of.
 func (r *Registry) Tick(now time.Duration) []Upstream {
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -105,20 +106,76 @@
 	if w.isOnTime(now) {
 		sv.demand.fresh.add(now)
 	}
-	isOut := sv.isOut(now)
-	if len(sv.all) == 0 || isOut && r.MayReturn {
+	isOut := sv.isOut(now) || s.isUnheard(sv, now)
+	if isOut && (r.MayReturn || len(sv.all) == 0) && now >= s.cfg.Starting {
 		return refuse(Outage)
 	}
-	if !isOut && len(sv.waiters) == 0 {
-		if u, ok := s.place(sv, r.Tried, now); ok {
-			t := s.grant(sv, u, w, now)
-			return Decision{Upstream: u.Upstream, Ticket: t}
+	if !isOut {
+		if t, ok := s.admitNow(sv, w, now); ok {
+			return Decision{Upstream: t.up.Upstream, Ticket: t}
+		}
+		if !w.isOnTime(now) && s.lateWait(sv, now) > LongestWait {
+			return refuse(Full)
 		}
 	}
 	sv.waiters = append(sv.waiters, w)
 	return Decision{Waiter: w}
 }
 
+// isUnheard reports whether the host has just started and nothing is heard yet of groups
+// that may have broken with it: what was known of their ranks before says nothing then.
+func (s *Scheduler) isUnheard(sv *service, now time.Duration) bool {
+	return now < s.cfg.Starting && sv.hasGroups() && !sv.isHeard(now)
+}
+
+// admitNow gives a place to a request that has just come, unless others wait that go
+// first.
+func (s *Scheduler) admitNow(sv *service, w *Waiter, now time.Duration) (*Ticket, bool) {
+	if len(sv.waiters) > 0 && !w.isBefore(sv.waiters[sv.first(now)], now) {
+		return nil, false
+	}
+	if !w.isOnTime(now) && s.lateRoom(sv, now) <= 0 {
+		return nil, false
+	}
+	u, ok := s.place(sv, w.tried, now)
+	if !ok {
+		return nil, false
+	}
+	return s.grant(sv, u, w, now), true
+}
+
+// lateRoom is how many more requests that are late anyway this host may place now. They
+// get what those that can be on time leave: an on-time answer is worth more to its caller
+// than a late one, and a late one that takes its place makes the next ones late, for as
+// long as the backlog of an outage lasts.
+func (s *Scheduler) lateRoom(sv *service, now time.Duration) float64 {
+	return s.latePlaces(sv, now) - float64(sv.late)
+}
+
+// latePlaces is this host's part of the places that requests on time leave.
+func (s *Scheduler) latePlaces(sv *service, now time.Duration) float64 {
+	places, _ := s.room(sv, now)
+	return places/float64(s.hosts) - sv.demand.need(now)
+}
+
+// lateWait is about how long a late request would wait for its place.
+func (s *Scheduler) lateWait(sv *service, now time.Duration) time.Duration {
+	ahead := 1.0
+	for _, w := range sv.waiters {
+		if !w.isOnTime(now) {
+			ahead++
+		}
+	}
+	places := s.latePlaces(sv, now)
+	if ahead -= places - float64(sv.late); ahead <= 0 {
+		return 0
+	}
+	if places <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(ahead / places * float64(sv.demand.stay))
+}
+
 func refuse(why Reason) Decision {
 	after := fullRetryAfter
 	if why == Outage {
@@ -152,6 +209,9 @@
 	for ; n > 0 && len(sv.waiters) > 0; n-- {
 		i := sv.first(now)
 		w := sv.waiters[i]
+		if !w.isOnTime(now) && s.lateRoom(sv, now) <= 0 {
+			break
+		}
 		u, ok := s.place(sv, w.tried, now)
 		if !ok {
 			break
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -125,13 +125,18 @@
 // serves reports whether an upstream can serve, as far as is known of its group: nothing
 // is sent into one that is broken, nor into one of which nothing is heard while others are.
 func (sv *service) serves(u *upstream, now time.Duration) bool {
-	g := u.group
-	if g == nil || !sv.isHeard(now) {
+	if !sv.isHeard(now) {
 		return true
 	}
-	return !g.isClosed && now-g.heard <= freshLoad
+	if u.group == nil {
+		return !sv.hasGroups()
+	}
+	return !u.group.isClosed && now-u.group.heard <= freshLoad
 }
 
+// hasGroups reports whether the service's engines are ranks of groups.
+func (sv *service) hasGroups() bool { return sv.shape != nil && sv.shape.Experts.Sets > 0 }
+
 // isHeard reports whether loads come at all.
 func (sv *service) isHeard(now time.Duration) bool { return sv.wasHeard && now-sv.heard <= freshLoad }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -26,6 +26,10 @@
 	Budget retrybudget.Params
 	// Random decides between equals.
 	Random *rand.Rand
+	// Starting is until when the host has just started. What it does not know yet is on its
+	// way, and groups that broke with it form anew: requests wait for them, since most of
+	// their callers have one try left.
+	Starting time.Duration
 }
 
 // Scheduler is the table of one host.
@@ -91,8 +95,9 @@
 func (s *Scheduler) Hosts() int { return s.hosts }
 
 // SetUpstreams replaces the upstreams that serve, by service in the order of their ids.
-// The experience with those that stay is kept; one that has started again begins anew.
-func (s *Scheduler) SetUpstreams(serving map[string][]registry.Upstream) {
+// The experience with those that stay is kept; one that has started again begins anew. It
+// returns the places that waiting requests get.
+func (s *Scheduler) SetUpstreams(serving map[string][]registry.Upstream, now time.Duration) []Grant {
 	for _, u := range s.upstreams {
 		u.isServing = false
 	}
@@ -114,9 +119,14 @@
 			delete(s.upstreams, id)
 		}
 	}
+	var grants []Grant
 	for _, sv := range s.services {
 		sv.regroup()
+		if len(sv.waiters) > 0 && len(sv.all) > 0 {
+			grants = s.pump(grants, sv, s.share(sv, now), now)
+		}
 	}
+	return grants
 }
 
 // know returns the record of an upstream.
