Let a slow rank leave its experts to others, and copy by time

Cause: the planner could copy an expert of the most loaded rank elsewhere, but never take the rank's own copy away without giving it another; a rank that is slow kept a part of every expert that it held, and its group's pace with it. In groups with small experts a change copied one a rank, although a copy takes 13 ms there.

Change: moves by which the most loaded rank leaves an expert, to a rank that takes it or to those that hold it (which costs no copy); a change copies as many experts a rank as fit into 100 ms.

--- a/internal/group/planpicks.go
+++ b/internal/group/planpicks.go
@@ -19,12 +19,12 @@
 	// which popularity counts as having jumped: what was before is forgotten at once.
 	// Intervals of a tenth of a second differ by less by chance.
 	jump = 0.13
-	// freshAtOnce is how many experts, of all sets together, are new to a rank in one
-	// change: a rank copies them one after the other, a tenth of a second each, and all
-	// wait for the last. Small changes in quick succession follow a jump sooner than one
-	// that is complete. On days of overload with jumps every 4 s the mean worth was 0.53
+	// copySpan is how long the ranks may copy experts in one change, of all sets together:
+	// a rank copies them one after the other, and all wait for the last. Small changes in
+	// quick succession follow a jump sooner than one that is complete. Where a copy takes a
+	// tenth of a second, on days of overload with jumps every 4 s the mean worth was 0.53
 	// with one, 0.52 with two, 0.50 with three and 0.49 with one a set.
-	freshAtOnce = 1
+	copySpan = 100 * time.Millisecond
 	// leastStep is the part of a rank's mean load that a copied expert has to save. At
 	// 0.04 a quarter less is copied than at 0.02, at the same skew; at 0.07 passes are a
 	// little shorter still, since copying slows them.
@@ -82,9 +82,12 @@
 // the least gain a change has to bring.
 func (p *planner) nextByPicks(shape *wire.GroupShape, ease float64) (expertmap.Map, uint64, forecast) {
 	p.observe(p.picks.take(shape))
+	fresh := freshAtOnce(shape)
 	params := placement.SetParams{
-		Pace: p.picks.paces(), Slots: int(shape.SlotsPerRank), Spare: freshAtOnce,
-		RankSpare: freshAtOnce, LeastGain: leastStep,
+		Pace: p.picks.paces(), Slots: int(shape.SlotsPerRank), Spare: fresh, RankSpare: fresh, LeastGain: leastStep,
+	}
+	if shape.Spare > 0 {
+		params.Spare = min(fresh, int(shape.Spare))
 	}
 	held, base := p.picks.held()
 	next := placement.BalanceSets(held, p.load, params)
@@ -106,6 +109,14 @@
 	return m, base, f
 }
 
+// freshAtOnce is how many experts may be new to a rank in one change.
+func freshAtOnce(shape *wire.GroupShape) int {
+	if shape.CopyUS == 0 {
+		return 1
+	}
+	return max(int(copySpan/(time.Duration(shape.CopyUS)*time.Microsecond)), 1)
+}
+
 // observe takes an interval's counts into the load.
 func (p *planner) observe(tokens placement.Load) {
 	if placement.Sum(tokens) == 0 && p.load != nil {
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -100,6 +100,8 @@
 	held [][]uint16
 	// before tells which experts a rank held at first, by rank and expert.
 	before [][]bool
+	// has tells which they hold now.
+	has [][]bool
 	// fresh counts a rank's experts that it did not hold at first.
 	fresh []int
 	// copies counts the ranks that hold an expert.
@@ -125,6 +127,7 @@
 			b.copies[e]++
 		}
 		b.before = append(b.before, has)
+		b.has = append(b.has, slices.Clone(has))
 		b.held = append(b.held, slices.Clone(list))
 	}
 	b.measure()
@@ -162,15 +165,17 @@
 // none stands for no expert.
 const none = -1
 
-// move puts an expert of the most loaded rank, hot, on another one. Gives is the expert that
-// makes room there, or none; back tells that it goes to the most loaded rank, which
-// gives up its own copy.
+// move relieves the most loaded rank, hot, of an expert: another rank takes it, or, where
+// rank is none, those that hold it already do. Gives is the expert that makes room there,
+// or none. Leaves tells that hot gives up its own copy, back that it gets the expert that
+// made room for it.
 type move struct {
-	hot   int
-	rank  int
-	takes uint16
-	gives int
-	back  bool
+	hot    int
+	rank   int
+	takes  uint16
+	gives  int
+	leaves bool
+	back   bool
 	// gain is by how much the higher of the ranks concerned falls.
 	gain float64
 }
@@ -185,54 +190,90 @@
 	}
 	b.next, b.found = move{gain: b.p.LeastGain * b.mean}, false
 	for _, e := range b.held[hot] {
+		if b.share(e)*b.pace(hot) <= b.next.gain {
+			// No move of it relieves hot by more than that.
+			continue
+		}
+		b.considerDrop(hot, e)
 		for r := range b.held {
-			if r == hot || slices.Contains(b.held[r], e) {
-				continue
-			}
-			for _, m := range b.moves(hot, r, e) {
-				if m.gain > b.next.gain {
-					b.next, b.found = m, true
-				}
+			if r != hot && !b.has[r][e] {
+				b.considerMoves(hot, r, e)
 			}
 		}
 	}
 }
 
+// consider keeps a move that gains more than the best so far.
+func (b *balancer) consider(m move) {
+	if m.gain > b.next.gain {
+		b.next, b.found = m, true
+	}
+}
+
 // isAllowed reports whether the budgets of the ranks still have room for a move.
 func (b *balancer) isAllowed(m move) bool {
+	if m.rank == none {
+		return true
+	}
 	if !b.mayTake(m.rank, m.takes, m.gives) {
 		return false
 	}
 	return !m.back || b.mayTake(m.hot, uint16(m.gives), int(m.takes))
 }
 
-// moves returns the moves that put e on rank r.
-func (b *balancer) moves(hot, r int, e uint16) []move {
-	var out []move
-	n := b.copies[e]
-	relief := b.share(e) - b.shareOf(e, n+1)
-	extra := b.shareOf(e, n+1)
+// considerMoves looks at the moves that put e on rank r.
+func (b *balancer) considerMoves(hot, r int, e uint16) {
+	share, extra := b.share(e), b.shareOf(e, b.copies[e]+1)
+	relief := share - extra
 	if len(b.held[r]) < b.p.Slots && b.mayTake(r, e, none) {
-		out = append(out, move{hot: hot, rank: r, takes: e, gives: none, gain: b.gain(hot, r, relief, extra)})
+		b.consider(move{hot: hot, rank: r, takes: e, gives: none, gain: b.gain(hot, r, relief, extra)})
+		b.consider(move{hot: hot, rank: r, takes: e, gives: none, leaves: true, gain: b.gain(hot, r, share, share)})
 	}
 	for _, f := range b.held[r] {
-		if b.copies[f] > 1 && b.mayTake(r, e, int(f)) {
-			// The other holders of f get more; the most loaded rank may be one.
-			more := b.shareOf(f, b.copies[f]-1) - b.share(f)
-			less := relief
-			if slices.Contains(b.held[hot], f) {
-				less -= more
-			}
-			if b.holdersStayBelow(f, r, hot, more, less) {
-				out = append(out, move{hot: hot, rank: r, takes: e, gives: int(f), gain: b.gain(hot, r, less, extra-b.share(f))})
-			}
+		if !b.mayTake(r, e, int(f)) {
+			continue
 		}
-		if !slices.Contains(b.held[hot], f) && b.mayTake(r, e, int(f)) && b.mayTake(hot, f, int(e)) {
-			d := b.share(e) - b.share(f)
-			out = append(out, move{hot: hot, rank: r, takes: e, gives: int(f), back: true, gain: b.gain(hot, r, d, d)})
+		if b.copies[f] > 1 {
+			b.considerReplace(move{hot: hot, rank: r, takes: e, gives: int(f)}, relief, extra)
+			b.considerReplace(move{hot: hot, rank: r, takes: e, gives: int(f), leaves: true}, share, share)
+		}
+		if !b.has[hot][f] && b.mayTake(hot, f, int(e)) {
+			d := share - b.share(f)
+			b.consider(move{hot: hot, rank: r, takes: e, gives: int(f), leaves: true, back: true, gain: b.gain(hot, r, d, d)})
 		}
 	}
-	return out
+}
+
+// considerReplace looks at a move that takes the place of another copy of an expert, and
+// by itself takes less from the most loaded rank and gives extra to the other one.
+func (b *balancer) considerReplace(m move, less, extra float64) {
+	f := uint16(m.gives)
+	// The other holders of f get more; the most loaded rank may be one.
+	more := b.shareOf(f, b.copies[f]-1) - b.share(f)
+	if b.has[m.hot][f] {
+		less -= more
+	}
+	m.gain = b.gain(m.hot, m.rank, less, extra-b.share(f))
+	if m.gain > b.next.gain && b.holdersStayBelow(f, m.rank, m.hot, more, less) {
+		b.consider(m)
+	}
+}
+
+// considerDrop looks at the move by which hot leaves e to the other ranks that hold it,
+// which costs no copy.
+func (b *balancer) considerDrop(hot int, e uint16) {
+	n := b.copies[e]
+	if n < 2 {
+		return
+	}
+	more, less := b.shareOf(e, n-1)-b.share(e), b.share(e)
+	top := b.times[hot] - less*b.pace(hot)
+	for h := range b.held {
+		if h != hot && b.has[h][e] {
+			top = max(top, b.times[h]+more*b.pace(h))
+		}
+	}
+	b.consider(move{hot: hot, rank: none, takes: e, gives: none, leaves: true, gain: b.times[hot] - top})
 }
 
 // gain is by how much the higher of two ranks' times falls where hot gets fewer tokens
@@ -244,7 +285,7 @@
 // holdersStayBelow reports whether the other holders of f can take its tokens.
 func (b *balancer) holdersStayBelow(f uint16, r, hot int, more, less float64) bool {
 	for h := range b.held {
-		if h != r && h != hot && slices.Contains(b.held[h], f) && b.times[h]+more*b.pace(h) > b.times[hot]-less*b.pace(hot) {
+		if h != r && h != hot && b.has[h][f] && b.times[h]+more*b.pace(h) > b.times[hot]-less*b.pace(hot) {
 			return false
 		}
 	}
@@ -266,18 +307,23 @@
 // make makes a move.
 func (b *balancer) make(m move) {
 	if m.gives != none {
-		b.drop(m.rank, uint16(m.gives))
+		b.remove(m.rank, uint16(m.gives))
+	}
+	if m.leaves {
+		b.remove(m.hot, m.takes)
 	}
 	if m.back {
-		b.drop(m.hot, m.takes)
 		b.add(m.hot, uint16(m.gives))
 	}
-	b.add(m.rank, m.takes)
+	if m.rank != none {
+		b.add(m.rank, m.takes)
+	}
 	b.measure()
 }
 
 func (b *balancer) add(r int, e uint16) {
 	b.held[r] = append(b.held[r], e)
+	b.has[r][e] = true
 	b.copies[e]++
 	if !b.before[r][e] {
 		b.fresh[r]++
@@ -285,9 +331,10 @@
 	}
 }
 
-func (b *balancer) drop(r int, e uint16) {
+func (b *balancer) remove(r int, e uint16) {
 	i := slices.Index(b.held[r], e)
 	b.held[r] = slices.Delete(b.held[r], i, i+1)
+	b.has[r][e] = false
 	b.copies[e]--
 	if !b.before[r][e] {
 		b.fresh[r]--
--- a/internal/placement/balance_test.go
+++ b/internal/placement/balance_test.go
@@ -180,3 +180,30 @@
 	require.InDelta(t, 120, slices.Max(SetTimes(held, load, pace)), 1e-9)
 	require.Less(t, slices.Max(SetTimes(next, load, pace)), 70.0)
 }
+
+// A slow rank sets the pace of all, so its experts go to the others, the last copies too:
+// it may be left without any.
+func TestSlowRankIsRelievedOfItsExperts(t *testing.T) {
+	const ranks, experts, slots = 8, 64, 11
+	held := make([][]uint16, ranks)
+	load := make([]float64, experts)
+	for e := range load {
+		held[e%ranks] = append(held[e%ranks], uint16(e))
+		load[e] = 1
+	}
+	pace := []float64{4, 1, 1, 1, 1, 1, 1, 1}
+	p := SetParams{Slots: slots, Spare: slots, LeastGain: 0.02, Pace: pace}
+	before := SetTimes(held, load, pace)
+	after := SetTimes(Balance(held, load, p), load, pace)
+	require.InDelta(t, 32, slices.Max(before), 0.01)
+	require.Less(t, slices.Max(after), 11.0, "a group of seven would have 9.1 each")
+}
+
+// A copy that is no longer worth its load is left without a copy elsewhere.
+func TestDropCostsNoCopy(t *testing.T) {
+	held := [][]uint16{{0, 1}, {0, 2}, {3}}
+	load := []float64{10, 10, 1, 10}
+	after := Balance(held, load, SetParams{Slots: 1, Spare: 0, LeastGain: 0.02})
+	require.Equal(t, []uint16{1}, after[0])
+	require.Equal(t, []uint16{0, 2}, after[1])
+}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -253,7 +253,8 @@
 	out := make([][][]uint16, len(m.Layers))
 	for set, slots := range m.Layers {
 		for first := 0; first < len(slots); first += m.SlotsPerRank {
-			var list []uint16
+			// A rank without experts has an empty list, not none.
+			list := make([]uint16, 0, m.SlotsPerRank)
 			for _, x := range slots[first : first+m.SlotsPerRank] {
 				if x != NoExpert {
 					list = append(list, x)
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -116,6 +116,8 @@
 	Sets, Count, Slots, Spare int
 	// Share is the part of a step's work that the experts do, in [0, 1].
 	Share float64
+	// Copy is how long a rank takes to copy an expert that is new to it; 0 if not known.
+	Copy time.Duration
 }
 
 // Workspace is a customer with its keys.
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -220,6 +220,8 @@
 	// Spare bounds the experts of a layer that are new to a rank in one change; 0 is no
 	// bound.
 	Spare uint32 `cbor:"7,keyasint,omitempty"`
+	// CopyUS is how long a rank takes to copy an expert, in microseconds; 0 if not known.
+	CopyUS uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // OrderAnswer answers an OrderQuery. The leader made it after a quorum round that
