Take attempts out of a broken group at once where another one serves

Cause: a group that lost a rank stood still for 1.5 s before its engines refused; an attempt there waited for that, and its stall was told after half a second.

Change: a group counts as standing still after 0.3 s or five passes; attempts without an answer leave it for another group that serves.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,7 +94,7 @@
 	answer, err := c.g.cfg.Client.Send(ctx, t, r)
 	var stalled *stalledError
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
-		c.isGivenUp = true
+		c.isGivenUp = !stalled.hasOther
 		return nil, stalled.verdict()
 	}
 	return answer, err
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -15,12 +15,16 @@
 const mayReturn = 0.8
 
 // stalledError ends an attempt in a group that does not serve.
-type stalledError struct{ retryAfter time.Duration }
+type stalledError struct {
+	// hasOther tells that another group serves.
+	hasOther   bool
+	retryAfter time.Duration
+}
 
 // Error implements error.
 func (*stalledError) Error() string { return schedule.Outage.String() }
 
-// verdict is the error of the request that was given up for its group.
+// verdict is the error of the attempt that was given up for its group: it may run yet.
 func (e *stalledError) verdict() error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, e.Error()).After(e.retryAfter)
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -115,7 +115,7 @@
 	g.deliver(results)
 	for _, s := range stalled {
 		if end := g.taken[s.Ticket]; end != nil {
-			end(&stalledError{retryAfter: s.RetryAfter})
+			end(&stalledError{hasOther: s.HasOther, retryAfter: s.RetryAfter})
 		}
 	}
 }
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -5,7 +5,7 @@
 const (
 	// leastStall is how long a group with work to do makes no step before it counts as
 	// stalled: several passes at the slowest usual pace.
-	leastStall = 500 * time.Millisecond
+	leastStall = 300 * time.Millisecond
 	// stallSteps is how many steps of the present pace it waits at least.
 	stallSteps = 5
 	// paceWeight is the share of the last step in the pace.
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -85,85 +85,75 @@
 // isSuspect reports whether others are preferred to the upstream.
 func (u *upstream) isSuspect(now time.Duration) bool { return u.IsSilent || now < u.suspectUntil }
 
-// place takes a place at an engine that was not tried and has one free.
+// option is an engine at which a request could get a place.
+type option struct {
+	up    *upstream
+	taken float64
+}
+
+// place finds an engine that was not tried and has a place free; suspects only where
+// nobody else serves, not where all others are full.
 func (s *Scheduler) place(sv *service, tried []string, now time.Duration) (*upstream, bool) {
 	least, darkest := sv.leastPace(now), sv.darkest(now)
-	free := func(u *upstream, mayBeSuspect bool) float64 {
-		isDark := u.load.isKnown && now-u.load.at >= darkest
-		if !sv.serves(u, now) || slices.Contains(tried, u.ID) || !mayBeSuspect && (isDark || u.isSuspect(now)) {
-			return 0
-		}
-		return float64(sv.placesAt(u, least, now)) - s.taken(u, now)
-	}
-	for _, mayBeSuspect := range []bool{false, true} {
-		if u := s.draw(sv, now, func(u *upstream) float64 { return free(u, mayBeSuspect) }); u != nil {
-			return u, true
+	s.trusted, s.suspect = s.trusted[:0], s.suspect[:0]
+	hasTrusted := false
+	for _, u := range sv.all {
+		if !sv.serves(u, now) || slices.Contains(tried, u.ID) {
+			continue
 		}
-		if sv.hasTrusted(tried, darkest, now) {
-			// Suspects are for the time when there is nobody else, not for that when all
-			// others are full.
-			return nil, false
+		isTrusted := !u.isSuspect(now) && (!u.load.isKnown || now-u.load.at < darkest)
+		hasTrusted = hasTrusted || isTrusted
+		taken := s.taken(u, now)
+		switch hasPlace := taken < float64(sv.placesAt(u, least, now)); {
+		case hasPlace && isTrusted:
+			s.trusted = append(s.trusted, option{u, taken})
+		case hasPlace:
+			s.suspect = append(s.suspect, option{u, taken})
 		}
 	}
-	return nil, false
-}
-
-// hasTrusted reports whether some engine that serves is no suspect and was not tried.
-func (sv *service) hasTrusted(tried []string, darkest, now time.Duration) bool {
-	for _, u := range sv.all {
-		isDark := u.load.isKnown && now-u.load.at >= darkest
-		if sv.serves(u, now) && !isDark && !u.isSuspect(now) && !slices.Contains(tried, u.ID) {
-			return true
-		}
+	if hasTrusted {
+		return s.draw(sv, s.trusted, now)
 	}
-	return false
+	return s.draw(sv, s.suspect, now)
 }
 
-// draw returns one of the engines with free places, nil if there is none. The requests
-// that other hosts have placed since the loads were read are not known, only about how
-// many there are; all hosts together fill the emptiest engines up to one level. So an
-// engine is drawn by what it is below that level: with few hosts the least loaded, with
-// many one of those with room.
-func (s *Scheduler) draw(sv *service, now time.Duration, free func(*upstream) float64) *upstream {
-	level := s.level(sv, now, free)
+// draw returns one of the engines, false if there is none. The requests that other hosts
+// have placed since the loads were read are not known, only about how many there are; all
+// hosts together fill the emptiest engines up to one level. So an engine is drawn by what
+// it is below that level: with few hosts the least loaded, with many one of those with
+// room.
+func (s *Scheduler) draw(sv *service, all []option, now time.Duration) (*upstream, bool) {
+	level := level(all, 1+s.unseen(sv, now))
 	var best *upstream
 	sum := 0.0
-	for _, u := range sv.all {
-		if free(u) <= 0 {
-			continue
-		}
-		weight := max(level-s.taken(u, now), 0)
-		if u.DataCentre == s.cfg.DataCentre {
+	for _, o := range all {
+		weight := max(level-o.taken, 0)
+		if o.up.DataCentre == s.cfg.DataCentre {
 			weight *= localWeight
 		}
 		sum += weight
 		if weight > 0 && s.cfg.Random.Float64()*sum < weight {
-			best = u
+			best = o.up
 		}
 	}
-	return best
+	return best, best != nil
 }
 
-// level returns up to how many requests the engines with free places have been filled by
-// now, this one included.
-func (s *Scheduler) level(sv *service, now time.Duration, free func(*upstream) float64) float64 {
+// level returns up to how many requests that many more fill the engines, the emptiest
+// first.
+func level(all []option, more float64) float64 {
 	var count [mostTaken + 1]int
 	var sum [mostTaken + 1]float64
-	for _, u := range sv.all {
-		if free(u) <= 0 {
-			continue
-		}
-		t := s.taken(u, now)
-		i := min(int(t), mostTaken)
+	for _, o := range all {
+		i := min(int(o.taken), mostTaken)
 		count[i]++
-		sum[i] += t
+		sum[i] += o.taken
 	}
-	want := 1 + s.unseen(sv, now)
 	below, taken := 0, 0.0
 	for l := range mostTaken {
 		below += count[l]
 		taken += sum[l]
-		if top := float64(l + 1); float64(below)*top-taken >= want {
+		if top := float64(l + 1); float64(below)*top-taken >= more {
 			return top
 		}
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -41,6 +41,8 @@
 	upstreams map[string]*upstream
 	byAddress map[string]*upstream
 	services  map[string]*service
+	// trusted and suspect are used by place, so that a decision need not allocate them.
+	trusted, suspect []option
 }
 
 // New returns an empty Scheduler of a host that is alone.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -407,6 +407,17 @@
 	require.Empty(t, stalled)
 }
 
+// Where another group serves, an attempt leaves the broken one at once.
+func TestAttemptLeavesABrokenGroupForAnother(t *testing.T) {
+	l := newLab(2, 1, 1)
+	l.fill(0)
+	d := l.Admit(l.request(), l.now)
+	l.Listen(d.Ticket, l.now)
+	_, stalled := l.tell(d.Ticket.ID(), func(load *wire.EngineLoad) { load.IsOpen = false })
+	require.Len(t, stalled, 1)
+	require.True(t, stalled[0].HasOther)
+}
+
 // An upstream that has started again under its id begins without the experience of before,
 // and a load of the start before says nothing of it.
 func TestUpstreamThatStartsAgainBeginsAnew(t *testing.T) {
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -17,7 +17,9 @@
 // Stalled is an attempt that is to end since its group does not serve.
 type Stalled struct {
 	Ticket *Ticket
-	// RetryAfter is what its caller is told.
+	// HasOther tells that another group serves: the request is to be sent there at once.
+	// Otherwise it is given up, and its caller is told RetryAfter.
+	HasOther   bool
 	RetryAfter time.Duration
 }
 
@@ -30,14 +32,20 @@
 // Heard tells that the head of the answer is there.
 func (s *Scheduler) Heard(t *Ticket) { delete(t.service.unheard, t) }
 
-// stalled adds the attempts that have waited too long while no group serves.
+// stalled adds the attempts that are in a group which does not serve: at once where
+// another one does, since engines that wait for a lost rank refuse only 1.5 s later; after
+// the patience of callers where none does.
 func (sv *service) stalled(out []Stalled, now time.Duration) []Stalled {
-	if len(sv.unheard) == 0 || !sv.isOut(now) {
+	if len(sv.unheard) == 0 {
 		return out
 	}
+	isOut := sv.isOut(now)
 	for t, u := range sv.unheard {
-		if now-u.since >= StalledPatience {
+		switch {
+		case isOut && now-u.since >= StalledPatience:
 			out = append(out, Stalled{Ticket: t, RetryAfter: outageRetryAfter})
+		case !isOut && t.up.group != nil && t.up.group.isClosed:
+			out = append(out, Stalled{Ticket: t, HasOther: true})
 		}
 	}
 	return out
