Do not count attempts that found another upstream at the address

Cause: after a loss of power upstreams came back under new ids; 94 requests were answered 503 since both of their attempts found the address taken by another one.

Change: such an attempt had no upstream of the route and doesn't count as one of those that the route allows; it takes one repeat of the shared budget like any other. A plain service waits for upstreams while the host has just started, also after such attempts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,7 +71,11 @@
 	answer, err := c.exchange(ctx, hold, since, target, request)
 	if err != nil {
 		c.last = err
-		hold.end(judge(ctx, err))
+		how := judge(ctx, err)
+		if how == outcomeMisdirected {
+			c.misdirected++
+		}
+		hold.end(how)
 		c.g.counts.attemptFailed(err)
 		c.warn("attempt failed", "upstream", u.ID, "send", c.sends, "error", err.Error())
 		return nil, nil, false
@@ -127,7 +131,7 @@
 
 // mayGoOn reports whether one more attempt is allowed after c.last.
 func (c *call) mayGoOn(ctx context.Context) bool {
-	if ctx.Err() != nil || c.isGivenUp || c.sends == 0 || c.sends >= c.route.Attempts {
+	if ctx.Err() != nil || c.isGivenUp || c.sends == 0 || c.sends-c.misdirected >= c.route.Attempts {
 		return false
 	}
 	if time.Until(c.deadline) < leastLeft {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -373,3 +373,17 @@
 	resp, _ := l.ask("/safe/x", nil)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "a host that has been up for long has lost them")
 }
+
+// An address that another upstream has now is no attempt at an upstream of the route: the
+// request goes on, until it finds one or none is left.
+func TestMisdirectedAttemptsDoNotCount(t *testing.T) {
+	l := newLab(t)
+	l.table(nil)
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		l.upstream(id, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	}
+	l.upstream("right", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	resp, body := l.ask("/unsafe/", nil)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "answer", body)
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -39,8 +39,10 @@
 	began    time.Time
 	// deadline is when the caller is given its final answer at the latest.
 	deadline time.Time
-	// sends counts the attempts, tried names the upstreams that had one.
-	sends int
+	// sends counts the attempts, tried names the upstreams that had one. Misdirected are
+	// those that found another upstream at the address: no upstream of the route had them,
+	// and each is the last one there, since its upstream is revoked.
+	sends, misdirected int
 	tried []string
 	// isTainted is set once an attempt may have run: no later refusal says otherwise.
 	isTainted bool
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -31,7 +31,7 @@
 			return u, &ticket{Ticket: t, g: g}, true
 		}
 		wait := startWait - g.now()
-		if len(tried) > 0 || wait <= 0 || !isClosedWithin(ctx, published, wait) {
+		if wait <= 0 || !isClosedWithin(ctx, published, wait) {
 			return u, nil, false
 		}
 	}
