--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,7 +43,7 @@
 	// those that found another upstream at the address: no upstream of the route had them,
 	// and each is the last one there, since its upstream is revoked.
 	sends, misdirected int
-	tried []string
+	tried              []string
 	// isTainted is set once an attempt may have run: no later refusal says otherwise.
 	isTainted bool
 	// isGivenUp is set once there is no upstream for another attempt, or the group of the
