--- a/internal/expertmap/protocol_test.go
+++ b/internal/expertmap/protocol_test.go
@@ -139,7 +139,7 @@
 
 // groupShape draws hosts and ranks per host, mostly few.
 func groupShape(t *rapid.T) (hosts, ranks int) {
-	shapes := [][2]int{{2, 1}, {3, 1}, {2, 2}, {4, 1}, {5, 1}, {3, 3}, {8, 1}, {16, 8}}
+	shapes := [][2]int{{2, 1}, {3, 1}, {2, 2}, {4, 1}, {5, 1}, {3, 3}, {8, 1}, {16, 8}, {32, 1}, {63, 1}, {128, 1}}
 	s := rapid.SampledFrom(shapes).Draw(t, "shape")
 	return s[0], s[1]
 }
