--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/registry"
@@ -22,9 +20,6 @@
 	// priorityStep is by how much a request goes before those of the next lower priority.
 	// It is a part of a usual wait, so that none waits for ever behind more urgent ones.
 	priorityStep = 100 * time.Millisecond
-	// reserveTime is for how long the free places have to last for requests that can be on
-	// time before a late one may have one of them.
-	reserveTime = 500 * time.Millisecond
 )
 
 // Request is a request that needs a place at an engine.
@@ -168,66 +163,6 @@
 	return s.grant(sv, u, w, now), true
 }
 
-// usualStay is about how long a request keeps its place.
-func (sv *service) usualStay() time.Duration { return Stay(sv.shape, sv.places) }
-
-// lateRoom is how many more requests that are late anyway this host may place now. They
-// get what those that can be on time leave: an on-time answer is worth more to its caller
-// than a late one, and a late one that takes its place makes the next ones late, for as
-// long as the backlog of an outage lasts.
-func (s *Scheduler) lateRoom(sv *service, now time.Duration) float64 {
-	_, free := s.room(sv, now)
-	spare := free/float64(s.hosts) - sv.demand.fresh.rate(now)*reserveTime.Seconds()
-	return max(s.latePlaces(sv, now)-float64(sv.late), spare)
-}
-
-// ownPlaces is this host's part of the places.
-func (s *Scheduler) ownPlaces(sv *service, now time.Duration) float64 {
-	places, _ := s.room(sv, now)
-	return places / float64(s.hosts)
-}
-
-// latePlaces is what requests on time leave of this host's part of the places.
-func (s *Scheduler) latePlaces(sv *service, now time.Duration) float64 {
-	return s.ownPlaces(sv, now) - sv.demand.need(sv.usualStay(), now)
-}
-
-// isHopeless reports whether a request would wait for its place in vain, as far as can be
-// told from how places become free and who goes before it.
-func (s *Scheduler) isHopeless(sv *service, w *Waiter, now time.Duration) bool {
-	if sv.demand.stay == 0 {
-		return false
-	}
-	if w.isOnTime(now) && s.wait(sv, w, s.ownPlaces(sv, now), now) < w.onTime-now {
-		return false
-	}
-	left := s.latePlaces(sv, now)
-	if left <= 0 {
-		return true
-	}
-	return s.wait(sv, w, left, now)-s.turnover(sv, s.lateRoom(sv, now), left) > w.until-now
-}
-
-// wait is about how long a request waits behind those that go before it, where that many
-// places become free in the mean stay of a request.
-func (s *Scheduler) wait(sv *service, w *Waiter, places float64, now time.Duration) time.Duration {
-	ahead := 1.0
-	for _, o := range sv.waiters {
-		if o != w && o.isBefore(w, now) {
-			ahead++
-		}
-	}
-	return s.turnover(sv, ahead, places)
-}
-
-// turnover is how long it takes until n of that many places have become free.
-func (s *Scheduler) turnover(sv *service, n, places float64) time.Duration {
-	if places <= 0 {
-		return math.MaxInt64 / 4
-	}
-	return time.Duration(n / places * float64(sv.demand.stay))
-}
-
 func refuse(why Reason) Decision {
 	after := fullRetryAfter
 	if why == Outage {
@@ -245,71 +180,3 @@
 	}
 	return t
 }
-
-// GiveUp takes a request that has waited too long out, and says what its caller is told.
-func (s *Scheduler) GiveUp(w *Waiter) Decision {
-	sv := w.service
-	if i := slices.Index(sv.waiters, w); i >= 0 {
-		sv.waiters = slices.Delete(sv.waiters, i, i+1)
-	}
-	return refuse(Full)
-}
-
-// pump gives up to n places to requests that wait: first to those that can still be on
-// time, in their order.
-func (s *Scheduler) pump(out []Result, sv *service, n int, now time.Duration) []Result {
-	for ; n > 0 && len(sv.waiters) > 0; n-- {
-		i := sv.first(now)
-		w := sv.waiters[i]
-		if !w.isOnTime(now) && s.lateRoom(sv, now) <= 0 {
-			break
-		}
-		u, ok := s.place(sv, w.tried, now)
-		if !ok {
-			break
-		}
-		sv.waiters = slices.Delete(sv.waiters, i, i+1)
-		t := s.grant(sv, u, w, now)
-		out = append(out, Result{Waiter: w, Decision: Decision{Upstream: u.Upstream, Ticket: t}})
-	}
-	return out
-}
-
-// sweep refuses the requests that wait in vain, at once: their callers can use the time.
-func (s *Scheduler) sweep(out []Result, sv *service, now time.Duration) []Result {
-	if len(sv.waiters) == 0 || sv.isOut(now) || s.isUnheard(sv, now) {
-		return out
-	}
-	for i := len(sv.waiters) - 1; i >= 0; i-- {
-		w := sv.waiters[i]
-		if w.isOnTime(now) || !s.isHopeless(sv, w, now) {
-			continue
-		}
-		sv.waiters = slices.Delete(sv.waiters, i, i+1)
-		out = append(out, Result{Waiter: w, Decision: refuse(Full)})
-	}
-	return out
-}
-
-// first returns the waiter that is served next. There has to be one.
-func (sv *service) first(now time.Duration) int {
-	next := 0
-	for i, w := range sv.waiters {
-		if w.isBefore(sv.waiters[next], now) {
-			next = i
-		}
-	}
-	return next
-}
-
-// isOnTime reports whether the request can be on time if it gets its place now.
-func (w *Waiter) isOnTime(now time.Duration) bool { return now < w.onTime }
-
-// isBefore reports whether w is served before o: those that can be on time go first, then
-// it is their turns that count.
-func (w *Waiter) isBefore(o *Waiter, now time.Duration) bool {
-	if isOnTime := w.isOnTime(now); isOnTime != o.isOnTime(now) {
-		return isOnTime
-	}
-	return w.turn < o.turn
-}
