Leave a broken group only for places that are free

Cause: in a recorded incident a group stood still for 4 s, since the host of a rank that held was frozen; all attempts left it at once for a group that was full, and 52 callers were told 502 that would have been served when the group went on.

Change: as many attempts leave as the other group has places free for this host; the rest stays until the patience of callers ends.

--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -57,7 +57,7 @@
 	var stalled []Stalled
 	for _, sv := range s.services {
 		sv.regroup()
-		stalled = sv.stalled(stalled, now)
+		stalled = s.stalled(stalled, sv, now)
 		if len(sv.waiters) > 0 {
 			results = s.pump(results, sv, s.share(sv, now), now)
 			results = s.sweep(results, sv, now)
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -32,20 +32,36 @@
 // Heard tells that the head of the answer is there.
 func (s *Scheduler) Heard(t *Ticket) { delete(t.service.unheard, t) }
 
-// stalled adds the attempts that are in a group which does not serve: at once where
-// another one does, since engines that wait for a lost rank refuse only 1.5 s later; after
-// the patience of callers where none does.
-func (sv *service) stalled(out []Stalled, now time.Duration) []Stalled {
+// stalled adds the attempts that are in a group which does not serve. Where none does, they
+// are given up after the patience of callers. Where another one has places free, as many
+// as it has leave at once: engines that wait for a lost rank refuse only 1.5 s later. The
+// rest stays, since a group that only stands still may go on before their callers leave.
+func (s *Scheduler) stalled(out []Stalled, sv *service, now time.Duration) []Stalled {
 	if len(sv.unheard) == 0 {
 		return out
 	}
-	isOut := sv.isOut(now)
+	if sv.isOut(now) {
+		return sv.outOfPatience(out, now)
+	}
+	free := 0
+	if sv.shape != nil {
+		_, places := s.room(sv, now)
+		free = int(places) / s.hosts
+	}
+	for t := range sv.unheard {
+		if free > 0 && t.up.group != nil && t.up.group.isClosed {
+			out = append(out, Stalled{Ticket: t, HasOther: true})
+			free--
+		}
+	}
+	return out
+}
+
+// outOfPatience adds the attempts whose callers would leave soon.
+func (sv *service) outOfPatience(out []Stalled, now time.Duration) []Stalled {
 	for t, u := range sv.unheard {
-		switch {
-		case isOut && now-u.since >= StalledPatience:
+		if now-u.since >= StalledPatience {
 			out = append(out, Stalled{Ticket: t, RetryAfter: outageRetryAfter})
-		case !isOut && t.up.group != nil && t.up.group.isClosed:
-			out = append(out, Stalled{Ticket: t, HasOther: true})
 		}
 	}
 	return out
