--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,6 @@
 	table  atomic.Pointer[routetable.Table]
 	// hasTable is closed once there is a configuration.
 	hasTable chan struct{}
-	hosts    atomic.Int64
 	// leaving is set once the host no longer wants new connections.
 	leaving atomic.Bool
 
