Send the difference of a map, once, and let participants pass it on

Cause: a change sent the whole map from one host to each rank, and again to each whose experts were not copied after 200 ms: 500 to 650 KB over a link of 8 Mbit/s at 63 ranks, 4.8 MB at the target's 128. Orders to arm and commit waited behind it. Class: what one host sends for a change grows with ranks times map.

Now participants remember maps, a stage request carries the difference from the map that was planned on (with a digest of the whole), what is sent again carries no content unless it is asked for, and requests go to 12 hosts that pass them on to the others. A promise no longer brings all maps along: those that ranks without a map need are fetched from one participant.

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -81,6 +81,7 @@
 const (
 	idle Round = iota
 	promising
+	fetching
 	staging
 	arming
 	committing
@@ -89,7 +90,7 @@
 )
 
 // roundNames are the names used in logs.
-var roundNames = [...]string{"idle", "promise", "stage", "arm", "commit", "abort", "release"}
+var roundNames = [...]string{"idle", "promise", "fetch", "stage", "arm", "commit", "abort", "release"}
 
 // String returns the form used in logs.
 func (r Round) String() string { return roundNames[r] }
@@ -101,6 +102,10 @@
 	ranks       []Status
 	step        uint64
 	answered    bool
+	// known are the maps whose content it knows.
+	known []Version
+	// lacks: it has asked for the content of the maps to stage.
+	lacks bool
 }
 
 // Coordinator runs one ballot at a time, for a change or for recovery. It
@@ -116,7 +121,11 @@
 	proposal *Proposal
 	peers    []peer
 	maps     []Map
-	found    finding
+	// delta is the proposal as its difference from the map that it was planned on, nil
+	// where that is not known; content are the maps that are staged.
+	delta   *Delta
+	content []Map
+	found   finding
 	// decided is the map to commit, once known.
 	decided Present
 	// recovering: this ballot closes what another one left open.
@@ -135,13 +144,15 @@
 }
 
 // Start takes a new ballot, with a proposal or (nil) only to settle what is
-// open. Known are maps that need not be sent to the coordinator. Start gives up
-// a running ballot, which is safe at any point.
+// open. Known are maps whose content is known here; where the one that the proposal was
+// planned on is among them, participants that know it too get the difference only. Start
+// gives up a running ballot, which is safe at any point.
 func (c *Coordinator) Start(p *Proposal, known ...Map) []Envelope {
 	c.counter++
 	c.ballot = Ballot{Counter: c.counter, Coordinator: c.cfg.ID}
 	c.proposal = p
 	c.maps = slices.Clone(known)
+	c.prepare()
 	c.outcome = OutcomeRunning
 	c.recovering = false
 	c.peers = c.peers[:0]
@@ -151,6 +162,21 @@
 	return c.enter(promising)
 }
 
+// prepare brings the proposal into its final form.
+func (c *Coordinator) prepare() {
+	c.delta, c.content = nil, nil
+	if c.proposal == nil {
+		return
+	}
+	next := c.proposal.Map
+	next.Version = c.ballot
+	if base, ok := library(c.maps).find(c.proposal.Base); ok {
+		next = Align(base, next)
+		c.delta = Diff(base, next)
+	}
+	c.proposal = &Proposal{Base: c.proposal.Base, Map: next}
+}
+
 // SetArmAhead changes how many steps ahead a change is armed, from the next time on. One
 // is the very next step: it may begin before the round of messages ends, so Own alone is
 // armed at first, and the group waits for it before that step. If the step has begun, Own
@@ -187,6 +213,9 @@
 	return c.send()
 }
 
+// isRepeated reports whether the round's requests have been sent before.
+func (c *Coordinator) isRepeated() bool { return c.ticks > 0 }
+
 // giveUp ends a round that wasn't answered by all. After arming it must abort:
 // this ballot has sent no commit, and the participants refuse lower ones.
 func (c *Coordinator) giveUp() []Envelope {
@@ -198,10 +227,13 @@
 
 // Step takes an answer of a participant.
 func (c *Coordinator) Step(from Address, m Message) []Envelope {
+	p := c.peer(from)
+	if m.Refused != nil && m.Refused.Reason == ReasonContent {
+		return c.lacking(p, m.Refused)
+	}
 	if m.Refused != nil {
 		return c.refused(m.Refused)
 	}
-	p := c.peer(from)
 	if p == nil || p.answered || !c.take(p, m) {
 		return nil
 	}
@@ -231,9 +263,12 @@
 // says. The incarnation is taken once a ballot, from the promise.
 func (c *Coordinator) take(p *peer, m Message) bool {
 	switch {
-	case c.phase == promising && m.Promised != nil && m.Promised.Ballot == c.ballot:
+	case c.phase == promising && m.Promised != nil && m.Promised.Ballot == c.ballot && !m.Promised.IsFetch:
 		p.incarnation = m.Promised.Incarnation
 		p.ranks = m.Promised.Ranks
+		p.known = m.Promised.Known
+		return true
+	case c.phase == fetching && m.Promised != nil && m.Promised.Ballot == c.ballot && m.Promised.IsFetch:
 		c.learn(m.Promised.Maps)
 		return true
 	case c.phase == staging && m.Staged != nil:
@@ -253,14 +288,22 @@
 
 // learn keeps each map once.
 func (c *Coordinator) learn(maps []Map) {
-	known := c.known()
 	for _, m := range maps {
-		if !slices.Contains(known, m.Version) {
+		if _, ok := library(c.maps).find(m.Version); !ok {
 			c.maps = append(c.maps, m)
 		}
 	}
 }
 
+// lacking sends a participant the content that it asks for.
+func (c *Coordinator) lacking(p *peer, r *Refused) []Envelope {
+	if p == nil || r.Ballot != c.ballot || c.phase != staging || p.answered {
+		return nil
+	}
+	p.lacks = true
+	return []Envelope{{To: p.addr, Message: c.message(p)}}
+}
+
 // refused ends the ballot, or aborts a change armed too late.
 func (c *Coordinator) refused(r *Refused) []Envelope {
 	if r.Ballot != c.ballot || c.phase == idle {
@@ -292,6 +335,8 @@
 	switch c.phase {
 	case promising:
 		return c.resolve()
+	case fetching:
+		return c.enter(staging)
 	case staging:
 		return c.staged()
 	case arming:
@@ -332,6 +377,9 @@
 		return c.bootstrap()
 	case c.found.open():
 		c.recovering = true
+		if len(c.wanted()) > 0 {
+			return c.enter(fetching)
+		}
 		return c.enter(staging)
 	case c.proposal == nil:
 		return c.finish(OutcomeSettled)
@@ -391,11 +439,45 @@
 	c.alone = p == arming && c.cfg.ArmAhead == 1 && c.peer(c.cfg.Own) != nil
 	c.ticks = 0
 	for i := range c.peers {
-		c.peers[i].answered = false
+		c.peers[i].answered, c.peers[i].lacks = p == fetching && !c.isSource(&c.peers[i]), false
+	}
+	if p == staging {
+		c.content = c.toStage()
 	}
 	return c.send()
 }
 
+// wanted are the maps that a rank without any has to load and whose content isn't known
+// here.
+func (c *Coordinator) wanted() []Version {
+	if !slices.ContainsFunc(c.peers, peer.hasUnjoined) {
+		return nil
+	}
+	var out []Version
+	for _, v := range []Version{c.decided.Installed.Version, c.decided.Base} {
+		if _, ok := library(c.maps).find(v); !ok && !v.IsZero() {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// isSource reports whether a participant is one that the wanted maps are asked of: the
+// first that knows them, or all where none does, until the deadline.
+func (c *Coordinator) isSource(p *peer) bool {
+	wanted := c.wanted()
+	knows := func(o peer) bool {
+		return !slices.ContainsFunc(wanted, func(v Version) bool { return !slices.Contains(o.known, v) })
+	}
+	first := slices.IndexFunc(c.peers, knows)
+	return first < 0 || c.peers[first].addr == p.addr
+}
+
+// hasUnjoined reports whether some rank of the participant has no map.
+func (p peer) hasUnjoined() bool {
+	return slices.ContainsFunc(p.ranks, func(r Status) bool { return !r.Joined() })
+}
+
 // send asks everyone who hasn't answered the present round.
 func (c *Coordinator) send() []Envelope {
 	var out []Envelope
@@ -413,7 +495,9 @@
 	b, inc := c.ballot, p.incarnation
 	switch c.phase {
 	case promising:
-		return Message{Promise: &Promise{Ballot: b, Known: c.known()}}
+		return Message{Promise: &Promise{Ballot: b}}
+	case fetching:
+		return Message{Promise: &Promise{Ballot: b, Wanted: c.wanted()}}
 	case staging:
 		return Message{Stage: c.stage(p)}
 	case arming:
@@ -427,14 +511,6 @@
 	}
 }
 
-func (c *Coordinator) known() []Version {
-	var out []Version
-	for i := range c.maps {
-		out = append(out, c.maps[i].Version)
-	}
-	return out
-}
-
 // toStage returns the maps that the ranks have to load: the proposed one, or in
 // recovery the present ones.
 func (c *Coordinator) toStage() []Map {
@@ -444,18 +520,30 @@
 			return m.Version != present && m.Version != c.decided.Base
 		})
 	}
-	m := c.proposal.Map
-	m.Version = c.ballot
-	return []Map{m}
+	return []Map{c.proposal.Map}
 }
 
 // stage returns the stage round's message. In recovery only a participant with
-// a rank without a map gets maps; for the others the message only confirms.
+// a rank without a map gets maps; for the others the message only confirms. Content is
+// sent once, and again to those who ask for it: where copying takes longer than a
+// coordinator waits, maps that were sent again filled its link, and the orders to arm and
+// to commit waited behind them.
 func (c *Coordinator) stage(p *peer) *Stage {
 	s := &Stage{Ballot: c.ballot, Incarnation: p.incarnation, Join: c.recovering}
-	unjoined := slices.ContainsFunc(p.ranks, func(r Status) bool { return !r.Joined() })
-	if unjoined || !c.recovering {
-		s.Maps = c.toStage()
+	if c.recovering && !p.hasUnjoined() {
+		return s
+	}
+	for _, m := range c.content {
+		s.Versions = append(s.Versions, m.Version)
+	}
+	switch {
+	case p.lacks:
+		s.Maps = c.content
+	case c.isRepeated():
+	case c.delta != nil && !c.recovering && slices.Contains(p.known, c.delta.Base):
+		s.Delta = c.delta
+	default:
+		s.Maps = c.content
 	}
 	return s
 }
--- /dev/null
+++ b/internal/expertmap/delta_test.go
@@ -0,0 +1,119 @@
+package expertmap
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// drawMap draws a map with empty slots and experts that stand in any order.
+func drawMap(t *rapid.T, name string, layers, ranks, slots int) Map {
+	m := Map{SlotsPerRank: slots}
+	for range layers {
+		expert := rapid.OneOf(rapid.Uint16Range(0, 20), rapid.Just(uint16(1<<16-1)))
+		m.Layers = append(m.Layers, rapid.SliceOfN(expert, ranks*slots, ranks*slots).Draw(t, name))
+	}
+	return m
+}
+
+// sets returns the experts by layer and rank, in order.
+func (m Map) sets() [][]uint16 {
+	var out [][]uint16
+	for _, layer := range m.Layers {
+		for part := range slices.Chunk(layer, m.SlotsPerRank) {
+			out = append(out, slices.Sorted(slices.Values(part)))
+		}
+	}
+	return out
+}
+
+// All ranks make the same map of a delta, with the experts that were planned.
+func TestDeltaStandsForTheMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers, ranks, slots := rapid.IntRange(1, 4).Draw(t, "layers"), rapid.IntRange(1, 6).Draw(t, "ranks"), rapid.IntRange(1, 5).Draw(t, "slots")
+		base, planned := drawMap(t, "base", layers, ranks, slots), drawMap(t, "next", layers, ranks, slots)
+		base.Version, planned.Version = v1, v2
+		next := Align(base, planned)
+		require.Equal(t, planned.sets(), next.sets())
+		data, err := wire.Marshal(Diff(base, next))
+		require.NoError(t, err)
+		var d Delta
+		require.NoError(t, wire.Unmarshal(data, &d))
+		got, ok := d.Apply(base)
+		require.True(t, ok)
+		require.Equal(t, next, got)
+
+		other := drawMap(t, "other", layers, ranks, slots)
+		if got, ok := d.Apply(other); ok {
+			require.Equal(t, next.Layers, got.Layers, "another base is noticed, or makes no difference")
+		}
+	})
+}
+
+// Only what changes is sent, whatever order the planner lists a rank's experts in.
+func TestDeltaIsAsSmallAsTheChange(t *testing.T) {
+	base := Map{Version: v1, SlotsPerRank: 3, Layers: [][]uint16{{1, 2, 3, 4, 5, 6}}}
+	next := Align(base, Map{Version: v2, SlotsPerRank: 3, Layers: [][]uint16{{3, 9, 1, 6, 5, 4}}})
+	require.Equal(t, [][]uint16{{1, 9}}, Diff(base, next).Layers)
+}
+
+func TestDeltaNeedsOneShape(t *testing.T) {
+	base := Map{Version: v1, SlotsPerRank: 2, Layers: [][]uint16{{1, 2}}}
+	for _, next := range []Map{
+		{SlotsPerRank: 1, Layers: [][]uint16{{1, 2}}}, {SlotsPerRank: 2}, {SlotsPerRank: 2, Layers: [][]uint16{{1, 2, 3, 4}}},
+	} {
+		require.Nil(t, Diff(base, next))
+	}
+	d := Delta{Base: v1, Version: v2, SlotsPerRank: 2, Layers: [][]uint16{{7, 1}}}
+	_, ok := d.Apply(base)
+	require.False(t, ok, "a slot that the map has not")
+}
+
+// Engines may have more maps loaded than a participant remembers; the one in use stays.
+func TestMapInUseIsRemembered(t *testing.T) {
+	r := Status{Active: Installed{Version: v1}}
+	for n := range uint64(2 * mostMaps) {
+		r.Maps = append(r.Maps, Map{Version: Ballot{Counter: n + 1, Coordinator: 1}, SlotsPerRank: 1})
+	}
+	p := NewParticipant(7, 5)
+	p.remember([]Status{r})
+	require.Len(t, p.maps, mostMaps)
+	_, ok := p.Map(v1)
+	require.True(t, ok)
+}
+
+// A participant that did not get the content of a map asks for it; nobody else gets it
+// again.
+func TestContentIsSentAgainOnlyToWhoLacksIt(t *testing.T) {
+	w := newWorld(3, 1)
+	w.newCoordinator(w.hosts[0], 10)
+	base, _ := w.change(w.hosts[0])
+	c := w.hosts[0].coord
+	c.Start(&Proposal{Base: base, Map: Map{SlotsPerRank: 1}})
+	var stages []Envelope
+	for _, h := range w.hosts {
+		promised := Message{Promised: &Promised{Ballot: c.Ballot(), Incarnation: 7, Ranks: []Status{{Active: Installed{Version: base}}}}}
+		stages = c.Step(h.addr, promised)
+	}
+	require.Len(t, stages, 3)
+	require.Len(t, stages[0].Message.Stage.Maps, 1)
+	again := c.Tick()
+	require.Len(t, again, 3)
+	for _, e := range again {
+		require.Empty(t, e.Message.Stage.Maps)
+		require.Equal(t, []Version{c.Ballot()}, e.Message.Stage.Versions)
+	}
+	p := NewParticipant(7, 5)
+	p.promised = c.Ballot()
+	refused := p.Step(0, again[2].Message).Reply.Message
+	require.Equal(t, ReasonContent, refused.Refused.Reason)
+	sent := c.Step(2, refused)
+	require.Len(t, sent, 1)
+	require.Equal(t, Address(2), sent[0].To)
+	require.True(t, p.Step(0, sent[0].Message).Work)
+	require.Equal(t, OutcomeRunning, c.Outcome())
+}
--- a/internal/expertmap/engine.go
+++ b/internal/expertmap/engine.go
@@ -85,6 +85,14 @@
 	return maxBallot(s.Active.Version, s.Armed.Ballot)
 }
 
+// inUse returns the maps that the engine uses, or will unless an order says otherwise.
+func (s Status) inUse() []Version {
+	if s.Armed == nil {
+		return []Version{s.Active.Version}
+	}
+	return []Version{s.Armed.Version, s.Armed.Base, s.Active.Version}
+}
+
 // loaded reports whether the weights of a map are loaded.
 func (s Status) loaded(v Version) bool {
 	for i := range s.Maps {
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -1,5 +1,7 @@
 package expertmap
 
+import "slices"
+
 // Address names a participant or a coordinator of a group; it is the agent's
 // host number.
 type Address uint32
@@ -30,8 +32,8 @@
 // Promise asks a participant to refuse all lower ballots and to tell its state.
 type Promise struct {
 	Ballot Ballot `cbor:"1,keyasint"`
-	// Known lists maps that the answer need not contain.
-	Known []Version `cbor:"2,keyasint,omitempty"`
+	// Wanted lists the maps that the answer has to contain.
+	Wanted []Version `cbor:"3,keyasint,omitempty"`
 }
 
 // Promised answers Promise.
@@ -41,8 +43,13 @@
 	Incarnation uint64 `cbor:"2,keyasint"`
 	// Ranks is the state of each engine, without maps.
 	Ranks []Status `cbor:"3,keyasint"`
-	// Maps are the loaded maps that the coordinator doesn't know.
+	// Maps are those that were wanted and that the participant knows.
 	Maps []Map `cbor:"4,keyasint,omitempty"`
+	// Known lists the maps whose content the participant knows.
+	Known []Version `cbor:"5,keyasint,omitempty"`
+	// IsFetch tells that maps were wanted: a repeated answer to a promise says nothing of
+	// maps.
+	IsFetch bool `cbor:"6,keyasint,omitempty"`
 }
 
 // header is what each request after the promise carries.
@@ -52,13 +59,18 @@
 }
 
 // Stage asks for the maps' weights to be loaded. It also confirms the promise,
-// and is sent without maps where nothing has to be loaded.
+// and names no maps where nothing has to be loaded.
 type Stage struct {
 	Ballot      Ballot `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
-	Maps        []Map  `cbor:"3,keyasint,omitempty"`
+	// Maps is the content of the maps to load, Delta that of one of them. A request that
+	// is sent again has neither: content goes out once, unless it is asked for.
+	Maps []Map `cbor:"3,keyasint,omitempty"`
 	// Join says that the maps are only for ranks that have none.
-	Join bool `cbor:"4,keyasint,omitempty"`
+	Join  bool   `cbor:"4,keyasint,omitempty"`
+	Delta *Delta `cbor:"5,keyasint,omitempty"`
+	// Versions are the maps to load.
+	Versions []Version `cbor:"6,keyasint,omitempty"`
 }
 
 // Staged says that all weights are loaded and the promise still holds.
@@ -136,6 +148,8 @@
 	// ReasonState: a rank has no map, or not the state that the order assumes;
 	// a new ballot has to look first.
 	ReasonState
+	// ReasonContent: the participant does not know the content of a map to load.
+	ReasonContent
 )
 
 // Refused answers any request.
@@ -167,6 +181,79 @@
 	return header{}, false
 }
 
+// Detach returns the request without the participant's incarnation, and that: what is
+// left is the same for all participants that are asked the same.
+func (m Message) Detach() (Message, uint64) {
+	h, _ := m.header()
+	return m.Attach(0), h.incarnation
+}
+
+// Attach returns a copy of the request for a participant's incarnation.
+func (m Message) Attach(incarnation uint64) Message {
+	switch {
+	case m.Stage != nil:
+		c := *m.Stage
+		c.Incarnation = incarnation
+		return Message{Stage: &c}
+	case m.Arm != nil:
+		c := *m.Arm
+		c.Incarnation = incarnation
+		return Message{Arm: &c}
+	case m.Commit != nil:
+		c := *m.Commit
+		c.Incarnation = incarnation
+		return Message{Commit: &c}
+	case m.Abort != nil:
+		c := *m.Abort
+		c.Incarnation = incarnation
+		return Message{Abort: &c}
+	case m.Release != nil:
+		c := *m.Release
+		c.Incarnation = incarnation
+		return Message{Release: &c}
+	}
+	return m
+}
+
+// isAlike reports whether two requests of one round ask the same, apart from the
+// incarnation: only those that stage may differ, in the content that they carry.
+func (m Message) isAlike(o Message) bool {
+	if m.Stage == nil || o.Stage == nil {
+		return true
+	}
+	return m.Stage.Delta == o.Stage.Delta && len(m.Stage.Maps) == len(o.Stage.Maps) &&
+		len(m.Stage.Versions) == len(o.Stage.Versions)
+}
+
+// Multicast is one request to several participants.
+type Multicast struct {
+	// Message has no incarnation.
+	Message Message
+	To      []Receiver
+}
+
+// Receiver is a participant, and the incarnation that it promised in.
+type Receiver struct {
+	Address     Address
+	Incarnation uint64
+}
+
+// Multicasts puts requests of one round together that ask the same.
+func Multicasts(all []Envelope) []Multicast {
+	var out []Multicast
+	for _, e := range all {
+		body, incarnation := e.Message.Detach()
+		to := Receiver{Address: e.To, Incarnation: incarnation}
+		i := slices.IndexFunc(out, func(m Multicast) bool { return m.Message.isAlike(body) })
+		if i < 0 {
+			out = append(out, Multicast{Message: body, To: []Receiver{to}})
+			continue
+		}
+		out[i].To = append(out[i].To, to)
+	}
+	return out
+}
+
 // ballot returns the ballot of any request.
 func (m Message) ballot() Ballot {
 	if m.Promise != nil {
--- a/internal/expertmap/participant.go
+++ b/internal/expertmap/participant.go
@@ -26,6 +26,9 @@
 
 	// promised never falls within an incarnation.
 	promised Ballot
+	// maps are those whose content was seen last.
+	maps library
+
 	// aborted forbids to arm again under the promised ballot, so that a late
 	// Arm doesn't undo an Abort.
 	aborted bool
@@ -68,6 +71,10 @@
 		p.promised = m.Promise.Ballot
 		p.aborted = false
 	}
+	m, ok := p.complete(m)
+	if !ok {
+		return p.refuse(from, m, ReasonContent)
+	}
 	r := &request{from: from, msg: m}
 	if p.current != nil && !p.isWaiting {
 		p.next = r
@@ -76,6 +83,39 @@
 	return p.begin(r)
 }
 
+// Map returns a map that the participant remembers.
+func (p *Participant) Map(v Version) (Map, bool) { return p.maps.find(v) }
+
+// complete gives a request to stage the content of its maps, from what it carries and
+// what is remembered. It reports whether all is known.
+func (p *Participant) complete(m Message) (Message, bool) {
+	if m.Stage == nil {
+		return m, true
+	}
+	for _, content := range m.Stage.Maps {
+		p.maps.keep(content)
+	}
+	if d := m.Stage.Delta; d != nil {
+		base, _ := p.maps.find(d.Base)
+		if content, ok := d.Apply(base); ok {
+			p.maps.keep(content)
+		}
+	}
+	full := *m.Stage
+	full.Delta = nil
+	for _, v := range m.Stage.Versions {
+		if slices.ContainsFunc(full.Maps, func(o Map) bool { return o.Version == v }) {
+			continue
+		}
+		content, ok := p.maps.find(v)
+		if !ok {
+			return m, false
+		}
+		full.Maps = append(slices.Clip(full.Maps), content)
+	}
+	return Message{Stage: &full}, true
+}
+
 // begin works on a request, in place of one that waits.
 func (p *Participant) begin(r *request) Output {
 	p.current, p.isWaiting = r, false
@@ -125,6 +165,7 @@
 	if err != nil {
 		return p.wait()
 	}
+	p.remember(ranks)
 	if high := highest(ranks); p.promised.Less(high) {
 		p.promised = high
 		return p.finish(p.refusal(r, ReasonBallot))
@@ -173,7 +214,7 @@
 	var m Message
 	switch {
 	case r.msg.Promise != nil:
-		m.Promised = p.promise(ranks, r.msg.Promise.Known)
+		m.Promised = p.promise(ranks, r.msg.Promise.Wanted)
 	case r.msg.Stage != nil:
 		m.Staged = &Staged{Ballot: b, Step: lastStep(ranks)}
 	case r.msg.Arm != nil:
@@ -189,18 +230,36 @@
 	return &Envelope{To: r.from, Message: m}
 }
 
-// promise returns the state of the ranks, and each map once that is not known.
-func (p *Participant) promise(ranks []Status, known []Version) *Promised {
-	out := &Promised{Ballot: p.promised, Incarnation: p.incarnation}
-	sent := slices.Clone(known)
+// remember keeps the maps that the engines have, those in use or armed as the latest:
+// engines may have more than are remembered.
+func (p *Participant) remember(ranks []Status) {
+	var all, first library
+	for _, r := range ranks {
+		all = append(all, r.Maps...)
+	}
 	for _, r := range ranks {
-		for _, m := range r.Maps {
-			if slices.Contains(sent, m.Version) {
-				continue
+		for _, v := range r.inUse() {
+			if m, ok := all.find(v); ok {
+				first = append(first, m)
+			} else if m, ok := p.maps.find(v); ok {
+				first = append(first, m)
 			}
-			sent = append(sent, m.Version)
+		}
+	}
+	for _, m := range append(all, first...) {
+		p.maps.keep(m)
+	}
+}
+
+// promise returns the state of the ranks, and the maps that are wanted.
+func (p *Participant) promise(ranks []Status, wanted []Version) *Promised {
+	out := &Promised{Ballot: p.promised, Incarnation: p.incarnation, Known: p.maps.versions(), IsFetch: len(wanted) > 0}
+	for _, v := range wanted {
+		if m, ok := p.maps.find(v); ok {
 			out.Maps = append(out.Maps, m)
 		}
+	}
+	for _, r := range ranks {
 		r.Maps = nil
 		out.Ranks = append(out.Ranks, r)
 	}
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -94,7 +94,13 @@
 	if r.want.isRecovery {
 		proposal = &expertmap.Proposal{Map: FirstMap(shape)}
 	}
-	r.send(c.Start(proposal, r.want.known...))
+	known := r.want.known
+	if proposal != nil {
+		if base, ok := r.participant.Map(proposal.Base); ok {
+			known = append(known, base)
+		}
+	}
+	r.send(c.Start(proposal, known...), false)
 	r.rounds.enter(c.Round(), time.Now())
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -78,11 +78,13 @@
 
 // inbound is a message of another host, or of this one to itself.
 type inbound struct {
-	// session is where a reply goes; nil for this host's own messages.
-	session *peer.Session
+	// origin is where a reply goes; nothing for this host's own messages.
+	origin
 	from    expertmap.Address
 	isReply bool
 	message expertmap.Message
+	// pass is the request as it came, with the hosts to pass it on to; nil for others.
+	pass *wire.MapRequest
 }
 
 // statuses is what the engines said.
@@ -105,8 +107,8 @@
 	ready    chan []wire.GroupMember
 
 	participant *expertmap.Participant
-	// origin is the session of the request that the participant works on.
-	origin      map[expertmap.Address]*peer.Session
+	// origin is where the coordinators are that have asked the participant.
+	origin      map[expertmap.Address]origin
 	isWorking   bool
 	isObserving bool
 	ranks       []expertmap.Status
@@ -160,7 +162,7 @@
 		observed:    make(chan statuses, 1),
 		ready:       make(chan []wire.GroupMember, 1),
 		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank)),
-		origin:      make(map[expertmap.Address]*peer.Session),
+		origin:      make(map[expertmap.Address]origin),
 		planner:     newPlanner(cfg.Load),
 		holds:       holds{held: metrics.GetOrRegisterCounter("group.held-ms", cfg.Metrics)},
 	}
@@ -171,9 +173,9 @@
 func (r *Runner) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
 	switch m := m.(type) {
 	case *wire.MapRequest:
-		r.take(s, m.Group, m.From, m.Data, false)
+		r.takeRequest(s, m)
 	case *wire.MapReply:
-		r.take(s, m.Group, m.From, m.Data, true)
+		r.takeReply(m)
 	case *wire.GroupQuery:
 		r.answerQuery(s, call, m)
 	case *wire.ExpertLoad:
@@ -205,9 +207,20 @@
 	_ = s.Reply(call, answer)
 }
 
-func (r *Runner) take(s *peer.Session, group string, from uint32, data []byte, isReply bool) {
-	in := inbound{session: s, from: expertmap.Address(from), isReply: isReply}
-	if group != r.cfg.Group || wire.Unmarshal(data, &in.message) != nil {
+// takeRequest takes what a coordinator asks, and passes it on.
+func (r *Runner) takeRequest(s *peer.Session, m *wire.MapRequest) {
+	in := inbound{origin: origin{session: s, home: m.Home}, from: expertmap.Address(m.From), pass: m}
+	if m.Group != r.cfg.Group || wire.Unmarshal(m.Data, &in.message) != nil {
+		r.counters.dropped.Inc(1)
+		return
+	}
+	in.message = in.message.Attach(m.Incarnation)
+	r.push(in)
+}
+
+func (r *Runner) takeReply(m *wire.MapReply) {
+	in := inbound{from: expertmap.Address(m.From), isReply: true}
+	if m.Group != r.cfg.Group || wire.Unmarshal(m.Data, &in.message) != nil {
 		r.counters.dropped.Inc(1)
 		return
 	}
@@ -258,12 +271,15 @@
 	if in.isReply {
 		if r.coordinator != nil {
 			r.coordinator.SetArmAhead(r.ahead(time.Now()))
-			r.send(r.coordinator.Step(in.from, in.message))
+			r.send(r.coordinator.Step(in.from, in.message), false)
 			r.conclude()
 		}
 		return
 	}
-	r.origin[in.from] = in.session
+	if in.pass != nil {
+		r.post(*in.pass, divide(in.pass.Pass))
+	}
+	r.origin[in.from] = in.origin
 	r.output(ctx, r.participant.Step(in.from, in.message))
 }
 
@@ -300,58 +316,10 @@
 	return out
 }
 
-func (r *Runner) reply(e *expertmap.Envelope) {
-	if e.To == r.address {
-		r.push(inbound{from: r.address, isReply: true, message: e.Message})
-		return
-	}
-	data, err := wire.Marshal(e.Message)
-	s := r.origin[e.To]
-	if err != nil || s == nil || s.Post(&wire.MapReply{Group: r.cfg.Group, From: uint32(r.address), Data: data}) != nil {
-		r.counters.dropped.Inc(1)
-	}
-}
-
-// send sends the coordinator's messages. It does not wait for sessions: a message to
-// a host that can't be reached is dropped, and sent again later.
-func (r *Runner) send(out []expertmap.Envelope) {
-	for _, e := range out {
-		if e.To == r.address {
-			r.push(inbound{from: r.address, message: e.Message})
-			continue
-		}
-		r.post(r.members[e.To], e.Message)
-	}
-}
-
-func (r *Runner) post(address string, m expertmap.Message) {
-	data, err := wire.Marshal(m)
-	if err != nil {
-		r.counters.dropped.Inc(1)
-		return
-	}
-	r.rounds.messages++
-	r.rounds.bytes += len(data)
-	request := &wire.MapRequest{Group: r.cfg.Group, From: uint32(r.address), Data: data}
-	if s := r.cfg.Pool.Live(address); s != nil && s.Post(request) == nil {
-		return
-	}
-	go r.dial(address, request)
-}
-
-// dial sends a message once there is a session.
-func (r *Runner) dial(address string, m wire.Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
-	defer cancel()
-	if s, err := r.cfg.Pool.Get(ctx, address); err != nil || s.Post(m) != nil {
-		r.counters.dropped.Inc(1)
-	}
-}
-
 func (r *Runner) tick(ctx context.Context) {
 	r.output(ctx, r.participant.Tick())
 	if r.coordinator != nil {
-		r.send(r.coordinator.Tick())
+		r.send(r.coordinator.Tick(), true)
 		r.conclude()
 	}
 	if r.isObserving || r.isWorking {
--- /dev/null
+++ b/internal/group/relay.go
@@ -0,0 +1,131 @@
+package group
+
+import (
+	"context"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// fanOut is how many hosts one host sends a request of a coordinator to; they pass it on
+// to the others. So what a host sends for a change does not grow with the group: with 12,
+// a request reaches 156 hosts in two hops. Groups of up to 13 hosts need none.
+const fanOut = 12
+
+// branch is a host to send to, and those that it passes the request on to.
+type branch struct {
+	head  wire.MapTarget
+	below []wire.MapTarget
+}
+
+// divide spreads the hosts over at most fanOut branches of about one size.
+func divide(targets []wire.MapTarget) []branch {
+	n := min(len(targets), fanOut)
+	out := make([]branch, 0, n)
+	for i := range n {
+		part := targets[i*len(targets)/n : (i+1)*len(targets)/n]
+		out = append(out, branch{head: part[0], below: part[1:]})
+	}
+	return out
+}
+
+// send sends the coordinator's messages. It does not wait for sessions: a message to a
+// host that can't be reached is dropped. What is sent again goes to each host directly,
+// since a host that should have passed it on may be the one that is missing.
+func (r *Runner) send(out []expertmap.Envelope, isAgain bool) {
+	var away []expertmap.Envelope
+	for _, e := range out {
+		if e.To == r.address {
+			r.push(inbound{from: r.address, message: e.Message})
+			continue
+		}
+		away = append(away, e)
+	}
+	for _, m := range expertmap.Multicasts(away) {
+		r.multicast(m, isAgain)
+	}
+}
+
+func (r *Runner) multicast(m expertmap.Multicast, isDirect bool) {
+	data, err := wire.Marshal(m.Message)
+	if err != nil {
+		r.counters.dropped.Inc(1)
+		return
+	}
+	request := wire.MapRequest{Group: r.cfg.Group, From: uint32(r.address), Data: data, Home: r.members[r.address]}
+	targets := make([]wire.MapTarget, 0, len(m.To))
+	for _, to := range m.To {
+		targets = append(targets, wire.MapTarget{Address: r.members[to.Address], Incarnation: to.Incarnation})
+	}
+	branches := divide(targets)
+	if isDirect {
+		branches = alone(targets)
+	}
+	r.rounds.messages += len(branches)
+	r.rounds.bytes += len(branches) * len(data)
+	r.post(request, branches)
+}
+
+// alone returns a branch for each host.
+func alone(targets []wire.MapTarget) []branch {
+	out := make([]branch, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, branch{head: t})
+	}
+	return out
+}
+
+// post sends a request to the heads of branches.
+func (r *Runner) post(request wire.MapRequest, branches []branch) {
+	for _, b := range branches {
+		m := request
+		m.Incarnation, m.Pass = b.head.Incarnation, b.below
+		r.deliver(b.head.Address, &m)
+	}
+}
+
+// deliver sends a message over the session with a host, or once there is one.
+func (r *Runner) deliver(address string, m wire.Message) {
+	if s := r.cfg.Pool.Live(address); s != nil && s.Post(m) == nil {
+		return
+	}
+	go r.dial(address, m)
+}
+
+// dial sends a message once there is a session.
+func (r *Runner) dial(address string, m wire.Message) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
+	defer cancel()
+	if s, err := r.cfg.Pool.Get(ctx, address); err != nil || s.Post(m) != nil {
+		r.counters.dropped.Inc(1)
+	}
+}
+
+// reply answers a coordinator: the one of this host, the session that the request came
+// by, or, where others passed it on, the coordinator's host.
+func (r *Runner) reply(e *expertmap.Envelope) {
+	if e.To == r.address {
+		r.push(inbound{from: r.address, isReply: true, message: e.Message})
+		return
+	}
+	data, err := wire.Marshal(e.Message)
+	if err != nil {
+		r.counters.dropped.Inc(1)
+		return
+	}
+	m := &wire.MapReply{Group: r.cfg.Group, From: uint32(r.address), Data: data}
+	from := r.origin[e.To]
+	switch {
+	case from.home != "":
+		r.deliver(from.home, m)
+	case from.session == nil || from.session.Post(m) != nil:
+		r.counters.dropped.Inc(1)
+	}
+}
+
+// origin is where the answer to a coordinator goes.
+type origin struct {
+	session *peer.Session
+	home    string
+}
--- a/internal/group/size_test.go
+++ b/internal/group/size_test.go
@@ -182,8 +182,9 @@
 	metrics []metrics.Registry
 }
 
-// startAgents runs an agent a rank until the test ends.
-func startAgents(t *testing.T, g *engines) *agents {
+// startAgents runs an agent a rank until the test ends. Change, if not nil, is given each
+// message before its receiver.
+func startAgents(t *testing.T, g *engines, change func(m wire.Message)) *agents {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -199,7 +200,12 @@
 		address := strings.TrimPrefix(srv.URL, "http://")
 		pool := peer.NewPool(peer.Config{
 			Hello: wire.Hello{Host: fmt.Sprint(i), Address: address}, Secret: "secret", Metrics: reg,
-			Handler: peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) { runners[i].HandlePeer(s, call, m) }),
+			Handler: peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) {
+				if change != nil {
+					change(m)
+				}
+				runners[i].HandlePeer(s, call, m)
+			}),
 		})
 		t.Cleanup(pool.Close)
 		mux.Handle(peer.Path, peer.NewServer(pool))
@@ -244,7 +250,7 @@
 	} {
 		t.Run(fmt.Sprint(shape.Ranks), func(t *testing.T) {
 			g := newEngines(shape)
-			a := startAgents(t, g)
+			a := startAgents(t, g, nil)
 			changed := func(n int64) {
 				require.Eventually(t, func() bool { return a.count("group.changes.made") >= n }, waitLimit, 10*time.Millisecond)
 			}
@@ -264,3 +270,14 @@
 		})
 	}
 }
+
+// Where hosts don't pass requests on, the coordinator asks the others itself.
+func TestChangeIsMadeWithoutHostsThatPassOn(t *testing.T) {
+	g := newEngines(&wire.GroupShape{Ranks: 30, Experts: 64, Layers: 2, SlotsPerRank: 5})
+	a := startAgents(t, g, func(m wire.Message) {
+		if request, ok := m.(*wire.MapRequest); ok {
+			request.Pass = nil
+		}
+	})
+	require.Eventually(t, func() bool { return a.count("group.changes.made") > 0 }, waitLimit, 10*time.Millisecond)
+}
--- a/internal/wire/group.go
+++ b/internal/wire/group.go
@@ -15,6 +15,20 @@
 	// From is the first rank of the sender's host, the address to reply to.
 	From uint32 `cbor:"2,keyasint"`
 	Data []byte `cbor:"3,keyasint"`
+	// Incarnation is that of the receiver, which Data leaves out: Data is the same for all.
+	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
+	// Home is the peer listener of the coordinator's host, which a reply goes to; empty
+	// where the message comes from there.
+	Home string `cbor:"5,keyasint,omitempty"`
+	// Pass lists the hosts that the receiver has to pass Data on to.
+	Pass []MapTarget `cbor:"6,keyasint,omitempty"`
+}
+
+// MapTarget is a host that a MapRequest is for.
+type MapTarget struct {
+	// Address is the peer listener of the host's agent.
+	Address     string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind implements Message.
