--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -88,10 +88,12 @@
 	Committing
 	aborting
 	releasing
+	// Rounds is how many there are.
+	Rounds
 )
 
 // roundNames are the names used in logs.
-var roundNames = [...]string{"idle", "promise", "fetch", "stage", "arm", "commit", "abort", "release"}
+var roundNames = [Rounds]string{"idle", "promise", "fetch", "stage", "arm", "commit", "abort", "release"}
 
 // String returns the form used in logs.
 func (r Round) String() string { return roundNames[r] }
--- a/internal/group/pace_test.go
+++ b/internal/group/pace_test.go
@@ -94,6 +94,10 @@
 	step, _ = look(7, 400*time.Millisecond, 0)
 	require.Zero(t, step, "no change is ahead")
 	require.EqualValues(t, 150, h.held.Count())
+	look(8, 50*time.Millisecond, 9)
+	look(8, 10*time.Millisecond, 0)
+	step, _ = look(9, 400*time.Millisecond, 0)
+	require.Zero(t, step, "the change was given up")
 }
 
 // How far ahead a change is armed follows from what the orders took: small groups don't
--- a/internal/group/rounds.go
+++ b/internal/group/rounds.go
@@ -15,22 +15,19 @@
 	// round is the one that runs, since began.
 	round expertmap.Round
 	began time.Time
-	took  map[expertmap.Round]time.Duration
+	took  [expertmap.Rounds]time.Duration
 	// messages and bytes are those sent to other hosts, without the layers below.
 	messages, bytes int
 }
 
 // enter notes the round that a coordinator is in now.
 func (r *rounds) enter(round expertmap.Round, now time.Time) {
-	if r.took == nil {
-		r.took = make(map[expertmap.Round]time.Duration)
-		r.round, r.began = round, now
-		return
-	}
 	if round == r.round {
 		return
 	}
-	r.took[r.round] += now.Sub(r.began)
+	if !r.began.IsZero() {
+		r.took[r.round] += now.Sub(r.began)
+	}
 	r.round, r.began = round, now
 }
 
@@ -43,7 +40,9 @@
 func (r *rounds) attrs() []any {
 	out := []any{"messages", r.messages, "sent_bytes", r.bytes}
 	for round, took := range r.took {
-		out = append(out, slog.Int64(round.String()+"_ms", took.Milliseconds()))
+		if took > 0 {
+			out = append(out, slog.Int64(expertmap.Round(round).String()+"_ms", took.Milliseconds()))
+		}
 	}
 	return out
 }
@@ -63,8 +62,8 @@
 	if h.armed != 0 && s.Step >= h.armed {
 		step, late = h.armed, p.late(s.Step, now)
 		h.held.Inc(late.Milliseconds())
-		h.armed = 0
 	}
+	h.armed = 0
 	if s.Armed != nil {
 		h.armed = s.Armed.Step
 	}
