--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -84,8 +84,6 @@
 	// requests an engine should work on at once.
 	shape  *routetable.Engine
 	places int
-	// gap is the longest pause between events that is on time, 0 if none is declared.
-	gap time.Duration
 	// mine is how many of the free places are this host's to take; see dealPlaces. Until a
 	// request has told the engines' figures, isDealt is not set and they can't be counted.
 	mine    int
