Deal places out only where passes bound them

An engine never runs more than its slots, so what comes beyond harms no pass, and its own queue fills a slot at once; a host that waits for its part leaves it empty.

Now places are dealt only where fewer than the slots let passes be on time, which is what let the overload feed itself.

--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -225,13 +225,15 @@
 // free, the hosts sent 20 to 30 requests there before they knew better. Ranks then worked
 // on twice the requests that let passes be on time, answers took longer, and more were on
 // their way than before: the overload fed itself for 20 s after its cause had gone.
+// Where all slots count as places, an engine lets no more in than its passes bear, and its
+// own queue wastes no time between two requests; nothing is dealt there.
 func (s *Scheduler) dealPlaces(reported []wire.EngineLoad, now time.Duration) {
 	for _, sv := range s.services {
-		if sv.shape == nil {
+		if sv.shape == nil || sv.places >= sv.shape.Slots {
+			sv.isDealt = false
 			continue
 		}
-		least := sv.leastPace(now)
-		free := 0.0
+		least, free := sv.leastPace(now), 0.0
 		for i := range reported {
 			if u := s.byAddress[reported[i].Address]; u != nil && u.service == sv && u.load.at == now && sv.serves(u, now) {
 				free += max(float64(sv.placesAt(u, least, now))-s.taken(u, now), 0)
