--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -62,7 +62,7 @@
 		case isTurn:
 			go r.report(ctx)
 		case isBefore:
-			go r.restart(ctx)
+			go r.recount(ctx)
 		}
 	}
 	if r.address != 0 || shape == nil || r.coordinator != nil {
--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -60,15 +60,15 @@
 	}
 	branches := divide(targets)
 	if isDirect {
-		branches = alone(targets)
+		branches = direct(targets)
 	}
 	r.rounds.messages += len(branches)
 	r.rounds.bytes += len(branches) * len(data)
 	r.post(request, branches)
 }
 
-// alone returns a branch for each host.
-func alone(targets []wire.MapTarget) []branch {
+// direct returns a branch for each host.
+func direct(targets []wire.MapTarget) []branch {
 	out := make([]branch, 0, len(targets))
 	for _, t := range targets {
 		out = append(out, branch{head: t})
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// restart lets the ranks of this host count anew.
-func (r *Runner) restart(ctx context.Context) {
+// recount lets the ranks of this host count anew.
+func (r *Runner) recount(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	for _, e := range r.cfg.Ranks {
