--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -222,7 +222,7 @@
 // dealPlaces draws how many of the places that engines have just reported free are this
 // host's to take: its part, and what it has not used of the parts before, up to one place
 // or one part. All hosts see the same places: when a full group of 63 ranks showed one
-// free, the hosts sent 20 to 30 requests there before they knew better. Ranks then worked
+// free, the hosts sent 20 to 39 requests there before they knew better. Ranks then worked
 // on twice the requests that let passes be on time, answers took longer, and more were on
 // their way than before: the overload fed itself for 20 s after its cause had gone.
 // Where all slots count as places, an engine lets no more in than its passes bear, and its
