Test that who lacks content gets the difference where it can

Requests passed on took longer than the 200 ms after which the coordinator asks again; each participant that had not got the map by then asked for content and was sent the whole of it, 19 KB each, though it knew the map that was planned on.

--- a/internal/expertmap/delta_test.go
+++ b/internal/expertmap/delta_test.go
@@ -117,3 +117,37 @@
 	require.True(t, p.Step(0, sent[0].Message).Work)
 	require.Equal(t, OutcomeRunning, c.Outcome())
 }
+
+// On a busy group requests are passed on later than the coordinator waits, and many
+// participants ask for content at once. Those that know the map that was planned on get
+// the difference then too; the whole map is for those that can't make it of that.
+func TestWhoLacksContentGetsTheDifferenceWhereItCan(t *testing.T) {
+	base := Map{Version: v1, SlotsPerRank: 2, Layers: [][]uint16{{1, 2, 3, 4}}}
+	c, err := NewCoordinator(Config{ID: 5, Participants: []Address{0, 1}})
+	require.NoError(t, err)
+	c.Start(&Proposal{Base: v1, Map: Map{SlotsPerRank: 2, Layers: [][]uint16{{1, 9, 3, 4}}}}, base)
+	parts := []*Participant{NewParticipant(7, 5), NewParticipant(8, 5)}
+	for i, p := range parts {
+		p.promised = c.Ballot()
+		p.maps.keep(base)
+		c.Step(Address(i), Message{Promised: &Promised{
+			Ballot: c.Ballot(), Incarnation: p.incarnation, Known: []Version{v1}, Ranks: []Status{{Active: Installed{Version: v1}}},
+		}})
+	}
+	again := c.Tick()
+	require.Len(t, again, 2)
+	sent := c.Step(0, parts[0].Step(0, again[0].Message).Reply.Message)
+	require.Len(t, sent, 1)
+	require.NotNil(t, sent[0].Message.Stage.Delta)
+	require.Empty(t, sent[0].Message.Stage.Maps)
+	require.True(t, parts[0].Step(0, sent[0].Message).Work)
+
+	// The other one has a map of that version with other content.
+	parts[1].maps.keep(Map{Version: v1, SlotsPerRank: 2, Layers: [][]uint16{{5, 6, 7, 8}}})
+	sent = c.Step(1, parts[1].Step(0, again[1].Message).Reply.Message)
+	require.NotNil(t, sent[0].Message.Stage.Delta)
+	sent = c.Step(1, parts[1].Step(0, sent[0].Message).Reply.Message)
+	require.Len(t, sent, 1)
+	require.Len(t, sent[0].Message.Stage.Maps, 1)
+	require.True(t, parts[1].Step(0, sent[0].Message).Work)
+}
