Send who lacks content the difference where it can be used

A refusal now says which maps the participant knows, and it gets the difference from one of them; where it can't make the map of that, it forgets its base and gets the whole. While weights load the requests are repeated after twice as long each time: to ask 128 ranks is 19 KB.

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -1,6 +1,7 @@
 package expertmap
 
 import (
+	"math/bits"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -210,12 +211,23 @@
 	if c.ticks >= c.cfg.DeadlineTicks && c.phase < Committing {
 		return c.giveUp()
 	}
-	if c.ticks%c.cfg.RetryTicks != 0 {
+	if !c.isDue() {
 		return nil
 	}
 	return c.send()
 }
 
+// isDue reports whether it is time to send again what wasn't answered. While weights are
+// loaded, each time takes twice as long as the one before: loading takes what it takes,
+// and in a group of 128 ranks to ask all of them is 19 KB.
+func (c *Coordinator) isDue() bool {
+	times := c.ticks / c.cfg.RetryTicks
+	if c.ticks%c.cfg.RetryTicks != 0 {
+		return false
+	}
+	return c.phase != staging || bits.OnesCount(uint(times)) == 1
+}
+
 // isRepeated reports whether the round's requests have been sent before.
 func (c *Coordinator) isRepeated() bool { return c.ticks > 0 }
 
@@ -303,7 +315,7 @@
 	if p == nil || r.Ballot != c.ballot || c.phase != staging || p.answered {
 		return nil
 	}
-	p.lacks = true
+	p.lacks, p.known = true, r.Known
 	return []Envelope{{To: p.addr, Message: c.message(p)}}
 }
 
@@ -540,9 +552,7 @@
 		s.Versions = append(s.Versions, m.Version)
 	}
 	switch {
-	case p.lacks:
-		s.Maps = c.content
-	case c.isRepeated():
+	case c.isRepeated() && !p.lacks:
 	case c.delta != nil && !c.recovering && slices.Contains(p.known, c.delta.Base):
 		s.Delta = c.delta
 	default:
--- a/internal/expertmap/delta.go
+++ b/internal/expertmap/delta.go
@@ -153,13 +153,18 @@
 	if !m.hasContent() {
 		return
 	}
-	*l = slices.DeleteFunc(*l, func(o Map) bool { return o.Version == m.Version })
+	l.drop(m.Version)
 	*l = append(*l, m)
 	if len(*l) > mostMaps {
 		*l = slices.Delete(*l, 0, 1)
 	}
 }
 
+// drop forgets a map.
+func (l *library) drop(v Version) {
+	*l = slices.DeleteFunc(*l, func(m Map) bool { return m.Version == v })
+}
+
 // versions lists what is remembered.
 func (l library) versions() []Version {
 	var out []Version
--- a/internal/expertmap/delta_test.go
+++ b/internal/expertmap/delta_test.go
@@ -151,3 +151,24 @@
 	require.Len(t, sent[0].Message.Stage.Maps, 1)
 	require.True(t, parts[1].Step(0, sent[0].Message).Work)
 }
+
+// While weights are loaded participants are asked again at longer and longer intervals; in
+// the rounds in which ranks may hold, always at the same.
+func TestLoadingIsAskedForLessAndLess(t *testing.T) {
+	c, err := NewCoordinator(Config{ID: 5, Participants: []Address{0}, RetryTicks: 2, DeadlineTicks: 100})
+	require.NoError(t, err)
+	sent := func() (at []int) {
+		for tick := 1; tick <= 20; tick++ {
+			if len(c.Tick()) > 0 {
+				at = append(at, tick)
+			}
+		}
+		return at
+	}
+	c.Start(&Proposal{Base: v1, Map: Map{SlotsPerRank: 1}})
+	c.Step(0, Message{Promised: &Promised{Ballot: c.Ballot(), Incarnation: 7, Ranks: []Status{{Active: Installed{Version: v1}}}}})
+	require.Equal(t, []int{2, 4, 8, 16}, sent())
+	c.Step(0, Message{Staged: &Staged{Ballot: c.Ballot()}})
+	require.Equal(t, Arming, c.Round())
+	require.Equal(t, []int{2, 4, 6, 8, 10, 12, 14, 16, 18, 20}, sent())
+}
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -161,6 +161,8 @@
 	Reason   Reason `cbor:"3,keyasint"`
 	// Started is the last step that a rank has begun; it is known with ReasonStep.
 	Started uint64 `cbor:"4,keyasint,omitempty"`
+	// Known lists the maps whose content the participant knows, with ReasonContent.
+	Known []Version `cbor:"5,keyasint,omitempty"`
 }
 
 // header returns the ballot and incarnation of a request that follows a
--- a/internal/expertmap/participant.go
+++ b/internal/expertmap/participant.go
@@ -73,7 +73,9 @@
 	}
 	m, ok := p.complete(m)
 	if !ok {
-		return p.refuse(from, m, ReasonContent)
+		out := p.refuse(from, m, ReasonContent)
+		out.Reply.Message.Refused.Known = p.maps.versions()
+		return out
 	}
 	r := &request{from: from, msg: m}
 	if p.current != nil && !p.isWaiting {
@@ -99,6 +101,9 @@
 		base, _ := p.maps.find(d.Base)
 		if content, ok := d.Apply(base); ok {
 			p.maps.keep(content)
+		} else {
+			// What is remembered is not the map that the coordinator means.
+			p.maps.drop(d.Base)
 		}
 	}
 	full := *m.Stage
