Test that who heard a leader waits a whole election timeout

So it is no slow machine alone: a follower keeps the time that it drew at its start, a quarter of the usual one, until its role changes. In the product that is 250 to 350 ms of silence in place of 1 to 2 s.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -424,3 +424,20 @@
 	}
 	require.Len(t, seen, len(abc().Voters))
 }
+
+// A leader was deposed right after a common start, two ticks after its last word: a
+// voter kept the short time that it waits for a leader after its start once it had heard
+// one, and the others did so too, so that none refused its pre-vote. The roles and what
+// changed them, printed by a replica's loop, showed it.
+func TestWhoHeardALeaderWaitsAWholeElectionTimeout(t *testing.T) {
+	for _, heard := range []MessageType{MessageAppend, MessageHeartbeat} {
+		c := openCore(t, idB, restoredLog(t, abc(), 1))
+		require.Less(t, c.timeout, c.cfg.ElectionTicks, "it starts short")
+		step(t, c, Message{Type: heard, From: idA, Term: 1, Index: 1, LogTerm: 1})
+		for range c.cfg.ElectionTicks - 1 {
+			c.Tick()
+		}
+		require.Equal(t, Follower, c.role)
+		require.Equal(t, idA, c.leader)
+	}
+}
