Let who hears a leader first draw a whole election timeout

Cause: followLeader kept the timeout in force, and becomeFollower, which draws it, had drawn the short one of a start. The test of the short start asked the next draw, not the one in force, so it passed. Class: a time chosen for one state that outlives it. Ruled out: a starved test machine alone (the election came 10 to 15 ms after the last word, at a test's timeout of 50).

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -315,8 +315,13 @@
 		c.becomeFollower(c.hard.Term, id)
 	}
 	c.leader = id
-	c.hasHeard = true
 	c.electionElapsed = 0
+	if !c.hasHeard {
+		// The short time of a start ends with it: two followers that both kept it would
+		// depose a living leader after a quarter of an election timeout without a word.
+		c.hasHeard = true
+		c.timeout = c.drawTimeout()
+	}
 }
 
 // mayPropose refuses what a leader could not commit soon. Proposals stop before
