Let a group have as many places as its longest passes bear

Cause: places reckon with a skew of 2.4 at all times, which left 5 of 10 slots a rank at size, rounded down from 5.96.

Now each host sees in the pauses of its streams how long the passes of a group take, remembers the longest of 20 s, and reckons with those. Parts of a place are given out too. Never fewer places than before.

Tried before it and left out: a memory of 8 s, no least time and 0.96 of the gap.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -149,6 +149,7 @@
 		pause := now.Sub(r.at)
 		r.gap = max(r.gap, pause)
 		r.c.g.counts.gap.Add(pause)
+		r.hold.paused(pause)
 	}
 	r.at = now
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -135,6 +135,13 @@
 	t.g.scheduler.First(t.Ticket, t.g.now())
 }
 
+// paused tells how long the answer paused between two events.
+func (t *ticket) paused(took time.Duration) {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.scheduler.Pause(t.Ticket, took, t.g.now())
+}
+
 // connections returns this host's part of the bound on connections to an upstream.
 func (g *Gateway) connections(s *routetable.Service) int {
 	if s == nil || s.Connections == 0 {
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -100,7 +100,7 @@
 // Admit decides on a request that has come.
 func (s *Scheduler) Admit(r *Request, now time.Duration) Decision {
 	sv := s.service(r.Service)
-	sv.places, sv.shape = Places(r.Engine, r.Gap), r.Engine
+	sv.bound(r.Engine, r.Gap, now)
 	w := sv.waiter(r, now)
 	if w.isOnTime(now) && !r.IsResumed {
 		sv.demand.fresh.add(now)
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -45,6 +45,11 @@
 	isClosed bool
 	// heard is when a rank was heard last.
 	heard time.Duration
+	// ranks counts those whose load counts; running is how many requests one of them has, on
+	// the mean, and places how many it should have.
+	ranks           int
+	running, places float64
+	passes          passes
 }
 
 // SetLoads takes in the loads of engines. It returns what becomes of requests that wait,
@@ -57,6 +62,8 @@
 	var stalled []Stalled
 	for _, sv := range s.services {
 		sv.regroup()
+		sv.countRunning()
+		sv.followPasses(now)
 	}
 	s.dealPlaces(all, now)
 	for _, sv := range s.services {
@@ -199,10 +206,14 @@
 // placesAt returns how many requests an engine should work on at once, fewer where it is
 // slower than the fastest.
 func (sv *service) placesAt(u *upstream, least float64, now time.Duration) int {
+	places := sv.places
+	if u.group != nil && u.group.places > 0 {
+		places = int(u.group.places + u.spread)
+	}
 	if !u.load.isFresh(now) || least == 0 {
-		return sv.places
+		return places
 	}
-	return PlacesAt(sv.shape, sv.places, u.load.pace/least)
+	return PlacesAt(sv.shape, places, u.load.pace/least)
 }
 
 // room counts the places of a service that serve, and those of them that are free.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -65,6 +65,9 @@
 	suspectUntil time.Duration
 	load         load
 	isServing    bool
+	// spread is by how much the upstream rounds a number of places up, in [0, 1): it differs
+	// between upstreams, so that parts of a place at each make whole ones together.
+	spread float64
 }
 
 // service is what this host knows of a service.
@@ -80,9 +83,11 @@
 	// heard is when the last load of one of them came; wasHeard tells that one ever did.
 	heard    time.Duration
 	wasHeard bool
-	// shape are the figures of the engines, nil for plain services; places is how many
-	// requests an engine should work on at once.
+	// shape are the figures of the engines, nil for plain services, gap the longest pause
+	// between events; places is how many requests an engine should work on at once as far
+	// as these tell, groups know better once their passes were seen.
 	shape  *routetable.Engine
+	gap    time.Duration
 	places int
 	// mine is how many of the free places are this host's to take; see dealPlaces. Until a
 	// request has told the engines' figures, isDealt is not set and they can't be counted.
@@ -118,6 +123,7 @@
 		for _, known := range list {
 			u := s.know(known)
 			u.isServing, u.service = true, sv
+			u.spread = float64(len(sv.all)) / float64(len(list))
 			sv.all = append(sv.all, u)
 			s.byAddress[u.Address] = u
 		}
