Soak whole systems in seeded faults, and check what they promise

test/soak starts 28 processes and stand-ins, lets callers keep their connections open, an operator change the configuration without a pause, and the expert maps follow popularity, while kills, shutdowns, pauses, cuts, silences and delayed links come in a seeded series and overlap.

--- /dev/null
+++ b/test/cmd/soak/main.go
@@ -0,0 +1,128 @@
+// Command soak plays seeded runs of faults against whole systems on loopback, one after the
+// other, and tells which promises were broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/soak"
+)
+
+// startTime bounds the start and the end of a run, beside its faults.
+const startTime = 3 * time.Minute
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// options are what the command line says.
+type options struct {
+	seed   uint64
+	seeds  int
+	length time.Duration
+	only   []string
+	keep   string
+}
+
+func command() *cobra.Command {
+	var o options
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Play seeded faults against whole systems and check their promises",
+		Long: `Play seeded faults against whole systems of real processes on loopback, one after the
+other, and check their promises by what callers, operators and stand-ins see. Ends with
+exit status 1 where a promise was broken.`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), o) },
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of the first run")
+	flags.IntVar(&o.seeds, "seeds", 1, "number of runs, each with the next seed")
+	flags.DurationVar(&o.length, "for", 20*time.Second, "how long faults are played in a run")
+	flags.StringSliceVar(&o.only, "only", nil, "kinds of faults to play: kill, terminate, pause, cut, silence, delay (default: all)")
+	flags.StringVar(&o.keep, "keep", "", "folder for the logs of runs with a broken promise")
+	return cmd
+}
+
+func run(ctx context.Context, o options) error {
+	only, err := kinds(o.only)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "sassafraspost-soak-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin := filepath.Join(dir, "bin")
+	if err := local.Build(bin); err != nil {
+		return err
+	}
+	broken := 0
+	for n := range o.seeds {
+		cfg := soak.Config{Seed: o.seed + uint64(n), Length: o.length, Only: only, Bin: bin}
+		r, err := one(ctx, dir, cfg, o.keep)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", cfg.Seed)
+		}
+		r.Write(os.Stdout)
+		if len(r.Broken) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("promises were broken in %d of %d runs", broken, o.seeds)
+	}
+	return nil
+}
+
+// one plays a run in a folder of its own, which is kept only for its logs.
+func one(ctx context.Context, dir string, cfg soak.Config, keep string) (*soak.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.Length+startTime)
+	defer cancel()
+	cfg.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", cfg.Seed))
+	if err := os.Mkdir(cfg.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	r, err := soak.Run(ctx, cfg)
+	if keep != "" && (err != nil || len(r.Broken) > 0) {
+		if kept := os.CopyFS(filepath.Join(keep, filepath.Base(cfg.Dir)), os.DirFS(cfg.Dir)); kept != nil {
+			fmt.Fprintln(os.Stderr, "the logs are not kept:", kept)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r, os.RemoveAll(cfg.Dir)
+}
+
+// kinds reads the kinds of faults.
+func kinds(names []string) ([]soak.Kind, error) {
+	var out []soak.Kind
+	for _, name := range names {
+		k := soak.Kind(name)
+		if !slices.Contains(soak.Kinds, k) {
+			return nil, errors.Errorf("no kind of fault %q: there are %v", name, soak.Kinds)
+		}
+		out = append(out, k)
+	}
+	return out, nil
+}
--- a/test/integration/operators_test.go
+++ b/test/integration/operators_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"regexp"
 	"slices"
 	"strconv"
 	"sync"
@@ -158,30 +157,8 @@
 	return r
 }
 
-var revisionLine = regexp.MustCompile(`(?m)^sassafraspost_catalog_revision (\d+)$`)
-
 // inForce returns the revision in force on a host, and whether the host said so.
-func (s *system) inForce(h *local.Host) (uint64, bool) {
-	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+h.Metrics+"/metrics", nil)
-	if err != nil {
-		return 0, false
-	}
-	resp, err := keptClient.Do(req)
-	if err != nil {
-		return 0, false
-	}
-	defer resp.Body.Close()
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(resp.Body); err != nil {
-		return 0, false
-	}
-	found := revisionLine.FindSubmatch(body.Bytes())
-	if found == nil {
-		return 0, false
-	}
-	revision, err := strconv.ParseUint(string(found[1]), 10, 64)
-	return revision, err == nil
-}
+func (s *system) inForce(h *local.Host) (uint64, bool) { return local.InForce(s.ctx, h) }
 
 // awaitInForce waits until a revision, or a later one, is in force on the hosts.
 func (s *system) awaitInForce(revision uint64, hosts ...*local.Host) {
--- a/test/local/client.go
+++ b/test/local/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -70,8 +72,12 @@
 	Method, Path, Key, ID, Body string
 }
 
-// Do sends a request to an entry host. An answer that can't be read to its end has Err.
-func Do(ctx context.Context, entry string, q Request) Answer {
+// Do sends a request to an entry host on a new connection. An answer that can't be read to
+// its end has Err.
+func Do(ctx context.Context, entry string, q Request) Answer { return DoBy(ctx, client, entry, q) }
+
+// DoBy is Do by the caller's own client.
+func DoBy(ctx context.Context, by *http.Client, entry string, q Request) Answer {
 	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+entry+q.Path, bytes.NewReader([]byte(q.Body)))
 	if err != nil {
 		return Answer{Err: err}
@@ -84,7 +90,7 @@
 	if q.ID != "" {
 		req.Header.Set("X-Request-Id", q.ID)
 	}
-	resp, err := client.Do(req)
+	resp, err := by.Do(req)
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -158,6 +164,34 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+var revisionLine = regexp.MustCompile(`(?m)^sassafraspost_catalog_revision (\d+)$`)
+
+// keptClient keeps its connections: for requests by the hundred.
+var keptClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+
+// InForce returns the revision in force on a host, and whether the host said so.
+func InForce(ctx context.Context, h *Host) (uint64, bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Metrics+"/metrics", nil)
+	if err != nil {
+		return 0, false
+	}
+	resp, err := keptClient.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, false
+	}
+	found := revisionLine.FindSubmatch(body)
+	if found == nil {
+		return 0, false
+	}
+	revision, err := strconv.ParseUint(string(found[1]), 10, 64)
+	return revision, err == nil
+}
+
 // cluster is what the tool prints of a cluster.
 type cluster struct {
 	Leader    string `json:"leader"`
--- a/test/local/faults.go
+++ b/test/local/faults.go
@@ -1,6 +1,8 @@
 package local
 
 import (
+	"time"
+
 	"github.com/sassafraspost/sassafraspost/test/faultproxy"
 )
 
@@ -38,6 +40,23 @@
 	}
 }
 
+// DelaySends holds each piece that a host sends for a while, until Heal; what it gets comes
+// as usual.
+func (s *System) DelaySends(h *Host, by time.Duration) {
+	late := faultproxy.Fault{Delay: by}
+	for k, p := range s.links {
+		switch h.Name {
+		case k.from:
+			p.Set(faultproxy.Forward, late)
+		case k.to:
+			p.Set(faultproxy.Backward, late)
+		}
+	}
+	if p := s.inbound[h.Name]; p != nil {
+		p.Set(faultproxy.Backward, late)
+	}
+}
+
 // Heal lifts the faults on all links of a host.
 func (s *System) Heal(h *Host) {
 	for _, p := range s.crossing(only(h)) {
--- /dev/null
+++ b/test/soak/operator.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/cli"
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+const (
+	// changePause is the pause between two changes of the configuration.
+	changePause = 300 * time.Millisecond
+	// lookPause is the pause between two looks at a host.
+	lookPause = 20 * time.Millisecond
+	// callTime bounds one call of the operators' tool.
+	callTime = 10 * time.Second
+)
+
+// operator changes the configuration with the operators' tool, one change after the other.
+type operator struct {
+	s *local.System
+	r *record
+	// base is the newest revision that is known to be accepted.
+	base uint64
+	n    int
+}
+
+// run changes the configuration until ctx ends.
+func (o *operator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.change(ctx)
+		pause(ctx, changePause)
+	}
+}
+
+// change submits the next document, again under its own id until the outcome is known.
+func (o *operator) change(ctx context.Context) {
+	o.n++
+	id := fmt.Sprintf("soak-change-%05d", o.n)
+	text := local.Document(fmt.Sprintf("v%d", o.n+1))
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTime)
+		out, err := o.s.SubmitOver(call, o.base, text, "--change-id", id, "-o", "json")
+		cancel()
+		switch code := exitCode(err); {
+		case err == nil:
+			o.accepted(out)
+			return
+		case code == cli.ExitConflict:
+			// An attempt of this operator's own, whose outcome it never learnt, came first.
+			o.base = max(o.base, o.s.Revision(ctx))
+			o.r.count("changes in conflict")
+			return
+		case code == cli.ExitNotRun || code == cli.ExitUnknown:
+			o.r.count("changes asked again")
+		case ctx.Err() == nil && call.Err() == nil:
+			o.r.fail(Configuration, "change %s: %v: %.200s", id, err, out)
+			return
+		}
+		pause(ctx, breath)
+	}
+}
+
+func (o *operator) accepted(out string) {
+	var a struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err := json.Unmarshal([]byte(out), &a); err != nil || a.Revision <= o.base {
+		o.r.fail(Configuration, "accepted as revision %d after %d: %.200s", a.Revision, o.base, out)
+		return
+	}
+	o.base = a.Revision
+	o.r.count("changes accepted")
+}
+
+func exitCode(err error) cli.ExitCode {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return cli.ExitOK
+	}
+	return cli.ExitCode(exit.ExitCode())
+}
+
+// watch notes each host that goes back to an older revision within one life of its process.
+func watch(ctx context.Context, s *local.System, r *record, wg *sync.WaitGroup) {
+	for _, h := range s.Entries {
+		wg.Go(func() {
+			newest, life := uint64(0), h.Done()
+			for ctx.Err() == nil {
+				before := h.Done()
+				revision, ok := local.InForce(ctx, h)
+				if before != life {
+					newest, life = 0, before
+				}
+				if ok && before == h.Done() {
+					if revision < newest {
+						r.fail(Configuration, "%s went from revision %d back to %d", h.Name, newest, revision)
+					}
+					newest = max(newest, revision)
+				}
+				pause(ctx, lookPause)
+			}
+		})
+	}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/test/soak/soak.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/test/local"
+)
+
+const (
+	// groupStandIn is the name of the stand-in that runs all ranks of the group.
+	groupStandIn = "upstream-group"
+	// recoveryTime is within what everything has to be served again after the last fault.
+	recoveryTime = 60 * time.Second
+	// grace is the shutdown grace of the daemons, endTime within what they have to be gone.
+	grace, endTime = 10 * time.Second, 15 * time.Second
+	// sendDelay is by how much Delay holds each piece.
+	sendDelay = 250 * time.Millisecond
+	// streamCallers and bookCallers are the callers by kind.
+	streamCallers, bookCallers = 8, 6
+)
+
+// Layout is what a run starts: 28 processes with its stand-ins.
+func Layout() local.Layout {
+	return local.Layout{
+		Control: 3, Entries: 3, Engines: 3, Services: 2, GroupHosts: 4, RanksPerHost: 2, HasProxies: true, Grace: grace,
+		EngineArgs: []string{"--step", "10ms"}, ServiceArgs: []string{"--delay", "30ms"},
+		GroupArgs: []string{"--step", "5ms", "--drift-steps", "150", "--load-time", "100ms"},
+	}
+}
+
+// Config is one run.
+type Config struct {
+	Seed   uint64
+	Length time.Duration
+	// Only are the kinds of faults to play; all if empty.
+	Only []Kind
+	// Dir is where logs and data go, Bin where local.Build put the programs.
+	Dir, Bin string
+}
+
+// Run plays one run. It returns an error where the system could not be run at all.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	s, err := local.New(cfg.Dir, cfg.Bin, Layout())
+	if err != nil {
+		return nil, err
+	}
+	defer s.Stop()
+	if err := s.Start(); err != nil {
+		return nil, err
+	}
+	if err := s.Prepare(ctx, local.Document("v1")); err != nil {
+		return nil, errors.Wrap(err, "prepare")
+	}
+	r := newRecord()
+	if err := play(ctx, cfg, s, r); err != nil {
+		return nil, err
+	}
+	return newReport(cfg, r), nil
+}
+
+// play runs callers and operators beside the faults, and then checks what was done.
+func play(ctx context.Context, cfg Config, s *local.System, r *record) error {
+	beside, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	o := &operator{s: s, r: r, base: s.Revision(ctx)}
+	wg.Go(func() { o.run(beside) })
+	watch(beside, s, r, &wg)
+	c := startCallers(ctx, s, r, streamCallers, bookCallers)
+	playFaults(ctx, cfg, s, r)
+	stop()
+	wg.Wait()
+	checkRecovery(ctx, s, r)
+	c.end()
+	done, err := executed(ctx, s)
+	if err != nil {
+		return err
+	}
+	c.checkExecutions(done)
+	return checkGroup(ctx, s, r)
+}
+
+// playFaults plays the faults of the run and waits until all are over.
+func playFaults(ctx context.Context, cfg Config, s *local.System, r *record) {
+	var control, others []string
+	for _, h := range s.Control {
+		control = append(control, h.Name)
+	}
+	for _, h := range append(append([]*local.Host{}, s.Entries...), s.Agents...) {
+		others = append(others, h.Name)
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	kinds := cfg.Only
+	if len(kinds) == 0 {
+		kinds = Kinds
+	}
+	for _, f := range Plan(cfg.Seed, kinds, control, others, cfg.Length) {
+		pause(ctx, time.Until(began.Add(f.At)))
+		h, err := s.Find(f.Host)
+		if err != nil || ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() { playFault(ctx, s, r, h, f) })
+	}
+	wg.Wait()
+}
+
+// playFault plays one fault to its end.
+func playFault(ctx context.Context, s *local.System, r *record, h *local.Host, f Fault) {
+	end := r.begin(f.String(), !f.Kind.IsPlanned())
+	defer end()
+	switch f.Kind {
+	case Kill:
+		h.Kill()
+		pause(ctx, f.For)
+		restart(r, h)
+	case Terminate:
+		terminate(r, h)
+		restart(r, h)
+	case Pause:
+		h.Freeze()
+		pause(ctx, f.For)
+		h.Thaw()
+	case Cut:
+		s.Cut(h)
+		pause(ctx, f.For)
+		s.Heal(h)
+	case Silence:
+		s.FreezeLinks(h)
+		pause(ctx, f.For)
+		s.Heal(h)
+	case Delay:
+		s.DelaySends(h, sendDelay)
+		pause(ctx, f.For)
+		s.Heal(h)
+	}
+}
+
+// terminate asks a process to end and checks how it does.
+func terminate(r *record, h *local.Host) {
+	h.Terminate()
+	select {
+	case <-h.Done():
+		if err := h.Err(); err != nil {
+			r.fail(Shutdown, "%s ended in failure: %v", h.Name, err)
+		}
+	case <-time.After(endTime):
+		r.fail(Shutdown, "%s is still there %s after it was asked to end", h.Name, endTime)
+		h.Kill()
+	}
+}
+
+func restart(r *record, h *local.Host) {
+	if err := h.Start(); err != nil {
+		r.fail(Recovery, "%s does not start: %v", h.Name, err)
+	}
+}
