Let the soak race bookings, break answers off, and see what a shutdown costs

Streams can't be resumed now, three callers send each booking through two entry hosts at once, a reset lets the upstream break its next answers off, and a booking that is unknown for good counts as cut in a calm time.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -57,7 +57,7 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the first run")
 	flags.IntVar(&o.seeds, "seeds", 1, "number of runs, each with the next seed")
 	flags.DurationVar(&o.length, "for", 20*time.Second, "how long faults are played in a run")
-	flags.StringSliceVar(&o.only, "only", nil, "kinds of faults to play: kill, terminate, pause, cut, silence, delay (default: all)")
+	flags.StringSliceVar(&o.only, "only", nil, "kinds of faults to play: kill, terminate, pause, cut, silence, delay, reset (default: all)")
 	flags.StringVar(&o.keep, "keep", "", "folder for the logs of runs with a broken promise")
 	return cmd
 }
@@ -104,7 +104,7 @@
 	}
 	r, err := soak.Run(ctx, cfg)
 	if keep != "" && (err != nil || len(r.Broken) > 0) {
-		if kept := os.CopyFS(filepath.Join(keep, filepath.Base(cfg.Dir)), os.DirFS(cfg.Dir)); kept != nil {
+		if kept := os.CopyFS(filepath.Join(keep, fmt.Sprintf("%s-%d", filepath.Base(cfg.Dir), time.Now().Unix())), os.DirFS(cfg.Dir)); kept != nil {
 			fmt.Fprintln(os.Stderr, "the logs are not kept:", kept)
 		}
 	}
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -42,11 +42,18 @@
 	lost            map[string]string
 }
 
-func startCallers(ctx context.Context, s *local.System, r *record, streams, bookers int) *callers {
-	c := &callers{s: s, r: r, stop: make(chan struct{}), refused: map[string]bool{}, booked: map[string]bool{}, lost: map[string]string{}}
-	for n := range streams + bookers {
+func newCallers(s *local.System, r *record) *callers {
+	return &callers{s: s, r: r, stop: make(chan struct{}), refused: map[string]bool{}, booked: map[string]bool{}, lost: map[string]string{}}
+}
+
+func startCallers(ctx context.Context, s *local.System, r *record) *callers {
+	c := newCallers(s, r)
+	for n := range streamCallers + bookCallers + racers {
 		ask := c.stream
-		if n >= streams {
+		switch {
+		case n >= streamCallers+bookCallers:
+			ask = c.race
+		case n >= streamCallers:
 			ask = c.book
 		}
 		c.wg.Go(func() { c.run(ctx, n, ask) })
@@ -65,6 +72,9 @@
 	name   string
 	client *http.Client
 	at     int
+	// isRacing tells that another caller asks for the same: what was not run by this one may
+	// have been by that one.
+	isRacing bool
 }
 
 // run asks one request after the other. A caller whose host does not answer goes to the next.
@@ -101,38 +111,50 @@
 	a := c.do(ctx, me, q)
 	switch {
 	case a.Err != nil:
-		c.broke(id, sent, a)
+		c.r.count("connections broken")
+		c.lose(id, sent, a)
 	case a.Status == http.StatusOK && a.Body == strings.Join(standin.Stream(id, tokens), ""):
 		c.r.count("streams whole")
 		return true
 	case a.Status == http.StatusOK:
 		c.r.fail(Whole, "stream %s: status 200 with %d bytes that are not its answer: %.200q", id, len(a.Body), a.Body)
 	default:
-		c.failed("streams", id, a)
+		c.failed("streams", id, sent, a)
 	}
 	return false
 }
 
+// race makes one booking through two entry hosts at once.
+func (c *callers) race(ctx context.Context, me *caller, key string) bool {
+	one := &caller{client: me.client, at: me.at, isRacing: true}
+	other := &caller{client: me.client, at: me.at + 1, isRacing: true}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.book(ctx, other, key) })
+	return c.book(ctx, one, key)
+}
+
 // book makes a booking, and asks for its outcome until that is known.
 func (c *callers) book(ctx context.Context, me *caller, key string) bool {
 	q := local.Booking(key, "rider of "+key)
+	began := time.Now()
 	for try := range resends {
-		sent := time.Now()
 		a := c.do(ctx, me, q)
 		switch {
 		case a.Err != nil:
-			c.broke(key, sent, a)
+			c.r.count("connections broken")
 		case a.Status == http.StatusCreated && strings.Contains(a.Body, `"rider of `+key+`"`):
 			c.r.count("bookings made")
 			c.note(c.booked, key)
 			return true
 		case a.Status == http.StatusCreated:
 			c.r.fail(Whole, "booking %s: the answer to another one: %.200q", key, a.Body)
-		case a.Verdict == verdict.NotRun && try == 0:
-			c.failed("bookings", key, a)
+		case a.Verdict == verdict.NotRun && try == 0 && !me.isRacing:
+			c.failed("bookings", key, began, a)
 			return false
 		case strings.Contains(a.Body, `"conflict"`):
 			c.r.count("bookings unknown for good")
+			c.lose(key, began, a)
 			return false
 		}
 		select {
@@ -146,26 +168,26 @@
 	return false
 }
 
-// failed notes a failure that the system told of.
-func (c *callers) failed(what, id string, a local.Answer) {
+// failed notes a failure that the system told of. What may have run is as good as cut.
+func (c *callers) failed(what, id string, sent time.Time, a local.Answer) {
 	if a.Verdict != verdict.NotRun {
 		c.r.count(what + " failed")
+		c.lose(id, sent, a)
 		return
 	}
 	c.r.count(what + " refused")
 	c.note(c.refused, id)
 }
 
-// broke notes an answer that broke off or never came. In a calm time that is a cut, if the
-// request was taken.
-func (c *callers) broke(id string, sent time.Time, a local.Answer) {
-	c.r.count("connections broken")
+// lose notes a request whose answer broke off, never came or never will, if that was in a calm
+// time.
+func (c *callers) lose(id string, sent time.Time, a local.Answer) {
 	if !c.r.isCalm(sent, time.Now(), aftermath) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost[id] = fmt.Sprintf("after %s, status %d: %v", time.Since(sent).Round(time.Millisecond), a.Status, a.Err)
+	c.lost[id] = fmt.Sprintf("after %s, status %d, %.200s: %v", time.Since(sent).Round(time.Millisecond), a.Status, a.Body, a.Err)
 }
 
 func (c *callers) note(in map[string]bool, id string) {
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os/exec"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,11 +41,17 @@
 	}
 }
 
+// document returns the nth one. Its streams can't go on at another upstream, so that one
+// that is cut stays cut.
+func document(n int) string {
+	return strings.Replace(local.Document(fmt.Sprintf("v%d", n)), "resumable = true", "resumable = false", 1)
+}
+
 // change submits the next document, again under its own id until the outcome is known.
 func (o *operator) change(ctx context.Context) {
 	o.n++
 	id := fmt.Sprintf("soak-change-%05d", o.n)
-	text := local.Document(fmt.Sprintf("v%d", o.n+1))
+	text := document(o.n + 1)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTime)
 		out, err := o.s.SubmitOver(call, o.base, text, "--change-id", id, "-o", "json")
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -28,10 +28,13 @@
 	Silence Kind = "silence"
 	// Delay holds each piece that the host sends, and none that it gets.
 	Delay Kind = "delay"
+	// Reset ends all connections of the host once; the upstream behind an agent breaks off
+	// its next answers too.
+	Reset Kind = "reset"
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{Kill, Terminate, Pause, Cut, Silence, Delay}
+var Kinds = []Kind{Kill, Terminate, Pause, Cut, Silence, Delay, Reset}
 
 // IsPlanned reports whether a fault must cost no request.
 func (k Kind) IsPlanned() bool { return k == Terminate }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/test/local"
+	"github.com/sassafraspost/sassafraspost/test/standin"
 )
 
 const (
@@ -19,8 +20,10 @@
 	grace, endTime = 10 * time.Second, 15 * time.Second
 	// sendDelay is by how much Delay holds each piece.
 	sendDelay = 250 * time.Millisecond
-	// streamCallers and bookCallers are the callers by kind.
-	streamCallers, bookCallers = 8, 6
+	// brokenAnswers is how many answers an upstream breaks off after Reset.
+	brokenAnswers = 3
+	// streamCallers, bookCallers and racers are the callers by kind.
+	streamCallers, bookCallers, racers = 8, 6, 3
 )
 
 // Layout is what a run starts: 28 processes with its stand-ins.
@@ -52,7 +55,7 @@
 	if err := s.Start(); err != nil {
 		return nil, err
 	}
-	if err := s.Prepare(ctx, local.Document("v1")); err != nil {
+	if err := s.Prepare(ctx, document(1)); err != nil {
 		return nil, errors.Wrap(err, "prepare")
 	}
 	r := newRecord()
@@ -70,7 +73,7 @@
 	o := &operator{s: s, r: r, base: s.Revision(ctx)}
 	wg.Go(func() { o.run(beside) })
 	watch(beside, s, r, &wg)
-	c := startCallers(ctx, s, r, streamCallers, bookCallers)
+	c := startCallers(ctx, s, r)
 	playFaults(ctx, cfg, s, r)
 	stop()
 	wg.Wait()
@@ -134,6 +137,8 @@
 		s.FreezeLinks(h)
 		pause(ctx, f.For)
 		s.Heal(h)
+	case Reset:
+		reset(ctx, s, h)
 	case Delay:
 		s.DelaySends(h, sendDelay)
 		pause(ctx, f.For)
@@ -155,6 +160,17 @@
 	}
 }
 
+// reset ends the connections of a host, and lets an upstream behind it break off answers. It
+// is over when the links are back; what it cost shows within the aftermath.
+func reset(ctx context.Context, s *local.System, h *local.Host) {
+	if h.Upstream != nil && h.Upstream.Name != groupStandIn {
+		// A stand-in that can't be told just answers.
+		_ = local.Fail(ctx, h.Upstream, standin.Failure{Mode: standin.Die, After: tokens / 2, Times: brokenAnswers})
+	}
+	s.Cut(h)
+	s.Heal(h)
+}
+
 func restart(r *record, h *local.Host) {
 	if err := h.Start(); err != nil {
 		r.fail(Recovery, "%s does not start: %v", h.Name, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -61,7 +61,7 @@
 		"all is well": {told: func(c *callers) { c.booked["k"], c.refused["r"] = true, true },
 			done: standin.Report{ByKey: map[string]standin.Executions{"k": ran(1, 1)}}},
 	} {
-		heard := &callers{r: newRecord(), refused: map[string]bool{}, booked: map[string]bool{}, lost: map[string]string{}}
+		heard := newCallers(nil, newRecord())
 		if c.told != nil {
 			c.told(heard)
 		}
@@ -77,15 +77,15 @@
 
 // Only what was cut while no unplanned fault went on, or had just ended, counts as a cut.
 func TestCutsCountInCalmTimesOnly(t *testing.T) {
-	c := &callers{r: newRecord(), lost: map[string]string{}}
+	c := newCallers(nil, newRecord())
 	cut := local.Answer{Err: os.ErrDeadlineExceeded, Verdict: verdict.MayHaveRun}
 	end := c.r.begin("terminate", false)
-	c.broke("calm", time.Now(), cut)
+	c.lose("calm", time.Now(), cut)
 	end()
 	end = c.r.begin("kill", true)
-	c.broke("during", time.Now(), cut)
+	c.lose("during", time.Now(), cut)
 	end()
-	c.broke("just after", time.Now(), cut)
+	c.lose("just after", time.Now(), cut)
 	require.Len(t, c.lost, 1)
 	require.Contains(t, c.lost, "calm")
 	require.True(t, c.r.isCalm(time.Now().Add(2*aftermath), time.Now().Add(3*aftermath), aftermath))
