--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -28,8 +28,8 @@
 	Silence Kind = "silence"
 	// Delay holds each piece that the host sends, and none that it gets.
 	Delay Kind = "delay"
-	// Reset ends all connections of the host once; the upstream behind an agent breaks off
-	// its next answers too.
+	// Reset ends all connections of the host once, and each upstream breaks off its next
+	// answers.
 	Reset Kind = "reset"
 )
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -20,7 +20,7 @@
 	grace, endTime = 10 * time.Second, 15 * time.Second
 	// sendDelay is by how much Delay holds each piece.
 	sendDelay = 250 * time.Millisecond
-	// brokenAnswers is how many answers an upstream breaks off after Reset.
+	// brokenAnswers is how many answers each upstream breaks off after Reset.
 	brokenAnswers = 3
 	// streamCallers, bookCallers and racers are the callers by kind.
 	streamCallers, bookCallers, racers = 8, 6, 3
@@ -160,12 +160,14 @@
 	}
 }
 
-// reset ends the connections of a host, and lets an upstream behind it break off answers. It
-// is over when the links are back; what it cost shows within the aftermath.
+// reset ends the connections of a host, and lets all upstreams break off their next answers.
+// It is over when the links are back; what it cost shows within the aftermath.
 func reset(ctx context.Context, s *local.System, h *local.Host) {
-	if h.Upstream != nil && h.Upstream.Name != groupStandIn {
-		// A stand-in that can't be told just answers.
-		_ = local.Fail(ctx, h.Upstream, standin.Failure{Mode: standin.Die, After: tokens / 2, Times: brokenAnswers})
+	for _, up := range s.StandIns {
+		if up.Name != groupStandIn {
+			// A stand-in that can't be told just answers.
+			_ = local.Fail(ctx, up, standin.Failure{Mode: standin.Die, After: tokens / 2, Times: brokenAnswers})
+		}
 	}
 	s.Cut(h)
 	s.Heal(h)
