--- a/internal/schedule/passes_test.go
+++ b/internal/schedule/passes_test.go
@@ -91,3 +91,13 @@
 	groups := l.service("s").groups
 	require.Greater(t, groups["0"].places, groups["1"].places)
 }
+
+// BenchmarkPause takes in one pause after the other, 1,000 a second.
+func BenchmarkPause(b *testing.B) {
+	l := newSpreadLab()
+	t := l.hold(l.service("s").all[0], l.now)
+	for range b.N {
+		l.now += time.Millisecond
+		l.Pause(t, 60*time.Millisecond, l.now)
+	}
+}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -84,11 +84,16 @@
 
 // fill tells that each engine has that many requests.
 func (l *lab) fill(n int) ([]Result, []Stalled) {
+	l.occupy(n)
+	return l.tell("", nil)
+}
+
+// occupy lets each engine have that many requests, of which nothing is told yet.
+func (l *lab) occupy(n int) {
 	for id, load := range l.loads {
 		load.Running = n
 		l.loads[id] = load
 	}
-	return l.tell("", nil)
 }
 
 // request is one that can be on time for 400 ms from now.
@@ -509,10 +514,7 @@
 		l.cfg.Random = rand.New(rand.NewPCG(uint64(h), 11))
 		require.Equal(t, tightPlaces, Places(l.engine, l.tight().Gap))
 		l.Admit(l.tight(), l.now)
-		for id, load := range l.loads {
-			load.Running = tightPlaces
-			l.loads[id] = load
-		}
+		l.occupy(tightPlaces)
 		for range rounds {
 			l.now += 100 * time.Millisecond
 			l.tell("0/7", func(load *wire.EngineLoad) { load.Running = tightPlaces - 1 })
@@ -565,10 +567,7 @@
 	require.NotNil(t, held)
 	for range 2 {
 		l.now += 100 * time.Millisecond
-		for id, load := range l.loads {
-			load.Running = tightPlaces + 2
-			l.loads[id] = load
-		}
+		l.occupy(tightPlaces + 2)
 		l.tell("0/3", func(load *wire.EngineLoad) { load.Running = tightPlaces - 1 })
 	}
 	l.End(held, Good, l.now)
