--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,6 +33,8 @@
 	later atomic.Int64
 	// addresses are those of the upstreams.
 	addresses map[string]string
+	// gap is the longest pause between events that the routes of the next table allow.
+	gap time.Duration
 }
 
 // newLab returns one that has been up for long.
@@ -74,7 +76,7 @@
 	route := func(name string, kind routetable.Kind, attempts int) routetable.Route {
 		return routetable.Route{
 			Name: name, HostName: "127.0.0.1", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second,
-			Target: time.Second, Priority: usualPriority, Attempts: attempts, IsResumable: kind == routetable.Stream,
+			Target: time.Second, Gap: l.gap, Priority: usualPriority, Attempts: attempts, IsResumable: kind == routetable.Stream,
 			Shares: []routetable.Share{{Service: "s", Weight: 1}},
 		}
 	}
@@ -292,6 +294,33 @@
 	l.gateway.SetLoads([]wire.EngineLoad{load})
 }
 
+// The pauses between the events of streams tell how many requests the engines of a group bear.
+func TestPausesOfStreamsTellHowManyPlacesThereAre(t *testing.T) {
+	l := newLab(t)
+	l.gap = 110 * time.Millisecond
+	l.table(&routetable.Engine{
+		Slots: 10, Stride: 5, Step: 5 * time.Millisecond, PerRequest: time.Millisecond,
+		Experts: routetable.Experts{Sets: 1, Count: 8, Slots: 2, Share: 0.85},
+	})
+	l.upstream("u1", events(0))
+	places := func() float64 {
+		l.tell("u1", wire.EngineLoad{IsOpen: true, Group: "g", Epoch: 1})
+		l.gateway.mu.Lock()
+		defer l.gateway.mu.Unlock()
+		return l.gateway.scheduler.State("s", l.gateway.now()).Places
+	}
+	l.tell("u1", wire.EngineLoad{IsOpen: true, Group: "g", Epoch: 1})
+	resp, _ := l.ask("/stream/", nil)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	least := places()
+	require.Eventually(t, func() bool {
+		l.later.Add(int64(500 * time.Millisecond))
+		l.tell("u1", wire.EngineLoad{IsOpen: true, Group: "g", Epoch: 1})
+		_, _ = l.ask("/stream/", nil)
+		return places() > least
+	}, patience, time.Millisecond)
+}
+
 // waiting counts the requests that wait for a place.
 func (l *lab) waiting() int {
 	l.gateway.mu.Lock()
