Let control hosts tell each other of all control hosts they know

Cause: a control host dialled the seeds of its settings, and learnt only of those that dialled it; what it told of other control hosts went to entry hosts and agents alone. After a common restart with exchanged seeds, voters that were no seeds had no session with each other. Whether a leader came then depended on how many voters happened to be seeds. Class: what was learnt while running, and is not in the settings, is gone with the process.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -226,6 +226,19 @@
 	wg.Wait()
 }
 
+// Meet takes in a control host with which a session has begun, and tells it and the others
+// of each other. Settings name a few seeds, which need not vote, and may be others than
+// before: voters that knew only those and who had dialled them elected nobody after a common
+// restart, for as long as it was watched.
+func (h *Host) Meet(s *peer.Session) {
+	h.Learn(s.Remote().Address)
+	m := &wire.Hosts{Control: append(h.book.List(), h.cfg.Address)}
+	for _, other := range h.cfg.Transport.Sessions() {
+		// What a full queue refuses comes with the next session.
+		_ = other.Post(m)
+	}
+}
+
 // Learn adds control hosts that were heard of.
 func (h *Host) Learn(addresses ...string) {
 	for _, a := range addresses {
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -25,6 +25,8 @@
 		if data, isWhole := h.cfg.Transport.join(consensus.ReplicaID(s.Remote().Replica), m); isWhole {
 			h.handleConsensus(&wire.Consensus{To: m.To, Data: data})
 		}
+	case *wire.Hosts:
+		h.Learn(m.Control...)
 	case *wire.Attach:
 		h.fleet.attach(s, m)
 	case *wire.EngineLoad:
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -57,6 +57,19 @@
 	t.sessions[id] = s
 }
 
+// Sessions returns the live sessions with replicas.
+func (t *Transport) Sessions() []*peer.Session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*peer.Session
+	for _, s := range t.sessions {
+		if s.Alive() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Send implements replica.Transport. It never waits; what can't be queued is lost,
 // which consensus allows for.
 func (t *Transport) Send(to consensus.ReplicaID, m consensus.Message) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -83,7 +83,7 @@
 	n.up = func(s *peer.Session) {
 		transport.SessionUp(s)
 		if s.Remote().Replica != "" {
-			host.Learn(s.Remote().Address)
+			host.Meet(s)
 		}
 	}
 	n.handle = func(s *peer.Session, call uint64, m wire.Message) { host.HandlePeer(s, call, m) }
