Greet hosts in line, control hosts first, and dial nobody who is still at work on it

Cause (users' play of 284 hosts: 3,183 descriptors open at one control host after a loss of power, a leader after 2.2 to 2.6 s): a dial ended 0.4 s after it began, whether the other end was dark or at work on its greeting, and was made again at once and without jitter; all control hosts' greetings were worked on at the same time, those of control hosts among each other with them.

Now the time to accept a connection stays short, that for a greeting doubles while a host is late, pauses are drawn from a span that doubles, eight hosts are greeted at a time and control hosts wait for none of them; hosts that start dial the control hosts one after the other, in an order of their own. Dials begun, late, given up and accepted are counted.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,14 +14,26 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-const (
-	// redialFirst is how long a host waits to dial a control host anew for the first time,
-	// redialMost at most; it doubles in between. Hosts that start together listen within
-	// some 50 ms of each other.
-	redialFirst = 50 * time.Millisecond
-	redialMost  = 200 * time.Millisecond
+// redial is how a host dials a control host anew: after a pause that is drawn from a span.
+// The span doubles from first to most with each dial that fails, so that hosts which were
+// all cut off or started at one moment do not come back at one moment.
+type redial struct {
+	first, most time.Duration
+}
+
+var (
+	// among is for control hosts, who are few and wait for each other to elect a leader.
+	among = redial{first: 50 * time.Millisecond, most: 200 * time.Millisecond}
+	// following is for all others.
+	following = redial{first: 100 * time.Millisecond, most: 800 * time.Millisecond}
 )
 
+// pause returns the next pause and span. Draw is in [0, 1).
+func (r redial) pause(span time.Duration, draw float64) (pause, next time.Duration) {
+	span = min(max(span, r.first), r.most)
+	return time.Duration(draw * float64(span)), 2 * span
+}
+
 // Transport carries consensus messages over the sessions between control hosts. A
 // replica is found by what its host says of itself when a session begins: a host
 // whose disk is new is another replica, and gets no message meant for the old one.
@@ -111,8 +124,24 @@
 	return ""
 }
 
-// KeepDialled holds a session with each control host of the book until ctx ends.
+// KeepDialled holds a session with each control host of the book until ctx ends, for a
+// control host.
 func KeepDialled(ctx context.Context, pool *peer.Pool, book *Book) {
+	keepDialled(ctx, book, func(address string) { keepSession(ctx, pool, address, among) })
+}
+
+// FollowDialled is KeepDialled for the other hosts, of which there are many. One that starts
+// dials the control hosts in an order of its own, one after the other.
+func FollowDialled(ctx context.Context, pool *peer.Pool, book *Book) {
+	first := book.List()
+	rand.Shuffle(len(first), func(i, j int) { first[i], first[j] = first[j], first[i] })
+	for _, address := range first {
+		_, _ = pool.Get(ctx, address)
+	}
+	keepDialled(ctx, book, func(address string) { keepSession(ctx, pool, address, following) })
+}
+
+func keepDialled(ctx context.Context, book *Book, keep func(address string)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	dialled := make(map[string]bool)
@@ -123,7 +152,7 @@
 				continue
 			}
 			dialled[address] = true
-			wg.Go(func() { keepSession(ctx, pool, address) })
+			wg.Go(func() { keep(address) })
 		}
 		select {
 		case <-ctx.Done():
@@ -134,8 +163,8 @@
 }
 
 // keepSession holds a session with the host at address until ctx ends.
-func keepSession(ctx context.Context, pool *peer.Pool, address string) {
-	delay := redialFirst
+func keepSession(ctx context.Context, pool *peer.Pool, address string, again redial) {
+	var wait, span time.Duration
 	for ctx.Err() == nil {
 		if s, err := pool.Get(ctx, address); err == nil {
 			s.Hold()
@@ -143,9 +172,9 @@
 			case <-s.Done():
 			case <-ctx.Done():
 			}
-			delay = redialFirst
+			span = 0
 		}
-		pause.For(ctx, delay)
-		delay = min(2*delay, redialMost)
+		wait, span = again.pause(span, rand.Float64())
+		pause.For(ctx, wait)
 	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -19,6 +20,11 @@
 const (
 	// DefaultDialTimeout is what Config.DialTimeout is by default.
 	DefaultDialTimeout = 2 * time.Second
+	// greetFirst is how long a host that has taken a connection has for its greeting; the
+	// limit doubles up to greetMost with each greeting that does not come in time. A host
+	// that greets hundreds is at work on it: who dials it anew too soon only adds to that.
+	greetFirst = time.Second
+	greetMost  = 4 * time.Second
 	// redialDelay is how long a failed address is left alone, so that callers on
 	// their way to a dead host fail at once instead of each waiting for a dial.
 	redialDelay = 50 * time.Millisecond
@@ -39,8 +45,11 @@
 	// HeldLimit is how long the other end of a held session may be silent; DefaultHeldLimit
 	// if zero. The other end is probed four times in that span.
 	HeldLimit time.Duration
-	// DialTimeout bounds one attempt to reach a host; DefaultDialTimeout if zero.
+	// DialTimeout bounds how long a host may take to accept a connection; DefaultDialTimeout
+	// if zero. It has longer for its greeting.
 	DialTimeout time.Duration
+	// BeforeGreeting, if set, is called before each greeting of a host that has dialled.
+	BeforeGreeting func()
 	// Metrics receives the counters of traffic; a registry of its own if nil.
 	Metrics metrics.Registry
 }
@@ -57,7 +66,9 @@
 	all      map[*Session]bool
 	sessions map[string]*Session
 	dials    map[string]*dial
-	closed   bool
+	// greet is how long a host has for its greeting, by address; greetFirst where it is 0.
+	greet  map[string]time.Duration
+	closed bool
 }
 
 // dial is one attempt to reach an address, shared by all who wait for it.
@@ -83,7 +94,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	cfg.Hello.PingMS = uint64(cfg.PingInterval / time.Millisecond)
-	transport := &http.Transport{TLSClientConfig: cfg.TLS}
+	transport := &http.Transport{TLSClientConfig: cfg.TLS, DialContext: (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext}
 	return &Pool{
 		cfg:      cfg,
 		client:   &http.Client{Transport: transport},
@@ -91,6 +102,7 @@
 		all:      make(map[*Session]bool),
 		sessions: make(map[string]*Session),
 		dials:    make(map[string]*dial),
+		greet:    make(map[string]time.Duration),
 	}
 }
 
@@ -162,9 +174,12 @@
 }
 
 func (p *Pool) dial(address string, d *dial) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
+	p.traffic.dials.Inc(1)
+	limit := p.greetLimit(address)
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout+limit)
 	defer cancel()
 	s, err := p.open(ctx, address)
+	p.noteGreeting(address, limit, ctx.Err() != nil)
 	if err == nil {
 		p.register(address, s)
 		go s.run(p.cfg.Handler)
@@ -174,10 +189,28 @@
 	close(d.done)
 }
 
+// greetLimit returns how long the host at address has for its greeting.
+func (p *Pool) greetLimit(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.greet[address], greetFirst)
+}
+
+// noteGreeting doubles the limit of a host whose greeting did not come in time.
+func (p *Pool) noteGreeting(address string, limit time.Duration, isLate bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.greet, address)
+	if isLate {
+		p.traffic.dialsLate.Inc(1)
+		p.greet[address] = min(2*limit, greetMost)
+	}
+}
+
 func (p *Pool) open(ctx context.Context, address string) (*Session, error) {
 	opts := &websocket.DialOptions{
 		HTTPClient:      p.client,
-		HTTPHeader:      http.Header{"Authorization": {"Bearer " + p.cfg.Secret}},
+		HTTPHeader:      p.header(),
 		CompressionMode: websocket.CompressionDisabled,
 	}
 	conn, _, err := websocket.Dial(ctx, p.url(address), opts)
@@ -197,6 +230,15 @@
 	return p.newSession(conn, remote), nil
 }
 
+// header is what a dial says before the greeting.
+func (p *Pool) header() http.Header {
+	h := http.Header{"Authorization": {"Bearer " + p.cfg.Secret}}
+	if p.cfg.Hello.Replica != "" {
+		h.Set(replicaHeader, p.cfg.Hello.Replica)
+	}
+	return h
+}
+
 func (p *Pool) url(address string) string {
 	if p.cfg.TLS != nil {
 		return "wss://" + address + Path
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,16 +15,31 @@
 // Path is where a host's peer listener accepts sessions.
 const Path = "/peer"
 
-const handshakeTimeout = 3 * time.Second
+const (
+	handshakeTimeout = 3 * time.Second
+	// greetedAtOnce is how many hosts are greeted at a time. The others wait in line, so that
+	// those who are greeted are through soon, and whoever has given up meanwhile costs nothing.
+	greetedAtOnce = 8
+	// turnTime is how long one of them keeps others waiting at most: it may be frozen or cut
+	// off by now.
+	turnTime = 250 * time.Millisecond
+	// replicaHeader names the replica of a control host that dials. Control hosts don't wait
+	// in line: the others need the leader that they elect.
+	replicaHeader = "Sassafraspost-Replica"
+)
 
 // Server accepts sessions. It is an http.Handler for Path.
 type Server struct {
 	pool *Pool
+	// line has room for those who are greeted.
+	line chan struct{}
 }
 
 // NewServer returns a Server whose sessions join pool: a host that has dialled
 // here is not dialled back.
-func NewServer(pool *Pool) *Server { return &Server{pool: pool} }
+func NewServer(pool *Pool) *Server {
+	return &Server{pool: pool, line: make(chan struct{}, greetedAtOnce)}
+}
 
 // ServeHTTP implements http.Handler. A wrong secret gets 401 before the upgrade.
 func (v *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -33,12 +48,41 @@
 		http.Error(w, "wrong secret", http.StatusUnauthorized)
 		return
 	}
+	if s := v.greet(w, r); s != nil {
+		v.pool.adopt(s)
+		s.run(v.pool.cfg.Handler)
+	}
+}
+
+// next lets the next one in line.
+func (v *Server) next() { <-v.line }
+
+// greet exchanges greetings with who has dialled, in its turn. It returns nil where that
+// fails.
+func (v *Server) greet(w http.ResponseWriter, r *http.Request) *Session {
+	if r.Header.Get(replicaHeader) == "" {
+		select {
+		case v.line <- struct{}{}:
+			turn := time.AfterFunc(turnTime, v.next)
+			defer func() {
+				if turn.Stop() {
+					v.next()
+				}
+			}()
+		case <-r.Context().Done():
+			v.pool.traffic.gaveUp.Inc(1)
+			return nil
+		}
+	}
+	if v.pool.cfg.BeforeGreeting != nil {
+		v.pool.cfg.BeforeGreeting()
+	}
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
-		return
+		return nil
 	}
 	conn.SetReadLimit(wire.MaxMessageBytes)
-	ctx, cancel := context.WithTimeout(r.Context(), handshakeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), handshakeTimeout)
 	defer cancel()
 	remote, err := receiveHello(ctx, conn)
 	if err == nil {
@@ -47,11 +91,10 @@
 	if err != nil {
 		v.pool.traffic.strangers.Inc(1)
 		_ = conn.Close(websocket.StatusPolicyViolation, "hello refused")
-		return
+		return nil
 	}
-	s := v.pool.newSession(conn, remote)
-	v.pool.adopt(s)
-	s.run(v.pool.cfg.Handler)
+	v.pool.traffic.accepted.Inc(1)
+	return v.pool.newSession(conn, remote)
 }
 
 func (p *Pool) secretMatches(r *http.Request) bool {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -34,6 +34,9 @@
 	// unreadable counts messages that this build can't read, strangers those who came
 	// with a wrong secret or greeting.
 	unreadable, strangers metrics.Counter
+	// dials counts those begun, dialsLate those whose greeting did not come in time, accepted
+	// the sessions of others, gaveUp those who left before their turn.
+	dials, dialsLate, accepted, gaveUp metrics.Counter
 }
 
 func newTraffic(reg metrics.Registry) *traffic {
@@ -44,6 +47,10 @@
 		attemptReceived: newCounts(reg, "attempt.received"),
 		unreadable:      metrics.GetOrRegisterCounter("peer.messages.unreadable", reg),
 		strangers:       metrics.GetOrRegisterCounter("peer.strangers", reg),
+		dials:           metrics.GetOrRegisterCounter("peer.dials.begun", reg),
+		dialsLate:       metrics.GetOrRegisterCounter("peer.dials.late", reg),
+		accepted:        metrics.GetOrRegisterCounter("peer.accepted", reg),
+		gaveUp:          metrics.GetOrRegisterCounter("peer.gave-up", reg),
 	}
 }
 
