Tell the loads of engines in four bytes, and find the ranks of a group without a mesh

Each agent of a new epoch asked all others who has the first rank: 8,256 sessions at 129 ranks, before the first plan. Each host that attached made a control host tell all the others of the new number of hosts, as often as hosts come.

Now a record is told once to each receiver and an engine costs about four bytes after that, encoded once for all; agents ask the control host that hears of all engines, and each other only where that does not know; numbers of hosts go out with the next tick, lists of upstreams are encoded once.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/engineload"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -30,6 +31,9 @@
 	fleetTick = time.Second
 )
 
+// roleEntry is what entry hosts attach as.
+const roleEntry = "entry"
+
 // fleet is what a control host knows of upstreams, and the hosts that it tells.
 type fleet struct {
 	h       *Host
@@ -43,16 +47,21 @@
 	registry *registry.Registry
 	// attached holds the role of each host that wants to be told.
 	attached map[*peer.Session]string
-	// loads are those that have come since they were passed on, by address.
-	loads map[string]wire.EngineLoad
-	// isPassing is set while a timer runs that passes them on.
+	// engines are those whose loads come; newcomers are entry hosts that lack the records of
+	// them.
+	engines   engineload.Table
+	newcomers map[*peer.Session]bool
+	// isPassing is set while a timer runs that passes loads on.
 	isPassing bool
+	// list is the whole list of upstreams, encoded for those that attach; nil when it has
+	// changed.
+	list *peer.Prepared
 }
 
 func newFleet(h *Host) *fleet {
 	f := &fleet{
 		h: h, started: time.Now(), changed: make(chan struct{}, 1), registry: registry.New(h.cfg.Registry),
-		attached: make(map[*peer.Session]string), loads: make(map[string]wire.EngineLoad),
+		attached: make(map[*peer.Session]string), newcomers: make(map[*peer.Session]bool),
 	}
 	f.restore()
 	return f
@@ -63,13 +72,27 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.attached[s] = m.Role
-	_ = s.Post(&wire.Upstreams{All: f.registry.All()})
+	if f.list == nil {
+		f.list, _ = peer.Prepare(&wire.Upstreams{All: f.registry.All()})
+	}
+	_ = s.PostPrepared(f.list)
 	_ = s.Post(&wire.ConfigurationNotice{Number: f.h.tables.Configuration().Number})
-	f.tellHosts()
+	// The others hear of the new number with the next tick: told at once of each host that
+	// comes, hosts that start together would be told as often as there are hosts, each.
+	_ = s.Post(f.hosts())
+	if m.Role == roleEntry {
+		f.newcomers[s] = true
+		f.passSoon()
+	}
 }
 
 // post sends a message to all attached hosts. The caller holds mu.
 func (f *fleet) post(m wire.Message) {
+	p, err := peer.Prepare(m)
+	if err != nil {
+		f.h.cfg.Log.Error("message can't be encoded", "kind", m.Kind(), "error", err.Error())
+		return
+	}
 	for s := range f.attached {
 		if !s.Alive() {
 			delete(f.attached, s)
@@ -77,50 +100,96 @@
 		}
 		// What a full queue refuses is made up for when the session has ended and the
 		// host attaches anew.
-		if s.Post(m) != nil {
+		if s.PostPrepared(p) != nil {
 			s.Close()
 		}
 	}
 }
 
-// tellHosts sends what is known of the system's hosts. The caller holds mu.
-func (f *fleet) tellHosts() {
+// hosts returns what is known of the system's hosts. The caller holds mu.
+func (f *fleet) hosts() *wire.Hosts {
 	m := &wire.Hosts{Control: append(f.h.book.List(), f.h.cfg.Address)}
 	for s, role := range f.attached {
-		if role == "entry" && s.Alive() && s.Quiet() < quietLimit {
+		if role == roleEntry && s.Alive() && s.Quiet() < quietLimit {
 			m.Entries++
 		}
 	}
-	f.post(m)
+	return m
 }
 
 // load takes in the load of an engine, to be passed on with others.
-func (f *fleet) load(m *wire.EngineLoad) {
+func (f *fleet) load(s *peer.Session, m *wire.EngineLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loads[m.Address] = *m
+	f.engines.Take(*m, s.Remote().Address, f.now())
+	f.passSoon()
+}
+
+// passSoon passes loads on within loadInterval. The caller holds mu.
+func (f *fleet) passSoon() {
 	if !f.isPassing {
 		f.isPassing = true
 		time.AfterFunc(loadInterval, f.passLoads)
 	}
 }
 
-// passLoads tells the entry hosts.
+// passLoads tells the entry hosts what was heard of engines since the last time, and those
+// that have come since then all that is known.
 func (f *fleet) passLoads() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.isPassing = false
-	m := &wire.EngineLoads{}
-	for _, l := range f.loads {
-		m.All = append(m.All, l)
+	next := f.prepareLoads(f.engines.Next(f.now()))
+	var all *peer.Prepared
+	if len(f.newcomers) > 0 {
+		all = f.prepareLoads(f.engines.All(f.now()))
 	}
-	clear(f.loads)
 	for s, role := range f.attached {
-		// What is lost is made up for by the next message.
-		if role == "entry" && s.Alive() {
-			_ = s.Post(m)
+		if role != roleEntry || !s.Alive() {
+			delete(f.newcomers, s)
+			continue
+		}
+		m := next
+		if f.newcomers[s] {
+			m = all
+		}
+		if m == nil {
+			continue
+		}
+		// Who misses a message may lack a record, and gets all of them the next time.
+		if s.PostPrepared(m) != nil {
+			f.newcomers[s] = true
+		} else {
+			delete(f.newcomers, s)
+		}
+	}
+}
+
+// prepareLoads encodes loads once for all; nil where there are none.
+func (f *fleet) prepareLoads(m *wire.EngineLoads) *peer.Prepared {
+	if m == nil {
+		return nil
+	}
+	p, err := peer.Prepare(m)
+	if err != nil {
+		f.h.cfg.Log.Error("loads can't be encoded", "error", err.Error())
+		return nil
+	}
+	return p
+}
+
+// members answers who stands beside the ranks of a group, as their agents said lately.
+func (f *fleet) members(m *wire.GroupQuery) *wire.GroupAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := f.engines.Members(m.Group, m.Epoch, f.now())
+	if m.IsFirst && len(members) > 0 {
+		members = members[:1]
+		if members[0].FirstRank != 0 {
+			members = nil
 		}
 	}
+	return &wire.GroupAnswer{Members: members}
 }
 
 func (f *fleet) now() time.Duration { return time.Since(f.started) }
@@ -159,6 +228,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if all := f.registry.Tick(f.now()); len(all) > 0 {
+		f.list = nil
 		f.post(&wire.Upstreams{All: all})
 		for _, u := range all {
 			f.h.cfg.Log.Info("upstream is silent", "upstream", u.ID, "address", u.Address, "sequence", u.Sequence)
@@ -171,7 +241,7 @@
 		}
 	}
 	if hosts != before {
-		f.tellHosts()
+		f.post(f.hosts())
 	}
 	return hosts
 }
@@ -191,6 +261,7 @@
 		f.mu.Unlock()
 		return nil
 	}
+	f.list = nil
 	f.note()
 	h.cfg.Log.Info("upstream announced", "upstream", known.ID, "service", known.Service,
 		"address", known.Address, "state", known.State, "sequence", known.Sequence)
@@ -203,7 +274,7 @@
 	var told []*peer.Session
 	for s, role := range f.attached {
 		switch {
-		case role != "entry":
+		case role != roleEntry:
 			_ = s.Post(m)
 		case s.Alive() && s.Quiet() < quietLimit:
 			told = append(told, s)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -30,7 +30,9 @@
 	case *wire.Attach:
 		h.fleet.attach(s, m)
 	case *wire.EngineLoad:
-		h.fleet.load(m)
+		h.fleet.load(s, m)
+	case *wire.GroupQuery:
+		_ = s.Reply(call, h.fleet.members(m))
 	case *wire.ConfigurationQuery:
 		h.answer(s, call, func(ctx context.Context) (wire.Message, error) { return h.handleConfigurationQuery(ctx, m) })
 	case *wire.Watch:
--- /dev/null
+++ b/internal/engineload/view.go
@@ -0,0 +1,60 @@
+package engineload
+
+import (
+	"encoding/binary"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// View is what a receiver knows of one sender's engines. The zero value is ready.
+type View struct {
+	records map[uint64]wire.EngineLoad
+}
+
+// Read returns the records that a message stands for. Brief loads of engines whose record
+// did not come are left out, and so is what follows bytes that can't be read; the number of
+// those left out at least is unread.
+func (v *View) Read(m *wire.EngineLoads) (loads []wire.EngineLoad, unread int) {
+	if v.records == nil {
+		v.records = make(map[uint64]wire.EngineLoad)
+	}
+	for _, l := range m.All {
+		v.records[l.Number] = l
+		loads = append(loads, l)
+	}
+	number := uint64(0)
+	for b := m.Brief; len(b) > 0; {
+		step, running, waiting, pace, rest, ok := readBrief(b)
+		if !ok {
+			return loads, unread + 1
+		}
+		b = rest
+		number += step
+		l, isKnown := v.records[number]
+		if !isKnown {
+			unread++
+			continue
+		}
+		l.Running, l.Waiting, l.Pace = running, waiting, pace
+		loads = append(loads, l)
+	}
+	return loads, unread
+}
+
+// mostRequests bounds the requests that a brief load may tell.
+const mostRequests = 1 << 20
+
+func readBrief(b []byte) (step uint64, running, waiting int, pace float64, rest []byte, ok bool) {
+	var fields [3]uint64
+	for i := range fields {
+		n, size := binary.Uvarint(b)
+		if size <= 0 {
+			return 0, 0, 0, 0, nil, false
+		}
+		fields[i], b = n, b[size:]
+	}
+	if len(b) == 0 || fields[1] > mostRequests || fields[2] > mostRequests {
+		return 0, 0, 0, 0, nil, false
+	}
+	return fields[0], int(fields[1]), int(fields[2]), paceOf(b[0]), b[1:], true
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -51,6 +51,9 @@
 	Pool  *peer.Pool
 	// Members returns the hosts of the group that the directory knows.
 	Members func(ctx context.Context) ([]wire.GroupMember, error)
+	// PlanningHost returns where the first rank's host is; nil lets it be looked for among
+	// Members.
+	PlanningHost func(ctx context.Context) (string, bool)
 	// Shape returns what the document in force says of the group, nil if nothing.
 	Shape func() *wire.GroupShape
 	// First is the map that the group begins with, where a rule gives it; without content
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -182,6 +182,9 @@
 
 // planningHost returns where the first rank's host is.
 func (r *Runner) planningHost(ctx context.Context) (string, bool) {
+	if r.cfg.PlanningHost != nil {
+		return r.cfg.PlanningHost(ctx)
+	}
 	members, _ := r.cfg.Members(ctx)
 	for _, member := range members {
 		if member.FirstRank == 0 {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -25,6 +25,9 @@
 	lookInterval = 100 * time.Millisecond
 	// askTimeout bounds a question to another agent, which answers from memory.
 	askTimeout = 300 * time.Millisecond
+	// tellTime is how long after a group has formed its agents are given to tell a control
+	// host of their ranks, before each of them is asked: several times lookInterval.
+	tellTime = 600 * time.Millisecond
 	// planInterval is how often the first rank of a group plans. Popularity shifts
 	// within seconds; a change takes about half a one.
 	planInterval = 100 * time.Millisecond
@@ -56,6 +59,10 @@
 	// whole are the members of the present epoch once all were found: within an epoch
 	// ranks stay where they are.
 	whole []wire.GroupMember
+	// since is when the runner began.
+	since time.Time
+	// first is where the agent of the first rank is, empty until it was found.
+	first string
 
 	// load is the popularity that the last epoch knew. It belongs to the goroutine of run.
 	load placement.Load
@@ -109,7 +116,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.runner = r
-	a.whole = nil
+	a.whole, a.first, a.since = nil, "", time.Now()
 }
 
 func (a *agentRole) run(ctx context.Context) error {
@@ -164,7 +171,8 @@
 		Group: name, FirstRank: uint32(r.Rank),
 		Ranks:        []group.Rank{rank.New(a.client, r.Epoch, int(shape.Layers))},
 		Pool:         a.n.pool,
-		Members:      func(ctx context.Context) ([]wire.GroupMember, error) { return a.members(ctx, name, r.Size), nil },
+		Members:      func(ctx context.Context) ([]wire.GroupMember, error) { return a.members(ctx, name, r), nil },
+		PlanningHost: func(ctx context.Context) (string, bool) { return a.firstHost(ctx, name, r) },
 		Shape:        func() *wire.GroupShape { return shape },
 		Unique:       func() uint64 { return unique(r.Rank) },
 		Start:        ballotNow,
@@ -208,6 +216,7 @@
 		_ = s.Post(&wire.EngineLoad{
 			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
 			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()), Group: r.Group, Epoch: r.Epoch, Born: r.Born,
+			Rank: uint32(r.Rank),
 		})
 	}
 	return r, nil
@@ -245,16 +254,20 @@
 
 func ballotNow() uint64 { return uint64(time.Now().UnixMilli()-ballotStart*1000) / ballotUnit }
 
-// members returns the agents of a group's ranks.
-func (a *agentRole) members(ctx context.Context, name string, size int) []wire.GroupMember {
+// members returns the agents of a group's ranks: those that a control host has heard of, or
+// where it does not know all of them, those that answer.
+func (a *agentRole) members(ctx context.Context, name string, r rank.Report) []wire.GroupMember {
 	a.mu.Lock()
-	whole := a.whole
+	whole, since := a.whole, a.since
 	a.mu.Unlock()
 	if whole != nil {
 		return whole
 	}
-	found := a.find(ctx, name)
-	if group.IsWhole(found, uint32(size)) {
+	found := a.askControl(ctx, &wire.GroupQuery{Group: r.Group, Epoch: r.Epoch})
+	if !group.IsWhole(found, uint32(r.Size)) && time.Since(since) > tellTime {
+		found = a.find(ctx, name)
+	}
+	if group.IsWhole(found, uint32(r.Size)) {
 		a.mu.Lock()
 		a.whole = found
 		a.mu.Unlock()
@@ -262,6 +275,47 @@
 	return found
 }
 
+// firstHost returns the agent of a group's first rank, which plans. One that each agent
+// found by asking all the others would make a session between any two of them.
+func (a *agentRole) firstHost(ctx context.Context, name string, r rank.Report) (string, bool) {
+	a.mu.Lock()
+	first := a.first
+	a.mu.Unlock()
+	if first != "" {
+		return first, true
+	}
+	query := &wire.GroupQuery{Group: r.Group, Epoch: r.Epoch, IsFirst: true}
+	found := a.askControl(ctx, query)
+	if len(found) == 0 && a.n.controlSession() == nil {
+		found = a.find(ctx, name)
+	}
+	for _, m := range found {
+		if m.FirstRank == 0 {
+			a.mu.Lock()
+			a.first = m.Address
+			a.mu.Unlock()
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// askControl asks the control host that hears of all engines.
+func (a *agentRole) askControl(ctx context.Context, m *wire.GroupQuery) []wire.GroupMember {
+	s := a.n.controlSession()
+	if s == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, _, err := s.Call(ctx, m)
+	answer, ok := reply.(*wire.GroupAnswer)
+	if err != nil || !ok {
+		return nil
+	}
+	return answer.Members
+}
+
 // find asks the agents of the service's upstreams for their ranks in the group.
 func (a *agentRole) find(ctx context.Context, name string) []wire.GroupMember {
 	addresses := a.addresses()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/engineload"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
@@ -21,9 +24,8 @@
 	// fetchDelay is the pause after a question that failed.
 	fetchDelay = 50 * time.Millisecond
 	// agentRest is how long an agent waits between two configurations: it needs the shape of
-	// its group only, which rarely changes. A configuration of 350 routes is some 100 KB, a
-	// tenth of a second of a link of 8 Mbit/s; at one each 60 ms, the orders of a change of
-	// map would wait behind them.
+	// its group only, which rarely changes, and the orders of a change of map would wait
+	// behind configurations on its link.
 	agentRest = 2 * time.Second
 	// trustAfter is how long a host that starts looks for a control host that can show
 	// that its configuration is the newest. Where none can, as in a data centre that is
@@ -61,10 +63,15 @@
 	// isCurrent is set once a control host has shown that its configuration is newest.
 	isCurrent bool
 	isBusy    bool
+	// views are what each control host has told of engines.
+	views map[*peer.Session]*engineload.View
 }
 
 func newFollower(n *Node, role string) *follower {
-	f := &follower{n: n, role: role, book: control.NewBook(n.set.seedPeers()...), started: time.Now()}
+	f := &follower{
+		n: n, role: role, book: control.NewBook(n.set.seedPeers()...), started: time.Now(),
+		views: make(map[*peer.Session]*engineload.View),
+	}
 	n.up = f.up
 	n.handle = f.handle
 	return f
@@ -73,7 +80,7 @@
 // run holds sessions with all control hosts until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	go f.reload(ctx)
-	control.KeepDialled(ctx, f.n.pool, f.book)
+	control.FollowDialled(ctx, f.n.pool, f.book)
 }
 
 // reload takes in seeds that the settings name later.
@@ -104,6 +111,9 @@
 	go func() {
 		<-s.Done()
 		f.n.log.Info("control host lost", "control_host", s.Remote().Host, "quiet_ms", s.Quiet().Milliseconds())
+		f.mu.Lock()
+		delete(f.views, s)
+		f.mu.Unlock()
 		if f.lose != nil && f.n.pool.Live(s.Remote().Address) == nil {
 			f.lose(s.Remote().Host)
 		}
@@ -124,13 +134,27 @@
 		}
 	case *wire.EngineLoads:
 		if f.loads != nil {
-			f.loads(m.All)
+			f.loads(f.read(s, m))
 		}
 	case *wire.ConfigurationNotice:
 		f.noticed(s, m.Number)
 	}
 }
 
+// read returns the loads that a control host tells.
+func (f *follower) read(s *peer.Session, m *wire.EngineLoads) []wire.EngineLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.views[s]
+	if v == nil {
+		v = &engineload.View{}
+		f.views[s] = v
+	}
+	loads, unread := v.Read(m)
+	metrics.GetOrRegisterCounter("engine-loads.unread", f.n.metrics).Inc(int64(unread))
+	return loads
+}
+
 // noticed begins to fetch a configuration that is newer, or the first one.
 func (f *follower) noticed(s *peer.Session, number uint64) {
 	f.mu.Lock()
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -81,6 +81,13 @@
 	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 	// Born is the incarnation's start in Unix milliseconds, 0 where it does not say.
 	Born int64 `cbor:"8,keyasint,omitempty"`
+	// Rank is the engine's place in the group.
+	Rank uint32 `cbor:"9,keyasint,omitempty"`
+	// IsStanding tells that the group makes no step although it has work. It is open as far
+	// as the engine knows, and may go on at any moment.
+	IsStanding bool `cbor:"10,keyasint,omitempty"`
+	// Number is the one that a control host gives to the engine.
+	Number uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Kind implements Message.
@@ -88,7 +95,10 @@
 
 // EngineLoads passes on the loads that have come since the last such message.
 type EngineLoads struct {
-	All []EngineLoad `cbor:"1,keyasint"`
+	// All are whole records. Brief are loads of engines whose record is known to the
+	// receiver, as package engineload writes them.
+	All   []EngineLoad `cbor:"1,keyasint,omitempty"`
+	Brief []byte       `cbor:"2,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/internal/wire/group.go
+++ b/internal/wire/group.go
@@ -46,9 +46,14 @@
 // Kind implements Message.
 func (*MapReply) Kind() Kind { return KindMapReply }
 
-// GroupQuery asks an entry host for the upstreams of a group. The reply is GroupAnswer.
+// GroupQuery asks an entry host, a control host or an agent for the hosts of a group. The
+// reply is GroupAnswer.
 type GroupQuery struct {
 	Group string `cbor:"1,keyasint"`
+	// Epoch is that of the group, for control hosts.
+	Epoch uint64 `cbor:"2,keyasint,omitempty"`
+	// IsFirst asks for the host of the first rank only.
+	IsFirst bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
