Let a short standstill be no outage, and let callers of a long one return as late as they can

Agents tell standing still apart from not serving. Requests wait while a group has stood still for less than 0.6 s; after that, and at once where a rank says that the group is broken, all who can return are refused, those that wait for a place included. In an outage the time to return is the third of its remaining time within which a caller comes back at most; where places are short it is drawn from the second half of that. Tests of both loads in internal/schedule.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -27,8 +27,8 @@
 	reportEvery = time.Second
 	// leaseSpan is how long a grant holds.
 	leaseSpan = 3 * time.Second
-	// maxDemands bounds the workspaces in the reports of one moment. With about 76 bytes
-	// each, there and back, limits so cost a host no more than 2.5 KB a second.
+	// maxDemands bounds the workspaces in the reports of one moment, and so what limits cost a
+	// host, whatever the number of workspaces.
 	maxDemands = 32
 	// idleSpan is how long an unused workspace is remembered.
 	idleSpan = time.Minute
--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -237,8 +237,8 @@
 }
 
 // isDue reports whether it is time to send again what wasn't answered. While weights are
-// loaded, each time takes twice as long as the one before: loading takes what it takes,
-// and in a group of 128 ranks to ask all of them is 19 KB.
+// loaded, each time takes twice as long as the one before: loading takes what it takes, and
+// asking does not speed it up.
 func (c *Coordinator) isDue() bool {
 	since := c.ticks - c.onWay
 	times := since / c.cfg.RetryTicks
--- a/internal/expertmap/delta.go
+++ b/internal/expertmap/delta.go
@@ -6,9 +6,8 @@
 	"slices"
 )
 
-// Delta is a map as its difference from another one. A change moves some hundred of the
-// experts of a large group, so it is a fraction of the map: 1 KB where the map of 63 ranks
-// and 8 layers has 5 KB.
+// Delta is a map as its difference from another one: a change moves a few of the experts of
+// a large group, so it is a fraction of the map.
 type Delta struct {
 	// Base is the map that the delta was taken from.
 	Base Version `cbor:"1,keyasint"`
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,7 +35,7 @@
 	g := c.g
 	request := &schedule.Request{
 		Service: c.service.Name, Engine: e, Gap: c.route.Gap, OnTimeUntil: g.at(c.onTimeUntil()),
-		Priority: c.priority, Tried: c.tried, MayReturn: c.mayReturn(), IsResumed: isResumed,
+		Priority: c.priority, Tried: c.tried, Left: time.Until(c.deadline), MayReturn: c.mayReturn(), IsResumed: isResumed,
 	}
 	g.mu.Lock()
 	d := g.scheduler.Admit(request, g.now())
@@ -101,7 +101,7 @@
 	default:
 	}
 	delete(c.g.waiting, w)
-	return c.g.scheduler.GiveUp(w)
+	return c.g.scheduler.GiveUp(w, c.g.now())
 }
 
 // logRefusal says by what a request got no place.
--- a/internal/group/pace.go
+++ b/internal/group/pace.go
@@ -56,7 +56,7 @@
 
 // orderTime estimates how long it takes from the first order to arm until all ranks are
 // let go, as the retransmission timer of TCP (RFC 6298) estimates a round trip: it differs
-// by ten times between a group of 8 ranks and one of 63 on slow links.
+// by ten times between small groups and large ones on slow links.
 type orderTime struct {
 	mean, deviation time.Duration
 }
--- a/internal/group/planpicks.go
+++ b/internal/group/planpicks.go
@@ -21,21 +21,17 @@
 	jump = 0.13
 	// copySpan is how long the ranks may copy experts in one change, of all sets together:
 	// a rank copies them one after the other, and all wait for the last. Small changes in
-	// quick succession follow a jump sooner than one that is complete. Where a copy takes a
-	// tenth of a second, on days of overload with jumps every 4 s the mean worth was 0.53
-	// with one, 0.52 with two, 0.50 with three and 0.49 with one a set.
+	// quick succession follow a jump sooner than one that is complete.
 	copySpan = 100 * time.Millisecond
-	// leastStep is the part of a rank's mean load that a copied expert has to save. At
-	// 0.04 a quarter less is copied than at 0.02, at the same skew; at 0.07 passes are a
-	// little shorter still, since copying slows them.
+	// leastStep is the part of a rank's mean load that a copied expert has to save: passes
+	// are slower while experts are copied.
 	leastStep = 0.07
 	// leastChange is the part of the mean load by which the most loaded ranks of all sets
 	// together have to fall for a change where passes are late: it costs a round of orders,
 	// and slower passes while experts are copied.
 	leastChange = 0.1
 	// easeChange is how many times that has to be gained where passes have room: nobody
-	// waits for them, and each copy takes the links of the ranks. A quiet day
-	// with passes of 44 ms and gaps of 120 had a worth of 0.89 at one and 0.93 at four.
+	// waits for them, and each copy takes the links of the ranks.
 	easeChange = 4
 	// easyPart and fullPart are the parts of the longest pass that is not late up to which
 	// passes have room, and from which they have none.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -31,8 +31,8 @@
 	// planInterval is how often the first rank of a group plans. Popularity shifts
 	// within seconds; a change takes about half a one.
 	planInterval = 100 * time.Millisecond
-	// armAhead is how many passes ahead a change is armed: two rounds of messages and
-	// orders, some 50 ms, at passes of 20 ms and more.
+	// armAhead is how many passes ahead a change is armed at most: a pass lasts about as long
+	// as a round of messages and orders.
 	armAhead = 4
 	// mostAhead bounds that where orders get lost.
 	mostAhead = 16
@@ -215,7 +215,7 @@
 	if s := a.n.controlSession(); s != nil {
 		_ = s.Post(&wire.EngineLoad{
 			Address: a.n.set.Agent.Upstream.String(), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
-			IsOpen: r.IsOpen && !a.noteProgress(r, time.Now()), Group: r.Group, Epoch: r.Epoch, Born: r.Born,
+			IsOpen: r.IsOpen, IsStanding: a.noteProgress(r, time.Now()), Group: r.Group, Epoch: r.Epoch, Born: r.Born,
 			Rank: uint32(r.Rank),
 		})
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -27,18 +27,17 @@
 	forgetAfter = 2 * time.Minute
 	// closeTimeout bounds the hand-over of the leadership at the end.
 	closeTimeout = 2 * time.Second
-	// snapshotEntries is how many entries are applied between two snapshots: with
-	// configurations of some 10 KB the log stays far below a disk of 128 MB.
+	// snapshotEntries is how many entries are applied between two snapshots: the log stays
+	// small beside the disk.
 	snapshotEntries = 1000
 	segmentBytes    = 4 << 20
 	// recallSuffix names the folder beside the data folder with the list of upstreams.
 	recallSuffix = "-upstreams"
-	// electionTicks is the least election timeout in ticks of 50 ms: six heartbeats, and
-	// many times a round trip between data centres.
+	// electionTicks is the least election timeout in ticks: several heartbeats, and many times a round trip between data centres.
 	electionTicks = 12
 	// hearingSpan is how long a lost disk's replica has to be silent before the host's new
-	// one takes its place. A host has to be back in full within 4 s of its start; this is
-	// well above an election, and a third of that.
+	// one takes its place: well above an election, and well below the time in which a host has
+	// to be back in full.
 	hearingSpan = 1200 * time.Millisecond
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// heldLimit is how long the other end of a watched session may be silent: well below
-	// the 3 s after which a host that is reachable again has to be up to date.
+	// heldLimit is how long the other end of a watched session may be silent: well below the
+	// time within which a host that is reachable again has to be up to date.
 	heldLimit = 1500 * time.Millisecond
 	// dialTimeout bounds an attempt to reach a host: many times a round trip between
 	// data centres. A host that was dark at the first packet is dialled anew well before
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -20,8 +20,7 @@
 
 const (
 	queueLength = 1024
-	// DefaultPingInterval is the longest silence that a host keeps by default. At
-	// 120 sessions a host it costs 0.9 KB/s.
+	// DefaultPingInterval is the longest silence that a host keeps by default.
 	DefaultPingInterval = 10 * time.Second
 	// silentPings is how many missed pings end a session.
 	silentPings  = 3
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -11,12 +11,15 @@
 	// LongestWait is how long a request waits for a place at most. Callers leave a stream
 	// that is silent for two seconds.
 	LongestWait = 1400 * time.Millisecond
-	// outageRetryAfter is what callers are told while a group does not serve: it forms
-	// anew within seconds, and a caller that comes back sooner would only be refused
-	// again.
-	outageRetryAfter = 2500 * time.Millisecond
-	// fullRetryAfter is what callers are told that find no place in time.
-	fullRetryAfter = 1500 * time.Millisecond
+	// honouredPart is the part of the time that a caller has left within which it comes back,
+	// whatever it is told.
+	honouredPart = 1.0 / 3
+	// usualLeft is what a caller is thought to have left where that is not told.
+	usualLeft = 7500 * time.Millisecond
+	// soonestPart is the part of the longest time to return that callers are told at least who
+	// find no place: they are spread over the rest, since places become free one after the
+	// other.
+	soonestPart = 0.5
 	// priorityStep is by how much a request goes before those of the next lower priority.
 	// It is a part of a usual wait, so that none waits for ever behind more urgent ones.
 	priorityStep = 100 * time.Millisecond
@@ -35,6 +38,8 @@
 	Priority int
 	// Tried are the upstreams that had an attempt of it.
 	Tried []string
+	// Left is the time that its caller has left, 0 if that is not known.
+	Left time.Duration
 	// MayReturn tells that its caller has time to come back.
 	MayReturn bool
 	// IsResumed tells that its caller has a part of the answer.
@@ -52,6 +57,10 @@
 	turn time.Duration
 	// until is when it is given up.
 	until time.Duration
+	// deadline is when its caller's time ends, 0 if that is not known; mayReturn tells that it
+	// can come back before.
+	deadline  time.Duration
+	mayReturn bool
 }
 
 // Result is what becomes of a request that has waited.
@@ -106,13 +115,13 @@
 		sv.demand.fresh.add(now)
 	}
 	if sv.isOut(now) || s.isUnheard(sv, now) {
-		if (r.MayReturn || len(sv.all) == 0) && now >= s.cfg.Starting {
-			return refuse(Outage)
+		if (r.MayReturn || len(sv.all) == 0) && now >= s.cfg.Starting && !sv.isPausing(now) {
+			return s.refuse(Outage, w, now)
 		}
 	} else if t, ok := s.admitNow(sv, w, now); ok {
 		return Decision{Upstream: t.up.Upstream, Ticket: t}
 	} else if s.isHopeless(sv, w, now) {
-		return refuse(Full)
+		return s.refuse(Full, w, now)
 	}
 	sv.waiters = append(sv.waiters, w)
 	return Decision{Waiter: w}
@@ -124,7 +133,10 @@
 func (sv *service) waiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
 		service: sv, tried: r.Tried, turn: now + priorityStep*time.Duration(r.Priority),
-		onTime: r.OnTimeUntil - sv.firstEvent(), until: now + LongestWait,
+		onTime: r.OnTimeUntil - sv.firstEvent(), until: now + LongestWait, mayReturn: r.MayReturn,
+	}
+	if r.Left > 0 {
+		w.deadline = now + r.Left
 	}
 	if r.IsResumed {
 		w.onTime = w.until
@@ -163,12 +175,25 @@
 	return s.grant(sv, u, w, now), true
 }
 
-func refuse(why Reason) Decision {
-	after := fullRetryAfter
+// refuse tells a caller when to come back. It has one try left, as a rule: in an outage the
+// later it uses it, the likelier the group is back, as long as the answer still has its
+// time. Where places are short callers are spread over the second half of that.
+func (s *Scheduler) refuse(why Reason, w *Waiter, now time.Duration) Decision {
+	longest := longestReturn(w, now)
 	if why == Outage {
-		after = outageRetryAfter
+		return Decision{Reason: why, RetryAfter: longest}
+	}
+	part := soonestPart + (1-soonestPart)*s.cfg.Random.Float64()
+	return Decision{Reason: why, RetryAfter: time.Duration(part * float64(longest))}
+}
+
+// longestReturn is the longest time after which a caller comes back.
+func longestReturn(w *Waiter, now time.Duration) time.Duration {
+	left := usualLeft
+	if w != nil && w.deadline > 0 {
+		left = max(w.deadline-now, 0)
 	}
-	return Decision{Reason: why, RetryAfter: after}
+	return time.Duration(honouredPart * float64(left))
 }
 
 // grant holds a place for a request.
--- a/internal/schedule/deal.go
+++ b/internal/schedule/deal.go
@@ -9,10 +9,10 @@
 
 // dealPlaces draws how many of the places that engines have just reported free are this
 // host's to take: its part, and what it has not used of the parts before, up to one place
-// or one part. All hosts see the same places: when a full group of 63 ranks showed one
-// free, the hosts sent 20 to 39 requests there before they knew better. Ranks then worked
-// on twice the requests that let passes be on time, answers took longer, and more were on
-// their way than before: the overload fed itself for 20 s after its cause had gone.
+// or one part. All hosts see the same places: without a part of its own each would take the
+// one that a full group shows free. Ranks would work on more requests than let passes be on
+// time, answers take longer, more be on their way than before, and the overload feed itself
+// when its cause has gone.
 // Where all slots count as places, an engine lets no more in than its passes bear, and its
 // own queue wastes no time between two requests; nothing is dealt there.
 func (s *Scheduler) dealPlaces(reported []wire.EngineLoad, now time.Duration) {
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -58,8 +58,7 @@
 
 // waitOnTime is the same for a request that can be on time: it may have any place of this
 // host's, and its part of those that are free already. Hosts have unequal numbers of
-// callers, so one with more than its part of them has to reckon with what others leave: on
-// days with a fifth of the places free one request in a hundred was refused without it.
+// callers, so one with more than its part of them has to reckon with what others leave.
 func (s *Scheduler) waitOnTime(sv *service, w *Waiter, now time.Duration) time.Duration {
 	perSecond := s.ownPlaces(sv, now)/sv.demand.stay.Seconds() + sv.dealt.perSecond
 	if perSecond <= 0 {
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -23,7 +23,9 @@
 type load struct {
 	isKnown bool
 	isOpen  bool
-	epoch   uint64
+	// isStanding tells that the engine's group makes no step although it has work.
+	isStanding bool
+	epoch      uint64
 	// total is the requests there, when the report was made.
 	total int
 	at    time.Duration
@@ -41,8 +43,10 @@
 type group struct {
 	name  string
 	epoch uint64
-	// isClosed tells that it does not serve, as one of its ranks says.
-	isClosed bool
+	// isClosed tells that it does not serve, as one of its ranks says; isStanding that it makes
+	// no step, since standingSince, which is 0 while it does.
+	isClosed, isStanding bool
+	standingSince        time.Duration
 	// heard is when a rank was heard last.
 	heard time.Duration
 	// ranks counts those whose load counts; running is how many requests one of them has, on
@@ -86,7 +90,7 @@
 		u.group = sv.group(l.Group)
 	}
 	u.load = load{
-		isKnown: true, isOpen: l.IsOpen, epoch: l.Epoch, total: l.Running + l.Waiting, at: now,
+		isKnown: true, isOpen: l.IsOpen, isStanding: l.IsStanding, epoch: l.Epoch, total: l.Running + l.Waiting, at: now,
 		inflight: u.load.next, next: u.inflight, pace: l.Pace,
 	}
 	u.group.heard = now
@@ -108,6 +112,7 @@
 func (sv *service) regroup() {
 	for name, g := range sv.groups {
 		g.isClosed, g.epoch = false, 0
+		g.isStanding = false
 		if !sv.hasRank(g) {
 			delete(sv.groups, name)
 		}
@@ -118,12 +123,39 @@
 		}
 	}
 	for _, u := range sv.all {
-		if g := u.group; g != nil && u.load.isKnown && u.load.epoch == g.epoch && !u.load.isOpen && g.heard-u.load.at <= freshLoad {
-			g.isClosed = true
+		g := u.group
+		if g == nil || !u.load.isKnown || u.load.epoch != g.epoch || g.heard-u.load.at > freshLoad {
+			continue
+		}
+		g.isClosed = g.isClosed || !u.load.isOpen
+		g.isStanding = g.isStanding || u.load.isStanding
+	}
+	for _, g := range sv.groups {
+		switch {
+		case !g.isStanding:
+			g.standingSince = 0
+		case g.standingSince == 0:
+			g.standingSince = g.heard
 		}
 	}
 }
 
+// standingPatience is for how long a group that stands still may go on at any moment: ranks
+// hold for some tenths of a second at most while a change of map comes into force. One that
+// stands longer waits for a rank that is lost.
+const standingPatience = 600 * time.Millisecond
+
+// isPausing reports whether no group of the service serves now, but one only stands still
+// since a moment ago.
+func (sv *service) isPausing(now time.Duration) bool {
+	for _, g := range sv.groups {
+		if g.isStanding && !g.isClosed && now-g.heard <= freshLoad && now-g.standingSince < standingPatience {
+			return true
+		}
+	}
+	return false
+}
+
 func (sv *service) hasRank(g *group) bool {
 	for _, u := range sv.all {
 		if u.group == g {
@@ -142,7 +174,7 @@
 	if u.group == nil {
 		return !sv.hasGroups()
 	}
-	return !u.group.isClosed && now-u.group.heard <= freshLoad
+	return !u.group.isClosed && !u.group.isStanding && now-u.group.heard <= freshLoad
 }
 
 // hasGroups reports whether the service's engines are ranks of groups.
--- a/internal/schedule/passes.go
+++ b/internal/schedule/passes.go
@@ -10,8 +10,7 @@
 const (
 	// peakSpan is for how long the longest passes are remembered. Popularity that jumps now
 	// and then has to be borne at its next jump too, and the longest passes after ten jumps
-	// tell that one better than those after three: with 8 s, groups whose popularity jumped
-	// each 2.5 s had passes over the gap after every third jump.
+	// tell that one better than those after three.
 	peakSpan = 20 * time.Second
 	// peakPart is how long a part of it is, a few passes; peakParts is how many there are.
 	peakPart  = 250 * time.Millisecond
@@ -23,9 +22,7 @@
 	// bounds what is kept of a part.
 	leastPauses, mostPauses = 5, 48
 	// passPart is the part of the gap that the longest passes seen may take: the next ones
-	// may be longer, and an answer's way to its caller varies. At 0.96, with 8 s, a day of
-	// overload with jumps lost more by late streams than more places gained (worth 0.34 and
-	// 0.38 without), at 0.9 with 20 s it lost nothing, and quiet days gained 0.07 to 0.08.
+	// may be longer, and an answer's way to its caller varies.
 	passPart = 0.9
 )
 
--- a/internal/schedule/places.go
+++ b/internal/schedule/places.go
@@ -8,9 +8,9 @@
 
 const (
 	// worstSkew is the load of a group's most loaded rank over the mean one that passes
-	// have to bear: after popularity has jumped, until the map has followed. Measured on
-	// drifting popularity: 2.2 to 3.5. It is taken from the lower half of that: with fewer
-	// places batching lost more than the passes gained.
+	// have to bear while nothing was seen of them: after popularity has jumped, until the map
+	// has followed. It may be worse; with fewer places batching would lose more than the
+	// passes gain.
 	worstSkew = 2.4
 	// gapPart is the part of the longest pause between events that a pass may take; the
 	// rest is for prompts that are read in it, and the way to the caller.
@@ -62,7 +62,7 @@
 }
 
 // usualSkew is the load of a group's most loaded rank over the mean one while its map
-// follows popularity. Measured on drifting popularity: 1.4 to 1.6.
+// follows popularity.
 const usualSkew = 1.5
 
 // Stay is about how long a usual request keeps its place while all of them are taken.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -6,12 +6,12 @@
 )
 
 // GiveUp takes a request that has waited too long out, and says what its caller is told.
-func (s *Scheduler) GiveUp(w *Waiter) Decision {
+func (s *Scheduler) GiveUp(w *Waiter, now time.Duration) Decision {
 	sv := w.service
 	if i := slices.Index(sv.waiters, w); i >= 0 {
 		sv.waiters = slices.Delete(sv.waiters, i, i+1)
 	}
-	return refuse(Full)
+	return s.refuse(Full, w, now)
 }
 
 // pump gives up to n places to requests that wait: first to those that can still be on
@@ -35,17 +35,30 @@
 }
 
 // sweep refuses the requests that wait in vain, at once: their callers can use the time.
+// Where a group has broken, those go that can come back; the others wait for as long as
+// their callers do.
 func (s *Scheduler) sweep(out []Result, sv *service, now time.Duration) []Result {
-	if len(sv.waiters) == 0 || sv.isOut(now) || s.isUnheard(sv, now) {
+	if len(sv.waiters) == 0 || s.isUnheard(sv, now) {
 		return out
 	}
+	if sv.isOut(now) {
+		if now < s.cfg.Starting || sv.isPausing(now) {
+			return out
+		}
+		return s.refuseAll(out, sv, Outage, now, func(w *Waiter) bool { return w.mayReturn })
+	}
+	return s.refuseAll(out, sv, Full, now, func(w *Waiter) bool { return !w.isOnTime(now) && s.isHopeless(sv, w, now) })
+}
+
+// refuseAll refuses the waiters for which isVain holds, the last first.
+func (s *Scheduler) refuseAll(out []Result, sv *service, why Reason, now time.Duration, isVain func(*Waiter) bool) []Result {
 	for i := len(sv.waiters) - 1; i >= 0; i-- {
 		w := sv.waiters[i]
-		if w.isOnTime(now) || !s.isHopeless(sv, w, now) {
+		if !isVain(w) {
 			continue
 		}
 		sv.waiters = slices.Delete(sv.waiters, i, i+1)
-		out = append(out, Result{Waiter: w, Decision: refuse(Full)})
+		out = append(out, Result{Waiter: w, Decision: s.refuse(why, w, now)})
 	}
 	return out
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -280,7 +280,7 @@
 	l := newLab(1, 1, 1)
 	l.fill(4)
 	d := l.Admit(l.request(), l.now)
-	require.Equal(t, Full, l.GiveUp(d.Waiter).Reason)
+	require.Equal(t, Full, l.GiveUp(d.Waiter, l.now).Reason)
 	results, _ := l.fill(0)
 	require.Empty(t, results)
 }
@@ -469,6 +469,72 @@
 	require.InDelta(t, 3, s.Taken, 0.01)
 }
 
+// stand tells that the only group of a lab stands still, or no more.
+func (l *lab) stand(isStanding bool) ([]Result, []Stalled) {
+	return l.tell("0/0", func(load *wire.EngineLoad) { load.IsStanding = isStanding })
+}
+
+// Load pattern: ranks hold for some tenths of a second while a change of map comes into
+// force, with callers that have seconds left. They wait and are served; callers of a group
+// that stands for longer are refused at once, those that waited with them.
+func TestShortStandstillIsNoOutage(t *testing.T) {
+	l := newLab(1, 4, 1)
+	l.stand(true)
+	first := l.Admit(l.request(), l.now)
+	require.NotNil(t, first.Waiter)
+	l.now += 200 * time.Millisecond
+	results, _ := l.stand(false)
+	require.Len(t, results, 1)
+	require.NotNil(t, results[0].Ticket)
+
+	l.stand(true)
+	second := l.Admit(l.request(), l.now)
+	require.NotNil(t, second.Waiter)
+	for range 5 {
+		l.now += standingPatience / 4
+		results, _ = l.stand(true)
+		if len(results) > 0 {
+			break
+		}
+	}
+	require.Len(t, results, 1)
+	require.Equal(t, Outage, results[0].Reason)
+	require.Equal(t, Outage, l.Admit(l.request(), l.now).Reason, "nobody waits for it any more")
+}
+
+// Load pattern: a rank is killed while requests wait for places. Their callers can use the
+// time until the group is back; those that can't come back wait for as long as they would.
+func TestWhoWaitsIsToldAtOnceThatTheGroupHasBroken(t *testing.T) {
+	l := newLab(1, 2, 1)
+	l.fill(4)
+	mayReturn, last := l.Admit(l.request(), l.now), l.Admit(l.late(), l.now)
+	require.NotNil(t, mayReturn.Waiter)
+	require.NotNil(t, last.Waiter)
+	results, _ := l.tell("0/1", func(load *wire.EngineLoad) { load.IsOpen = false })
+	require.Len(t, results, 1)
+	require.Equal(t, mayReturn.Waiter, results[0].Waiter)
+	require.Equal(t, Outage, results[0].Reason)
+}
+
+// A caller comes back within a third of the time that it has left. In an outage it uses all
+// of that; where places are short callers are spread over the second half of it.
+func TestTimeToReturnIsWhatTheCallerHas(t *testing.T) {
+	l := newLab(1, 2, 1)
+	l.tell("0/1", func(load *wire.EngineLoad) { load.IsOpen = false })
+	r := l.request()
+	r.Left = 6 * time.Second
+	require.Equal(t, 2*time.Second, l.Admit(r, l.now).RetryAfter)
+	w := &Waiter{deadline: l.now + 6*time.Second}
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		after := l.refuse(Full, w, l.now).RetryAfter
+		least, most = min(least, after), max(most, after)
+	}
+	require.InDelta(t, time.Second, least, float64(100*time.Millisecond))
+	require.InDelta(t, 2*time.Second, most, float64(100*time.Millisecond))
+	require.Zero(t, l.refuse(Outage, w, l.now+7*time.Second).RetryAfter)
+}
+
 // BenchmarkAdmit decides at the present sizes and the target's.
 func BenchmarkAdmit(b *testing.B) {
 	for _, c := range []struct{ groups, size, hosts int }{{1, 16, 7}, {2, 8, 7}, {2, 64, 42}, {5, 120, 330}} {
@@ -523,7 +589,7 @@
 				require.Equal(t, "0/7", d.Ticket.ID())
 				taken++
 			case d.Waiter != nil:
-				l.GiveUp(d.Waiter)
+				l.GiveUp(d.Waiter, l.now)
 			}
 		}
 	}
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -34,7 +34,7 @@
 
 // stalled adds the attempts that are in a group which does not serve. Where none does, they
 // are given up after the patience of callers. Where another one has places free, as many
-// as it has leave at once: engines that wait for a lost rank refuse only 1.5 s later. The
+// as it has leave at once: engines that wait for a lost rank refuse much later. The
 // rest stays, since a group that only stands still may go on before their callers leave.
 func (s *Scheduler) stalled(out []Stalled, sv *service, now time.Duration) []Stalled {
 	if len(sv.unheard) == 0 {
@@ -61,7 +61,7 @@
 func (sv *service) outOfPatience(out []Stalled, now time.Duration) []Stalled {
 	for t, u := range sv.unheard {
 		if now-u.since >= StalledPatience {
-			out = append(out, Stalled{Ticket: t, RetryAfter: outageRetryAfter})
+			out = append(out, Stalled{Ticket: t, RetryAfter: longestReturn(nil, now)})
 		}
 	}
 	return out
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -11,7 +11,7 @@
 
 const (
 	// boundedQueue is how many lines wait for a reader that is slow; what does not fit is
-	// dropped and counted. At 300 bytes a line it costs 150 KB at the most.
+	// dropped and counted.
 	boundedQueue = 512
 	// linesPerSecond bounds the lines of one kind; the rest is counted in the next line
 	// of that kind.
