--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/placement"
+	"github.com/sassafraspost/sassafraspost/internal/planner"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -133,7 +134,7 @@
 	// rounds measures the coordinator's ballot, holds what changes cost the ranks.
 	rounds  rounds
 	holds   holds
-	planner planner
+	planner *planner.Planner
 	// watch is on the session to the planning host, reporter decides what goes there.
 	watch    watch
 	reporter reporter
@@ -172,7 +173,7 @@
 		ready:       make(chan []wire.GroupMember, 1),
 		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank), cfg.First),
 		origin:      make(map[expertmap.Address]origin),
-		planner:     newPlanner(cfg.Load),
+		planner:     planner.New(cfg.Load),
 		holds:       holds{held: metrics.GetOrRegisterCounter("group.held-ms", cfg.Metrics)},
 	}
 }
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -5,18 +5,13 @@
 	"sync"
 
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/planner"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-const (
-	// reportsAtOnce is how many ranks report in one interval. In larger groups the ranks
-	// take turns, so that what the planning host receives and adds up does not grow with
-	// the group.
-	reportsAtOnce = 12
-	// heldReports is every how many of its reports a rank lists its experts although they
-	// have not changed.
-	heldReports = 10
-)
+// heldReports is every how many of its reports a rank lists its experts although they
+// have not changed.
+const heldReports = 10
 
 // reporter decides when this host reports, and whether it lists the experts of its ranks.
 type reporter struct {
@@ -35,7 +30,7 @@
 // be from before a jump of popularity when the first change after it is planned.
 func (r *reporter) next(firstRank, ranks uint32) (isTurn, isBefore bool) {
 	r.intervals++
-	turns := (ranks + reportsAtOnce - 1) / reportsAtOnce
+	turns := (ranks + planner.ReportsAtOnce - 1) / planner.ReportsAtOnce
 	if turns <= 1 {
 		return true, false
 	}
@@ -82,8 +77,8 @@
 		r.counters.unread.Inc(1)
 		return
 	}
-	r.planner.add(l.ExpertLoad)
-	if l.from != nil && r.planner.picks.lacks(l.ExpertLoad) {
+	r.planner.Add(l.ExpertLoad)
+	if l.from != nil && r.planner.Lacks(l.ExpertLoad) {
 		_ = l.from.Post(&wire.ExpertsWanted{Group: r.cfg.Group})
 	}
 }
@@ -98,7 +93,7 @@
 		if shape == nil {
 			return false
 		}
-		l.Ranks[i].Picks = unpackPicks(l.Ranks[i].Packed, int(shape.Layers), int(shape.Experts))
+		l.Ranks[i].Picks = planner.Unpack(l.Ranks[i].Packed, int(shape.Layers), int(shape.Experts))
 		if l.Ranks[i].Picks == nil {
 			return false
 		}
@@ -174,7 +169,7 @@
 	r.reporter.trim(s, m)
 	for i := range m.Ranks {
 		if m.Ranks[i].Picks != nil {
-			m.Ranks[i].Packed, m.Ranks[i].Picks = packPicks(m.Ranks[i].Picks), nil
+			m.Ranks[i].Packed, m.Ranks[i].Picks = planner.Pack(m.Ranks[i].Picks), nil
 		}
 	}
 	_ = s.Post(m)
--- a/internal/group/planpicks.go
+++ b/internal/planner/change.go
@@ -1,7 +1,6 @@
-package group
+package planner
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -39,21 +38,10 @@
 	fullPart = 0.7
 )
 
-// planByPicks begins a change where the ranks' own counts show that one is worth it.
-func (r *Runner) planByPicks(ctx context.Context, shape *wire.GroupShape) {
-	next, base, forecast := r.planner.nextByPicks(shape, ease(r.pace.mean(), r.lateStep()))
-	r.cfg.Log.Info("expert map planned", "group", r.cfg.Group, "base", base, "skew", forecast.before,
-		"skew_after", forecast.after, "copies", forecast.copies, "worth_it", forecast.isWorth, "distance", forecast.distance)
-	if !forecast.isWorth {
-		return
-	}
-	r.gather(ctx, intent{proposal: &expertmap.Proposal{Base: rank.Ballot(base), Map: next}})
-}
-
-// ease returns how many times the least gain a change has to bring, in [1, easeChange]:
+// Ease returns how many times the least gain a change has to bring, in [1, easeChange]:
 // less, the nearer passes are to the longest one that is not late. Where either is not
 // known it is 1.
-func ease(pass, late time.Duration) float64 {
+func Ease(pass, late time.Duration) float64 {
 	if pass <= 0 || late <= 0 {
 		return 1
 	}
@@ -61,23 +49,23 @@
 	return 1 + (easeChange-1)*min(max(room, 0), 1)
 }
 
-// forecast is what a planned change is expected to do.
-type forecast struct {
-	// before and after are the load of the most loaded rank over the mean one, averaged
+// Forecast is what a planned change is expected to do.
+type Forecast struct {
+	// Before and After are the load of the most loaded rank over the mean one, averaged
 	// over the sets as the passes are: each set waits for its own slowest rank.
-	before, after float64
-	// distance is that of the last interval from the load before.
-	distance float64
-	// copies counts the experts that are new to a rank.
-	copies int
-	// isWorth tells that the change is worth its cost.
-	isWorth bool
+	Before, After float64
+	// Distance is that of the last interval from the load before.
+	Distance float64
+	// Copies counts the experts that are new to a rank.
+	Copies int
+	// IsWorth tells that the change is worth its cost.
+	IsWorth bool
 }
 
-// nextByPicks returns the map that the planner wants, the version that it was planned
+// NextByPicks returns the map that the planner wants, the version that it was planned
 // on, and what is expected of it. The picks have to be complete. Ease is how many times
 // the least gain a change has to bring.
-func (p *planner) nextByPicks(shape *wire.GroupShape, ease float64) (expertmap.Map, uint64, forecast) {
+func (p *Planner) NextByPicks(shape *wire.GroupShape, ease float64) (expertmap.Map, uint64, Forecast) {
 	distance := p.observe(p.picks.take(shape))
 	fresh := freshAtOnce(shape)
 	params := placement.SetParams{
@@ -89,20 +77,20 @@
 	held, base := p.picks.held()
 	next := placement.BalanceSets(held, p.load, params)
 	m := expertmap.Map{SlotsPerRank: params.Slots}
-	f := forecast{distance: distance}
+	f := Forecast{Distance: distance}
 	top, topAfter, mean := 0.0, 0.0, 0.0
 	for set := range next {
 		before := placement.SetTimes(held[set], p.load[set], params.Pace)
 		top += highest(before)
 		topAfter += highest(placement.SetTimes(next[set], p.load[set], params.Pace))
 		mean += meanOf(before)
-		f.copies += copies(held[set], next[set])
+		f.Copies += copies(held[set], next[set])
 		m.Layers = append(m.Layers, layer(next[set], params.Slots))
 	}
 	if mean > 0 {
-		f.before, f.after = top/mean, topAfter/mean
+		f.Before, f.After = top/mean, topAfter/mean
 	}
-	f.isWorth = f.before-f.after > leastChange*ease
+	f.IsWorth = f.Before-f.After > leastChange*ease
 	return m, base, f
 }
 
@@ -115,7 +103,7 @@
 }
 
 // observe takes an interval's counts into the load, and returns their distance from it.
-func (p *planner) observe(tokens placement.Load) float64 {
+func (p *Planner) observe(tokens placement.Load) float64 {
 	if placement.Sum(tokens) == 0 && p.load != nil {
 		return 0
 	}
--- a/internal/group/pack.go
+++ b/internal/planner/pack.go
@@ -1,4 +1,4 @@
-package group
+package planner
 
 import "math"
 
@@ -10,11 +10,11 @@
 	packHead = 4
 )
 
-// packPicks writes counts, set after set, in half a byte each: as their square roots, in
+// Pack writes counts, set after set, in half a byte each: as their square roots, in
 // steps of a fifteenth of the largest one's. A count of events that come by chance varies
 // by its square root, so that what rounding adds is about the same everywhere, and small
 // beside that where several ranks are added up.
-func packPicks(picks [][]uint32) []byte {
+func Pack(picks [][]uint32) []byte {
 	most, n := uint32(0), 0
 	for _, set := range picks {
 		n += len(set)
@@ -38,9 +38,9 @@
 // packStep is the distance of two codes, as square roots.
 func packStep(most uint32) float64 { return max(math.Sqrt(float64(most))/mostCode, 1.0/mostCode) }
 
-// unpackPicks reads packed counts of that many sets and experts. It returns nil where they
+// Unpack reads packed counts of that many sets and experts. It returns nil where they
 // are not of that shape.
-func unpackPicks(data []byte, sets, experts int) [][]uint32 {
+func Unpack(data []byte, sets, experts int) [][]uint32 {
 	if len(data) != packHead+(sets*experts+1)/2 {
 		return nil
 	}
--- a/internal/group/pack_test.go
+++ b/internal/planner/pack_test.go
@@ -1,4 +1,4 @@
-package group
+package planner
 
 import (
 	"math"
@@ -13,7 +13,7 @@
 func TestPackedCountsAreRoundedByLessThanChance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		picks := rapid.SliceOfN(rapid.SliceOfN(rapid.Uint32Range(0, 225), 5, 5), 1, 4).Draw(t, "picks")
-		got := unpackPicks(packPicks(picks), len(picks), 5)
+		got := Unpack(Pack(picks), len(picks), 5)
 		for set := range picks {
 			for e, n := range picks[set] {
 				require.InDelta(t, n, got[set][e], math.Sqrt(float64(n))+1)
@@ -33,7 +33,7 @@
 			set[e] = uint32(random.ExpFloat64() * 8)
 			before += float64(set[e])
 		}
-		for _, n := range unpackPicks(packPicks([][]uint32{set}), 1, experts)[0] {
+		for _, n := range Unpack(Pack([][]uint32{set}), 1, experts)[0] {
 			after += float64(n)
 		}
 	}
@@ -41,9 +41,9 @@
 }
 
 func TestPackedCountsOfAnotherShapeAreRefused(t *testing.T) {
-	data := packPicks([][]uint32{{1, 2, 3}, {4, 5, 6}})
-	require.NotNil(t, unpackPicks(data, 2, 3))
-	require.Nil(t, unpackPicks(data, 2, 4))
-	require.Nil(t, unpackPicks(nil, 2, 3))
-	require.Equal(t, [][]uint32{{0, 0, 0}}, unpackPicks(packPicks([][]uint32{{0, 0, 0}}), 1, 3))
+	data := Pack([][]uint32{{1, 2, 3}, {4, 5, 6}})
+	require.NotNil(t, Unpack(data, 2, 3))
+	require.Nil(t, Unpack(data, 2, 4))
+	require.Nil(t, Unpack(nil, 2, 3))
+	require.Equal(t, [][]uint32{{0, 0, 0}}, Unpack(Pack([][]uint32{{0, 0, 0}}), 1, 3))
 }
--- a/internal/group/picks.go
+++ b/internal/planner/picks.go
@@ -1,4 +1,4 @@
-package group
+package planner
 
 import (
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
@@ -63,13 +63,12 @@
 	return false
 }
 
-// learn takes the experts of all ranks from the map that this host's rank uses, where its
-// content is known: a plan needs no report of each rank then.
-func (p *picks) learn(ranks []expertmap.Status, find func(expertmap.Version) (expertmap.Map, bool), shape *wire.GroupShape) {
-	if len(ranks) == 0 || len(p.reported) == 0 || !ranks[0].Joined() {
+// learn takes the experts of all ranks from the map in use, where find knows its content: a
+// plan needs no report of each rank then.
+func (p *picks) learn(active expertmap.Version, find func(expertmap.Version) (expertmap.Map, bool), shape *wire.GroupShape) {
+	if len(p.reported) == 0 {
 		return
 	}
-	active := ranks[0].Active.Version
 	if s := p.ranks[0]; s != nil && len(p.ranks) == int(shape.Ranks) && s.held != nil && s.version >= rank.Version(active) {
 		return
 	}
@@ -105,7 +104,7 @@
 // isComplete reports whether there is enough to plan by: as many reports as come in an
 // interval, and the experts of all ranks under one map.
 func (p *picks) isComplete(shape *wire.GroupShape) bool {
-	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, reportsAtOnce) {
+	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, ReportsAtOnce) {
 		return false
 	}
 	for r := range shape.Ranks {
