--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -168,38 +168,6 @@
 	return c.enter(promising)
 }
 
-// prepare brings the proposal into its final form.
-func (c *Coordinator) prepare() {
-	c.delta, c.content = nil, nil
-	if c.proposal == nil {
-		return
-	}
-	next := c.proposal.Map
-	next.Version = c.ballot
-	if base, ok := c.basis(); ok {
-		next = Align(base, next)
-		c.delta = Diff(base, next)
-	}
-	c.proposal = &Proposal{Base: c.proposal.Base, Map: next}
-}
-
-// basis returns the map that the proposal is told as a difference from: the one that it
-// was planned on, or any other that is known where its content is not.
-func (c *Coordinator) basis() (Map, bool) {
-	if m, ok := library(c.maps).find(c.proposal.Base); ok {
-		return m, true
-	}
-	if len(c.maps) == 0 {
-		return Map{}, false
-	}
-	return c.maps[0], true
-}
-
-// ContentOnWay tells that what the round's requests carry needs that many ticks to reach
-// all participants. Until then nobody is asked again: the question would overtake the
-// content, and everyone would be sent it a second time while the first is on its way.
-func (c *Coordinator) ContentOnWay(ticks int) { c.onWay = max(ticks, 0) }
-
 // SetArmAhead changes how many steps ahead a change is armed, from the next time on. One
 // is the very next step: it may begin before the round of messages ends, so Own alone is
 // armed at first, and the group waits for it before that step. If the step has begun, Own
@@ -321,24 +289,6 @@
 	return false
 }
 
-// learn keeps each map once.
-func (c *Coordinator) learn(maps []Map) {
-	for _, m := range maps {
-		if _, ok := library(c.maps).find(m.Version); !ok {
-			c.maps = append(c.maps, m)
-		}
-	}
-}
-
-// lacking sends a participant the content that it asks for.
-func (c *Coordinator) lacking(p *peer, r *Refused) []Envelope {
-	if p == nil || r.Ballot != c.ballot || c.phase != staging || p.answered {
-		return nil
-	}
-	p.lacks, p.known = true, r.Known
-	return []Envelope{{To: p.addr, Message: c.message(p)}}
-}
-
 // refused ends the ballot, or aborts a change armed too late.
 func (c *Coordinator) refused(r *Refused) []Envelope {
 	if r.Ballot != c.ballot || c.phase == idle {
@@ -397,71 +347,6 @@
 	return o
 }
 
-// resolve decides on the states of all ranks. Nothing is done about the
-// decision before the stage round has confirmed the promises.
-func (c *Coordinator) resolve() []Envelope {
-	var ranks []Status
-	for i := range c.peers {
-		ranks = append(ranks, c.peers[i].ranks...)
-	}
-	c.found = resolve(ranks)
-	c.decided = c.found.present
-	present := c.decided.Installed.Version
-	switch {
-	case present.IsZero():
-		return c.bootstrap()
-	case c.found.open():
-		c.recovering = true
-		if len(c.wanted()) > 0 {
-			return c.enter(fetching)
-		}
-		return c.enter(staging)
-	case c.proposal == nil:
-		return c.finish(OutcomeSettled)
-	case c.proposal.Base != present:
-		return c.finish(OutcomeStale)
-	}
-	return c.enter(staging)
-}
-
-// bootstrap gives the proposed map to a group without any. No rank can start a
-// step, so nothing has to be armed ahead.
-func (c *Coordinator) bootstrap() []Envelope {
-	if c.proposal == nil {
-		return c.finish(OutcomeSettled)
-	}
-	if !c.proposal.Base.IsZero() {
-		return c.finish(OutcomeStale)
-	}
-	c.recovering = true
-	c.decided = c.proposed(0)
-	c.found.behind = true
-	return c.enter(staging)
-}
-
-func (c *Coordinator) proposed(step uint64) Present {
-	return Present{
-		Installed: Installed{Version: c.ballot, From: step},
-		Base:      c.decided.Installed.Version,
-	}
-}
-
-// staged goes on after the weights are loaded and the promises confirmed.
-func (c *Coordinator) staged() []Envelope {
-	switch {
-	case c.recovering && c.found.abort:
-		return c.enter(aborting)
-	case c.recovering:
-		return c.enter(Committing)
-	}
-	var last uint64
-	for i := range c.peers {
-		last = max(last, c.peers[i].step)
-	}
-	c.armStep = last + c.cfg.ArmAhead
-	return c.enter(Arming)
-}
-
 func (c *Coordinator) finish(o Outcome) []Envelope {
 	c.phase = idle
 	c.outcome = o
@@ -482,37 +367,6 @@
 	return c.send()
 }
 
-// wanted are the maps that a rank without any has to load and whose content isn't known
-// here.
-func (c *Coordinator) wanted() []Version {
-	if !slices.ContainsFunc(c.peers, peer.hasUnjoined) {
-		return nil
-	}
-	var out []Version
-	for _, v := range []Version{c.decided.Installed.Version, c.decided.Base} {
-		if _, ok := library(c.maps).find(v); !ok && !v.IsZero() {
-			out = append(out, v)
-		}
-	}
-	return out
-}
-
-// isSource reports whether a participant is one that the wanted maps are asked of: the
-// first that knows them, or all where none does, until the deadline.
-func (c *Coordinator) isSource(p *peer) bool {
-	wanted := c.wanted()
-	knows := func(o peer) bool {
-		return !slices.ContainsFunc(wanted, func(v Version) bool { return !slices.Contains(o.known, v) })
-	}
-	first := slices.IndexFunc(c.peers, knows)
-	return first < 0 || c.peers[first].addr == p.addr
-}
-
-// hasUnjoined reports whether some rank of the participant has no map.
-func (p peer) hasUnjoined() bool {
-	return slices.ContainsFunc(p.ranks, func(r Status) bool { return !r.Joined() })
-}
-
 // send asks everyone who hasn't answered the present round.
 func (c *Coordinator) send() []Envelope {
 	var out []Envelope
@@ -545,38 +399,3 @@
 		return Message{Release: &Release{Ballot: b, Incarnation: inc, Present: c.found.present.Installed.Version}}
 	}
 }
-
-// toStage returns the maps that the ranks have to load: the proposed one, or in
-// recovery the present ones.
-func (c *Coordinator) toStage() []Map {
-	present := c.decided.Installed.Version
-	if c.recovering && present != c.ballot {
-		return slices.DeleteFunc(slices.Clone(c.maps), func(m Map) bool {
-			return m.Version != present && m.Version != c.decided.Base
-		})
-	}
-	return []Map{c.proposal.Map}
-}
-
-// stage returns the stage round's message. In recovery only a participant with
-// a rank without a map gets maps; for the others the message only confirms. Content is
-// sent once, and again to those who ask for it: where copying takes longer than a
-// coordinator waits, maps that were sent again filled its link, and the orders to arm and
-// to commit waited behind them.
-func (c *Coordinator) stage(p *peer) *Stage {
-	s := &Stage{Ballot: c.ballot, Incarnation: p.incarnation, Join: c.recovering}
-	if c.recovering && !p.hasUnjoined() {
-		return s
-	}
-	for _, m := range c.content {
-		s.Versions = append(s.Versions, m.Version)
-	}
-	switch {
-	case c.isRepeated() && !p.lacks:
-	case c.delta != nil && !c.recovering && slices.Contains(p.known, c.delta.Base):
-		s.Delta = c.delta
-	default:
-		s.Maps = c.content
-	}
-	return s
-}
