--- a/internal/cli/observe.go
+++ b/internal/cli/observe.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sassafraspost/sassafraspost/internal/logtrace"
 )
@@ -65,6 +67,7 @@
 
 func newStats(o *options) *cobra.Command {
 	var match string
+	var isSummary bool
 	cmd := &cobra.Command{
 		Use:   "stats ADDRESS...",
 		Short: "Print the metrics of hosts as a table, a column each",
@@ -74,9 +77,13 @@
 			if err != nil {
 				return err
 			}
+			if isSummary {
+				return table.writeSummary(o.out)
+			}
 			return table.write(o.out.stdout)
 		},
 	}
+	cmd.Flags().BoolVar(&isSummary, "summary", false, "a row a metric: sum, median, and the hosts with the most")
 	cmd.Flags().StringVar(&match, "match", "", "only metrics whose names contain this")
 	return cmd
 }
@@ -88,27 +95,43 @@
 	values map[string]map[string]string
 }
 
+// fetchAtOnce is how many hosts are asked at a time.
+const fetchAtOnce = 32
+
 // fetchStats reads the metrics at each address, "ip:port" of the metrics listener.
 func (o *options) fetchStats(ctx context.Context, addresses []string, match string) (*stats, error) {
+	bodies := make([]string, len(addresses))
+	all, ctx := errgroup.WithContext(ctx)
+	all.SetLimit(fetchAtOnce)
+	for i, address := range addresses {
+		all.Go(func() (err error) {
+			bodies[i], err = o.fetchMetrics(ctx, address)
+			return err
+		})
+	}
+	if err := all.Wait(); err != nil {
+		return nil, err
+	}
 	s := &stats{hosts: addresses, values: make(map[string]map[string]string)}
-	for _, address := range addresses {
-		body, err := o.fetchMetrics(ctx, address)
-		if err != nil {
-			return nil, err
+	for i, address := range addresses {
+		s.read(address, bodies[i], match)
+	}
+	return s, nil
+}
+
+// read takes in the metrics of one host whose names contain match.
+func (s *stats) read(address, body, match string) {
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || strings.HasPrefix(name, "#") || !strings.Contains(name, match) {
+			continue
 		}
-		lines := bufio.NewScanner(strings.NewReader(body))
-		for lines.Scan() {
-			name, value, ok := strings.Cut(lines.Text(), " ")
-			if !ok || strings.HasPrefix(name, "#") || !strings.Contains(name, match) {
-				continue
-			}
-			if s.values[name] == nil {
-				s.values[name] = make(map[string]string)
-			}
-			s.values[name][address] = value
+		if s.values[name] == nil {
+			s.values[name] = make(map[string]string)
 		}
+		s.values[name][address] = value
 	}
-	return s, nil
 }
 
 func (o *options) fetchMetrics(ctx context.Context, address string) (string, error) {
@@ -132,11 +155,7 @@
 
 // write prints the table, a row a metric.
 func (s *stats) write(w io.Writer) error {
-	names := make([]string, 0, len(s.values))
-	for name := range s.values {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(s.values))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "metric\t%s\n", strings.Join(s.hosts, "\t"))
 	for _, name := range names {
--- a/internal/cli/observe_test.go
+++ b/internal/cli/observe_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -33,6 +35,31 @@
 	require.Equal(t, ExitUsage, Run(t.Context(), []string{"stats"}, &out, &failures))
 }
 
+// Three hundred hosts are one table of a row a metric, which names those that stand out.
+func TestStatsOfAFleetNameTheHostsThatStandOut(t *testing.T) {
+	s := &stats{values: map[string]map[string]string{"sassafraspost_a": {}, "text": {"h1": "x"}}}
+	for i := range 300 {
+		s.values["sassafraspost_a"][fmt.Sprintf("h%d", i)] = strconv.Itoa(i % 10)
+	}
+	s.values["sassafraspost_a"]["h7"] = "1000"
+	all := s.summaries()
+	require.Len(t, all, 1)
+	require.Equal(t, "a", all[0].Metric)
+	require.Equal(t, 300, all[0].Hosts)
+	require.InDelta(t, 300*4.5-7+1000, all[0].Sum, 0)
+	require.Equal(t, hostValue{Host: "h7", Value: 1000}, all[0].Most[0])
+	require.Len(t, all[0].Most, worstHosts)
+
+	reg := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("gateway.queue.entered", reg).Inc(7)
+	srv := httptest.NewServer(telemetry.Handler(reg))
+	t.Cleanup(srv.Close)
+	var out, failures bytes.Buffer
+	args := []string{"stats", "--summary", "-o", "json", srv.Listener.Addr().String()}
+	require.Equal(t, ExitOK, Run(t.Context(), args, &out, &failures), failures.String())
+	require.Contains(t, out.String(), `"metric":"gateway_queue_entered","hosts":1,"sum":7`)
+}
+
 func TestTraceReadsFiles(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "log")
 	line := `{"time":"2026-05-07T09:12:53Z","level":"WARN","msg":"request failed","host":"entry-1","request":"r1","status":503}`
--- /dev/null
+++ b/internal/cli/summary.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// worstHosts is how many hosts a summary names for each metric.
+const worstHosts = 5
+
+// hostValue is a metric at one host.
+type hostValue struct {
+	Host  string  `json:"host"`
+	Value float64 `json:"value"`
+}
+
+// summary is one metric over many hosts.
+type summary struct {
+	Metric string  `json:"metric"`
+	Hosts  int     `json:"hosts"`
+	Sum    float64 `json:"sum"`
+	Median float64 `json:"median"`
+	// Most are the hosts with the highest values, the highest first.
+	Most []hostValue `json:"most"`
+}
+
+// summaries returns the metrics that are numbers, by name.
+func (s *stats) summaries() []summary {
+	var out []summary
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		var all []hostValue
+		for host, text := range s.values[name] {
+			if v, err := strconv.ParseFloat(text, 64); err == nil {
+				all = append(all, hostValue{Host: host, Value: v})
+			}
+		}
+		if len(all) > 0 {
+			out = append(out, summarise(strings.TrimPrefix(name, "sassafraspost_"), all))
+		}
+	}
+	return out
+}
+
+func summarise(name string, all []hostValue) summary {
+	slices.SortFunc(all, func(a, b hostValue) int {
+		return cmp.Or(cmp.Compare(b.Value, a.Value), cmp.Compare(a.Host, b.Host))
+	})
+	out := summary{Metric: name, Hosts: len(all), Median: all[len(all)/2].Value, Most: all[:min(len(all), worstHosts)]}
+	for _, v := range all {
+		out.Sum += v.Value
+	}
+	return out
+}
+
+// writeSummary prints a row a metric.
+func (s *stats) writeSummary(p *printer) error {
+	all := s.summaries()
+	if p.format == formatJSON {
+		return errors.Wrap(json.NewEncoder(p.stdout).Encode(all), "output")
+	}
+	t := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "metric\thosts\tsum\tmedian\tmost")
+	for _, m := range all {
+		var most []string
+		for _, v := range m.Most {
+			most = append(most, fmt.Sprintf("%s=%g", v.Host, v.Value))
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%g\t%g\t%s\n", m.Metric, m.Hosts, m.Sum, m.Median, strings.Join(most, " "))
+	}
+	return t.Flush()
+}
--- a/internal/expertmap/content.go
+++ b/internal/expertmap/content.go
@@ -29,10 +29,12 @@
 	return c.maps[0], true
 }
 
-// ContentOnWay tells that what the round's requests carry needs that many ticks to reach
-// all participants. Until then nobody is asked again: the question would overtake the
+// ContentOnWay tells that what was just sent needs that many ticks to reach all participants. Until then nobody is asked again: the question would overtake the
 // content, and everyone would be sent it a second time while the first is on its way.
-func (c *Coordinator) ContentOnWay(ticks int) { c.onWay = max(ticks, 0) }
+func (c *Coordinator) ContentOnWay(ticks int) { c.onWay = max(c.onWay, c.ticks+ticks) }
+
+// ContentAgain returns how often the ballot has sent content again to who lacked it.
+func (c *Coordinator) ContentAgain() int { return c.again }
 
 // learn keeps each map once.
 func (c *Coordinator) learn(maps []Map) {
@@ -49,6 +51,7 @@
 		return nil
 	}
 	p.lacks, p.known = true, r.Known
+	c.again++
 	return []Envelope{{To: p.addr, Message: c.message(p)}}
 }
 
--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -137,8 +137,10 @@
 	armStep    uint64
 	// alone: only Own has been asked to arm so far.
 	alone bool
-	// onWay is how many ticks of the round its content needs to reach everyone.
+	// onWay is the tick of the round by which its content has reached everyone.
 	onWay int
+	// again counts the content sent again in this ballot.
+	again int
 }
 
 // NewCoordinator returns an idle coordinator.
@@ -161,6 +163,7 @@
 	c.prepare()
 	c.outcome = OutcomeRunning
 	c.recovering = false
+	c.again = 0
 	c.peers = c.peers[:0]
 	for _, a := range c.cfg.Participants {
 		c.peers = append(c.peers, peer{addr: a})
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -133,6 +133,7 @@
 	}
 	version := r.coordinator.Present().Installed.Version
 	step := r.coordinator.ArmedStep()
+	r.counters.again.Inc(int64(r.coordinator.ContentAgain()))
 	r.coordinator = nil
 	switch outcome {
 	case expertmap.OutcomeChanged:
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -142,6 +142,9 @@
 
 type counters struct {
 	changed, aborted, settled, superseded, timedOut, dropped, unread metrics.Counter
+	// content counts the participants that this host's coordinator sent content to, again those
+	// that lacked it after that; passed are requests passed on for others.
+	content, again, passed metrics.Counter
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -149,7 +152,7 @@
 	return counters{
 		changed: get("changes.made"), aborted: get("changes.aborted"), settled: get("ballots.settled"),
 		superseded: get("ballots.superseded"), timedOut: get("ballots.timed-out"), dropped: get("messages.dropped"),
-		unread: get("loads.unread"),
+		unread: get("loads.unread"), content: get("content.sent"), again: get("content.sent-again"), passed: get("requests.passed-on"),
 	}
 }
 
@@ -289,6 +292,7 @@
 		return
 	}
 	if in.pass != nil {
+		r.counters.passed.Inc(int64(len(in.pass.Pass)))
 		r.post(*in.pass, divide(in.pass.Pass), in.message.Stage != nil)
 	}
 	r.origin[in.from] = in.origin
--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -71,6 +71,7 @@
 	r.rounds.messages += len(branches)
 	r.rounds.bytes += len(branches) * len(data)
 	if stage := m.Message.Stage; stage != nil && (stage.Delta != nil || len(stage.Maps) > 0) {
+		r.counters.content.Inc(int64(len(targets)))
 		r.coordinator.ContentOnWay(contentTicks(len(data), len(targets), r.cfg.LinkRate))
 	}
 	r.post(request, branches, m.Message.Stage != nil)
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -20,6 +20,7 @@
 type item struct {
 	kind    wire.Kind
 	data    []byte
+	queued  time.Time
 	state   atomic.Int32
 	started chan struct{}
 }
@@ -78,7 +79,7 @@
 
 // PostPrepared is Post for an encoded message.
 func (s *Session) PostPrepared(p *Prepared) error {
-	return s.put(s.queue, &item{kind: p.kind, data: p.data, started: make(chan struct{})})
+	return s.put(s.queue, &item{kind: p.kind, data: p.data, queued: time.Now(), started: make(chan struct{})})
 }
 
 func (s *Session) enqueueWait(ctx context.Context, m wire.Message) (*item, error) {
@@ -101,5 +102,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &item{kind: m.Kind(), data: data, started: make(chan struct{})}, nil
+	return &item{kind: m.Kind(), data: data, queued: time.Now(), started: make(chan struct{})}, nil
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -257,7 +257,7 @@
 		if it.data == nil {
 			continue
 		}
-		s.traffic.sent(it.kind, len(it.data))
+		s.traffic.sent(it.kind, len(it.data), it.queued)
 		if err := s.write(it.data); err != nil {
 			s.fail(err)
 			return
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -1,8 +1,12 @@
 package peer
 
 import (
+	"sync"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -37,6 +41,14 @@
 	// dials counts those begun, dialsLate those whose greeting did not come in time, accepted
 	// the sessions of others, gaveUp those who left before their turn.
 	dials, dialsLate, accepted, gaveUp metrics.Counter
+	// wait is how long messages wait until their session begins to write them.
+	wait *telemetry.Latency
+
+	registry metrics.Registry
+	// mu guards byKind.
+	mu sync.RWMutex
+	// byKind counts what was sent of each kind of message.
+	byKind map[wire.Kind]counts
 }
 
 func newTraffic(reg metrics.Registry) *traffic {
@@ -51,10 +63,16 @@
 		dialsLate:       metrics.GetOrRegisterCounter("peer.dials.late", reg),
 		accepted:        metrics.GetOrRegisterCounter("peer.accepted", reg),
 		gaveUp:          metrics.GetOrRegisterCounter("peer.gave-up", reg),
+		wait:            telemetry.GetLatency("peer.queue-wait", reg),
+		registry:        reg,
+		byKind:          make(map[wire.Kind]counts),
 	}
 }
 
-func (t *traffic) sent(k wire.Kind, size int) {
+// sent counts a message that is written now, after it has waited since then.
+func (t *traffic) sent(k wire.Kind, size int, since time.Time) {
+	t.wait.AddSince(since)
+	t.of(k).add(size)
 	if k.IsAttempt() {
 		t.attemptSent.add(size)
 		return
@@ -62,6 +80,21 @@
 	t.controlSent.add(size)
 }
 
+// of returns the counters of what is sent of a kind.
+func (t *traffic) of(k wire.Kind) counts {
+	t.mu.RLock()
+	c, ok := t.byKind[k]
+	t.mu.RUnlock()
+	if ok {
+		return c
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c = newCounts(t.registry, "kind."+k.String()+".sent")
+	t.byKind[k] = c
+	return c
+}
+
 func (t *traffic) received(k wire.Kind, size int) {
 	if k.IsAttempt() {
 		t.attemptReceived.add(size)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 
 import (
 	"reflect"
+	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -26,6 +27,14 @@
 // others are the cost of control.
 func (k Kind) IsAttempt() bool { return k >= KindDispatch && k <= KindRefused }
 
+// String returns the name of the kind's message type, or its number where there is none.
+func (k Kind) String() string {
+	if t, ok := types[k]; ok {
+		return t.Name()
+	}
+	return strconv.Itoa(int(k))
+}
+
 // Message is implemented by every type that may travel in an envelope.
 type Message interface {
 	// Kind returns the identity of the message's type.
