Ask nobody again while experts are copied, and bound the first change at 256 ranks too

A coordinator asked all participants again 0.2 s after staging although copying takes longer and is known to: at 256 ranks that was 11 of 67 KB of the first change.

--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/planner"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -72,7 +73,12 @@
 	r.rounds.bytes += len(branches) * len(data)
 	if stage := m.Message.Stage; stage != nil && (stage.Delta != nil || len(stage.Maps) > 0) {
 		r.counters.content.Inc(int64(len(targets)))
-		r.coordinator.ContentOnWay(contentTicks(len(data), len(targets), r.cfg.LinkRate))
+		ticks := contentTicks(len(data), len(targets), r.cfg.LinkRate)
+		if shape := r.cfg.Shape(); shape != nil {
+			// Nobody can answer before the experts are copied either.
+			ticks += int(planner.CopyTime(shape) / tickInterval)
+		}
+		r.coordinator.ContentOnWay(ticks)
 	}
 	r.post(request, branches, m.Message.Stage != nil)
 }
--- a/internal/group/size_test.go
+++ b/internal/group/size_test.go
@@ -285,8 +285,10 @@
 		{Ranks: 32, Experts: 128, Layers: 12, SlotsPerRank: 5},
 		{Ranks: 63, Experts: 252, Layers: 8, SlotsPerRank: 5},
 		{Ranks: 129, Experts: 258, Layers: 16, SlotsPerRank: 3},
+		{Ranks: 256, Experts: 256, Layers: 16, SlotsPerRank: 2},
 	} {
 		t.Run(fmt.Sprint(shape.Ranks), func(t *testing.T) {
+			shape.CopyUS = uint32(slowCopy.Microseconds())
 			g := newEngines(shape)
 			a := startAgents(t, g, nil)
 			require.Eventually(t, func() bool { return a.count("group.changes.made") > 0 }, waitLimit, 2*time.Millisecond)
--- a/internal/planner/change.go
+++ b/internal/planner/change.go
@@ -102,6 +102,11 @@
 	return max(int(copySpan/(time.Duration(shape.CopyUS)*time.Microsecond)), 1)
 }
 
+// CopyTime is how long the ranks copy experts in one change at most, 0 if that is not known.
+func CopyTime(shape *wire.GroupShape) time.Duration {
+	return time.Duration(freshAtOnce(shape)) * time.Duration(shape.CopyUS) * time.Microsecond
+}
+
 // observe takes an interval's counts into the load, and returns their distance from it.
 func (p *Planner) observe(tokens placement.Load) float64 {
 	if placement.Sum(tokens) == 0 && p.load != nil {
