Let the first rank's host settle at once what it left open

It is the only one that begins changes, so nobody else goes on with what it left. Ruled out: reports missing for a plan, which settles it too, came at 12.9. Plans of nothing are no longer logged.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -30,6 +30,10 @@
 	// basePatience is how many ticks a participant waits for a coordinator before it
 	// starts a recovery; each host adds its own number, so that they don't start together.
 	basePatience = 40
+	// firstPatience is that of the first rank's host. It coordinates all changes, so what it
+	// finds open without a coordinator of its own is what it left behind when it ended, and
+	// nobody but itself goes on with it.
+	firstPatience = 4
 	inboxLength  = 1024
 	// DefaultPlanInterval is how often the first host of a group plans.
 	DefaultPlanInterval = 10 * time.Second
@@ -174,13 +178,21 @@
 		worked:      make(chan statuses, 1),
 		observed:    make(chan statuses, 1),
 		ready:       make(chan []wire.GroupMember, 1),
-		participant: expertmap.NewParticipant(cfg.Unique(), basePatience+int(cfg.FirstRank), cfg.First),
+		participant: expertmap.NewParticipant(cfg.Unique(), patience(cfg.FirstRank), cfg.First),
 		origin:      make(map[expertmap.Address]origin),
 		planner:     planner.New(cfg.Load),
 		holds:       holds{held: metrics.GetOrRegisterCounter("group.held-ms", cfg.Metrics)},
 	}
 }
 
+// patience is how many ticks the host of a rank waits for a coordinator.
+func patience(firstRank uint32) int {
+	if firstRank == 0 {
+		return firstPatience
+	}
+	return basePatience + int(firstRank)
+}
+
 // HandlePeer takes a message if it concerns this host's group. It never waits: what
 // has no room is dropped, and sent again by whoever needs it.
 func (r *Runner) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -72,6 +72,10 @@
 // planByPicks begins a change where the ranks' own counts show that one is worth it.
 func (r *Runner) planByPicks(ctx context.Context, shape *wire.GroupShape) {
 	next, base, forecast := r.planner.NextByPicks(shape, planner.Ease(r.pace.mean(), r.lateStep()))
+	if forecast.Before == 0 {
+		// Nothing was counted.
+		return
+	}
 	r.cfg.Log.Info("expert map planned", "group", r.cfg.Group, "base", base, "skew", forecast.Before,
 		"skew_after", forecast.After, "copies", forecast.Copies, "worth_it", forecast.IsWorth, "distance", forecast.Distance)
 	if !forecast.IsWorth {
--- a/internal/group/size_test.go
+++ b/internal/group/size_test.go
@@ -318,6 +318,30 @@
 	require.Less(t, time.Since(began), heldReports*time.Second/4, "no rank's tenth report is waited for")
 }
 
+// Seen: a group stood still for 1.3 s after its planning host was back from a kill that came
+// between its orders to hold and to go on. Cause: it waited as long as all the others for a
+// coordinator to come, though it is the only one that begins changes. Proof: the times of its
+// start, of the held step and of the next one in the log.
+func TestFirstHostSettlesAtOnceWhatItLeftOpen(t *testing.T) {
+	g := newEngines(&wire.GroupShape{Ranks: 8, Experts: 64, Layers: 2, SlotsPerRank: 9})
+	for _, e := range g.ranks {
+		e.state.HeldStep, e.state.Sequence = 1, 1
+	}
+	began := time.Now()
+	startAgents(t, g, func(m wire.Message) {
+		if l, ok := m.(*wire.ExpertLoad); ok {
+			// A plan would settle it too, but needs a report of each rank first.
+			l.Group = ""
+		}
+	})
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.step > 0
+	}, waitLimit, time.Millisecond)
+	require.Less(t, time.Since(began), basePatience*tickInterval, "nobody else would have begun by now")
+}
+
 // Where hosts don't pass requests on, the coordinator asks the others itself.
 func TestChangeIsMadeWithoutHostsThatPassOn(t *testing.T) {
 	g := newEngines(&wire.GroupShape{Ranks: 30, Experts: 64, Layers: 2, SlotsPerRank: 5})
