Choose places by what they would serve, and ask for lost orders before their connection does

Holds of 117 and 163 ms while a data centre lost packets: a lost order waited for its connection to repeat it, and the bound of four passes kept changes from being armed as late as orders were seen to take.

Places are now the number at which a group would serve most, late answers at half, by the passes of 20 s that some number bears; the fewest while passes are beyond that. Repeats of orders follow the time that orders take (0.1 s on idle links, 0.2 s before); a change may be armed 8 passes ahead (4).

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -43,6 +43,8 @@
 	// RetryTicks is the number of ticks after which a message without an answer
 	// is sent again. Default 1.
 	RetryTicks int
+	// StageTicks is the same while weights are loaded. Default RetryTicks.
+	StageTicks int
 	// DeadlineTicks is the number of ticks after which a round that hasn't been
 	// answered by all is given up. It doesn't apply to commit, abort and release, which
 	// go on until answered or superseded. Default 50.
@@ -59,6 +61,9 @@
 	if c.RetryTicks == 0 {
 		c.RetryTicks = 1
 	}
+	if c.StageTicks == 0 {
+		c.StageTicks = c.RetryTicks
+	}
 	if c.DeadlineTicks == 0 {
 		c.DeadlineTicks = 50
 	}
@@ -211,12 +216,14 @@
 // loaded, each time takes twice as long as the one before: loading takes what it takes, and
 // asking does not speed it up.
 func (c *Coordinator) isDue() bool {
-	since := c.ticks - c.onWay
-	times := since / c.cfg.RetryTicks
-	if since <= 0 || since%c.cfg.RetryTicks != 0 {
+	since, every := c.ticks-c.onWay, c.cfg.RetryTicks
+	if c.phase == staging {
+		every = c.cfg.StageTicks
+	}
+	if since <= 0 || since%every != 0 {
 		return false
 	}
-	return c.phase != staging || bits.OnesCount(uint(times)) == 1
+	return c.phase != staging || bits.OnesCount(uint(since/every)) == 1
 }
 
 // isRepeated reports whether the round's requests have been sent before.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -23,10 +23,12 @@
 const (
 	// tickInterval is how often a participant looks whether experts are copied.
 	tickInterval = 25 * time.Millisecond
-	// retryTicks is how many ticks a coordinator waits at least before it asks again what
-	// was not answered. Sessions lose nothing while they live, and a participant answers a
-	// request as soon as it can, so asking sooner only fills the links.
-	retryTicks = 8
+	// leastRetry is how many ticks a coordinator waits at least before it asks again what was
+	// not answered. Sessions lose nothing while they live, and a participant answers a request
+	// as soon as it can, so asking sooner only fills the links.
+	leastRetry = 3
+	// stageTicks is the same while experts are copied: a repeat then goes to most ranks.
+	stageTicks = 8
 	// basePatience is how many ticks a participant waits for a coordinator before it
 	// starts a recovery; each host adds its own number, so that they don't start together.
 	basePatience = 40
@@ -34,7 +36,7 @@
 	// finds open without a coordinator of its own is what it left behind when it ended, and
 	// nobody but itself goes on with it.
 	firstPatience = 4
-	inboxLength  = 1024
+	inboxLength   = 1024
 	// DefaultPlanInterval is how often the first host of a group plans.
 	DefaultPlanInterval = 10 * time.Second
 )
--- a/internal/group/pace.go
+++ b/internal/group/pace.go
@@ -71,6 +71,14 @@
 	o.mean += (took - o.mean) / 8
 }
 
+// usual returns the time that a change needs on the mean.
+func (o *orderTime) usual() time.Duration {
+	if o.mean == 0 {
+		return firstOrders
+	}
+	return o.mean
+}
+
 // expect returns a time within which nearly all changes are through.
 func (o *orderTime) expect() time.Duration {
 	if o.mean == 0 {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -31,9 +31,10 @@
 	// planInterval is how often the first rank of a group plans. Popularity shifts
 	// within seconds; a change takes about half a one.
 	planInterval = 100 * time.Millisecond
-	// armAhead is how many passes ahead a change is armed at most: a pass lasts about as long
-	// as a round of messages and orders.
-	armAhead = 4
+	// armAhead is how many passes ahead a change is armed at most, where orders were seen to
+	// take that long: ranks that hold make all streams late, and so does a map that is behind
+	// for longer.
+	armAhead = 8
 	// mostAhead bounds that where orders get lost.
 	mostAhead = 16
 	// coordinatorBits is how many of a coordinator's number are drawn at its start; the
--- a/internal/schedule/passes.go
+++ b/internal/schedule/passes.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// peakSpan is for how long the longest passes are remembered. Popularity that jumps now
-	// and then has to be borne at its next jump too, and the longest passes after ten jumps
-	// tell that one better than those after three.
+	// peakSpan is for how long passes are remembered. Popularity that jumps now and then has to
+	// be borne at its next jump too, and ten jumps tell that one better than three.
 	peakSpan = 20 * time.Second
 	// peakPart is how long a part of it is, a few passes; peakParts is how many there are.
 	peakPart  = 250 * time.Millisecond
@@ -21,8 +20,8 @@
 	// median counts, so that a few answers that are held up on their way do not. mostPauses
 	// bounds what is kept of a part.
 	leastPauses, mostPauses = 5, 48
-	// passPart is the part of the gap that the longest passes seen may take: the next ones
-	// may be longer, and an answer's way to its caller varies.
+	// passPart is the part of the gap that passes may take: the next ones may be longer, and
+	// an answer's way to its caller varies.
 	passPart = 0.9
 )
 
@@ -41,6 +40,11 @@
 	// began is when the first pause came.
 	began   time.Duration
 	isBegun bool
+	// chosen are the places that were worked out last, for the engines' figures in shape when
+	// the part number chosenPart ran.
+	chosen     float64
+	chosenPart int64
+	shape      *routetable.Engine
 }
 
 // add takes in a pause between two events of a stream. Even is how long a pass would take
@@ -72,38 +76,11 @@
 	p.part = at
 }
 
-// longest returns the largest stretch that is remembered, 0 where passes were not seen for
-// long enough.
-func (p *passes) longest(now time.Duration) float64 {
-	if !p.isBegun || now-p.began < leastSeen {
-		return 0
-	}
-	most := 0.0
-	for n := max(int64(now/peakPart)-peakParts+1, 0); n < p.part; n++ {
-		most = max(most, p.stretch[n%peakParts])
-	}
-	return most
-}
-
 // evenPass is how long a pass takes where each rank writes for n requests.
 func evenPass(e *routetable.Engine, n float64) time.Duration {
 	return time.Duration(float64(max(e.Stride, 1)) * (float64(e.Step) + n*float64(e.PerRequest)))
 }
 
-// PlacesAtStretch returns how many requests a rank should work on at once, on the mean, so
-// that passes with that stretch stay inside the gap: at least as many as Places returns,
-// which bears the worst that popularity can do in place of what was seen. A stretch of 0 is
-// not known.
-func PlacesAtStretch(e *routetable.Engine, gap time.Duration, stretch float64) float64 {
-	least := float64(Places(e, gap))
-	if stretch <= 0 || gap <= 0 || e.Stride <= 0 || e.PerRequest <= 0 {
-		return least
-	}
-	step := float64(gap) * passPart / float64(e.Stride) / max(stretch, 1)
-	n := (step - float64(e.Step)) / float64(e.PerRequest)
-	return min(max(n, least), float64(e.Slots))
-}
-
 // Pause tells how long the stream of an attempt paused between two events.
 func (s *Scheduler) Pause(t *Ticket, took, now time.Duration) {
 	sv, g := t.service, t.up.group
@@ -129,7 +106,7 @@
 		return
 	}
 	for _, g := range sv.groups {
-		g.places = PlacesAtStretch(sv.shape, sv.gap, g.passes.longest(now))
+		g.places = g.passes.places(sv.shape, sv.gap, now)
 	}
 }
 
--- a/internal/schedule/places.go
+++ b/internal/schedule/places.go
@@ -54,11 +54,7 @@
 // request: to read the prompt, and two passes.
 func FirstEvent(e *routetable.Engine, places int) time.Duration {
 	pass := time.Duration(max(e.Stride, 1)) * (e.Step + time.Duration(places)*e.PerRequest)
-	read := time.Duration(0)
-	if e.ReadRate > 0 {
-		read = time.Duration(e.Prompt / e.ReadRate * float64(time.Second))
-	}
-	return read + 2*pass
+	return readTime(e) + 2*pass
 }
 
 // usualSkew is the load of a group's most loaded rank over the mean one while its map
