--- /dev/null
+++ b/internal/journal/replay.go
@@ -0,0 +1,197 @@
+package journal
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+// replay rebuilds the log from the segments.
+type replay struct {
+	journal  *Journal
+	snapshot uint64
+	hard     consensus.HardState
+	entries  []consensus.Entry
+	cut      bool
+	// sum is the checksum of the last record.
+	sum uint32
+}
+
+func (r *replay) run(files folder, m manifest) error {
+	for number := m.First; number <= m.Last; number++ {
+		name := segmentName(number)
+		if !files.has(name) {
+			return &CorruptError{File: name, Reason: "missing"}
+		}
+		data, err := r.journal.fs.ReadFile(filepath.Join(r.journal.dir, name))
+		if err != nil {
+			return errors.Wrap(err, "read segment")
+		}
+		if err := r.segment(name, data, number, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *replay) segment(name string, data []byte, number uint64, m manifest) error {
+	s := scanSegment(data)
+	if s.corrupt != "" {
+		return &CorruptError{File: name, Offset: int64(s.end), Reason: s.corrupt}
+	}
+	if s.torn != "" && number != m.Last {
+		return &CorruptError{File: name, Offset: int64(s.end), Reason: s.torn + " before the last segment"}
+	}
+	if err := r.head(name, s.head, number, m); err != nil {
+		return err
+	}
+	seg := segment{number: number}
+	for _, b := range s.batches {
+		if reason := r.batch(b); reason != "" {
+			return &CorruptError{File: name, Offset: int64(s.end), Reason: reason}
+		}
+		if n := len(b.Entries); n > 0 {
+			seg.highest = max(seg.highest, b.Entries[n-1].Index)
+		}
+	}
+	r.sum = s.sum
+	r.journal.segments = append(r.journal.segments, seg)
+	if number != m.Last {
+		return nil
+	}
+	return r.finish(name, data, s)
+}
+
+// head checks that a segment belongs here.
+func (r *replay) head(name string, h segmentHead, number uint64, m manifest) error {
+	switch {
+	case h.Number != number:
+		return &CorruptError{File: name, Reason: "is another segment"}
+	case h.DiskID != r.journal.diskID:
+		return &CorruptError{File: name, Reason: "belongs to another disk"}
+	case number != m.First && h.Previous != r.sum:
+		return &CorruptError{File: name, Reason: "does not follow the segment before it"}
+	}
+	r.hard = h.HardState
+	return nil
+}
+
+// batch takes one batch; it returns why it cannot follow those before it.
+func (r *replay) batch(b batch) string {
+	if b.HardState != nil {
+		r.hard = *b.HardState
+	}
+	if len(b.Entries) == 0 {
+		return ""
+	}
+	first := b.Entries[0].Index
+	if first > r.snapshot+uint64(len(r.entries))+1 {
+		return "gap in the log before entry " + strconv.FormatUint(first, 10)
+	}
+	kept := uint64(0)
+	if first > r.snapshot {
+		kept = first - r.snapshot - 1
+	}
+	r.entries = r.entries[:min(kept, uint64(len(r.entries)))]
+	for i, e := range b.Entries {
+		if e.Index != first+uint64(i) {
+			return "gap in a batch before entry " + strconv.FormatUint(e.Index, 10)
+		}
+		if e.Index > r.snapshot {
+			r.entries = append(r.entries, e)
+		}
+	}
+	return ""
+}
+
+// finish opens the last segment for appending: it cuts an unfinished record, and
+// writes the last whole one again, because after a failed sync it may stand in
+// memory and not on disk.
+func (r *replay) finish(name string, data []byte, s scan) error {
+	j := r.journal
+	f, err := j.fs.Open(filepath.Join(j.dir, name))
+	if err != nil {
+		return errors.Wrap(err, "open segment")
+	}
+	j.file = f
+	j.offset = int64(s.end)
+	j.sum = s.sum
+	if s.end < len(data) {
+		if err := f.Truncate(int64(s.end)); err != nil {
+			return errors.Wrap(err, "cut segment")
+		}
+		r.cut = true
+		j.log.Warn("journal cut an unfinished record", "file", name, "offset", s.end, "bytes", len(data)-s.end)
+	}
+	if _, err := f.WriteAt(data[s.last:s.end], int64(s.last)); err != nil {
+		return errors.Wrap(err, "write last record again")
+	}
+	return errors.Wrap(f.Sync(), "sync segment")
+}
+
+// scan is the contents of one segment.
+type scan struct {
+	head    segmentHead
+	batches []batch
+	// last and end are the offsets at which the last whole record begins and ends.
+	last, end int
+	sum       uint32
+	// torn and corrupt tell why reading ended before the end of the file.
+	torn, corrupt string
+}
+
+// scanSegment reads a segment up to its end or the first record that is not whole.
+func scanSegment(data []byte) scan {
+	var s scan
+	for {
+		f, state, reason := readFrame(data, s.end, s.sum)
+		switch state {
+		case frameEnd:
+			if s.end == 0 {
+				s.corrupt = "missing head"
+			}
+			return s
+		case frameCorrupt:
+			s.corrupt = reason
+			return s
+		case frameTorn:
+			s.setTorn(reason)
+			return s
+		}
+		if err := s.take(f); err != nil {
+			s.corrupt = err.Error()
+			return s
+		}
+		s.last, s.end, s.sum = s.end, f.end, f.sum
+	}
+}
+
+// setTorn notes an unfinished record. The head is synced before the segment gets
+// its name, so it cannot be unfinished.
+func (s *scan) setTorn(reason string) {
+	if s.end == 0 {
+		s.corrupt = "head: " + reason
+		return
+	}
+	s.torn = reason
+}
+
+func (s *scan) take(f frame) error {
+	if s.end == 0 {
+		if f.kind != kindSegment {
+			return errors.New("no segment head")
+		}
+		return errors.Wrap(decoding.Unmarshal(f.payload, &s.head), "segment head")
+	}
+	if f.kind != kindBatch {
+		return errors.New("unknown kind of record")
+	}
+	var b batch
+	if err := decoding.Unmarshal(f.payload, &b); err != nil {
+		return errors.Wrap(err, "batch")
+	}
+	s.batches = append(s.batches, b)
+	return nil
+}
