--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strconv"
 
 	"github.com/pkg/errors"
 
