Write the hosts that a request is for in few bytes, and ask many again by those who pass on

A repeat to more than 24 now goes by the hosts that pass on; those few that one lost host leaves out are still asked directly. Rounds in which ranks may hold are repeated by the time that orders take, once that was measured.

--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -43,8 +43,9 @@
 	// RetryTicks is the number of ticks after which a message without an answer
 	// is sent again. Default 1.
 	RetryTicks int
-	// StageTicks is the same while weights are loaded. Default RetryTicks.
-	StageTicks int
+	// HeldTicks is the same in the rounds in which ranks may hold, from arming on. Default
+	// RetryTicks.
+	HeldTicks int
 	// DeadlineTicks is the number of ticks after which a round that hasn't been
 	// answered by all is given up. It doesn't apply to commit, abort and release, which
 	// go on until answered or superseded. Default 50.
@@ -61,8 +62,8 @@
 	if c.RetryTicks == 0 {
 		c.RetryTicks = 1
 	}
-	if c.StageTicks == 0 {
-		c.StageTicks = c.RetryTicks
+	if c.HeldTicks == 0 {
+		c.HeldTicks = c.RetryTicks
 	}
 	if c.DeadlineTicks == 0 {
 		c.DeadlineTicks = 50
@@ -217,8 +218,8 @@
 // asking does not speed it up.
 func (c *Coordinator) isDue() bool {
 	since, every := c.ticks-c.onWay, c.cfg.RetryTicks
-	if c.phase == staging {
-		every = c.cfg.StageTicks
+	if c.phase >= Arming {
+		every = c.cfg.HeldTicks
 	}
 	if since <= 0 || since%every != 0 {
 		return false
--- a/internal/expertmap/delta_test.go
+++ b/internal/expertmap/delta_test.go
@@ -221,3 +221,25 @@
 		require.Equal(t, [][]uint16{{1, 9, 3, 4}}, m.Layers)
 	}
 }
+
+// While ranks may hold, those that have not answered are asked again sooner: each message
+// lost there makes all streams of the group wait.
+func TestRanksThatMayHoldAreAskedAgainSooner(t *testing.T) {
+	c, err := NewCoordinator(Config{ID: 5, Participants: []Address{0}, RetryTicks: 8, HeldTicks: 3, DeadlineTicks: 100})
+	require.NoError(t, err)
+	first := func() int {
+		for n := 1; ; n++ {
+			if len(c.Tick()) > 0 {
+				return n
+			}
+		}
+	}
+	base := Map{Version: v1, SlotsPerRank: 1, Layers: [][]uint16{{1}}}
+	c.Start(&Proposal{Base: v1, Map: Map{SlotsPerRank: 1, Layers: [][]uint16{{2}}}}, base)
+	require.Equal(t, 8, first())
+	c.Step(0, Message{Promised: &Promised{Ballot: c.Ballot(), Ranks: []Status{{Active: Installed{Version: v1}}}}})
+	require.Equal(t, 8, first())
+	c.Step(0, Message{Staged: &Staged{Ballot: c.Ballot()}})
+	require.Equal(t, Arming, c.Round())
+	require.Equal(t, 3, first())
+}
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -72,7 +72,7 @@
 	}
 	r.members = make(map[expertmap.Address]string, len(members))
 	cfg := expertmap.Config{
-		ID: r.cfg.Unique(), After: r.participant.Promised(), Own: r.address, RetryTicks: r.repeatTicks(), StageTicks: stageTicks,
+		ID: r.cfg.Unique(), After: r.participant.Promised(), Own: r.address, RetryTicks: retryTicks, HeldTicks: r.heldTicks(),
 	}
 	if r.cfg.Start != nil {
 		cfg.After.Counter = max(cfg.After.Counter, r.cfg.Start())
@@ -104,12 +104,15 @@
 	r.rounds.enter(c.Round(), time.Now())
 }
 
-// repeatTicks is how many ticks the coordinator waits for answers before it asks those again
-// that have not answered: as long as both rounds of orders of a change take on the mean. One
-// round is then late, by a message that was lost: its connection repeats it later than this,
-// and meanwhile ranks may hold.
-func (r *Runner) repeatTicks() int {
-	return max(leastRetry, int((r.orders.usual()+tickInterval-1)/tickInterval))
+// heldTicks is how many ticks the coordinator waits, while ranks may hold, before it asks
+// those again that have not answered: as long as both rounds of orders of a change take on
+// the mean. One round is then late, by a message that was lost, and its connection repeats
+// it later than this.
+func (r *Runner) heldTicks() int {
+	if r.orders.usual() == 0 {
+		return retryTicks
+	}
+	return max(leastHeld, int((r.orders.usual()+tickInterval-1)/tickInterval))
 }
 
 // IsWhole reports whether the members hold each rank of a group once.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -23,12 +23,12 @@
 const (
 	// tickInterval is how often a participant looks whether experts are copied.
 	tickInterval = 25 * time.Millisecond
-	// leastRetry is how many ticks a coordinator waits at least before it asks again what was
-	// not answered. Sessions lose nothing while they live, and a participant answers a request
-	// as soon as it can, so asking sooner only fills the links.
-	leastRetry = 3
-	// stageTicks is the same while experts are copied: a repeat then goes to most ranks.
-	stageTicks = 8
+	// retryTicks is how many ticks a coordinator waits before it asks again what was not
+	// answered. Sessions lose nothing while they live, and a participant answers a request as
+	// soon as it can, so asking sooner only fills the links.
+	retryTicks = 8
+	// leastHeld is the least of that while ranks may hold: a tick is lost on either side.
+	leastHeld = 3
 	// basePatience is how many ticks a participant waits for a coordinator before it
 	// starts a recovery; each host adds its own number, so that they don't start together.
 	basePatience = 40
--- a/internal/group/pace.go
+++ b/internal/group/pace.go
@@ -71,13 +71,8 @@
 	o.mean += (took - o.mean) / 8
 }
 
-// usual returns the time that a change needs on the mean.
-func (o *orderTime) usual() time.Duration {
-	if o.mean == 0 {
-		return firstOrders
-	}
-	return o.mean
-}
+// usual returns the time that a change needs on the mean, 0 if none was measured.
+func (o *orderTime) usual() time.Duration { return o.mean }
 
 // expect returns a time within which nearly all changes are through.
 func (o *orderTime) expect() time.Duration {
--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -15,6 +15,10 @@
 	// to the others. So what a host sends for a change does not grow with the group, and a
 	// request reaches 156 hosts in two hops.
 	fanOut = 12
+	// mostDirect is up to how many hosts are asked again directly: those that one host or two
+	// should have passed a request on to. Where more have not answered it is not for want of
+	// the request.
+	mostDirect = 2 * fanOut
 	// linkPart is the part of a link that the content of a change may count on: reports and
 	// answers are on their way beside it.
 	linkPart = 0.5
@@ -38,8 +42,8 @@
 }
 
 // send sends the coordinator's messages. It does not wait for sessions: a message to a
-// host that can't be reached is dropped. What is sent again goes to each host directly,
-// since a host that should have passed it on may be the one that is missing.
+// host that can't be reached is dropped. What is sent again to a few goes to each of them
+// directly, since a host that should have passed it on may be the one that is missing.
 func (r *Runner) send(out []expertmap.Envelope, isAgain bool) {
 	var away []expertmap.Envelope
 	for _, e := range out {
@@ -54,7 +58,7 @@
 	}
 }
 
-func (r *Runner) multicast(m expertmap.Multicast, isDirect bool) {
+func (r *Runner) multicast(m expertmap.Multicast, isAgain bool) {
 	data, err := wire.Marshal(m.Message)
 	if err != nil {
 		r.counters.dropped.Inc(1)
@@ -63,10 +67,10 @@
 	request := wire.MapRequest{Group: r.cfg.Group, From: uint32(r.address), Data: data, Home: r.members[r.address]}
 	targets := make([]wire.MapTarget, 0, len(m.To))
 	for _, to := range m.To {
-		targets = append(targets, wire.MapTarget{Address: r.members[to.Address], Incarnation: to.Incarnation})
+		targets = append(targets, wire.MapTarget{Address: wire.Address(r.members[to.Address]), Incarnation: to.Incarnation})
 	}
 	branches := divide(targets)
-	if isDirect {
+	if isAgain && len(targets) <= mostDirect {
 		branches = direct(targets)
 	}
 	r.rounds.messages += len(branches)
@@ -116,7 +120,7 @@
 	for _, b := range branches {
 		m := request
 		m.Incarnation, m.Pass = b.head.Incarnation, b.below
-		r.deliver(b.head.Address, &m, send)
+		r.deliver(string(b.head.Address), &m, send)
 	}
 }
 
--- a/internal/group/relay_test.go
+++ b/internal/group/relay_test.go
@@ -14,7 +14,7 @@
 	all := divide(targets)
 	most = len(all)
 	for _, b := range all {
-		got[b.head.Address]++
+		got[string(b.head.Address)]++
 		m, h := reach(b.below, got)
 		most, hops = max(most, m), max(hops, h+1)
 	}
@@ -25,7 +25,7 @@
 	for _, n := range []int{0, 1, 7, 12, 13, 31, 62, 127, 156} {
 		var targets []wire.MapTarget
 		for i := range n {
-			targets = append(targets, wire.MapTarget{Address: fmt.Sprint(i)})
+			targets = append(targets, wire.MapTarget{Address: wire.Address(fmt.Sprint(i))})
 		}
 		got := make(map[string]int)
 		most, hops := reach(targets, got)
--- a/internal/wire/group.go
+++ b/internal/wire/group.go
@@ -26,11 +26,12 @@
 	Pass []MapTarget `cbor:"6,keyasint,omitempty"`
 }
 
-// MapTarget is a host that a MapRequest is for.
+// MapTarget is a host that a MapRequest is for. Requests list many of them.
 type MapTarget struct {
+	_ struct{} `cbor:",toarray"`
 	// Address is the peer listener of the host's agent.
-	Address     string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	Address     Address
+	Incarnation uint64
 }
 
 // Kind implements Message.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -62,3 +62,20 @@
 		require.NoError(t, err)
 	})
 }
+
+// Lists of hosts are most of what a change of map costs a large group.
+func TestAddressesAreShort(t *testing.T) {
+	for _, text := range []string{"10.1.64.9:7340", "[fe80::1]:80", "host:80", ""} {
+		data, err := Marshal(MapTarget{Address: Address(text), Incarnation: 300})
+		require.NoError(t, err)
+		var got MapTarget
+		require.NoError(t, Unmarshal(data, &got))
+		require.Equal(t, MapTarget{Address: Address(text), Incarnation: 300}, got)
+		if text == "10.1.64.9:7340" {
+			require.LessOrEqual(t, len(data), 12)
+		}
+	}
+	var a Address
+	require.Error(t, a.UnmarshalBinary(nil))
+	require.Error(t, a.UnmarshalBinary([]byte{addressBinary, 1, 2}))
+}
