--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -2,7 +2,7 @@
 // speaks for the ranks of its host, and, where it is the agent's turn, the
 // coordinator and the planner of changes to the expert map.
 //
-// The decisions are those of packages expertmap and placement. This package gives
+// The decisions are those of packages expertmap and planner. This package gives
 // them messages, engine states and ticks, one at a time on one goroutine.
 package group
 
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -117,8 +117,7 @@
 // still stops them all. What ranks said of an earlier epoch no longer counts.
 func (sv *service) regroup() {
 	for name, g := range sv.groups {
-		g.isClosed, g.epoch = false, 0
-		g.isStanding = false
+		g.isClosed, g.isStanding, g.epoch = false, false, 0
 		if !sv.hasRank(g) {
 			delete(sv.groups, name)
 		}
@@ -138,12 +137,17 @@
 	}
 	for _, g := range sv.groups {
 		g.noteOpening()
-		switch {
-		case !g.isStanding:
-			g.standingSince = 0
-		case g.standingSince == 0:
-			g.standingSince = g.heard
-		}
+		g.noteStanding()
+	}
+}
+
+// noteStanding keeps since when the group stands still.
+func (g *group) noteStanding() {
+	switch {
+	case !g.isStanding:
+		g.standingSince = 0
+	case g.standingSince == 0:
+		g.standingSince = g.heard
 	}
 }
 
