--- a/internal/control/herd_test.go
+++ b/internal/control/herd_test.go
@@ -82,7 +82,8 @@
 	return n
 }
 
-// work is what a greeting costs.
+// work keeps the host's one processor busy for as long as a greeting costs. It models that
+// time and waits for nothing.
 func (h *slowHost) work() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/schedule/passes.go
+++ b/internal/schedule/passes.go
@@ -40,8 +40,8 @@
 	// began is when the first pause came.
 	began   time.Duration
 	isBegun bool
-	// chosen are the places that were worked out last, for the engines' figures in shape when
-	// the part number chosenPart ran.
+	// chosen is the number of places chosen last: for engines of that shape, while the part
+	// chosenPart ran.
 	chosen     float64
 	chosenPart int64
 	shape      *routetable.Engine
