Let the deadline of a ballot's rounds grow while ballots run out of time

Cause: each round before commit had 1.25 s, and a ballot that ran out of time was begun anew with the same deadline. Hosts that need longer for a round, such as 129 or 160 agents in one process under the race detector beside load, never changed their map: each new ballot sends everything again while the answers to the one before are on their way. Seen by a trial with GOMAXPROCS=1 under the race detector, 129 ranks: 1 to 9 ballots of the first host timed out for 1 to 4 changes, none was superseded, so duelling coordinators are ruled out.

Change: the deadline doubles after a ballot that timed out or was aborted, up to 40 s, and halves after a change.

Test: 8 participants that answer after 60, 200 and 700 ticks; without the doubling no ballot changes the map.

--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -79,7 +79,7 @@
 	r.members = make(map[expertmap.Address]string, len(members))
 	cfg := expertmap.Config{
 		ID: r.cfg.NewID(), LastKnownBallot: r.participant.Promised(), LocalParticipant: r.address, RetryTicks: retryTicks, PausedRetryTicks: r.pausedRetryTicks(),
-		KeepaliveTicks: baseRecoveryTicks / 2,
+		KeepaliveTicks: baseRecoveryTicks / 2, DeadlineTicks: r.roundDeadline.ticks(),
 	}
 	if r.cfg.Start != nil {
 		cfg.LastKnownBallot.Counter = max(cfg.LastKnownBallot.Counter, r.cfg.Start())
@@ -154,6 +154,7 @@
 	r.counters.sentBytes.Inc(int64(r.ballotStats.bytes))
 	r.counters.resentBytes.Inc(int64(r.ballotStats.resentBytes))
 	r.coordinator = nil
+	r.roundDeadline.record(outcome)
 	switch outcome {
 	case expertmap.OutcomeChanged:
 		if p := r.nextBallot.proposal; p != nil && !r.nextBallot.isRecovery {
