Emulate callers that leave silent streams, and skew that changes

To compare ways for outages and the seconds after them the emulator lacked the callers' silence timeout, the skew of a group's first map and of shifts of popularity, and engines other than one fixed kind.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -41,14 +41,18 @@
 	Groups, Ranks int
 	Engine        routetable.Engine
 	// Skew is the load of the most loaded rank divided by the mean load of the ranks. Default
-	// 1.
-	Skew float64
+	// 1. SkewPeriods are the periods in which the skew is another one.
+	Skew        float64
+	SkewPeriods []SkewPeriod
 	// ArrivalRate is how many callers arrive per second, at a given time since the start.
 	ArrivalRate func(at time.Duration) float64
 	// An answer is on time if its first event arrives within Target and the time between two
 	// consecutive events never exceeds MaxEventGap; 0 means no limit. CallerTimeout is the time
 	// limit that a caller sets for its whole request, including a retry.
 	Target, MaxEventGap, CallerTimeout time.Duration
+	// SilenceTimeout is how long a caller waits for the next event, or for the first event or a
+	// refusal, before it abandons its try; 0 means forever.
+	SilenceTimeout time.Duration
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Outages lists the times at which groups are down.
@@ -62,6 +66,14 @@
 	From, To time.Duration
 }
 
+// SkewPeriod is a period in which the ranks are loaded more unevenly than usual, because the
+// expert map doesn't match the popularity of the experts: after popularity has shifted, and
+// after a group has formed again with its initial map.
+type SkewPeriod struct {
+	From, To time.Duration
+	Skew     float64
+}
+
 // check returns an error if the configuration is invalid.
 func (c *Config) check() error {
 	switch {
@@ -79,6 +91,11 @@
 			return errors.Errorf("emulator: invalid outage of group %d from %s to %s", o.Group, o.From, o.To)
 		}
 	}
+	for _, p := range c.SkewPeriods {
+		if p.Skew < 1 || p.To <= p.From {
+			return errors.Errorf("emulator: invalid skew of %g from %s to %s", p.Skew, p.From, p.To)
+		}
+	}
 	return nil
 }
 
@@ -146,6 +163,16 @@
 	}
 }
 
+// skew returns the current skew.
+func (s *simulation) skew() float64 {
+	for _, p := range s.cfg.SkewPeriods {
+		if p.From <= s.clock.now && s.clock.now < p.To {
+			return p.Skew
+		}
+	}
+	return s.cfg.Skew
+}
+
 func (s *simulation) isDone() bool { return s.clock.now >= s.cfg.ArrivalPeriod && s.activeCallers == 0 }
 
 // publishLoads sends the current loads of all engines to all hosts, and repeats that every
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -36,7 +36,7 @@
 func mustRun(t require.TestingT, cfg Config) *Report {
 	r, err := Run(cfg)
 	require.NoError(t, err)
-	require.Equal(t, r.Callers, r.OnTime+r.Late+r.Refused+r.Interrupted, "%+v", r)
+	require.Equal(t, r.Callers, r.OnTime+r.Late+r.Refused+r.Interrupted+r.Abandoned, "%+v", r)
 	return r
 }
 
@@ -128,6 +128,8 @@
 		cfg.Groups = rapid.IntRange(1, 3).Draw(t, "groups")
 		cfg.Ranks = rapid.IntRange(1, 16).Draw(t, "ranks")
 		cfg.Skew = rapid.Float64Range(1, 4).Draw(t, "skew")
+		cfg.SkewPeriods = []SkewPeriod{{From: time.Second, To: 2 * time.Second, Skew: rapid.Float64Range(1, 6).Draw(t, "period skew")}}
+		cfg.SilenceTimeout = time.Duration(rapid.IntRange(0, 3000).Draw(t, "silence")) * time.Millisecond
 		for range rapid.IntRange(0, 3).Draw(t, "outages") {
 			from := time.Duration(rapid.IntRange(0, 4000).Draw(t, "from")) * time.Millisecond
 			length := time.Duration(rapid.IntRange(1, 3000).Draw(t, "for")) * time.Millisecond
@@ -139,6 +141,18 @@
 	})
 }
 
+// Guards against callers that wait forever in the model, and against answers that count although
+// their caller has left: passes take longer than the callers' silence timeout.
+func TestCallersLeaveSilentStreams(t *testing.T) {
+	cfg := baseConfig(1, capacity/2)
+	cfg.SilenceTimeout = 700 * time.Millisecond
+	cfg.SkewPeriods = []SkewPeriod{{From: 5 * time.Second, To: 9 * time.Second, Skew: 200}}
+	r := mustRun(t, cfg)
+	require.Positive(t, r.Abandoned, "%+v", r)
+	cfg.SkewPeriods[0].Skew = 1
+	require.Zero(t, mustRun(t, cfg).Abandoned)
+}
+
 func TestInvalidConfigsAreRejected(t *testing.T) {
 	for name, invalidate := range map[string]func(*Config){
 		"no arrivals":    func(c *Config) { c.ArrivalRate = nil },
@@ -147,6 +161,8 @@
 		"short timeout":  func(c *Config) { c.CallerTimeout = c.Target / 2 },
 		"unknown group":  func(c *Config) { c.Outages = []Outage{{Group: 2, To: time.Second}} },
 		"empty outage":   func(c *Config) { c.Outages = []Outage{{From: time.Second, To: time.Second}} },
+		"no skew":        func(c *Config) { c.SkewPeriods = []SkewPeriod{{To: time.Second}} },
+		"empty period":   func(c *Config) { c.SkewPeriods = []SkewPeriod{{From: time.Second, To: time.Second, Skew: 2}} },
 		"negative group": func(c *Config) { c.Outages = []Outage{{Group: -1, To: time.Second}} },
 	} {
 		cfg := baseConfig(1, capacity)
--- a/internal/emulator/group.go
+++ b/internal/emulator/group.go
@@ -106,14 +106,25 @@
 	return highest
 }
 
-// passTime returns how long a pass takes that starts now. All ranks wait for the one with the
-// most running requests. The part of the work that experts do (Experts.Share) is also
-// multiplied by the skew, since all ranks wait for the one with the most loaded experts.
+// meanRunning returns the mean number of running requests of the ranks.
+func (g *group) meanRunning() float64 {
+	sum := 0
+	for _, e := range g.ranks {
+		sum += len(e.running)
+	}
+	return float64(sum) / float64(len(g.ranks))
+}
+
+// passTime returns how long a pass takes that starts now. In the part of the work that each rank
+// does for its own requests, all ranks wait for the one with the most running requests. The part
+// that experts do (Experts.WorkShare) comes from the requests of all ranks, and all ranks wait
+// for the one with the most loaded experts.
 func (g *group) passTime() time.Duration {
 	e := g.sim.cfg.Engine
-	step := float64(e.StepTime) + float64(g.maxRunning())*float64(e.StepTimePerRequest)
-	skew := 1 - e.Experts.WorkShare + e.Experts.WorkShare*g.sim.cfg.Skew
-	return time.Duration(float64(max(e.StepsPerPass, 1)) * skew * step)
+	step := func(requests float64) float64 { return float64(e.StepTime) + requests*float64(e.StepTimePerRequest) }
+	own := (1 - e.Experts.WorkShare) * step(float64(g.maxRunning()))
+	experts := e.Experts.WorkShare * g.sim.skew() * step(g.meanRunning())
+	return time.Duration(float64(max(e.StepsPerPass, 1)) * (own + experts))
 }
 
 // endPass ends a pass. Each request whose prompt had been processed before the pass started
@@ -130,6 +141,14 @@
 	g.startPass()
 }
 
+// cancel drops the request of a call that no longer waits for it.
+func (e *engine) cancel(c *call) {
+	isCancelled := func(req *request) bool { return req.call == c }
+	e.running = slices.DeleteFunc(e.running, isCancelled)
+	e.queue = slices.DeleteFunc(e.queue, isCancelled)
+	e.fillSlots()
+}
+
 func (e *engine) emitEvents(began time.Duration) {
 	clock := &e.group.sim.clock
 	e.running = slices.DeleteFunc(e.running, func(req *request) bool {
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -84,6 +84,10 @@
 	// of them that were late.
 	lastEvent              time.Duration
 	eventCount, lateEvents int
+	// silenceChecks counts the events of this call that restart its silence timeout. A timeout
+	// that was started before the last of them has no effect.
+	silenceChecks int
+	hasEnded      bool
 }
 
 // startCall starts the request of a new caller.
@@ -111,9 +115,45 @@
 	c.lastTry, c.triedUpstreams = c.sim.clock.now, nil
 	c.host = c.sim.hosts[c.sim.rng.IntN(len(c.sim.hosts))]
 	c.host.scheduler.CountRequest(serviceName, c.lastTry)
+	c.startSilenceTimeout()
 	c.host.admit(c)
 }
 
+// startSilenceTimeout starts the caller's silence timeout again.
+func (c *call) startSilenceTimeout() {
+	c.silenceChecks++
+	check := c.silenceChecks
+	if c.sim.cfg.SilenceTimeout > 0 {
+		c.sim.clock.after(c.sim.cfg.SilenceTimeout, func() {
+			if !c.hasEnded && check == c.silenceChecks {
+				c.abandon()
+			}
+		})
+	}
+}
+
+// abandon ends a try in which nothing has reached the caller for too long. The caller tries again at
+// once if it has a try left.
+func (c *call) abandon() {
+	now := c.sim.clock.now
+	for w, waiting := range c.host.waiting {
+		if waiting == c {
+			delete(c.host.waiting, w)
+			c.host.scheduler.Abandon(w, now)
+		}
+	}
+	if c.ticket != nil {
+		c.sim.engines[c.ticket.Address()].cancel(c)
+		c.host.endAttempt(c.ticket, schedule.Neutral)
+		c.ticket = nil
+	}
+	if c.tries > 1 || c.eventCount > 0 {
+		c.end(&c.sim.report.Abandoned)
+		return
+	}
+	c.try()
+}
+
 // onDecision handles the scheduler's decision: it sends the call to the chosen engine, or
 // refuses it.
 func (c *call) onDecision(d schedule.Decision) {
@@ -125,7 +165,7 @@
 	c.triedUpstreams = append(c.triedUpstreams, d.Ticket.ID())
 	e := c.sim.engines[d.Ticket.Address()]
 	c.sim.clock.after(messageDelay, func() {
-		if !e.accept(c) {
+		if c.ticket == d.Ticket && !e.accept(c) {
 			c.sim.clock.after(messageDelay, c.onNotRun)
 		}
 	})
@@ -134,7 +174,11 @@
 // onNotRun handles an attempt that an engine didn't run. The host attempts another engine if
 // the retry budget allows it.
 func (c *call) onNotRun() {
+	if c.ticket == nil {
+		return
+	}
 	c.host.endAttempt(c.ticket, schedule.Failure)
+	c.ticket = nil
 	now := c.sim.clock.now
 	if c.host.scheduler.TakeRetry(serviceName, now) {
 		c.host.admit(c)
@@ -148,6 +192,7 @@
 // time, because callers don't wait longer than that. A second refusal is final.
 func (c *call) onRefusal(retryAfter time.Duration) {
 	now := c.sim.clock.now
+	c.silenceChecks++
 	c.sim.report.onRefusal(c.lastTry, now-c.lastTry)
 	wait := min(retryAfter, schedule.MaxRetryAfter(c.deadline()-now))
 	if c.tries > 1 {
@@ -160,6 +205,10 @@
 
 // onEvent handles an event of the answer that has reached the caller.
 func (c *call) onEvent(isLast bool) {
+	if c.ticket == nil {
+		return
+	}
+	c.startSilenceTimeout()
 	now := c.sim.clock.now
 	isLate := now > c.firstTry+c.sim.cfg.Target
 	if c.eventCount > 0 {
@@ -187,7 +236,7 @@
 // onGroupFailure handles the failure of the group that runs the call. If no event has arrived
 // yet, the host may attempt another engine. An answer that has begun is lost.
 func (c *call) onGroupFailure() {
-	if c.eventCount == 0 {
+	if c.eventCount == 0 || c.ticket == nil {
 		c.onNotRun()
 		return
 	}
@@ -197,6 +246,7 @@
 
 // end ends the call and adds it to one of the report's counters.
 func (c *call) end(counter *int) {
+	c.hasEnded = true
 	*counter++
 	c.sim.activeCallers--
 }
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -3,14 +3,15 @@
 import "time"
 
 // Report is the result of a simulation. Each caller is counted in exactly one of OnTime, Late,
-// Refused and Interrupted; Callers counts all of them.
+// Refused, Interrupted and Abandoned; Callers counts all of them.
 type Report struct {
 	Callers int
 	// OnTime counts complete answers of which every event was on time, and Late complete answers
 	// with a late event. Refused counts callers that were refused on both tries; their requests
 	// never ran. Interrupted counts callers that lost the rest of a begun answer when the group
-	// failed.
-	OnTime, Late, Refused, Interrupted int
+	// failed. Abandoned counts callers that got nothing for Config.SilenceTimeout on their last
+	// try.
+	OnTime, Late, Refused, Interrupted, Abandoned int
 	// Retried counts callers that were refused once and then retried.
 	Retried int
 	// RefusalTimes holds, for each second of the simulation, the longest time between a try in
--- a/test/cmd/emulate/main.go
+++ b/test/cmd/emulate/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sassafraspost/sassafraspost/internal/emulator"
@@ -38,14 +39,42 @@
 type options struct {
 	hosts, groups, ranks, slots int
 	target, gap, callerTimeout  time.Duration
-	callers, skew               float64
-	length                      time.Duration
-	outages                     []string
+	callers, rate, skew         float64
+	length, silence             time.Duration
+	engine                      engineOptions
+	outages, skewPeriods        []string
 	seed                        uint64
 	seeds, jobs                 int
 	output, baselineFile        string
 }
 
+// engineOptions are the values of the flags that describe an engine.
+type engineOptions struct {
+	step, perRequest      time.Duration
+	stride                int
+	prompt, answer, reads float64
+	expertWork            float64
+}
+
+func (e *engineOptions) addFlags(fs *pflag.FlagSet) {
+	fs.DurationVar(&e.step, "step", 5*time.Millisecond, "time of a step without requests")
+	fs.DurationVar(&e.perRequest, "per-request", 500*time.Microsecond, "time that each request adds to a step")
+	fs.IntVar(&e.stride, "stride", 4, "steps of a pass")
+	fs.Float64Var(&e.prompt, "prompt", 200, "tokens of a prompt")
+	fs.Float64Var(&e.answer, "answer", 128, "tokens of an answer")
+	fs.Float64Var(&e.reads, "prefill", 10_000, "tokens of prompts that are read in a second")
+	fs.Float64Var(&e.expertWork, "expert-work", 0.5, "part of the work that experts do")
+}
+
+// engine returns the engine that the flags describe.
+func (e *engineOptions) engine(slots int) routetable.Engine {
+	return routetable.Engine{
+		Slots: slots, StepTime: e.step, StepTimePerRequest: e.perRequest, StepsPerPass: e.stride,
+		MeanPromptTokens: e.prompt, MeanAnswerTokens: e.answer, PrefillRate: e.reads,
+		Experts: routetable.Experts{LayerSetCount: 1, ExpertsPerSet: 16, Slots: 4, WorkShare: e.expertWork},
+	}
+}
+
 func command() *cobra.Command {
 	var o options
 	cmd := &cobra.Command{
@@ -70,6 +99,10 @@
 	fs.DurationVar(&o.gap, "gap", 80*time.Millisecond, "longest pause between events that is on time")
 	fs.DurationVar(&o.callerTimeout, "patience", 7500*time.Millisecond, "time that a caller has")
 	fs.Float64Var(&o.callers, "callers", 1, "callers, as a part of those that can be served with all places taken")
+	fs.Float64Var(&o.rate, "rate", 0, "callers a second, in place of --callers")
+	fs.DurationVar(&o.silence, "silence", 0, "time without an event after which a caller leaves; 0 means never")
+	o.engine.addFlags(fs)
+	fs.StringArrayVar(&o.skewPeriods, "skew-period", nil, "FROM-TO=SKEW, such as 7s-8s=2.9; may be given again")
 	fs.Float64Var(&o.skew, "skew", 1, "load of the most loaded rank over the mean one")
 	fs.DurationVar(&o.length, "for", 20*time.Second, "for how long callers come")
 	fs.StringArrayVar(&o.outages, "outage", nil, "GROUP:FROM-TO, such as 0:5s-7s; may be given again")
@@ -152,16 +185,15 @@
 func (o *options) config() (emulator.Config, error) {
 	cfg := emulator.Config{
 		ArrivalPeriod: o.length, Hosts: o.hosts, Groups: o.groups, Ranks: o.ranks, Skew: o.skew,
-		Engine: routetable.Engine{
-			Slots: o.slots, StepTime: 5 * time.Millisecond, StepTimePerRequest: 500 * time.Microsecond, StepsPerPass: 4,
-			MeanPromptTokens: 200, MeanAnswerTokens: 128, PrefillRate: 10_000,
-			Experts: routetable.Experts{LayerSetCount: 1, ExpertsPerSet: 16, Slots: 4, WorkShare: 0.5},
-		},
-		Target: o.target, MaxEventGap: o.gap, CallerTimeout: o.callerTimeout,
+		Engine: o.engine.engine(o.slots),
+		Target: o.target, MaxEventGap: o.gap, CallerTimeout: o.callerTimeout, SilenceTimeout: o.silence,
 		RetryBudget: retrybudget.Params{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
 	}
 	concurrency := schedule.ConcurrencyLimit(&cfg.Engine, o.gap)
 	rate := o.callers * float64(o.groups*o.ranks*concurrency) / schedule.ServiceTime(&cfg.Engine, concurrency).Seconds()
+	if o.rate > 0 {
+		rate = o.rate
+	}
 	cfg.ArrivalRate = func(time.Duration) float64 { return rate }
 	for _, text := range o.outages {
 		outage, err := parseOutage(text)
@@ -170,9 +202,29 @@
 		}
 		cfg.Outages = append(cfg.Outages, outage)
 	}
+	for _, text := range o.skewPeriods {
+		period, err := parseSkewPeriod(text)
+		if err != nil {
+			return cfg, err
+		}
+		cfg.SkewPeriods = append(cfg.SkewPeriods, period)
+	}
 	return cfg, nil
 }
 
+// parseSkewPeriod parses a period of the form FROM-TO=SKEW.
+func parseSkewPeriod(text string) (emulator.SkewPeriod, error) {
+	span, skew, _ := strings.Cut(text, "=")
+	from, to, _ := strings.Cut(span, "-")
+	n, err := strconv.ParseFloat(skew, 64)
+	begin, err1 := time.ParseDuration(from)
+	end, err2 := time.ParseDuration(to)
+	if err != nil || err1 != nil || err2 != nil {
+		return emulator.SkewPeriod{}, errors.Errorf("--skew-period %q is not of the form 7s-8s=2.9", text)
+	}
+	return emulator.SkewPeriod{From: begin, To: end, Skew: n}, nil
+}
+
 // parseOutage parses an outage of the form GROUP:FROM-TO.
 func parseOutage(text string) (emulator.Outage, error) {
 	group, span, _ := strings.Cut(text, ":")
--- a/test/cmd/emulate/outcome.go
+++ b/test/cmd/emulate/outcome.go
@@ -24,7 +24,9 @@
 	Late        float64 `json:"late"`
 	Refused     float64 `json:"refused"`
 	Interrupted float64 `json:"cut"`
-	Retried     float64 `json:"returned"`
+	// Abandoned is the fraction of callers that left because nothing reached them for too long.
+	Abandoned float64 `json:"left"`
+	Retried   float64 `json:"returned"`
 	// LongestRefusalSeconds is the longest time from a try to its refusal, in seconds.
 	LongestRefusalSeconds float64 `json:"heldSeconds"`
 	// MaxLoadRatio is the number of requests of the busiest engine divided by the mean of all engines.
@@ -34,7 +36,7 @@
 func outcomeOf(seed uint64, r *emulator.Report) outcome {
 	return outcome{
 		Seed: seed, Callers: r.Callers, OnTime: r.Fraction(r.OnTime), Late: r.Fraction(r.Late), Refused: r.Fraction(r.Refused),
-		Interrupted: r.Fraction(r.Interrupted), Retried: r.Fraction(r.Retried), LongestRefusalSeconds: r.LongestRefusalTime(0).Seconds(), MaxLoadRatio: r.MaxLoadRatio,
+		Interrupted: r.Fraction(r.Interrupted), Abandoned: r.Fraction(r.Abandoned), Retried: r.Fraction(r.Retried), LongestRefusalSeconds: r.LongestRefusalTime(0).Seconds(), MaxLoadRatio: r.MaxLoadRatio,
 	}
 }
 
@@ -48,6 +50,7 @@
 	{"late", func(o outcome) float64 { return o.Late }},
 	{"refused", func(o outcome) float64 { return o.Refused }},
 	{"cut", func(o outcome) float64 { return o.Interrupted }},
+	{"left", func(o outcome) float64 { return o.Abandoned }},
 	{"returned", func(o outcome) float64 { return o.Retried }},
 	{"longest held, s", func(o outcome) float64 { return o.LongestRefusalSeconds }},
 	{"busiest engine", func(o outcome) float64 { return o.MaxLoadRatio }},
