Dial anew where a round of a ballot is not answered over an old session

Cause: a data centre that was cut off for 5.1 s is back, its sessions are open, and TCP waits for its retransmission timer before it sends what was lost. The coordinator's requests and their repeats go over these sessions.

Change: when a request is sent again to a host that has been silent on its session since the round began, the host is dialled, the request goes over the new session, and the old one is closed once the new one stands.

Test: all connections of a group lose what is written, new ones do not.

--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -289,3 +289,28 @@
 		})
 	}
 }
+
+// maxChangeWithCutSessions is how long a change may take while all open sessions carry nothing.
+// It is a third of the time after which an idle session ends by silence.
+const maxChangeWithCutSessions = 10 * time.Second
+
+// Guards against the first change after a partition that waits for TCP's retransmission timer:
+// the sessions of before are open but carry nothing, while new ones would.
+func TestChangeAfterPartitionDoesNotWaitForOldSessions(t *testing.T) {
+	t.Parallel()
+	for _, ranks := range sizes(32, 72) {
+		t.Run(fmt.Sprintf("%d ranks", ranks), func(t *testing.T) {
+			a := startAgents(t, newEngineGroup(testShape(ranks)), nil)
+			a.awaitChanges(t, 2)
+			for _, l := range a.listeners {
+				l.cut()
+			}
+			began := time.Now()
+			a.awaitChanges(t, 1)
+			took := time.Since(began)
+			t.Logf("first change after %v", took)
+			require.Less(t, took, maxChangeWithCutSessions)
+			a.engines.requireOneMap(t)
+		})
+	}
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -325,7 +325,7 @@
 	}
 	if in.relay != nil {
 		r.counters.relayed.Inc(int64(len(in.relay.ForwardTo)))
-		r.sendToBranches(*in.relay, splitIntoBranches(in.relay.ForwardTo), in.message.Stage != nil)
+		r.sendToBranches(*in.relay, splitIntoBranches(in.relay.ForwardTo), in.message.Stage != nil, false)
 	}
 	r.replyRoute[in.from] = in.replyRoute
 	r.applyOutput(ctx, r.participant.Step(in.from, in.message))
--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -73,12 +73,13 @@
 	if isResend && len(targets) <= maxDirectRetries {
 		branches = directBranches(targets)
 	}
+	countsAsResend := isResend
 	if stage := m.Message.Stage; stage != nil && (stage.Delta != nil || len(stage.Maps) > 0) {
 		r.awaitContentTransfer(len(data), len(targets))
-		isResend = r.ballotStats.isContentResend(r.coordinator.ContentResends())
+		countsAsResend = r.ballotStats.isContentResend(r.coordinator.ContentResends())
 	}
-	r.ballotStats.countSent(len(branches), encodedSize(request, branches), isResend)
-	r.sendToBranches(request, branches, m.Message.Stage != nil)
+	r.ballotStats.countSent(len(branches), encodedSize(request, branches), countsAsResend)
+	r.sendToBranches(request, branches, m.Message.Stage != nil, isResend)
 }
 
 // encodedSize returns the number of bytes that a request takes on the wire to the heads of all
@@ -132,8 +133,9 @@
 // sendToBranches sends a request to the heads of the branches. Stage requests are queued in
 // order on each session, because a repeated request must not overtake the content. All other
 // requests are small and are sent ahead of reports and content, because ranks may be paused
-// until they arrive.
-func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage bool) {
+// until they arrive. If mayRenew is set, a session that has been silent since the round began is
+// replaced.
+func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage, mayRenew bool) {
 	send := (*peer.Session).PostUrgent
 	if isStage {
 		send = (*peer.Session).Post
@@ -141,7 +143,25 @@
 	for _, b := range branches {
 		m := request
 		m.Incarnation, m.ForwardTo = b.head.Incarnation, b.relayTo
-		r.deliver(string(b.head.Address), &m, send)
+		address := string(b.head.Address)
+		if s := r.cfg.Pool.LiveSession(address); mayRenew && s != nil && s.SilentFor() >= r.ballotStats.roundTime(time.Now()) {
+			go r.renewAndSend(address, s, &m, send)
+			continue
+		}
+		r.deliver(address, &m, send)
+	}
+}
+
+// renewAndSend sends a message over a new session with a host that has not answered over the
+// session s. If there is none, it sends the message over s, since the host may just be slow.
+func (r *Runner) renewAndSend(address string, s *peer.Session, m wire.Message, send func(*peer.Session, wire.Message) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
+	defer cancel()
+	if renewed, err := r.cfg.Pool.Renew(ctx, address, s); err == nil {
+		s = renewed
+	}
+	if send(s, m) != nil {
+		r.counters.dropped.Inc(1)
 	}
 }
 
--- a/internal/group/traffic_test.go
+++ b/internal/group/traffic_test.go
@@ -196,6 +196,7 @@
 	runners    []*Runner
 	cancels    []context.CancelFunc
 	startCount uint64
+	listeners  []*cutListener
 }
 
 // startAgents runs one agent per rank until the test ends. If deliver is not nil, it is called
@@ -208,7 +209,10 @@
 	out := &agentGroup{engines: g, ctx: ctx, runners: make([]*Runner, len(g.ranks)), cancels: make([]context.CancelFunc, len(g.ranks))}
 	for i := range g.ranks {
 		mux := http.NewServeMux()
-		srv := httptest.NewServer(mux)
+		srv := httptest.NewUnstartedServer(mux)
+		listener := &cutListener{Listener: srv.Listener}
+		srv.Listener = listener
+		srv.Start()
 		t.Cleanup(srv.Close)
 		reg := metrics.NewRegistry()
 		address := strings.TrimPrefix(srv.URL, "http://")
@@ -225,6 +229,7 @@
 		})
 		t.Cleanup(pool.Close)
 		mux.Handle(peer.Path, peer.NewServer(pool))
+		out.listeners = append(out.listeners, listener)
 		out.metrics, out.pools = append(out.metrics, reg), append(out.pools, pool)
 		out.members = append(out.members, wire.GroupMember{Address: address, FirstRank: uint32(i), Ranks: 1})
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// Renew dials the host at address and closes s, the session with it so far. It is for a session
+// that is open but carries nothing, for example because a network partition has ended and TCP
+// waits for its retransmission timer. If the dial fails, s stays open.
+func (p *Pool) Renew(ctx context.Context, address string, s *Session) (*Session, error) {
+	d, err := p.sharedDial(address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if d.err == nil && d.s != s {
+		s.Close()
+	}
+	return d.s, d.err
+}
+
 // LiveSession returns the live session with the host at address, or nil.
 func (p *Pool) LiveSession(address string) *Session {
 	p.mu.Lock()
