--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -53,6 +53,9 @@
 	// SilenceTimeout is how long a caller waits for the next event, or for the first event or a
 	// refusal, before it abandons its try; 0 means forever.
 	SilenceTimeout time.Duration
+	// ReportDelay is how old a load report is when it reaches the hosts. Default
+	// DefaultReportDelay.
+	ReportDelay time.Duration
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Outages lists the times at which groups are down.
@@ -102,9 +105,10 @@
 const (
 	// messageDelay is the time that a message takes between a host and an engine.
 	messageDelay = time.Millisecond
-	// reportInterval is the time between two load reports of an engine. reportDelay is how old
-	// a report is when it reaches the hosts.
-	reportInterval, reportDelay = 100 * time.Millisecond, 50 * time.Millisecond
+	// reportInterval is the time between two load reports of an engine.
+	reportInterval = 100 * time.Millisecond
+	// DefaultReportDelay is the default of Config.ReportDelay.
+	DefaultReportDelay = 50 * time.Millisecond
 	// serviceName is the name of the simulated service.
 	serviceName = "model"
 )
@@ -130,6 +134,9 @@
 	if cfg.Skew < 1 {
 		cfg.Skew = 1
 	}
+	if cfg.ReportDelay <= 0 {
+		cfg.ReportDelay = DefaultReportDelay
+	}
 	s := &simulation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), engines: make(map[string]*engine)}
 	s.build()
 	s.clock.at(0, s.publishLoads)
@@ -179,7 +186,8 @@
 // reportInterval.
 func (s *simulation) publishLoads() {
 	loads := s.loads()
-	s.clock.after(reportDelay, func() {
+	s.report.recordLoads(loads)
+	s.clock.after(s.cfg.ReportDelay, func() {
 		for _, h := range s.hosts {
 			h.applyLoads(loads)
 		}
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "time"
+import (
+	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
 
 // Report is the result of a simulation. Each caller is counted in exactly one of OnTime, Late,
 // Refused, Interrupted and Abandoned; Callers counts all of them.
@@ -20,6 +24,8 @@
 	// MaxLoadRatio is the number of requests that the busiest engine has started, divided by the
 	// mean over all engines.
 	MaxLoadRatio float64
+	// MaxMeanLoad is the highest mean number of requests at the engines at any time.
+	MaxMeanLoad float64
 	// Ended is the time at which the last caller left.
 	Ended time.Duration
 }
@@ -37,6 +43,15 @@
 	return longest
 }
 
+// recordLoads records the loads of all engines at one time.
+func (r *Report) recordLoads(loads []wire.EngineLoad) {
+	sum := 0
+	for i := range loads {
+		sum += loads[i].Running + loads[i].Waiting
+	}
+	r.MaxMeanLoad = max(r.MaxMeanLoad, float64(sum)/float64(len(loads)))
+}
+
 // onRefusal records how long a try waited until it was refused.
 func (r *Report) onRefusal(triedAt, waited time.Duration) {
 	second := int(triedAt / time.Second)
--- a/test/cmd/emulate/main.go
+++ b/test/cmd/emulate/main.go
@@ -41,6 +41,7 @@
 	target, gap, callerTimeout  time.Duration
 	callers, rate, skew         float64
 	length, silence             time.Duration
+	reportDelay                 time.Duration
 	engine                      engineOptions
 	outages, skewPeriods        []string
 	seed                        uint64
@@ -101,6 +102,7 @@
 	fs.Float64Var(&o.callers, "callers", 1, "callers, as a part of those that can be served with all places taken")
 	fs.Float64Var(&o.rate, "rate", 0, "callers a second, in place of --callers")
 	fs.DurationVar(&o.silence, "silence", 0, "time without an event after which a caller leaves; 0 means never")
+	fs.DurationVar(&o.reportDelay, "report-delay", emulator.DefaultReportDelay, "age of a load report when it reaches the hosts")
 	o.engine.addFlags(fs)
 	fs.StringArrayVar(&o.skewPeriods, "skew-period", nil, "FROM-TO=SKEW, such as 7s-8s=2.9; may be given again")
 	fs.Float64Var(&o.skew, "skew", 1, "load of the most loaded rank over the mean one")
@@ -186,7 +188,7 @@
 	cfg := emulator.Config{
 		ArrivalPeriod: o.length, Hosts: o.hosts, Groups: o.groups, Ranks: o.ranks, Skew: o.skew,
 		Engine: o.engine.engine(o.slots),
-		Target: o.target, MaxEventGap: o.gap, CallerTimeout: o.callerTimeout, SilenceTimeout: o.silence,
+		Target: o.target, MaxEventGap: o.gap, CallerTimeout: o.callerTimeout, SilenceTimeout: o.silence, ReportDelay: o.reportDelay,
 		RetryBudget: retrybudget.Params{Ratio: 0.2, Extra: 10, Window: 10 * time.Second},
 	}
 	concurrency := schedule.ConcurrencyLimit(&cfg.Engine, o.gap)
--- a/test/cmd/emulate/outcome.go
+++ b/test/cmd/emulate/outcome.go
@@ -31,12 +31,14 @@
 	LongestRefusalSeconds float64 `json:"heldSeconds"`
 	// MaxLoadRatio is the number of requests of the busiest engine divided by the mean of all engines.
 	MaxLoadRatio float64 `json:"busiest"`
+	// MaxMeanLoad is the highest mean number of requests at the engines at any time.
+	MaxMeanLoad float64 `json:"fullest"`
 }
 
 func outcomeOf(seed uint64, r *emulator.Report) outcome {
 	return outcome{
 		Seed: seed, Callers: r.Callers, OnTime: r.Fraction(r.OnTime), Late: r.Fraction(r.Late), Refused: r.Fraction(r.Refused),
-		Interrupted: r.Fraction(r.Interrupted), Abandoned: r.Fraction(r.Abandoned), Retried: r.Fraction(r.Retried), LongestRefusalSeconds: r.LongestRefusalTime(0).Seconds(), MaxLoadRatio: r.MaxLoadRatio,
+		Interrupted: r.Fraction(r.Interrupted), Abandoned: r.Fraction(r.Abandoned), Retried: r.Fraction(r.Retried), LongestRefusalSeconds: r.LongestRefusalTime(0).Seconds(), MaxLoadRatio: r.MaxLoadRatio, MaxMeanLoad: r.MaxMeanLoad,
 	}
 }
 
@@ -53,6 +55,7 @@
 	{"left", func(o outcome) float64 { return o.Abandoned }},
 	{"returned", func(o outcome) float64 { return o.Retried }},
 	{"longest held, s", func(o outcome) float64 { return o.LongestRefusalSeconds }},
+	{"requests an engine, most", func(o outcome) float64 { return o.MaxMeanLoad }},
 	{"busiest engine", func(o outcome) float64 { return o.MaxLoadRatio }},
 }
 
