Arm a change by the step in progress where it is already slow

Cause: the step that a change is armed for was computed from the mean of the last two steps.

Change: the step time is at least that of the step in progress, unless the group is idle or stalled.

--- a/internal/group/steptimer.go
+++ b/internal/group/steptimer.go
@@ -36,6 +36,17 @@
 	return (t.stepTimes[0] + t.stepTimes[1]) / 2
 }
 
+// estimate returns the step time to expect; 0 if it is unknown. If the step in progress already
+// takes longer than the mean, steps have become slower, as after a rank has turned slow. A step
+// that takes idleTimeout is no longer in progress: the group is idle or stalled.
+func (t *stepTimer) estimate(now time.Time) time.Duration {
+	mean, elapsed := t.mean(), now.Sub(t.changed)
+	if mean == 0 || elapsed >= idleTimeout {
+		return mean
+	}
+	return max(mean, elapsed)
+}
+
 // untilNext estimates the time until the next step starts.
 func (t *stepTimer) untilNext(now time.Time) time.Duration {
 	return max(t.mean()-now.Sub(t.changed), 0)
