Move streams away from a rank that has turned slow

Cause: all ranks wait for the slowest in every pass. Once its experts are at other ranks and it gets no new requests, a slow rank still delays all by its own requests, until the last of them has ended, and they take as long as they make passes last.

Change: a stream that can be resumed leaves an engine whose concurrency limit is zero, as far as this host's share of the free slots and the retry budget allow it, with 2 s left at least, and goes on at another engine within the same answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 		return c.g.cfg.Client.Send(ctx, t, r)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	reserved.cancel = cancel
+	reserved.cancel, reserved.cause = cancel, func() error { return context.Cause(ctx) }
 	stop := c.g.awaitHeader(reserved, c.g.clockTime(since), cancel)
 	defer stop()
 	resp, err := c.g.cfg.Client.Send(ctx, t, r)
@@ -152,6 +152,10 @@
 	if c.mayHaveRun() && (!c.route.AllowsRetry() || c.quarantineVerdict == quarantine.Suspect) {
 		return false
 	}
+	if c.hasRetry {
+		c.hasRetry = false
+		return true
+	}
 	if !c.g.takeRetry(c.service.Name) {
 		c.g.counts.budgetEmpty.Inc(1)
 		return false
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -272,6 +272,49 @@
 	}
 }
 
+// Guards against a stream that is slow for the rest of its time because its engine has turned
+// slow, and against an answer that is broken by its move to another engine.
+func TestStreamLeavesSlowEngineAndStaysWhole(t *testing.T) {
+	env := newTestEnv(t)
+	env.setTable(&routetable.Engine{
+		Slots: 4, StepsPerPass: 1, StepTime: time.Millisecond, StepTimePerRequest: 100 * time.Microsecond,
+		Experts: routetable.Experts{LayerSetCount: 1, ExpertsPerSet: 8, Slots: 2, WorkShare: 0.85},
+	})
+	report := func(id string, slowdown float64) {
+		env.reportLoad(id, wire.EngineLoad{IsOpen: true, Group: "g", Epoch: 1, Slowdown: slowdown})
+	}
+	started := make(chan string, 2)
+	for _, id := range []string{"u1", "u2"} {
+		env.addUpstream(id, func(w http.ResponseWriter, r *http.Request) {
+			started <- id
+			if r.Header.Get("X-R") != "" {
+				writeEvents(0)(w, r)
+				return
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\nda")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})
+	}
+	report("u1", 1)
+	report("u2", 1)
+	body := make(chan string, 1)
+	go func() {
+		_, b := env.post("/stream/", nil)
+		body <- b
+	}()
+	slow := <-started
+	require.Eventually(t, func() bool {
+		report(slow, 12)
+		return len(body) > 0
+	}, testTimeout, time.Millisecond)
+	require.Equal(t, completeStream(), <-body)
+	require.NotEqual(t, slow, <-started)
+	env.gateway.mu.Lock()
+	defer env.gateway.mu.Unlock()
+	require.Empty(t, env.gateway.cancels)
+}
+
 func TestUnresumableStreamDoesNotEndCleanly(t *testing.T) {
 	env := newTestEnv(t)
 	env.setTable(nil)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -56,6 +56,8 @@
 	// hasPossiblyRun is set once an attempt may have run, so that a later refusal can't claim
 	// otherwise.
 	hasPossiblyRun bool
+	// hasRetry is set if a retry was taken from the budget for the next attempt already.
+	hasRetry bool
 	// isFinal is set if no further attempt is to be made, so that the caller gets its response
 	// without delay: no upstream is left, the group of the last attempt does not serve, the
 	// request is quarantined, or the upstream has ended while it ran the request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/sse"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -37,6 +38,17 @@
 	lastEventAt               time.Time
 }
 
+// minTimeForMove is the least time before the deadline in which a stream is moved away from a
+// slow engine. The rest of an answer takes about as long.
+const minTimeForMove = 2 * time.Second
+
+// canMove reports whether the stream can be resumed at another engine after its first event.
+func (r *relay) canMove() bool {
+	c := r.c
+	return c.route.IsResumable && r.hasID && c.route.AllowsRetry() && c.attempts-c.misdirected < c.route.AttemptLimit &&
+		c.quarantineVerdict != quarantine.Suspect
+}
+
 // errOutOfOrder reports that the events of an upstream do not follow the caller's last event.
 var errOutOfOrder = errors.New("event ids are out of order")
 
@@ -65,9 +77,15 @@
 		if errors.As(err, &callerErr) {
 			c.abandon(reserved, r.last, err)
 		}
-		reserved.release(outcomeOfError(ctx, c.last))
-		c.warn("stream broke off", "send", c.attempts, "event", r.last, "error", err.Error())
-		c.probeAfterFailure(ctx, reserved, c.last)
+		if reserved.isMoved() {
+			c.hasRetry = true
+			reserved.release(outcomeNeutral)
+			c.log("stream leaves a slow engine", "upstream", reserved.ID(), "event", r.last)
+		} else {
+			reserved.release(outcomeOfError(ctx, c.last))
+			c.warn("stream broke off", "send", c.attempts, "event", r.last, "error", err.Error())
+			c.probeAfterFailure(ctx, reserved, c.last)
+		}
 		if !r.isHeaderSent {
 			return false
 		}
@@ -173,6 +191,9 @@
 	if r.lastEventAt.IsZero() {
 		r.firstEventDelay = now.Sub(r.c.began)
 		r.reserved.recordFirstEvent()
+		if r.canMove() {
+			r.c.g.allowMove(r.reserved, r.c.deadline.Add(-minTimeForMove))
+		}
 	} else {
 		interval := now.Sub(r.lastEventAt)
 		r.eventGap = max(r.eventGap, interval)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
@@ -14,9 +16,10 @@
 type reservation struct {
 	*schedule.Ticket
 	g *Gateway
-	// cancel frees the resources of the attempt's context; nil if the attempt has no context of
-	// its own.
+	// cancel cancels the attempt's context, and cause returns the reason given for that; nil if
+	// the attempt has no context of its own.
 	cancel context.CancelCauseFunc
+	cause  func() error
 }
 
 // reservePlain reserves an upstream of a plain service, which is one without engines, that was
@@ -129,8 +132,37 @@
 			cancel(&stalledError{hasOtherGroup: s.HasOtherGroup, retryAfter: s.RetryAfter})
 		}
 	}
+	g.moveStreams()
+}
+
+// errSlowEngine is the reason for cancelling an attempt whose stream is to be continued at
+// another engine.
+var errSlowEngine = errors.New("the engine is slow")
+
+// moveStreams cancels the attempts whose streams are to be continued at other engines. The
+// caller holds mu.
+func (g *Gateway) moveStreams() {
+	for _, t := range g.scheduler.TakeMoves(g.now()) {
+		if cancel := g.cancels[t]; cancel != nil {
+			cancel(errSlowEngine)
+		}
+	}
 }
 
+// allowMove lets the stream of an attempt be continued at another engine, until the given time.
+func (g *Gateway) allowMove(r *reservation, until time.Time) {
+	if r.cancel == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cancels[r.Ticket] = r.cancel
+	g.scheduler.AllowMove(r.Ticket, g.clockTime(until))
+}
+
+// isMoved reports whether the attempt was cancelled so that its stream is continued elsewhere.
+func (r *reservation) isMoved() bool { return r.cause != nil && errors.Is(r.cause(), errSlowEngine) }
+
 // deliver sends queued requests the decisions about them. The caller holds mu.
 func (g *Gateway) deliver(results []schedule.Result) {
 	for _, r := range results {
--- /dev/null
+++ b/internal/schedule/move.go
@@ -0,0 +1,58 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// AllowMove registers an attempt whose stream can be continued at another engine, until the
+// given time.
+func (s *Scheduler) AllowMove(t *Ticket, until time.Duration) {
+	if !t.isReleased {
+		t.service.movable[t] = until
+	}
+}
+
+// TakeMoves returns the attempts whose streams are to be continued at other engines, because
+// their own engine is too slow: see mustBeVacated. All streams of the group have to wait for
+// such an engine in every pass, so moving its few streams speeds up all others. There are no
+// more moves than this host's share of the free slots. Each takes one retry from the budget, and
+// an attempt is returned once.
+func (s *Scheduler) TakeMoves(now time.Duration) []*Ticket {
+	var out []*Ticket
+	for _, sv := range s.services {
+		if len(sv.movable) > 0 && sv.hasGroups() {
+			out = s.takeMoves(out, sv, now)
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) takeMoves(out []*Ticket, sv *service, now time.Duration) []*Ticket {
+	minRatio := sv.minStepTimeRatio(now)
+	var moves []*Ticket
+	for t, until := range sv.movable {
+		if now < until && sv.mustBeVacated(t.upstream, minRatio, now) {
+			moves = append(moves, t)
+		}
+	}
+	if len(moves) == 0 {
+		return out
+	}
+	_, free := s.capacity(sv, now)
+	slices.SortFunc(moves, func(a, b *Ticket) int { return int(a.began - b.began) })
+	for _, t := range moves[:min(len(moves), int(free)/s.hosts)] {
+		if !s.TakeRetry(sv.name, now) {
+			break
+		}
+		delete(sv.movable, t)
+		out = append(out, t)
+	}
+	return out
+}
+
+// mustBeVacated reports whether an engine is so slow that its group is faster without any
+// request at it.
+func (sv *service) mustBeVacated(u *upstream, minRatio float64, now time.Duration) bool {
+	return u.isServing && sv.serves(u, now) && u.load.isFresh(now) && sv.limitOf(u, minRatio, now) == 0
+}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -222,6 +222,7 @@
 	t.isReleased = true
 	u, sv := t.upstream, t.service
 	delete(sv.awaitingHeader, t)
+	delete(sv.movable, t)
 	u.inflight--
 	sv.inflight--
 	// This host may reuse the released slot at once, unless the engine still has at least as
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -111,6 +111,9 @@
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
+	// movable holds the attempts whose streams can be continued at another engine, and until
+	// when.
+	movable map[*Ticket]time.Duration
 }
 
 // SetHostCount sets the number of hosts that share the upstreams and the retry budgets.
@@ -173,7 +176,7 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, groups: map[string]*group{}, awaitingHeader: map[*Ticket]headerWait{}}
+		sv = &service{name: name, groups: map[string]*group{}, awaitingHeader: map[*Ticket]headerWait{}, movable: map[*Ticket]time.Duration{}}
 		s.services[name] = sv
 	}
 	return sv
