Take the step in progress from what was observed, not from the clock

Cause: engines were not polled while orders were executed, so during the staging of each change the last step seen was up to 150 ms old, and counted as a step in progress for as long. Changes were armed for the very next step and held it until they were committed.

Change: the step in progress counts up to the last reading of the engine, and states that are read after orders count as readings.

--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -32,7 +32,7 @@
 // its slowest rank, for longer. If steps take so long that streams are late anyway, the next
 // step is armed, and the group may pause for the orders.
 func (r *Runner) armAhead(now time.Time) uint64 {
-	step := r.stepTimer.estimate(now)
+	step := r.stepTimer.estimate()
 	if step == 0 {
 		return min(r.cfg.ArmAhead+r.extraAhead, r.cfg.MaxArmAhead)
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -297,6 +297,7 @@
 			r.handle(ctx, in)
 		case s := <-r.executed:
 			r.isExecuting = false
+			r.recordSteps(s)
 			r.applyOutput(ctx, r.participant.Done(s.ranks, s.err))
 		case s := <-r.polled:
 			r.isPolling = false
@@ -384,13 +385,22 @@
 		return
 	}
 	r.ranks = s.ranks
+	r.recordSteps(s)
+	if r.participant.RecoveryDue(s.ranks) && r.coordinator == nil {
+		r.findMembers(ctx, intent{isRecovery: true})
+	}
+}
+
+// recordSteps measures the steps by the states of the engines. States that are read after orders
+// count too, since the engines are not polled while orders are executed.
+func (r *Runner) recordSteps(s statuses) {
+	if s.err != nil {
+		return
+	}
 	now := time.Now()
 	if step, late := r.pauseMeter.observe(s.ranks[0], &r.stepTimer, now); step != 0 && r.address == 0 {
 		r.cfg.Log.Info("expert map in force", "group", r.cfg.Group, "step", step, "late_ms", late.Milliseconds(),
 			"pass_ms", r.stepTimer.mean().Milliseconds())
 	}
 	r.stepTimer.observe(s.ranks[0].Step, now)
-	if r.participant.RecoveryDue(s.ranks) && r.coordinator == nil {
-		r.findMembers(ctx, intent{isRecovery: true})
-	}
 }
