Close a renewed session only if nothing depends on it

A process with several roles shares its sessions among them: closing the old session for the sake of a ballot would have ended the calls and responses that other roles wait for over it. Found by reading. Test: a call over the old session gets its reply; with the unconditional close it fails.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -138,9 +138,10 @@
 	}
 }
 
-// Renew dials the host at address and closes s, the session with it so far. It is for a session
+// Renew dials the host at address, although there is the session s with it. It is for a session
 // that is open but carries nothing, for example because a network partition has ended and TCP
-// waits for its retransmission timer. If the dial fails, s stays open.
+// waits for its retransmission timer. The new session is used from then on, and s is closed
+// unless something still depends on it. If the dial fails, s stays as it is.
 func (p *Pool) Renew(ctx context.Context, address string, s *Session) (*Session, error) {
 	d, err := p.sharedDial(address)
 	if err != nil {
@@ -151,7 +152,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if d.err == nil && d.s != s {
+	if d.err == nil && d.s != s && !s.isInUse() {
 		s.Close()
 	}
 	return d.s, d.err
