After an outage serve first those who would be lost if refused again

Cause: of those asked in the first half of an outage nearly all are refused twice and lost.

Change: for four seconds after an outage of a second or more, a request whose caller has no other try counts as on time.

Test of the load pattern: fails with the rule off.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -129,9 +129,11 @@
 	return Decision{Waiter: w}
 }
 
-// newWaiter returns the queue entry for a request. A resumed request counts as on time for as
-// long as it may wait: the engines have already done part of its answer, and the rest holds a
-// slot for less time than a whole answer.
+// newWaiter returns the queue entry for a request. Two kinds of requests count as on time for as
+// long as they may wait. The engines have already done part of a resumed answer, and the rest
+// holds a slot for less time than a whole one. Just after an outage, a caller without another
+// try was refused in the outage and is lost if it is refused again, whereas a caller that comes
+// now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
 		service: sv, tried: r.Tried, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
@@ -140,7 +142,7 @@
 	if r.TimeLeft > 0 {
 		w.deadline = now + r.TimeLeft
 	}
-	if r.IsResumed {
+	if r.IsResumed || !r.CanRetry && sv.isRecovering(now) {
 		w.latestStart = w.giveUpAt
 	}
 	return w
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -233,11 +233,25 @@
 // request waits for a slot, so the outage is not expected to end within that wait.
 const longOutage = 8 * MaxQueueWait
 
+const (
+	// minOutage is the shortest outage in which callers are refused so that they return after
+	// it. During shorter ones they wait.
+	minOutage = time.Second
+	// recoveryPeriod is how long after an outage the callers that were refused in it return.
+	recoveryPeriod = 4 * time.Second
+)
+
+// isRecovering reports whether callers that were refused in an outage are still returning.
+func (sv *service) isRecovering(now time.Duration) bool { return now < sv.recoveringUntil }
+
 // updateOutage records when the service stopped serving, and clears that time once the service
 // serves again.
 func (sv *service) updateOutage(now time.Duration) {
 	switch {
 	case !sv.isDown(now):
+		if sv.downSince > 0 && now-sv.downSince >= minOutage {
+			sv.recoveringUntil = now + recoveryPeriod
+		}
 		sv.downSince = 0
 	case sv.downSince == 0:
 		sv.downSince = now
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -102,6 +102,8 @@
 	hasQuota bool
 	// downSince is when the outage of the service began, 0 while a group serves.
 	downSince time.Duration
+	// recoveringUntil is when the callers that were refused in the last outage have returned.
+	recoveringUntil time.Duration
 	// scarceUntil is when the slots of the service no longer count as scarce.
 	scarceUntil time.Duration
 	// quotaRate is this host's share of free slots per second.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -328,6 +328,44 @@
 	require.NotNil(t, l.Admit(l.onTimeRequest(), l.now).Ticket, "one that can be on time does not wait behind them")
 }
 
+// outageOf puts the only group out of service for the given time.
+func (l *testCluster) outageOf(length time.Duration) {
+	l.report("0/0", func(load *wire.EngineLoad) { load.IsOpen = false })
+	for range 10 {
+		l.now += length / 10
+		l.report("", nil)
+	}
+	l.report("0/0", func(load *wire.EngineLoad) { load.IsOpen = true })
+}
+
+// Load pattern: an outage has ended, and callers that were refused in it return together with
+// new ones. Refused again they are lost, while a new caller can still try again, so they go
+// before new callers that came after them. Only an outage has this effect, and only for a while:
+// in an overload that lasts, nobody would be served on time.
+func TestCallersRefusedInOutageAreServedAfterIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		outage, since time.Duration
+		isServed      bool
+	}{
+		"just after an outage":     {5 * time.Second, 100 * time.Millisecond, true},
+		"long after an outage":     {5 * time.Second, recoveryPeriod + time.Millisecond, false},
+		"after a short standstill": {minOutage / 2, 100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestCluster(1, 2, 1)
+			l.reportLoads(0)
+			l.outageOf(c.outage)
+			l.now += c.since
+			l.reportLoads(4)
+			returned, fresh := l.Admit(l.lateRequest(), l.now), l.Admit(l.onTimeRequest(), l.now+time.Millisecond)
+			require.NotNil(t, returned.Waiter)
+			require.NotNil(t, fresh.Waiter)
+			waiters := l.service("s").waiters
+			require.Equal(t, c.isServed, waiters[l.service("s").nextWaiter(l.now)] == returned.Waiter)
+		})
+	}
+}
+
 // A request that would wait in vain must be refused at once, so that its caller can use the
 // time otherwise.
 func TestRequestThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
