--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// abandon ends a try in which nothing has reached the caller for too long. The caller tries again at
-// once if it has a try left.
+// abandon ends a try in which nothing has reached the caller for too long. The caller tries
+// again at once if it has a try left.
 func (c *call) abandon() {
 	now := c.sim.clock.now
 	for w, waiting := range c.host.waiting {
--- a/internal/schedule/move_test.go
+++ b/internal/schedule/move_test.go
@@ -9,14 +9,21 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-// newSlowRankCluster returns a cluster of one group in which rank 0/0 can become too slow to run
-// any request.
+// newSlowRankCluster returns a cluster of one group of equally fast ranks, in which rank 0/0 can
+// become too slow to run any request.
 func newSlowRankCluster(hosts int) *testCluster {
 	l := newTestCluster(1, 4, hosts)
 	l.engine.Slots, l.engine.StepTimePerRequest = 10, 500*time.Microsecond
+	l.slowDownAll(1)
 	return l
 }
 
+func (l *testCluster) slowDownAll(slowdown float64) {
+	for _, id := range l.ids {
+		l.slowDown(id, slowdown)
+	}
+}
+
 // admitMovable admits n requests whose streams may be moved, and returns how many of them are at
 // each rank.
 func (l *testCluster) admitMovable(t *testing.T, n int) map[string]int {
@@ -39,9 +46,6 @@
 // group waits for it until the last of them has ended, so they have to leave.
 func TestStreamsLeaveRankThatTurnsSlow(t *testing.T) {
 	l := newSlowRankCluster(1)
-	for id := range l.loads {
-		l.slowDown(id, 1)
-	}
 	at := l.admitMovable(t, 12)
 	require.Positive(t, at["0/0"])
 	require.Empty(t, l.TakeMoves(l.now), "no rank is slow")
@@ -58,9 +62,6 @@
 // such a stream would be lost. Other hosts need slots for their streams too.
 func TestNoMoreStreamsLeaveSlowRankThanCanContinue(t *testing.T) {
 	l := newSlowRankCluster(1)
-	for id := range l.loads {
-		l.slowDown(id, 1)
-	}
 	at := l.admitMovable(t, 38)
 	l.slowDown("0/0", 5)
 	// Ranks 0/1 to 0/3 have 30 slots.
@@ -70,17 +71,11 @@
 
 	l = newSlowRankCluster(1)
 	l.cfg.RetryBudget.Ratio, l.cfg.RetryBudget.Extra = 0, 1.5
-	for id := range l.loads {
-		l.slowDown(id, 1)
-	}
 	require.Greater(t, l.admitMovable(t, 12)["0/0"], 1)
 	l.slowDown("0/0", 5)
 	require.Len(t, l.TakeMoves(l.now), 1)
 
 	l = newSlowRankCluster(40)
-	for id := range l.loads {
-		l.slowDown(id, 1)
-	}
 	l.admitMovable(t, 8)
 	l.slowDown("0/0", 5)
 	require.Empty(t, l.TakeMoves(l.now), "this host's share of the free slots is less than one")
@@ -90,11 +85,7 @@
 // the stream has ended, or too little of the caller's time is left.
 func TestStreamsStayWhereMovesGainNothing(t *testing.T) {
 	for name, prepare := range map[string]func(*testCluster){
-		"all are slow": func(l *testCluster) {
-			for id := range l.loads {
-				l.slowDown(id, 5)
-			}
-		},
+		"all are slow": func(l *testCluster) { l.slowDownAll(5) },
 		"group is broken": func(l *testCluster) {
 			l.slowDown("0/0", 5)
 			l.report("0/1", func(load *wire.EngineLoad) { load.IsOpen = false })
@@ -113,9 +104,6 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newSlowRankCluster(1)
-			for id := range l.loads {
-				l.slowDown(id, 1)
-			}
 			require.Positive(t, l.admitMovable(t, 12)["0/0"])
 			prepare(l)
 			require.Empty(t, l.TakeMoves(l.now))
--- a/test/local/usage.go
+++ b/test/local/usage.go
@@ -24,11 +24,23 @@
 	CPU      time.Duration
 }
 
+// pid returns the id of the process. It returns false if the process was never started.
+func (p *Process) pid() (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0, false
+	}
+	return p.cmd.Process.Pid, true
+}
+
 // Usage reads the usage of the running process from /proc.
 func (p *Process) Usage() (Usage, error) {
-	p.mu.Lock()
-	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
-	p.mu.Unlock()
+	pid, ok := p.pid()
+	if !ok {
+		return Usage{}, errors.Errorf("%s is not started", p.Name)
+	}
+	dir := fmt.Sprintf("/proc/%d", pid)
 	stat, err := os.ReadFile(dir + "/stat")
 	if err != nil {
 		return Usage{}, err
