Bound the first change after a partition so that the test fails without its mend

The test had a bound of 10 s and passed with the mend off in 6.6 and 6.9 s, when the cut sessions end by silence. The bound is now the shortest time in which that can happen, 4 s: 1.4 to 2.1 s with the mend.

--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -291,8 +292,8 @@
 }
 
 // maxChangeWithCutSessions is how long a change may take while all open sessions carry nothing.
-// It is a third of the time after which an idle session ends by silence.
-const maxChangeWithCutSessions = 10 * time.Second
+// No session ends by silence earlier than that.
+const maxChangeWithCutSessions = peer.DefaultProbeTimeout
 
 // Guards against the first change after a partition that waits for TCP's retransmission timer:
 // the sessions of before are open but carry nothing, while new ones would.
