Keep the session of before open for a while when it is replaced

A request that was sent again to a silent host waited for the dial of a new session, and the old one was then closed: where hosts are only slow, their replies were lost with it, at each round.

Ruled out: load alone.

--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -133,8 +133,8 @@
 // sendToBranches sends a request to the heads of the branches. Stage requests are queued in
 // order on each session, because a repeated request must not overtake the content. All other
 // requests are small and are sent ahead of reports and content, because ranks may be paused
-// until they arrive. If mayRenew is set, a session that has been silent since the round began is
-// replaced.
+// until they arrive. If mayRenew is set, a request goes also over a new session where the one so
+// far has been silent since the round began.
 func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage, mayRenew bool) {
 	send := (*peer.Session).PostUrgent
 	if isStage {
@@ -144,23 +144,21 @@
 		m := request
 		m.Incarnation, m.ForwardTo = b.head.Incarnation, b.relayTo
 		address := string(b.head.Address)
-		if s := r.cfg.Pool.LiveSession(address); mayRenew && s != nil && s.SilentFor() >= r.ballotStats.roundTime(time.Now()) {
+		s := r.cfg.Pool.LiveSession(address)
+		r.deliver(address, &m, send)
+		if mayRenew && s != nil && s.SilentFor() >= r.ballotStats.roundTime(time.Now()) {
 			go r.renewAndSend(address, s, &m, send)
-			continue
 		}
-		r.deliver(address, &m, send)
 	}
 }
 
-// renewAndSend sends a message over a new session with a host that has not answered over the
-// session s. If there is none, it sends the message over s, since the host may just be slow.
+// renewAndSend sends a message also over a new session with a host that has not answered over the
+// session s.
 func (r *Runner) renewAndSend(address string, s *peer.Session, m wire.Message, send func(*peer.Session, wire.Message) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
 	defer cancel()
-	if renewed, err := r.cfg.Pool.Renew(ctx, address, s); err == nil {
-		s = renewed
-	}
-	if send(s, m) != nil {
+	renewed, err := r.cfg.Pool.Renew(ctx, address, s)
+	if err != nil || send(renewed, m) != nil {
 		r.counters.dropped.Inc(1)
 	}
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -303,6 +303,13 @@
 	return len(s.calls) > 0 || s.probers.Load() > 0 || s.unrepliedCalls.Load() > 0
 }
 
+// closeIfUnused closes the session if nothing depends on it.
+func (s *Session) closeIfUnused() {
+	if !s.isInUse() {
+		s.Close()
+	}
+}
+
 // Reply queues m as the reply to a call, without blocking. If the session has ended, it
 // discards the reply and returns ErrClosed.
 func (s *Session) Reply(call uint64, m wire.Message) error {
