Dial a silent host anew only after two unanswered requests

Cause: with 10 in 100 messages lost, each repeat after 0.2 s dialled some hosts anew, in each round.

Change: hosts are dialled anew once a round has lasted 0.4 s.

--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -22,6 +22,10 @@
 	// contentLinkShare is the fraction of a link's bandwidth that map content can count on,
 	// because reports and answers use the link too.
 	contentLinkShare = 0.5
+	// renewAfter is how long a round lasts until hosts that have been silent throughout are
+	// dialled anew. They have not answered two requests by then; a single one is often lost or
+	// late, and a dial costs more than another request.
+	renewAfter = 2 * retryTicks * tickInterval
 )
 
 // branch is a host to which a request is sent, and the hosts to which that host relays it.
@@ -134,19 +138,20 @@
 // order on each session, because a repeated request must not overtake the content. All other
 // requests are small and are sent ahead of reports and content, because ranks may be paused
 // until they arrive. If mayRenew is set, a request goes also over a new session where the one so
-// far has been silent since the round began.
+// far has been silent since the round began (see renewAfter).
 func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage, mayRenew bool) {
 	send := (*peer.Session).PostUrgent
 	if isStage {
 		send = (*peer.Session).Post
 	}
+	roundTime := r.ballotStats.roundTime(time.Now())
 	for _, b := range branches {
 		m := request
 		m.Incarnation, m.ForwardTo = b.head.Incarnation, b.relayTo
 		address := string(b.head.Address)
 		s := r.cfg.Pool.LiveSession(address)
 		r.deliver(address, &m, send)
-		if mayRenew && s != nil && s.SilentFor() >= r.ballotStats.roundTime(time.Now()) {
+		if mayRenew && roundTime >= renewAfter && s != nil && s.SilentFor() >= roundTime {
 			go r.renewAndSend(address, s, &m, send)
 		}
 	}
