--- a/internal/group/ballotstats.go
+++ b/internal/group/ballotstats.go
@@ -43,9 +43,6 @@
 	s.bytes += bytes
 }
 
-// roundTime returns how long the current round has taken.
-func (s *ballotStats) roundTime(now time.Time) time.Duration { return now.Sub(s.roundStarted) }
-
 // enter records that the coordinator is in the given round.
 func (s *ballotStats) enter(round expertmap.Round, now time.Time) {
 	if round == s.round {
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -32,7 +32,7 @@
 // its slowest rank, for longer. If steps take so long that streams are late anyway, the next
 // step is armed, and the group may pause for the orders.
 func (r *Runner) armAhead(now time.Time) uint64 {
-	step := r.stepTimer.estimate()
+	step := r.stepTimer.mean()
 	if step == 0 {
 		return min(r.cfg.ArmAhead+r.extraAhead, r.cfg.MaxArmAhead)
 	}
@@ -79,7 +79,7 @@
 	r.members = make(map[expertmap.Address]string, len(members))
 	cfg := expertmap.Config{
 		ID: r.cfg.NewID(), LastKnownBallot: r.participant.Promised(), LocalParticipant: r.address, RetryTicks: retryTicks, PausedRetryTicks: r.pausedRetryTicks(),
-		KeepaliveTicks: baseRecoveryTicks / 2, DeadlineTicks: r.roundDeadline.ticks(),
+		KeepaliveTicks: baseRecoveryTicks / 2,
 	}
 	if r.cfg.Start != nil {
 		cfg.LastKnownBallot.Counter = max(cfg.LastKnownBallot.Counter, r.cfg.Start())
@@ -154,7 +154,6 @@
 	r.counters.sentBytes.Inc(int64(r.ballotStats.bytes))
 	r.counters.resentBytes.Inc(int64(r.ballotStats.resentBytes))
 	r.coordinator = nil
-	r.roundDeadline.record(outcome)
 	switch outcome {
 	case expertmap.OutcomeChanged:
 		if p := r.nextBallot.proposal; p != nil && !r.nextBallot.isRecovery {
--- a/internal/group/faults_test.go
+++ b/internal/group/faults_test.go
@@ -289,31 +289,3 @@
 		})
 	}
 }
-
-// A session may be silent for cutSilence in a test that cuts all of them. A change must not wait
-// for that, so it may take half as long, which a busy machine keeps too.
-const (
-	cutSilence               = 60 * time.Second
-	maxChangeWithCutSessions = cutSilence / 2
-)
-
-// Guards against the first change after a partition that waits for TCP's retransmission timer:
-// the sessions of before are open but carry nothing, while new ones would.
-func TestChangeAfterPartitionDoesNotWaitForOldSessions(t *testing.T) {
-	t.Parallel()
-	for _, ranks := range sizes(32, 72) {
-		t.Run(fmt.Sprintf("%d ranks", ranks), func(t *testing.T) {
-			a := startAgentsWithSilence(t, newEngineGroup(testShape(ranks)), nil, cutSilence)
-			a.awaitChanges(t, 2)
-			for _, l := range a.listeners {
-				l.cut()
-			}
-			began := time.Now()
-			a.awaitChanges(t, 1)
-			took := time.Since(began)
-			t.Logf("first change after %v", took)
-			require.Less(t, took, maxChangeWithCutSessions)
-			a.engines.requireOneMap(t)
-		})
-	}
-}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -140,7 +140,6 @@
 	members          map[expertmap.Address]string
 	isFindingMembers bool
 	nextBallot       intent
-	roundDeadline    roundDeadline
 	// stepTimer measures the step time. extraAhead is the number of steps that are added to
 	// armAhead because changes were aborted.
 	stepTimer  stepTimer
@@ -297,7 +296,6 @@
 			r.handle(ctx, in)
 		case s := <-r.executed:
 			r.isExecuting = false
-			r.recordSteps(s)
 			r.applyOutput(ctx, r.participant.Done(s.ranks, s.err))
 		case s := <-r.polled:
 			r.isPolling = false
@@ -326,7 +324,7 @@
 	}
 	if in.relay != nil {
 		r.counters.relayed.Inc(int64(len(in.relay.ForwardTo)))
-		r.sendToBranches(*in.relay, splitIntoBranches(in.relay.ForwardTo), in.message.Stage != nil, false)
+		r.sendToBranches(*in.relay, splitIntoBranches(in.relay.ForwardTo), in.message.Stage != nil)
 	}
 	r.replyRoute[in.from] = in.replyRoute
 	r.applyOutput(ctx, r.participant.Step(in.from, in.message))
@@ -385,22 +383,13 @@
 		return
 	}
 	r.ranks = s.ranks
-	r.recordSteps(s)
-	if r.participant.RecoveryDue(s.ranks) && r.coordinator == nil {
-		r.findMembers(ctx, intent{isRecovery: true})
-	}
-}
-
-// recordSteps measures the steps by the states of the engines. States that are read after orders
-// count too, since the engines are not polled while orders are executed.
-func (r *Runner) recordSteps(s statuses) {
-	if s.err != nil {
-		return
-	}
 	now := time.Now()
 	if step, late := r.pauseMeter.observe(s.ranks[0], &r.stepTimer, now); step != 0 && r.address == 0 {
 		r.cfg.Log.Info("expert map in force", "group", r.cfg.Group, "step", step, "late_ms", late.Milliseconds(),
 			"pass_ms", r.stepTimer.mean().Milliseconds())
 	}
 	r.stepTimer.observe(s.ranks[0].Step, now)
+	if r.participant.RecoveryDue(s.ranks) && r.coordinator == nil {
+		r.findMembers(ctx, intent{isRecovery: true})
+	}
 }
--- a/internal/group/relay.go
+++ b/internal/group/relay.go
@@ -22,10 +22,6 @@
 	// contentLinkShare is the fraction of a link's bandwidth that map content can count on,
 	// because reports and answers use the link too.
 	contentLinkShare = 0.5
-	// renewAfter is how long a round lasts until hosts that have been silent throughout are
-	// dialled anew. They have not answered two requests by then; a single one is often lost or
-	// late, and a dial costs more than another request.
-	renewAfter = 2 * retryTicks * tickInterval
 )
 
 // branch is a host to which a request is sent, and the hosts to which that host relays it.
@@ -77,13 +73,12 @@
 	if isResend && len(targets) <= maxDirectRetries {
 		branches = directBranches(targets)
 	}
-	countsAsResend := isResend
 	if stage := m.Message.Stage; stage != nil && (stage.Delta != nil || len(stage.Maps) > 0) {
 		r.awaitContentTransfer(len(data), len(targets))
-		countsAsResend = r.ballotStats.isContentResend(r.coordinator.ContentResends())
+		isResend = r.ballotStats.isContentResend(r.coordinator.ContentResends())
 	}
-	r.ballotStats.countSent(len(branches), encodedSize(request, branches), countsAsResend)
-	r.sendToBranches(request, branches, m.Message.Stage != nil, isResend)
+	r.ballotStats.countSent(len(branches), encodedSize(request, branches), isResend)
+	r.sendToBranches(request, branches, m.Message.Stage != nil)
 }
 
 // encodedSize returns the number of bytes that a request takes on the wire to the heads of all
@@ -137,34 +132,16 @@
 // sendToBranches sends a request to the heads of the branches. Stage requests are queued in
 // order on each session, because a repeated request must not overtake the content. All other
 // requests are small and are sent ahead of reports and content, because ranks may be paused
-// until they arrive. If mayRenew is set, a request goes also over a new session where the one so
-// far has been silent since the round began (see renewAfter).
-func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage, mayRenew bool) {
+// until they arrive.
+func (r *Runner) sendToBranches(request wire.MapRequest, branches []branch, isStage bool) {
 	send := (*peer.Session).PostUrgent
 	if isStage {
 		send = (*peer.Session).Post
 	}
-	roundTime := r.ballotStats.roundTime(time.Now())
 	for _, b := range branches {
 		m := request
 		m.Incarnation, m.ForwardTo = b.head.Incarnation, b.relayTo
-		address := string(b.head.Address)
-		s := r.cfg.Pool.LiveSession(address)
-		r.deliver(address, &m, send)
-		if mayRenew && roundTime >= renewAfter && s != nil && s.SilentFor() >= roundTime {
-			go r.renewAndSend(address, s, &m, send)
-		}
-	}
-}
-
-// renewAndSend sends a message also over a new session with a host that has not answered over the
-// session s.
-func (r *Runner) renewAndSend(address string, s *peer.Session, m wire.Message, send func(*peer.Session, wire.Message) error) {
-	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
-	defer cancel()
-	renewed, err := r.cfg.Pool.Renew(ctx, address, s)
-	if err != nil || send(renewed, m) != nil {
-		r.counters.dropped.Inc(1)
+		r.deliver(string(b.head.Address), &m, send)
 	}
 }
 
--- a/internal/group/steptimer.go
+++ b/internal/group/steptimer.go
@@ -10,8 +10,6 @@
 type stepTimer struct {
 	step    uint64
 	changed time.Time
-	// observed is when the number was last read.
-	observed time.Time
 	// stepTimes holds the time per step at the last two polls that found a new step, the older
 	// one first; 0 if unknown.
 	stepTimes [2]time.Duration
@@ -20,12 +18,11 @@
 // observe records the number of the last started step.
 func (t *stepTimer) observe(step uint64, now time.Time) {
 	idle := now.Sub(t.changed)
-	t.observed = now
 	switch {
 	case t.changed.IsZero() || step < t.step:
-		*t = stepTimer{step: step, changed: now, observed: now}
+		*t = stepTimer{step: step, changed: now}
 	case step > t.step:
-		*t = stepTimer{step: step, changed: now, observed: now, stepTimes: [2]time.Duration{t.stepTimes[1], idle / time.Duration(step-t.step)}}
+		*t = stepTimer{step: step, changed: now, stepTimes: [2]time.Duration{t.stepTimes[1], idle / time.Duration(step-t.step)}}
 	case idle >= idleTimeout:
 		t.stepTimes = [2]time.Duration{}
 	}
@@ -39,17 +36,6 @@
 	return (t.stepTimes[0] + t.stepTimes[1]) / 2
 }
 
-// estimate returns the step time to expect; 0 if it is unknown. If the step in progress was seen
-// to take longer than the mean, steps have become slower, as after a rank has turned slow. A step
-// that takes idleTimeout is no longer in progress: the group is idle or stalled.
-func (t *stepTimer) estimate() time.Duration {
-	mean, elapsed := t.mean(), t.observed.Sub(t.changed)
-	if mean == 0 || elapsed >= idleTimeout {
-		return mean
-	}
-	return max(mean, elapsed)
-}
-
 // untilNext estimates the time until the next step starts.
 func (t *stepTimer) untilNext(now time.Time) time.Duration {
 	return max(t.mean()-now.Sub(t.changed), 0)
--- a/internal/group/steptimer_test.go
+++ b/internal/group/steptimer_test.go
@@ -58,25 +58,6 @@
 	}
 }
 
-// Guards against changes that are armed many steps ahead although a rank has just turned slow,
-// so that the map which relieves it takes effect only after that many slow steps. No slow step
-// has ended yet.
-func TestArmAheadFollowsStepInProgress(t *testing.T) {
-	r := New(Config{ArmAhead: 8, NewID: func() uint64 { return 1 }, Metrics: metrics.NewRegistry()})
-	r.orderTime = roundTripEstimator{mean: 100 * time.Millisecond, deviation: 50 * time.Millisecond}
-	began := time.Unix(100, 0)
-	r.stepTimer = stepTimer{changed: began, observed: began, stepTimes: [2]time.Duration{50 * time.Millisecond, 50 * time.Millisecond}}
-	require.EqualValues(t, 6, r.armAhead(began), "steps are fast")
-	slow := began.Add(200 * time.Millisecond)
-	require.EqualValues(t, 7, r.armAhead(slow), "the steps since the last observation are unknown")
-	r.stepTimer.observe(0, slow)
-	require.EqualValues(t, 3, r.armAhead(slow), "the step in progress is slow")
-	idle := began.Add(idleTimeout)
-	r.stepTimer.stepTimes = [2]time.Duration{50 * time.Millisecond, 50 * time.Millisecond}
-	r.stepTimer.observed = idle
-	require.EqualValues(t, 7, r.armAhead(idle), "no step is in progress")
-}
-
 // Guards against changes that pause streams which are on time, and against changes that are put
 // off although streams are late anyway: then the next step has to be armed.
 func TestNextStepIsArmedWhenStepsAreLateAnyway(t *testing.T) {
--- a/internal/group/traffic_test.go
+++ b/internal/group/traffic_test.go
@@ -196,35 +196,24 @@
 	runners    []*Runner
 	cancels    []context.CancelFunc
 	startCount uint64
-	listeners  []*cutListener
 }
 
 // startAgents runs one agent per rank until the test ends. If deliver is not nil, it is called
 // for each message with the number of the receiving host; the message is lost if it returns
 // false.
 func startAgents(t *testing.T, g *engineGroup, deliver func(to int, m wire.Message) bool) *agentGroup {
-	t.Helper()
-	return startAgentsWithSilence(t, g, deliver, 0)
-}
-
-// startAgentsWithSilence is startAgents with sessions that end after the given silence, watched
-// or not; 0 means the defaults.
-func startAgentsWithSilence(t *testing.T, g *engineGroup, deliver func(to int, m wire.Message) bool, silence time.Duration) *agentGroup {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	out := &agentGroup{engines: g, ctx: ctx, runners: make([]*Runner, len(g.ranks)), cancels: make([]context.CancelFunc, len(g.ranks))}
 	for i := range g.ranks {
 		mux := http.NewServeMux()
-		srv := httptest.NewUnstartedServer(mux)
-		listener := &cutListener{Listener: srv.Listener}
-		srv.Listener = listener
-		srv.Start()
+		srv := httptest.NewServer(mux)
 		t.Cleanup(srv.Close)
 		reg := metrics.NewRegistry()
 		address := strings.TrimPrefix(srv.URL, "http://")
 		pool := peer.NewPool(peer.Config{
-			Hello: wire.Hello{Host: fmt.Sprint(i), Address: address}, Secret: "secret", Metrics: reg, PingInterval: silence, ProbeTimeout: silence,
+			Hello: wire.Hello{Host: fmt.Sprint(i), Address: address}, Secret: "secret", Metrics: reg,
 			Handler: peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) {
 				if deliver != nil && !deliver(i, m) {
 					return
@@ -236,7 +225,6 @@
 		})
 		t.Cleanup(pool.Close)
 		mux.Handle(peer.Path, peer.NewServer(pool))
-		out.listeners = append(out.listeners, listener)
 		out.metrics, out.pools = append(out.metrics, reg), append(out.pools, pool)
 		out.members = append(out.members, wire.GroupMember{Address: address, FirstRank: uint32(i), Ranks: 1})
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -192,38 +192,6 @@
 // A message on which the handler panics must end only its session, not the process, which
 // serves other callers. The sender sends the message again, so otherwise it would crash the
 // restarted process and all other hosts too.
-// Guards against a renewed session that takes the old one's work with it: a caller that waits for
-// a reply over the old session must get it, and only an unused session is closed.
-func TestRenewClosesOnlyAnUnusedSession(t *testing.T) {
-	calls := make(chan func(), 1)
-	b := startHost(t, "b", HandlerFunc(func(s *Session, call uint64, m wire.Message) {
-		calls <- func() { _ = s.Reply(call, &wire.OrderAnswer{Nonce: m.(*wire.OrderQuery).Nonce}) }
-	}))
-	a := startHost(t, "a", nil)
-	a.pool.cfg.RenewGrace = time.Millisecond
-	ctx := context.Background()
-	old, err := a.pool.Get(ctx, b.address)
-	require.NoError(t, err)
-	replied := make(chan error, 1)
-	go func() {
-		_, _, err := old.Call(ctx, &wire.OrderQuery{Pool: "p"})
-		replied <- err
-	}()
-	reply := <-calls
-	used, err := a.pool.Renew(ctx, b.address, old)
-	require.NoError(t, err)
-	require.NotSame(t, old, used)
-	require.Same(t, used, a.pool.LiveSession(b.address))
-
-	renewed, err := a.pool.Renew(ctx, b.address, used)
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !used.Alive() }, 10*time.Second, time.Millisecond)
-	require.True(t, renewed.Alive())
-	require.True(t, old.Alive(), "a caller waits for a reply")
-	reply()
-	require.NoError(t, <-replied)
-}
-
 func TestHandlerPanicEndsOnlyTheSession(t *testing.T) {
 	served := make(chan wire.Message, 1)
 	b := startHost(t, "b", HandlerFunc(func(_ *Session, _ uint64, m wire.Message) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -31,8 +31,6 @@
 	// redialDelay is how long an address is not dialled again after a failure, so that
 	// callers that need a dead host fail at once instead of each waiting for a dial.
 	redialDelay = 50 * time.Millisecond
-	// DefaultRenewGrace is the default of Config.RenewGrace.
-	DefaultRenewGrace = 5 * time.Second
 )
 
 // Config configures a Pool.
@@ -57,9 +55,6 @@
 	// DialTimeout bounds how long a host may take to accept a connection; zero means
 	// DefaultDialTimeout. The handshake has a timeout of its own.
 	DialTimeout time.Duration
-	// RenewGrace is how long a session stays open after a new one has replaced it (see
-	// Pool.Renew); zero means DefaultRenewGrace.
-	RenewGrace time.Duration
 	// BeforeHandshake, if set, is called before each handshake with a host that dialled.
 	BeforeHandshake func()
 	// Metrics is the registry for the traffic counters; nil means a private one.
@@ -106,9 +101,6 @@
 	if cfg.DialTimeout <= 0 {
 		cfg.DialTimeout = DefaultDialTimeout
 	}
-	if cfg.RenewGrace <= 0 {
-		cfg.RenewGrace = DefaultRenewGrace
-	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
@@ -146,27 +138,6 @@
 	}
 }
 
-// Renew dials the host at address, although there is the session s with it. It is for a session
-// that is open but carries nothing, for example because a network partition has ended and TCP
-// waits for its retransmission timer. The new session is used from then on. After renewGrace s
-// is closed, unless something still depends on it: the host may only be slow, and its replies
-// still arrive over s. If the dial fails, s stays as it is.
-func (p *Pool) Renew(ctx context.Context, address string, s *Session) (*Session, error) {
-	d, err := p.sharedDial(address)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case <-d.done:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	if d.err == nil && d.s != s {
-		time.AfterFunc(p.cfg.RenewGrace, s.closeIfUnused)
-	}
-	return d.s, d.err
-}
-
 // LiveSession returns the live session with the host at address, or nil.
 func (p *Pool) LiveSession(address string) *Session {
 	p.mu.Lock()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -295,21 +295,6 @@
 	delete(s.calls, id)
 }
 
-// isInUse reports whether either end waits for something over the session: this end for the
-// reply to a call or, while it probes the session, for a response; the peer for a reply.
-func (s *Session) isInUse() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.calls) > 0 || s.probers.Load() > 0 || s.unrepliedCalls.Load() > 0
-}
-
-// closeIfUnused closes the session if nothing depends on it.
-func (s *Session) closeIfUnused() {
-	if !s.isInUse() {
-		s.Close()
-	}
-}
-
 // Reply queues m as the reply to a call, without blocking. If the session has ended, it
 // discards the reply and returns ErrClosed.
 func (s *Session) Reply(call uint64, m wire.Message) error {
