Write the log on a goroutine of its own, so that a slow disk deposes nobody

What callers saw: bookings refused with 503 (claim not committed, control hosts did not answer), in waves, and elections among healthy control hosts, most of all around the shutdown of a leader.

Cause: a replica's only goroutine wrote and synced its log. While a sync lasted, a leader sent no heartbeat, counted no answer and ticked no clock, so its followers took it for dead after an election timeout, and it took itself for cut off.

TestSlowSyncDeposesNobody and TestCommitDoesNotNeedTheLeadersDisk fail on the code before, in virtual time.

Mend: the core says what to write (numbered, in order) and which messages promise something about the disk: acknowledgements, granted votes, requests for votes. These wait for the sync; heartbeats, appends and answers to heartbeats don't. A candidate counts its own vote and a leader its own entries once they are synced, so a majority without the leader's disk commits and nothing is acknowledged that no majority has on disk. An entry that was replaced and restored is stable only with its own write. Writes that wait share a sync. What waits is bounded in bytes and number; a leader whose write has waited for an election timeout while a majority went on hands over.

TestSafetyWithSlowDisks plays writes that are synced later, in order, or lost in a crash. TestFailedSyncStopsReplica now cuts one follower off, since a majority without the failed disk may commit, and TestWithdrawnProposalNeverRuns holds the loop up by a call, since a disk no longer does; both check what they did.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -44,8 +44,9 @@
 	MaxAppendBytes int
 	// MaxInflightAppends limits the unacknowledged append messages to one replica.
 	MaxInflightAppends int
-	// MaxUncommittedBytes limits the data of a leader's uncommitted entries. Beyond it,
-	// proposals fail with ErrUncommittedLimit.
+	// MaxUncommittedBytes limits the data of a leader's uncommitted entries, and of any
+	// replica's entries that are not synced yet. Beyond it, proposals fail with
+	// ErrUncommittedLimit, and a follower ignores entries, which the leader sends again.
 	MaxUncommittedBytes int
 	// SnapshotRetryTicks is how many ticks a leader waits for the acknowledgement of a
 	// snapshot before it sends the snapshot again.
@@ -110,15 +111,14 @@
 	Term   uint64
 }
 
-// Ready is the work that the caller of a Core has to do, in this order: persist Snapshot,
-// then HardState and Entries, and sync them to disk; send Messages; restore the state
-// machine from Snapshot; apply CommittedEntries; answer ReadStates; call Advance. Step must
-// not be called between Ready and Advance.
+// Ready is the work that the caller of a Core has to do, in this order: hand over Write; send
+// Messages; restore the state machine from Write.Snapshot; apply CommittedEntries; answer
+// ReadStates. The caller need not wait for the disk: the core goes on while writes are
+// outstanding.
 type Ready struct {
-	SoftState        *SoftState
-	Snapshot         *Snapshot
-	HardState        *HardState
-	Entries          []Entry
+	SoftState *SoftState
+	Write     Write
+	// Messages depend on nothing that is not synced yet.
 	Messages         []Message
 	CommittedEntries []Entry
 	ReadStates       []ReadState
@@ -162,13 +162,16 @@
 	pendingReads     []pendingRead
 	needsReplication bool
 
-	messages      []Message
-	readStates    []ReadState
-	lastHardState HardState
-	lastSoftState SoftState
-	// persistingIndex is the last index in the log when Ready was last called. Advance
-	// marks the entries up to it as persisted.
-	persistingIndex uint64
+	// messages may be sent at once. promises must wait until everything before them is synced.
+	messages, promises []Message
+	readStates         []ReadState
+	lastHardState      HardState
+	lastSoftState      SoftState
+	// ticks counts the ticks since the start.
+	ticks  uint64
+	writes writeQueue
+	// syncedTerm is the term of the hard state on disk.
+	syncedTerm uint64
 }
 
 // New returns a follower that continues from the persisted state. It fails if the log has a
@@ -190,6 +193,7 @@
 	}
 	c.hardState = restoreHardState(r, log)
 	c.lastHardState = c.hardState
+	c.syncedTerm = r.HardState.Term
 	c.appliedIndex = log.baseIndex
 	c.becomeFollower(c.hardState.Term, "")
 	c.lastSoftState = c.softState()
@@ -210,6 +214,7 @@
 
 // Tick advances the core's clock by one tick.
 func (c *Core) Tick() {
+	c.ticks++
 	c.electionElapsed++
 	if c.role == Leader {
 		c.tickLeader()
@@ -238,6 +243,18 @@
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.broadcastHeartbeat()
 	}
+	c.handOverFromSlowDisk()
+}
+
+// handOverFromSlowDisk hands the leadership over if a write of this leader has waited for its
+// disk for an election timeout while a majority has committed more than this disk has. With
+// such a backlog the leader would sooner or later have to refuse proposals.
+func (c *Core) handOverFromSlowDisk() {
+	isBehind := c.log.stableIndex < c.hardState.Commit && c.writes.age(c.ticks) >= uint64(c.cfg.ElectionTicks)
+	if isBehind && c.transferee == "" {
+		// Without a voter to hand over to, this replica goes on leading.
+		_ = c.TransferLeadership("")
+	}
 }
 
 func (c *Core) tickPeer(p *progress) {
@@ -367,15 +384,21 @@
 	if err := c.checkCanPropose(); err != nil {
 		return 0, 0, err
 	}
-	if c.uncommittedBytes > 0 && c.uncommittedBytes+len(data) > c.cfg.MaxUncommittedBytes {
+	if c.uncommittedBytes > 0 && c.uncommittedBytes+len(data) > c.cfg.MaxUncommittedBytes || c.isDiskBacklogFull() {
 		return 0, 0, ErrUncommittedLimit
 	}
 	index, err = c.appendLeaderEntry(EntryCommand, data)
 	return index, c.hardState.Term, err
 }
 
+// send sends a message. One that promises something about this replica's disk waits until
+// everything that the replica has done before is synced.
 func (c *Core) send(m Message) {
 	m.From = c.id
+	if m.isPromise() {
+		c.promises = append(c.promises, m)
+		return
+	}
 	c.messages = append(c.messages, m)
 }
 
@@ -389,41 +412,57 @@
 	if c.hardState.Term != c.lastHardState.Term || c.hardState.Vote != c.lastHardState.Vote {
 		return true
 	}
-	return c.hardState.Commit != c.lastHardState.Commit && (c.log.stableIndex < c.log.lastIndex() || c.pendingSnapshot != nil)
+	return c.hardState.Commit != c.lastHardState.Commit && (c.log.writtenIndex < c.log.lastIndex() || c.pendingSnapshot != nil)
 }
 
 // HasReady reports whether Ready would return any work.
 func (c *Core) HasReady() bool {
-	return c.needsReplication || len(c.messages) > 0 || len(c.readStates) > 0 ||
-		c.log.stableIndex < c.log.lastIndex() || c.appliedIndex < c.hardState.Commit ||
+	return c.needsReplication || len(c.messages) > 0 || len(c.promises) > 0 || len(c.readStates) > 0 ||
+		c.log.writtenIndex < c.log.lastIndex() || c.appliedIndex < c.hardState.Commit ||
 		c.pendingSnapshot != nil || c.mustPersistHardState() || c.softState() != c.lastSoftState
 }
 
-// Ready returns the work that has accumulated since the last Advance.
+// Ready returns the work that has accumulated since the last Ready.
 func (c *Core) Ready() Ready {
 	c.replicate()
-	rd := Ready{Snapshot: c.pendingSnapshot, Messages: c.messages, ReadStates: c.readStates}
+	rd := Ready{Messages: c.messages, ReadStates: c.readStates}
 	if s := c.softState(); s != c.lastSoftState {
 		rd.SoftState = &s
 		c.lastSoftState = s
 	}
+	rd.Write = c.nextWrite()
+	rd.CommittedEntries = c.log.slice(c.appliedIndex+1, c.hardState.Commit)
+	c.appliedIndex = c.hardState.Commit
+	c.messages, c.readStates = nil, nil
+	return rd
+}
+
+// nextWrite returns what was not handed over for writing yet.
+func (c *Core) nextWrite() Write {
+	w := Write{Snapshot: c.pendingSnapshot, Promises: c.promises}
 	if c.mustPersistHardState() {
 		h := c.hardState
-		rd.HardState = &h
+		w.HardState = &h
 		c.lastHardState = h
 	}
-	rd.Entries = c.log.slice(c.log.stableIndex+1, c.log.lastIndex())
-	c.persistingIndex = c.log.lastIndex()
-	rd.CommittedEntries = c.log.slice(c.appliedIndex+1, c.hardState.Commit)
-	c.appliedIndex = c.hardState.Commit
-	c.messages, c.readStates, c.pendingSnapshot = nil, nil, nil
-	return rd
+	w.Entries = c.log.slice(c.log.writtenIndex+1, c.log.lastIndex())
+	c.log.writtenIndex = c.log.lastIndex()
+	c.pendingSnapshot, c.promises = nil, nil
+	if !w.IsEmpty() {
+		w.Number = c.writes.add(w, c.log.lastIndex(), c.hardState.Term, c.ticks)
+	}
+	return w
 }
 
-// Advance tells the core that the work of the last Ready is done. Only then does a leader
-// count its own entries as persisted.
-func (c *Core) Advance() {
-	c.log.stableIndex = max(c.log.stableIndex, min(c.persistingIndex, c.log.lastIndex()))
+// Synced tells the core that all writes up to the one with this number are on disk. Only then
+// does a candidate count its own vote, and a leader its own entries.
+func (c *Core) Synced(number uint64) {
+	stable, term := c.writes.finish(number)
+	c.log.stableIndex = max(c.log.stableIndex, stable)
+	c.syncedTerm = max(c.syncedTerm, term)
+	if c.role == Candidate {
+		c.countOwnVote()
+	}
 	if c.role != Leader {
 		return
 	}
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -39,13 +39,14 @@
 	return c
 }
 
-// drainReady calls Ready and Advance until no work is left and returns the messages to
+// drainReady calls Ready and Synced until no work is left and returns the messages to
 // send. It persists nothing.
 func drainReady(c *Core) []Message {
 	var out []Message
 	for c.HasReady() {
-		out = append(out, c.Ready().Messages...)
-		c.Advance()
+		rd := c.Ready()
+		out = append(out, slices.Concat(rd.Messages, rd.Write.Promises)...)
+		c.Synced(rd.Write.Number)
 	}
 	return out
 }
@@ -83,9 +84,9 @@
 	r := restoredLog(t, threeVoters(), 1)
 	c := openCore(t, idC, r)
 	step(t, c, Message{Type: MessageVote, From: idA, Term: 2, Index: 1, LogTerm: 1})
-	rd := c.Ready()
-	require.False(t, rd.Messages[0].Reject)
-	r.HardState = *rd.HardState
+	w := c.Ready().Write
+	require.False(t, w.Promises[0].Reject)
+	r.HardState = *w.HardState
 	c = openCore(t, idC, r)
 	step(t, c, Message{Type: MessageVote, From: idB, Term: 2, Index: 1, LogTerm: 1})
 	require.True(t, c.Ready().Messages[0].Reject)
@@ -145,8 +146,9 @@
 	require.NoError(t, c.ReadIndex(7))
 	response := Message{Type: MessageHeartbeatResponse, From: idB, Term: c.hardState.Term, Round: c.heartbeatRound - 1}
 	step(t, c, response)
-	require.Empty(t, c.Ready().ReadStates)
-	c.Advance()
+	rd := c.Ready()
+	require.Empty(t, rd.ReadStates)
+	c.Synced(rd.Write.Number)
 	response.Round = c.heartbeatRound
 	step(t, c, response)
 	require.Equal(t, []ReadState{{Context: 7, Index: 2}}, c.Ready().ReadStates)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -14,9 +14,12 @@
 	c.campaignCount++
 	c.becomeFollower(c.hardState.Term, "")
 	c.role = role
-	c.votes = map[ReplicaID]bool{c.id: true}
-	if c.tallyVotes() {
-		return
+	c.votes = map[ReplicaID]bool{}
+	if role == PreCandidate {
+		c.votes[c.id] = true
+		if c.tallyVotes() {
+			return
+		}
 	}
 	for _, id := range c.memberships.latest().membership.Voters {
 		if id == c.id {
@@ -26,6 +29,15 @@
 	}
 }
 
+// countOwnVote counts a candidate's vote for itself once it is on disk. A replica that led
+// without that could forget the term in a crash and lead it again with other entries.
+func (c *Core) countOwnVote() {
+	if c.syncedTerm == c.hardState.Term && !c.votes[c.id] {
+		c.votes[c.id] = true
+		c.tallyVotes()
+	}
+}
+
 // canCampaign reports whether this replica is a voter according to its own log.
 func (c *Core) canCampaign() bool { return c.memberships.latest().membership.IsVoter(c.id) }
 
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -13,8 +13,9 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []Entry
-	// stableIndex is the last index known to be persisted.
-	stableIndex uint64
+	// writtenIndex is the last index that was handed over for writing, and stableIndex the last
+	// one known to be synced. An entry that replaces another one counts as neither at first.
+	writtenIndex, stableIndex uint64
 }
 
 func (l *raftLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -83,6 +84,7 @@
 	if first <= l.lastIndex() {
 		keep := first - l.baseIndex - 1
 		l.entries = l.entries[:keep:keep]
+		l.writtenIndex = min(l.writtenIndex, first-1)
 		l.stableIndex = min(l.stableIndex, first-1)
 	}
 	l.entries = append(l.entries, entries...)
@@ -119,9 +121,10 @@
 	l.baseIndex, l.baseTerm = i, t
 }
 
-// reset empties the log so that it continues after a snapshot.
+// reset empties the log so that it continues after a snapshot. The entries that the snapshot
+// covers count as synced, since a majority has them on disk.
 func (l *raftLog) reset(meta SnapshotMeta) {
-	*l = raftLog{baseIndex: meta.Index, baseTerm: meta.Term, stableIndex: meta.Index}
+	*l = raftLog{baseIndex: meta.Index, baseTerm: meta.Term, writtenIndex: meta.Index, stableIndex: meta.Index}
 }
 
 // restoreLog rebuilds the log from persisted state. It omits the entries that the snapshot
@@ -142,7 +145,7 @@
 		}
 		l.entries = append(l.entries, e)
 	}
-	l.stableIndex = l.lastIndex()
+	l.writtenIndex, l.stableIndex = l.lastIndex(), l.lastIndex()
 	return l, nil
 }
 
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -46,3 +46,17 @@
 	// transfer. It is processed even though that leader was heard recently.
 	Transfer bool `cbor:"14,keyasint,omitempty"`
 }
+
+// isPromise reports whether the sender must not forget, after a crash, what the message says:
+// that it has entries or a snapshot, that it votes for a replica, or that it voted for itself.
+// Heartbeats, appends of a leader and the responses to heartbeats say nothing of the sender's
+// disk, and neither does a pre-vote.
+func (m Message) isPromise() bool {
+	switch m.Type {
+	case MessageAppendResponse, MessageVoteResponse:
+		return !m.Reject
+	case MessageVote:
+		return true
+	}
+	return false
+}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -111,6 +111,9 @@
 		return nil
 	}
 	c.acceptLeader(m.From)
+	if c.isDiskBacklogFull() {
+		return nil
+	}
 	response := Message{Type: MessageAppendResponse, To: m.From, Term: c.hardState.Term}
 	if m.Index < c.hardState.Commit {
 		response.Index = c.hardState.Commit
@@ -148,6 +151,7 @@
 		return err
 	}
 	c.log.truncateAndAppend(missing)
+	c.writes.truncate(missing[0].Index)
 	return nil
 }
 
@@ -238,7 +242,7 @@
 
 func (c *Core) handleSnapshot(m Message) {
 	c.acceptLeader(m.From)
-	if m.Snapshot == nil {
+	if m.Snapshot == nil || c.isDiskBacklogFull() {
 		return
 	}
 	c.installSnapshot(*m.Snapshot)
@@ -254,6 +258,7 @@
 		return
 	}
 	c.log.reset(s.Meta)
+	c.writes.truncate(s.Meta.Index + 1)
 	c.memberships = newMemberships(s.Meta)
 	c.hardState.Commit = s.Meta.Index
 	c.appliedIndex = s.Meta.Index
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -16,11 +16,14 @@
 	Fatalf(format string, args ...any)
 }
 
-// node is a replica with its disk. stateHash is a running hash of all entries that it has
-// applied.
+// node is a replica with its disk. unsynced holds the writes that its disk has yet to do,
+// oldest first; they are done at once unless the disk is slow. stateHash is a running hash of
+// all entries that the replica has applied.
 type node struct {
 	core         *Core
 	disk         PersistedState
+	unsynced     []Write
+	isDiskSlow   bool
 	appliedIndex uint64
 	stateHash    uint64
 }
@@ -74,6 +77,7 @@
 		sim.t.Fatalf("restart of %s: %v", id, err)
 	}
 	n.core, n.appliedIndex, n.stateHash = core, n.disk.Snapshot.Meta.Index, 0
+	n.unsynced = nil
 	if n.appliedIndex > 0 {
 		n.stateHash = decodeStateHash(n.disk.Snapshot)
 	}
@@ -84,19 +88,19 @@
 	return v
 }
 
-func (n *node) persist(rd Ready) {
-	if rd.Snapshot != nil {
-		n.disk.Snapshot = *rd.Snapshot
+func (n *node) persist(w Write) {
+	if w.Snapshot != nil {
+		n.disk.Snapshot = *w.Snapshot
 		n.disk.Entries = nil
 	}
-	if rd.HardState != nil {
-		n.disk.HardState = *rd.HardState
+	if w.HardState != nil {
+		n.disk.HardState = *w.HardState
 	}
-	if len(rd.Entries) == 0 {
+	if len(w.Entries) == 0 {
 		return
 	}
-	keep := rd.Entries[0].Index - n.disk.Snapshot.Meta.Index - 1
-	n.disk.Entries = append(slices.Clone(n.disk.Entries[:keep]), rd.Entries...)
+	keep := w.Entries[0].Index - n.disk.Snapshot.Meta.Index - 1
+	n.disk.Entries = append(slices.Clone(n.disk.Entries[:keep]), w.Entries...)
 }
 
 // processReady does all outstanding work of a replica and checks the results.
@@ -104,21 +108,55 @@
 	n := sim.nodes[id]
 	for n.core.HasReady() {
 		rd := n.core.Ready()
-		n.persist(rd)
 		sim.inTransit = append(sim.inTransit, rd.Messages...)
+		if !rd.Write.IsEmpty() {
+			n.unsynced = append(n.unsynced, rd.Write)
+		}
 		sim.apply(id, rd)
 		sim.checkReads(rd)
 		if rd.SoftState != nil && rd.SoftState.Role == Leader {
 			sim.checkLeader(id, rd.SoftState.Term)
 		}
-		n.core.Advance()
+		if !n.isDiskSlow {
+			sim.syncWrites(n, len(n.unsynced))
+		}
+	}
+}
+
+// syncWrites makes a disk do its n oldest outstanding writes with one sync, where they can be
+// merged.
+func (sim *simulation) syncWrites(n *node, count int) {
+	for count > 0 {
+		w, merged := n.unsynced[0], 1
+		for merged < count {
+			next, ok := w.Merge(n.unsynced[merged])
+			if !ok {
+				break
+			}
+			w, merged = next, merged+1
+		}
+		n.unsynced = n.unsynced[merged:]
+		count -= merged
+		n.persist(w)
+		sim.inTransit = append(sim.inTransit, w.Promises...)
+		n.core.Synced(w.Number)
+	}
+}
+
+// setDiskSlow sets whether a disk keeps writes waiting. A disk that is not slow does those that
+// wait.
+func (sim *simulation) setDiskSlow(id ReplicaID, slow bool) {
+	n := sim.nodes[id]
+	n.isDiskSlow = slow
+	if !slow {
+		sim.syncWrites(n, len(n.unsynced))
 	}
 }
 
 func (sim *simulation) apply(id ReplicaID, rd Ready) {
 	n := sim.nodes[id]
-	if rd.Snapshot != nil {
-		n.appliedIndex, n.stateHash = rd.Snapshot.Meta.Index, decodeStateHash(*rd.Snapshot)
+	if s := rd.Write.Snapshot; s != nil {
+		n.appliedIndex, n.stateHash = s.Meta.Index, decodeStateHash(*s)
 		if n.stateHash != sim.stateHashes[n.appliedIndex] {
 			sim.t.Fatalf("state machine safety: %s restored a different state at %d", id, n.appliedIndex)
 		}
@@ -213,8 +251,13 @@
 // outstanding work was persisted before the crash.
 func (sim *simulation) crash(id ReplicaID, synced bool) {
 	n := sim.nodes[id]
-	if synced && n.core.HasReady() {
-		n.persist(n.core.Ready())
+	if synced {
+		for _, w := range n.unsynced {
+			n.persist(w)
+		}
+		if n.core.HasReady() {
+			n.persist(n.core.Ready().Write)
+		}
 	}
 	sim.startNode(id)
 }
@@ -227,6 +270,10 @@
 
 func (sim *simulation) compact(id ReplicaID) {
 	n := sim.nodes[id]
+	if len(n.unsynced) > 0 {
+		// The snapshot would have to wait for these writes.
+		return
+	}
 	meta, err := n.core.SnapshotMeta(n.appliedIndex)
 	if err != nil || meta.Index <= n.disk.Snapshot.Meta.Index {
 		return
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -20,6 +20,8 @@
 	ticker := time.NewTicker(r.opts.Tick)
 	defer ticker.Stop()
 	defer close(r.done)
+	go r.writer.run()
+	defer r.finishWrites()
 	for {
 		stop, err := r.handleEvent(ticker.C)
 		if err == nil && !stop {
@@ -36,6 +38,16 @@
 	}
 }
 
+// finishWrites waits until what was handed to the writer is on disk.
+func (r *Replica) finishWrites() {
+	close(r.writer.stop)
+	for d := range r.writer.done {
+		if d.err != nil && r.err == nil {
+			r.err = d.err
+		}
+	}
+}
+
 // handleEvent waits for one event. It also processes the events of the same kind that are
 // queued behind it.
 func (r *Replica) handleEvent(tick <-chan time.Time) (stop bool, err error) {
@@ -55,11 +67,27 @@
 		f()
 	case e := <-r.encodedSnapshots:
 		r.encodingSnapshot = false
-		err = r.saveSnapshot(e)
+		r.saveSnapshot(e)
+	case d := <-r.writer.done:
+		err = r.handleDone(d)
 	}
 	return false, err
 }
 
+// handleDone tells the core what is on disk now.
+func (r *Replica) handleDone(d doneJob) error {
+	switch {
+	case d.err != nil:
+		return d.err
+	case d.localSnapshot != nil:
+		r.core.Compact(*d.localSnapshot)
+		r.metrics.snapshots.Inc(1)
+	default:
+		r.core.Synced(d.write.Number)
+	}
+	return nil
+}
+
 func (r *Replica) stepQueuedMessages(first consensus.Message) error {
 	if err := r.core.Step(first); err != nil {
 		return err
@@ -84,17 +112,16 @@
 		if err := r.handleReady(r.core.Ready()); err != nil {
 			return err
 		}
-		r.core.Advance()
 		r.startReadRound()
 	}
 	return r.maybeSnapshot()
 }
 
-// handleReady does the work in the order that consensus.Ready requires: nothing is sent and
-// nothing is applied before it is synced.
+// handleReady does the work in the order that consensus.Ready requires. It does not wait for
+// the disk.
 func (r *Replica) handleReady(rd consensus.Ready) error {
-	if err := r.persist(rd); err != nil {
-		return err
+	if !rd.Write.IsEmpty() {
+		r.writer.add(writeJob{write: rd.Write})
 	}
 	for _, m := range rd.Messages {
 		r.opts.Transport.Send(m.To, m)
@@ -102,8 +129,8 @@
 	if rd.SoftState != nil {
 		r.updateRole(*rd.SoftState)
 	}
-	if rd.Snapshot != nil {
-		if err := r.restore(*rd.Snapshot); err != nil {
+	if s := rd.Write.Snapshot; s != nil {
+		if err := r.restore(*s); err != nil {
 			return err
 		}
 	}
@@ -116,23 +143,6 @@
 	return nil
 }
 
-func (r *Replica) persist(rd consensus.Ready) error {
-	if rd.Snapshot != nil {
-		if err := r.opts.Storage.SaveSnapshot(*rd.Snapshot); err != nil {
-			return errors.Wrap(err, "save the leader's snapshot")
-		}
-	}
-	if rd.HardState == nil && len(rd.Entries) == 0 {
-		return nil
-	}
-	start := time.Now()
-	if err := r.opts.Storage.Append(rd.HardState, rd.Entries); err != nil {
-		return errors.Wrap(err, "append to the log")
-	}
-	r.metrics.sync.UpdateSince(start)
-	return nil
-}
-
 // updateRole publishes the role. When a leadership ends, its proposals become stale and its
 // unanswered reads fail.
 func (r *Replica) updateRole(now consensus.SoftState) {
@@ -214,7 +224,8 @@
 		go func() { r.encodedSnapshots <- encodeSnapshot(meta, encode) }()
 		return nil
 	}
-	return r.saveSnapshot(encodeSnapshot(meta, r.opts.StateMachine.Snapshot))
+	r.saveSnapshot(encodeSnapshot(meta, r.opts.StateMachine.Snapshot))
+	return nil
 }
 
 func encodeSnapshot(meta consensus.SnapshotMeta, encode func() ([]byte, error)) encodedSnapshot {
@@ -222,25 +233,21 @@
 	return encodedSnapshot{snapshot: consensus.Snapshot{Meta: meta, Data: data}, err: err}
 }
 
-// saveSnapshot persists a snapshot and compacts the log. If encoding failed, the log is
-// kept, and the next attempt follows after another Options.SnapshotEntries entries.
-func (r *Replica) saveSnapshot(e encodedSnapshot) error {
+// saveSnapshot hands a snapshot to the writer; once it is on disk, the log is compacted. If
+// encoding failed, the log is kept, and the next attempt follows after another
+// Options.SnapshotEntries entries.
+func (r *Replica) saveSnapshot(e encodedSnapshot) {
 	meta := e.snapshot.Meta
 	if meta.Index <= r.snapshot {
-		return nil
+		return
 	}
 	r.snapshot = meta.Index
 	if e.err != nil {
 		r.metrics.snapshotErrors.Inc(1)
 		r.opts.Logger.Error("snapshot failed", "index", meta.Index, "error", e.err)
-		return nil
+		return
 	}
-	if err := r.opts.Storage.SaveSnapshot(e.snapshot); err != nil {
-		return errors.Wrap(err, "save a snapshot")
-	}
-	r.core.Compact(e.snapshot)
-	r.metrics.snapshots.Inc(1)
-	return nil
+	r.writer.add(writeJob{localSnapshot: &e.snapshot})
 }
 
 // publishStatus makes the state visible to callers outside the loop.
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -5,7 +5,7 @@
 type replicaMetrics struct {
 	proposed, applied, reads, dropped metrics.Counter
 	elections, snapshots, restores    metrics.Counter
-	snapshotErrors                    metrics.Counter
+	snapshotErrors, slowSyncs         metrics.Counter
 	sync                              metrics.Timer
 }
 
@@ -15,7 +15,7 @@
 		proposed: counter("proposed"), applied: counter("applied"), reads: counter("reads"),
 		dropped: counter("messages-dropped"), elections: counter("elections-won"),
 		snapshots: counter("snapshots"), restores: counter("restores"),
-		snapshotErrors: counter("snapshot-errors"),
-		sync:           metrics.GetOrRegisterTimer("replica.sync", r),
+		snapshotErrors: counter("snapshot-errors"), slowSyncs: counter("slow-syncs"),
+		sync: metrics.GetOrRegisterTimer("replica.sync", r),
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,8 +16,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
 )
 
-// Storage persists the log and the snapshots of a replica. After a failed call the replica
-// stops and calls nothing but Close.
+// Storage persists the log and the snapshots of a replica. One goroutine calls it, apart from
+// the replica's loop, so a call may take long. After a failed call the replica stops and calls
+// nothing but Close.
 type Storage interface {
 	// Append writes and syncs hs, unless it is nil, and entries. The entries replace any
 	// conflicting suffix of the log.
@@ -47,8 +48,8 @@
 	Capture() (encode func() ([]byte, error))
 }
 
-// Transport sends messages and may lose them. Send must not block. It must not change the
-// message, which shares memory with the log.
+// Transport sends messages and may lose them. Send may be called concurrently. It must not block
+// and must not change the message, which shares memory with the log.
 type Transport interface {
 	Send(to consensus.ReplicaID, m consensus.Message)
 }
@@ -146,6 +147,8 @@
 	// publishedAppliedIndex is a copy of appliedIndex for other goroutines.
 	publishedAppliedIndex atomic.Uint64
 
+	writer *writer
+
 	// Only the loop may use the fields below.
 	core *consensus.Core
 	// pendingProposals holds the proposals in the log by index. One index may have several
@@ -192,7 +195,7 @@
 
 func newReplica(o Options, core *consensus.Core) *Replica {
 	index := o.PersistedState.Snapshot.Meta.Index
-	return &Replica{
+	r := &Replica{
 		opts: o, core: core, metrics: newMetrics(o.Registry),
 		messages:         make(chan consensus.Message, maxQueuedMessages),
 		proposals:        make(chan *proposal, maxQueuedProposals),
@@ -205,6 +208,8 @@
 		appliedIndex:     index,
 		snapshot:         index,
 	}
+	r.writer = newWriter(r)
+	return r
 }
 
 // Step queues a message from another replica. It does not block: if the queue is full, the
@@ -231,7 +236,7 @@
 func (r *Replica) IsLeader() bool { return r.softState.Load().Role == consensus.Leader }
 
 // AppliedIndex returns the index of the last applied entry. Entries that don't change the
-// state machine count too. It does not wait for the loop, which may be blocked on a disk.
+// state machine count too. It does not wait for the loop.
 func (r *Replica) AppliedIndex() uint64 { return r.publishedAppliedIndex.Load() }
 
 // Status returns the current state of the core, or the final one if the replica has
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -6,8 +6,11 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
@@ -114,9 +117,13 @@
 	c.waitForSameCommands(next, c.members[idA], c.members[idB], c.members[idC])
 }
 
+// A leader whose sync fails must stop and write nothing more. One follower is cut off, so that
+// nothing can be committed without the leader's disk.
 func TestFailedSyncStopsReplica(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
+	cut := c.follower(l)
+	c.setIsolated(cut.ID(), true)
 	l.storage.update(func(s *memStorage) { s.failAppends = true })
 	_, err := l.Propose(c.ctx(), []byte("x"))
 	require.Error(t, err)
@@ -129,6 +136,7 @@
 	_, err = l.Read(c.ctx())
 	requireVerdict(t, err, verdict.NotRun, verdict.CodeDraining)
 	require.Equal(t, l.ID(), l.Status().ID)
+	c.setIsolated(cut.ID(), false)
 	c.mustPropose(c.leader(l.ID()), "z")
 	require.Equal(t, appends, l.storage.appendCount())
 	l.storage.update(func(s *memStorage) { require.Equal(t, 1, s.failedAppends, "a failed write is not tried again") })
@@ -216,10 +224,19 @@
 	require.LessOrEqual(t, l.storage.appendCount()-before, 3)
 }
 
+// A proposal that its caller withdraws before the loop takes it must never run. The loop is held
+// up by a call, since a blocked disk does not hold it up.
 func TestWithdrawnProposalNeverRuns(t *testing.T) {
 	c := newCluster(t, idA)
 	l := c.leader("")
-	release, done := c.proposeWhileBlocked(l, 1)
+	c.mustPropose(l, "p0")
+	gate := make(chan struct{})
+	release := sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(release)
+	var done sync.WaitGroup
+	started := make(chan struct{})
+	done.Go(func() { _ = l.runOnLoop(c.ctx(), func() { close(started); <-gate }) })
+	<-started
 	ctx, cancel := context.WithTimeout(c.ctx(), testTick)
 	defer cancel()
 	_, err := l.Propose(ctx, []byte("withdrawn"))
@@ -310,3 +327,74 @@
 		require.Eventually(t, func() bool { return m.AppliedIndex() >= index }, waitTimeout, pollInterval)
 	}
 }
+
+// An entry that a majority has on disk is committed even if the leader's own disk fails, and it
+// must survive there.
+func TestCommitDoesNotNeedTheLeadersDisk(t *testing.T) {
+	c := newCluster(t, idA, idB, idC)
+	l := c.leader("")
+	release := c.blockAppends(l)
+	c.mustPropose(l, "x")
+	l.storage.update(func(s *memStorage) { s.failAppends = true })
+	release()
+	<-l.Done()
+	require.ErrorIs(t, l.Err(), errDisk)
+	next := c.leader(l.ID())
+	c.mustPropose(next, "y")
+	require.Equal(t, []string{"x", "y"}, next.machine.appliedCommands())
+}
+
+// A slow sync must not look like a dead host. While the leader's disk, all disks or the
+// followers' disks do not answer for three election timeouts, no election may be held, and
+// afterwards each proposal must be committed exactly once. Without the writer's own goroutine the
+// followers took the leader for dead after one election timeout.
+func TestSlowSyncDeposesNobody(t *testing.T) {
+	for name, isSlow := range map[string]func(isLeader bool) bool{
+		"leader":    func(isLeader bool) bool { return isLeader },
+		"followers": func(isLeader bool) bool { return !isLeader },
+		"all":       func(bool) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testSlowSync(t, isSlow) }) })
+	}
+}
+
+func testSlowSync(t *testing.T, isSlow func(isLeader bool) bool) {
+	const stall = 30 * testTick // three election timeouts
+	c := newCluster(t, idA, idB, idC)
+	l := c.leader("")
+	term := l.Status().Term
+	for _, m := range c.members {
+		if isSlow(m.IsLeader()) {
+			release := c.blockAppends(m)
+			time.AfterFunc(stall, release)
+		}
+	}
+	var done sync.WaitGroup
+	for i := range 10 {
+		time.Sleep(2 * testTick)
+		done.Go(func() {
+			// A leader whose own disk is slow hands over meanwhile and refuses with the verdict
+			// NotRun; any other error would leave the caller in doubt.
+			for {
+				leader := c.leader("")
+				_, err := leader.Propose(c.ctx(), []byte(fmt.Sprint(i)))
+				if err == nil {
+					return
+				}
+				if !assert.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, err) {
+					return
+				}
+			}
+		})
+	}
+	done.Wait()
+	next := c.leader("")
+	applied := next.machine.appliedCommands()
+	slices.Sort(applied)
+	require.Equal(t, []string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}, applied)
+	if next == l {
+		require.Equal(t, term, l.Status().Term)
+	} else {
+		require.Equal(t, term+1, next.Status().Term, "one transfer, no election by silence")
+	}
+}
