Let only the attempt that holds a claim release it

What callers could see: a non-idempotent request that runs twice.

Cause: a control host that lost the leadership while it claimed a key answered 'not run, ask another host' and released the claim later, as nobody would use it. The entry host asked the next leader with the same attempt, was granted the key and dispatched the call. The release, which names the same attempt and is forwarded to the next leader, then freed the key of the call that ran, so a repeat of the request under its key was granted too.

Mend: control hosts release no claims. An error that leaves a grant open has the verdict MayHaveRun, also for claims, and the entry host, which alone knows whether it uses the attempt, releases it; it does so already, and again for 16 s in case the claim commits late (TestClaimWithLostReplyIsReleased, TestClaimCommittedAfterItsFinishIsReleased). An attempt that asks again for the claim that it holds is granted it again; the tables don't change by that, so hosts of both builds keep the same state.

--- a/internal/command/batcher.go
+++ b/internal/command/batcher.go
@@ -28,16 +28,13 @@
 	timeout    time.Duration
 	// send sends a batch and returns a result for each request, in order.
 	send func(ctx context.Context, requests []Q) ([]R, error)
-	// onUnused is called with the result of a request if the caller will not use it,
-	// because the caller has stopped waiting or gets an error. It must not block.
-	onUnused func(request Q, result R, err error)
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	// wg waits for the goroutine of sendBatches.
 	wg sync.WaitGroup
 
-	// mu guards the fields below. send and onUnused are called without it.
+	// mu guards the fields below. send is called without it.
 	mu      sync.Mutex
 	pending []*call[Q, R]
 	sending bool
@@ -51,7 +48,6 @@
 		maxPending: o.MaxPending,
 		timeout:    o.Timeout,
 		send:       send,
-		onUnused:   func(Q, R, error) {},
 		ctx:        ctx,
 		cancel:     cancel,
 	}
@@ -168,12 +164,8 @@
 			c.result = results[i]
 		}
 		c.finished = true
-		isUnused := c.abandoned || err != nil
 		b.mu.Unlock()
 		close(c.done)
-		if isUnused {
-			b.onUnused(c.request, c.result, c.err)
-		}
 	}
 }
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,7 +67,6 @@
 	s := &Service{proposer: p}
 	s.claims = newBatcher(o, s.sendClaims)
 	s.finishes = newBatcher(o, s.sendFinishes)
-	s.claims.onUnused = s.releaseClaim
 	return s
 }
 
@@ -149,15 +148,14 @@
 func milliseconds(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
 
 // Claim asks for the exclusive right to dispatch a non-idempotent call. Only the outcome
-// ClaimGranted gives it. After an error the caller must not dispatch the call. The error
-// therefore always has the verdict NotRun, and a claim that was granted nevertheless is
-// released.
+// ClaimGranted gives it. An error with the verdict MayHaveRun means that the claim may have been
+// granted or may still be. The caller then either asks again with the same attempt, here or at
+// another host, or gives the attempt up and releases the claim by Finish. Nobody else releases
+// it: a host that did could free the key of a call that another host has granted meanwhile.
 func (s *Service) Claim(ctx context.Context, c state.Claim) (state.ClaimResult, error) {
 	result, err := s.claims.submit(ctx, c)
 	if err != nil {
-		e := *verdict.FromError(err)
-		e.Verdict = verdict.NotRun
-		return state.ClaimResult{}, &e
+		return state.ClaimResult{}, verdict.FromError(err)
 	}
 	return result, nil
 }
@@ -182,27 +180,6 @@
 	return result.Finishes, err
 }
 
-// releaseClaim frees a key whose claim was granted, or may have been, to a caller that will not
-// dispatch the call. The log keeps the order of proposals, so that the finish is applied after
-// the claim. If the finish is lost, the claim counts as unknown from its deadline on, which is
-// safe because the call does not run again.
-func (s *Service) releaseClaim(c state.Claim, result state.ClaimResult, err error) {
-	if err == nil && result.Outcome != state.ClaimGranted {
-		return
-	}
-	if err != nil && verdict.FromError(err).Verdict == verdict.NotRun {
-		return
-	}
-	// If the queue is full or the service is closed, the claim stays open until its
-	// deadline.
-	_, _ = s.finishes.enqueue(state.Finish{
-		Workspace: c.Workspace,
-		Key:       c.Key,
-		Attempt:   c.Attempt,
-		Verdict:   verdict.NotRun,
-	})
-}
-
 // propose appends a command to the log and returns its result, which must be of type R or
 // Rejected.
 func propose[R any](ctx context.Context, p Proposer, c state.Command) (R, error) {
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -149,8 +149,9 @@
 	return ws != nil && len(ws.byKey) >= t.maxPerWorkspace
 }
 
-// resultFor returns the state of an existing claim to a request for the same key. It
-// never grants.
+// resultFor returns the state of an existing claim to a request for the same key. Only the
+// attempt that holds the claim is granted it again: its first grant may have been lost on the
+// way. An attempt dispatches its call at most once, however often it is granted.
 func (c *claim) resultFor(request Claim, now LogicalTime) ClaimResult {
 	switch {
 	case c.digest != request.Digest:
@@ -159,6 +160,8 @@
 		return ClaimResult{Outcome: ClaimFinished, Verdict: c.verdict, Response: c.response}
 	case now > c.deadline:
 		return ClaimResult{Outcome: ClaimUnknown, Verdict: verdict.MayHaveRun}
+	case c.attempt == request.Attempt:
+		return ClaimResult{Outcome: ClaimGranted}
 	}
 	return ClaimResult{Outcome: ClaimInProgress, Verdict: verdict.MayHaveRun, Remaining: uint64(c.deadline - now)}
 }
