Forward no claims from a former leader

Cause: a host that lost the leadership between its check and the proposal forwarded the whole batch of claims to the next leader, which committed it and then had no way to return the results: those of claims can't be encoded. So all callers of the batch got an error that has no verdict of its own, while their keys were claimed.

Evidence: TestFormerLeaderForwardsNoClaims; on the code before the claims are forwarded and the error is 'internal (may-have-run)'.

Mend: claims and finishes are proposed to the local replica only. A host that does not lead says so, with the verdict NotRun and the leader's address, and the entry host asks there.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -29,6 +29,8 @@
 	// Timeout is the maximum time to wait for the result of one batch. The default is
 	// 5 seconds.
 	Timeout time.Duration
+	// ClaimProposer proposes the claims and finishes. The default is the Service's Proposer.
+	ClaimProposer Proposer
 }
 
 const (
@@ -56,7 +58,8 @@
 // Service changes the tables. Its methods may be called concurrently. Their errors are of type
 // *verdict.Error.
 type Service struct {
-	proposer Proposer
+	proposer      Proposer
+	claimProposer Proposer
 	claims   *batcher[state.Claim, state.ClaimResult]
 	finishes *batcher[state.Finish, state.FinishOutcome]
 }
@@ -64,7 +67,10 @@
 // New returns a Service that proposes its commands to p.
 func New(p Proposer, o Options) *Service {
 	o = o.withDefaults()
-	s := &Service{proposer: p}
+	s := &Service{proposer: p, claimProposer: o.ClaimProposer}
+	if s.claimProposer == nil {
+		s.claimProposer = p
+	}
 	s.claims = newBatcher(o, s.sendClaims)
 	s.finishes = newBatcher(o, s.sendFinishes)
 	return s
@@ -171,12 +177,12 @@
 }
 
 func (s *Service) sendClaims(ctx context.Context, claims []state.Claim) ([]state.ClaimResult, error) {
-	result, err := propose[state.ClaimBatchResult](ctx, s.proposer, state.ClaimBatch{Claims: claims})
+	result, err := propose[state.ClaimBatchResult](ctx, s.claimProposer, state.ClaimBatch{Claims: claims})
 	return result.Claims, err
 }
 
 func (s *Service) sendFinishes(ctx context.Context, finishes []state.Finish) ([]state.FinishOutcome, error) {
-	result, err := propose[state.FinishResult](ctx, s.proposer, state.FinishClaims{Finishes: finishes})
+	result, err := propose[state.FinishResult](ctx, s.claimProposer, state.FinishClaims{Finishes: finishes})
 	return result.Finishes, err
 }
 
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -32,6 +32,20 @@
 	return decodeResult(reply.Result)
 }
 
+// localProposer proposes commands to the local replica only. Claims and their outcomes go to the
+// leader straight from the hosts that hold them. A former leader that forwarded a batch of them
+// could not return its results, so that callers whose claims are granted would get an error.
+type localProposer struct{ h *Host }
+
+// Propose implements command.Proposer.
+func (p localProposer) Propose(ctx context.Context, data []byte) (any, error) {
+	r, err := p.h.replica.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	return r.Value, nil
+}
+
 // forwardedResult is the encoded form of the result of a forwarded command. One of the
 // pointers is set.
 type forwardedResult struct {
--- /dev/null
+++ b/internal/control/forward_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+const testSecret = "a secret of the processes"
+
+// startPeer starts a host that handles messages with h, and returns its address.
+func startPeer(t *testing.T, h peer.HandlerFunc) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	address := strings.TrimPrefix(srv.URL, "http://")
+	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: address, Address: address}, Secret: testSecret, Handler: h})
+	t.Cleanup(pool.Close)
+	mux.Handle(peer.Path, peer.NewServer(pool))
+	return address
+}
+
+// clientOf returns a client of hosts that startPeer has started.
+func clientOf(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: "client"}, Secret: testSecret, Handler: peer.HandlerFunc(func(*peer.Session, uint64, wire.Message) {})})
+	t.Cleanup(pool.Close)
+	return NewClient(pool, addresses)
+}
+
+// A control host that has lost the leadership must refuse claims, so that their hosts ask the next
+// leader. When it forwarded them, they were granted there and its callers got "unexpected failure".
+func TestFormerLeaderForwardsNoClaims(t *testing.T) {
+	var forwarded atomic.Int64
+	leader := startPeer(t, func(s *peer.Session, call uint64, m wire.Message) {
+		if _, ok := m.(*wire.Propose); ok {
+			forwarded.Add(1)
+		}
+		_ = s.Reply(call, peer.NewFailure(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "its result can't be forwarded")))
+	})
+	h, closeHost := openSingleHost(t, t.TempDir())
+	defer closeHost()
+	h.client = clientOf(t, leader)
+	_, err := h.commands.Claim(t.Context(), state.Claim{Workspace: "w", Key: "k", Attempt: "a"})
+	require.Error(t, err)
+	require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, err)
+	require.Equal(t, verdict.CodeNoQuorum, verdict.FromError(err).Code)
+	_, err = h.commands.Finish(t.Context(), state.Finish{Workspace: "w", Key: "k", Attempt: "a"})
+	require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, err)
+	require.Zero(t, forwarded.Load())
+}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open replica")
 	}
-	h.commands = command.New(forwarder{h}, command.Options{})
+	h.commands = command.New(forwarder{h}, command.Options{ClaimProposer: localProposer{h}})
 	h.queries = query.New(reader{h}, h.tables)
 	return h, nil
 }
