Wait for slow control hosts and for elections, and ask again for claims

What callers saw: bookings refused with 503, 'control hosts did not answer' and 'no leader among the control hosts', while the disks of the control hosts were slow or a leader changed.

Cause: an entry host gave up on a control host that had not replied within 0.8 s, although its session was alive, and as a claim was sent to one host only, its caller was refused while the claim was granted a moment later. Without a leader it gave up after 0.3 s, which covers a leadership transfer only if disks are quick. A control host answered after 2 s at most, however long the caller would have waited. These are constants that take slow for dead.

Mend: a host that was asked is left once it has been silent for 0.8 s; it is pinged meanwhile, and its session answers pings whatever its disk does. A claim is asked for again, for the same attempt, at the next leader (safe since only the attempt releases it). While a majority of the control hosts answers, the search for a leader goes on for 5 s, two elections; without one, callers are refused after 0.3 s as before. A control host waits for a claim as long as its caller does.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -60,8 +60,8 @@
 type Service struct {
 	proposer      Proposer
 	claimProposer Proposer
-	claims   *batcher[state.Claim, state.ClaimResult]
-	finishes *batcher[state.Finish, state.FinishOutcome]
+	claims        *batcher[state.Claim, state.ClaimResult]
+	finishes      *batcher[state.Finish, state.FinishOutcome]
 }
 
 // New returns a Service that proposes its commands to p.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -15,15 +15,20 @@
 )
 
 const (
-	// clientTimeout bounds one call to the leader, including elections.
+	// clientTimeout bounds one call to the leader, including elections. Claims have no bound but
+	// the deadline of their caller.
 	clientTimeout = 3 * time.Second
-	// attemptTimeout bounds the wait for one control host, so that a client goes on to the
-	// next one if a host hangs.
+	// attemptTimeout bounds the time without any message from a control host that was asked, and
+	// the time to reach it, so that a client goes on to the next one if a host hangs. A host that
+	// is heard may take longer to reply: its disk may be slow.
 	attemptTimeout = 800 * time.Millisecond
 	retryDelay     = 25 * time.Millisecond
-	// leaderSearchTime is how long a client looks for a leader before it gives up. It covers a
-	// leadership transfer but not an election.
+	// leaderSearchTime is how long a client looks for a leader if most control hosts don't
+	// answer, so that none can be elected.
 	leaderSearchTime = 300 * time.Millisecond
+	// electionWait is how long a client looks for a leader while a majority of the control hosts
+	// answers. It covers two elections; a third in a row means that something else is wrong.
+	electionWait = 5 * time.Second
 	// noLeaderRetryAfter is the Retry-After of calls that failed for lack of a leader: the
 	// duration of an election.
 	noLeaderRetryAfter = 2 * time.Second
@@ -34,10 +39,10 @@
 type resendPolicy bool
 
 const (
-	// mayResend is for idempotent messages.
+	// mayResend is for idempotent messages. Claims are among them: an attempt that asks again
+	// for the claim that it holds is granted it again, and only its own host releases it.
 	mayResend resendPolicy = true
-	// sendOnce is for claims. If a claim were granted twice, the host that received it
-	// first could give it back while the call already runs under the second grant.
+	// sendOnce is for messages whose effect is lost if they are processed twice.
 	sendOnce resendPolicy = false
 )
 
@@ -62,9 +67,13 @@
 	return &Client{pool: pool, addressBook: addressBook}
 }
 
-// Claim requests the right to dispatch a non-idempotent call.
+// Claim requests the right to dispatch a non-idempotent call. It waits as long as ctx allows
+// while the claim can still be granted.
 func (c *Client) Claim(ctx context.Context, m *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	return ask[*wire.ClaimReply](ctx, c, m, sendOnce)
+	if _, hasDeadline := ctx.Deadline(); hasDeadline {
+		return askUntil[*wire.ClaimReply](ctx, c, m, mayResend)
+	}
+	return ask[*wire.ClaimReply](ctx, c, m, mayResend)
 }
 
 // Finish records the outcome of a claimed call.
@@ -104,8 +113,15 @@
 	return ask[*wire.Proposed](ctx, c, m, mayResend)
 }
 
-// ask sends m and returns the reply, which must be of type R.
+// ask sends m and returns the reply, which must be of type R. It takes clientTimeout at most.
 func ask[R wire.Message](ctx context.Context, c *Client, m wire.Message, policy resendPolicy) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	return askUntil[R](ctx, c, m, policy)
+}
+
+// askUntil is ask without a time limit of its own.
+func askUntil[R wire.Message](ctx context.Context, c *Client, m wire.Message, policy resendPolicy) (R, error) {
 	var zero R
 	reply, err := c.call(ctx, m, policy)
 	if err != nil {
@@ -118,9 +134,8 @@
 	return r, nil
 }
 
-// call sends m to the leader, and to the other control hosts in turn until it finds the
-// leader. It gives up once every host was asked and leaderSearchTime has passed without a
-// leader. This time covers a leadership transfer but not an election; the error tells the
+// call sends m to the leader, and to the other control hosts in turn until it finds the leader.
+// If there is none, it goes on while one can be elected, see leaderSearch; the error tells the
 // caller to retry after the duration of an election.
 func (c *Client) call(ctx context.Context, m wire.Message, policy resendPolicy) (wire.Message, error) {
 	known := len(c.addressBook.List())
@@ -128,12 +143,11 @@
 		// A single control host that does not lead has no other host to ask.
 		return nil, noLeaderError(false, nil)
 	}
-	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
-	defer cancel()
+	search := leaderSearch{known: known, answered: make(map[string]bool)}
 	started := time.Now()
-	mayHaveSent := false
+	mayHaveRun := false
 	var last error
-	for attemptsWithoutLeader := 0; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		address := c.target()
 		reply, sent, err := c.callHost(ctx, address, m)
 		if err == nil {
@@ -141,32 +155,63 @@
 		}
 		last = err
 		failure, isFailure := reply.(*wire.Failure)
+		mayHaveRun = mayHaveRun || sent && !(isFailure && verdict.FromError(err).Verdict == verdict.NotRun)
 		switch {
+		case isFailure && !shouldAskAnotherHost(err, policy):
+			return nil, err
 		case isFailure && c.isKnown(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
-		case isFailure && !shouldAskAnotherHost(err):
-			return nil, err
 		default:
-			attemptsWithoutLeader++
-			mayHaveSent = mayHaveSent || (sent && !isFailure)
+			search.add(address, isFailure)
 			c.skipHost(address)
 		}
-		if mayHaveSent && policy == sendOnce {
-			break
-		}
-		if attemptsWithoutLeader >= known && time.Since(started) > leaderSearchTime {
+		if mayHaveRun && policy == sendOnce || search.isOver(time.Since(started)) {
 			break
 		}
 		pause.For(ctx, retryDelay)
 	}
-	return nil, noLeaderError(mayHaveSent, last)
+	return nil, noLeaderError(mayHaveRun, last)
+}
+
+// leaderSearch is what a call has learned about the control hosts, of which it knows some.
+type leaderSearch struct {
+	known int
+	// attempts counts the hosts asked that do not lead or did not answer, also repeatedly.
+	attempts int
+	// answered tells of each host whether it answered when it was last asked.
+	answered map[string]bool
+}
+
+func (s *leaderSearch) add(address string, hasAnswered bool) {
+	s.attempts++
+	s.answered[address] = hasAnswered
+}
+
+// isOver reports whether to give up after the given time: once every host was asked and no
+// leader can be elected soon.
+func (s *leaderSearch) isOver(elapsed time.Duration) bool {
+	if s.attempts < s.known {
+		return false
+	}
+	answering := 0
+	for _, hasAnswered := range s.answered {
+		if hasAnswered {
+			answering++
+		}
+	}
+	if answering > s.known/2 {
+		return elapsed > electionWait
+	}
+	return elapsed > leaderSearchTime
 }
 
-// shouldAskAnotherHost reports whether a host rejected a call because it does not lead or
-// is shutting down.
-func shouldAskAnotherHost(err error) bool {
+// shouldAskAnotherHost reports whether a host rejected a call because it does not lead or is
+// shutting down. If its leadership ended before the outcome was known, only a message that may be
+// sent again goes to another host.
+func shouldAskAnotherHost(err error, policy resendPolicy) bool {
 	e := verdict.FromError(err)
-	return e.Verdict == verdict.NotRun && (e.Code == verdict.CodeNoQuorum || e.Code == verdict.CodeDraining)
+	mayAsk := e.Verdict == verdict.NotRun || policy == mayResend
+	return mayAsk && (e.Code == verdict.CodeNoQuorum || e.Code == verdict.CodeDraining)
 }
 
 // noLeaderError returns the error of a call that reached no leader. mayHaveSent tells
@@ -182,13 +227,13 @@
 
 // callHost calls one host. The second result tells whether the message may have been sent.
 func (c *Client) callHost(ctx context.Context, address string, m wire.Message) (wire.Message, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	s, err := c.pool.Get(ctx, address)
+	s, err := c.pool.Get(dialCtx, address)
 	if err != nil {
 		return nil, false, err
 	}
-	return s.Call(ctx, m)
+	return s.CallWhileHeard(ctx, attemptTimeout, m)
 }
 
 // target returns the address of the leader, or of the next host to try if none is known.
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -35,8 +35,10 @@
 	// clockInterval is how often the leader advances the logical clock of the state machine,
 	// by which claims expire.
 	clockInterval = 5 * time.Second
-	// serveTimeout bounds the time to answer one message of another host.
+	// serveTimeout bounds the time to answer one message of another host. A claim may take as long
+	// as its caller waits, up to maxClaimTime.
 	serveTimeout = 2 * time.Second
+	maxClaimTime = time.Minute
 )
 
 // Config configures a Host.
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -53,7 +53,8 @@
 	case *wire.Propose:
 		h.replyAsync(s, call, func(ctx context.Context) (wire.Message, error) { return h.handlePropose(ctx, m) })
 	case *wire.ClaimRequest:
-		h.replyAsync(s, call, func(ctx context.Context) (wire.Message, error) { return h.handleClaim(ctx, s, m) })
+		limit := max(serveTimeout, min(time.Duration(m.TimeoutMS)*time.Millisecond, maxClaimTime))
+		h.replyWithin(limit, s, call, func(ctx context.Context) (wire.Message, error) { return h.handleClaim(ctx, s, m) })
 	case *wire.FinishRequest:
 		h.replyAsync(s, call, func(ctx context.Context) (wire.Message, error) { return h.handleFinish(ctx, m) })
 	case *wire.OrderQuery:
@@ -66,11 +67,16 @@
 	return true
 }
 
-// replyAsync handles a call on a new goroutine, since the session's read loop must not
-// block.
+// replyAsync handles a call within serveTimeout on a new goroutine, since the session's read loop
+// must not block.
 func (h *Host) replyAsync(s *peer.Session, call uint64, serve func(context.Context) (wire.Message, error)) {
+	h.replyWithin(serveTimeout, s, call, serve)
+}
+
+// replyWithin is replyAsync with another time limit.
+func (h *Host) replyWithin(limit time.Duration, s *peer.Session, call uint64, serve func(context.Context) (wire.Message, error)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		reply, err := serve(ctx)
 		if err != nil {
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -36,6 +36,43 @@
 	return reply, sent, err
 }
 
+// CallWhileHeard is Call for messages that a live peer may take long to reply to. It pings the
+// peer meanwhile and gives up once the peer has been silent for longer than maxSilence. The
+// error is then that of a cancelled context.
+func (s *Session) CallWhileHeard(ctx context.Context, maxSilence time.Duration, m wire.Message) (reply wire.Message, sent bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.cancelWhenSilent(ctx, cancel, maxSilence)
+	return s.Call(ctx, m)
+}
+
+// cancelWhenSilent calls cancel once the peer has been silent for maxSilence, counted from now on.
+func (s *Session) cancelWhenSilent(ctx context.Context, cancel func(), maxSilence time.Duration) {
+	probe := time.NewTicker(maxSilence / probesPerTimeout)
+	defer probe.Stop()
+	started := s.age()
+	silentTicks := 0
+	for {
+		select {
+		case <-probe.C:
+		case <-ctx.Done():
+			return
+		case <-s.done:
+			return
+		}
+		silentTicks++
+		if s.age()-max(time.Duration(s.lastReceived.Load()), started) <= maxSilence {
+			silentTicks = 0
+		}
+		// As in writeLoop, one tick proves nothing after a stall of this process.
+		if silentTicks > 1 {
+			cancel()
+			return
+		}
+		_ = s.Post(&wire.Ping{WantsEcho: true})
+	}
+}
+
 // age returns the time since the session was opened.
 func (s *Session) age() time.Duration { return time.Since(s.opened) }
 
