Count hosts that name a former leader as answering

Cause: a leader that shuts down ends its sessions first, while the other hosts still name it. A client that followed the name did not count the host that gave it among those that answer, so it saw no majority and took an election for impossible.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -156,13 +156,14 @@
 		last = err
 		failure, isFailure := reply.(*wire.Failure)
 		mayHaveRun = mayHaveRun || sent && !(isFailure && verdict.FromError(err).Verdict == verdict.NotRun)
+		search.answered[address] = isFailure
 		switch {
 		case isFailure && !shouldAskAnotherHost(err, policy):
 			return nil, err
 		case isFailure && c.isKnown(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
 		default:
-			search.add(address, isFailure)
+			search.attempts++
 			c.skipHost(address)
 		}
 		if mayHaveRun && policy == sendOnce || search.isOver(time.Since(started)) {
@@ -176,17 +177,13 @@
 // leaderSearch is what a call has learned about the control hosts, of which it knows some.
 type leaderSearch struct {
 	known int
-	// attempts counts the hosts asked that do not lead or did not answer, also repeatedly.
+	// attempts counts the hosts asked, also repeatedly, that did not answer or named no other host
+	// as the leader.
 	attempts int
 	// answered tells of each host whether it answered when it was last asked.
 	answered map[string]bool
 }
 
-func (s *leaderSearch) add(address string, hasAnswered bool) {
-	s.attempts++
-	s.answered[address] = hasAnswered
-}
-
 // isOver reports whether to give up after the given time: once every host was asked and no
 // leader can be elected soon.
 func (s *leaderSearch) isOver(elapsed time.Duration) bool {
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -112,6 +112,29 @@
 	require.Equal(t, wire.ClaimGranted, reply.State)
 }
 
+// A leader that shuts down ends its sessions before the other hosts know that it is gone: they
+// still name it. The claim must wait for the next leader; when only hosts that named no leader
+// counted as answering, it was refused after 0.3 s.
+func TestClaimWaitsWhileOthersNameTheFormerLeader(t *testing.T) {
+	const former = "127.0.0.1:1" // nothing listens there
+	var elected atomic.Bool
+	time.AfterFunc(4*leaderSearchTime, func() { elected.Store(true) })
+	host := func() string {
+		return startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
+			if elected.Load() {
+				_ = s.Reply(call, &wire.ClaimReply{State: wire.ClaimGranted})
+				return
+			}
+			named := noLeader()
+			named.Leader = former
+			_ = s.Reply(call, named)
+		})
+	}
+	reply, err := clientOf(t, former, host(), host()).Claim(claimContext(t), &wire.ClaimRequest{Key: "k"})
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimGranted, reply.State)
+}
+
 // Without a majority no leader can be elected, so the caller must be told at once.
 func TestClaimIsRefusedAtOnceWithoutMajority(t *testing.T) {
 	alone := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) { _ = s.Reply(call, noLeader()) })
