Keep the rest that an upstream has asked for while it is off the list

What upstreams saw, and through them callers: requests that reach an upstream although it has asked the host for some seconds of rest and turns them away.

Cause: the scheduler forgot an upstream as soon as it was off the list and had no request in flight, and took no rest for one that was off the list. An upstream is off the list for a moment whenever its announcements come late or a source of the list is lost. When it was back, it counted as rested. Rate limits and the statement that an upstream leaves were put into force again in that case; rests were not.

Evidence: TestRestOutlivesAnAbsence fails on the code before, for a rest asked before the absence and for one asked during it.

Mend: an upstream stays known until its rest is over, and a rest counts for one that is off the list.

--- a/internal/schedule/restriction.go
+++ b/internal/schedule/restriction.go
@@ -42,10 +42,11 @@
 }
 
 // SetRest records that one incarnation of an upstream wants no requests from this host until the
-// given time. It returns the decisions on queued requests.
+// given time, also if the upstream is off the list at the moment. It returns the decisions on
+// queued requests.
 func (s *Scheduler) SetRest(i backpressure.Incarnation, until, now time.Duration) []Result {
 	u := s.upstreams[i.Upstream]
-	if u == nil || u.StartedAt != i.StartedAt || !u.isServing {
+	if u == nil || u.StartedAt != i.StartedAt {
 		return nil
 	}
 	u.restUntil = max(u.restUntil, until)
--- a/internal/schedule/restriction_test.go
+++ b/internal/schedule/restriction_test.go
@@ -121,6 +121,45 @@
 	}
 }
 
+// Guards against a rest that is forgotten because the upstream is off the list for a moment, as
+// when its announcements come late: before the statement, between it and the end of the rest, or
+// while the request runs whose answer states it.
+func TestRestOutlivesAnAbsence(t *testing.T) {
+	absent := func(l *testCluster) { l.SetUpstreams(map[string][]registry.Upstream{}, l.now) }
+	rest := func(l *testCluster) { l.SetRest(incarnation("0/0"), l.now+time.Second, l.now) }
+	for name, play := range map[string]func(l *testCluster){
+		"asked before the absence": func(l *testCluster) { rest(l); absent(l) },
+		"asked in the absence": func(l *testCluster) {
+			t := l.reserve(l.upstreams["0/0"], l.now)
+			absent(l)
+			rest(l)
+			l.Release(t, Failure, l.now)
+			absent(l)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestCluster(1, 2, 1)
+			play(l)
+			l.now += 500 * time.Millisecond
+			l.announce(0)
+			for range 20 {
+				if u, ticket, ok := l.ReserveLeastLoaded("s", nil, l.now); ok {
+					require.NotEqual(t, "0/0", u.ID)
+					l.Release(ticket, Success, l.now)
+				}
+			}
+			l.now += 500 * time.Millisecond
+			l.upstreams["0/1"].inflight = 9
+			u, ticket, ok := l.ReserveLeastLoaded("s", nil, l.now)
+			require.True(t, ok)
+			require.Equal(t, "0/0", u.ID, "the rest is over")
+			l.Release(ticket, Success, l.now)
+			absent(l)
+			require.NotContains(t, l.upstreams, "0/0", "an upstream without a rest is forgotten")
+		})
+	}
+}
+
 // Guards against the end of a request that was sent before the upstream became full: it must not
 // end the time for which the upstream is avoided. A later request does.
 func TestOnlyLaterSuccessEndsAvoidance(t *testing.T) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -149,8 +149,9 @@
 func (s *Scheduler) HostCount() int { return s.hosts }
 
 // SetUpstreams replaces the upstreams that serve, given by service and ordered by id. The state
-// of upstreams that stay is kept; an upstream that was restarted begins with a clean state. It
-// returns the decisions on queued requests.
+// of upstreams that stay is kept, and that of others until their attempts have ended and their
+// rest is over, since they may be back by then; an upstream that was restarted begins with a
+// clean state. It returns the decisions on queued requests.
 func (s *Scheduler) SetUpstreams(serving map[string][]registry.Upstream, now time.Duration) []Result {
 	for _, u := range s.upstreams {
 		u.isServing = false
@@ -170,7 +171,7 @@
 		}
 	}
 	for id, u := range s.upstreams {
-		if !u.isServing && u.inflight == 0 {
+		if !u.isServing && u.inflight == 0 && now >= u.restUntil {
 			delete(s.upstreams, id)
 		}
 	}
