Ask once more before the first byte whether the upstream accepts the request

What upstreams saw: requests that were sent after they had asked the host for rest, had said that they leave or had stated a limit, and one in quarantine, as late as the choice of the upstream lay before the first byte.

Cause: an upstream is chosen and its slot reserved, then a connection is taken or dialled and the request written. Nothing asked in between whether what the choice was based on still held. Beside load a dial or the wait for a processor lies between the two.

Mend: once the connection is there, the gateway is asked before the first byte. An attempt that is withheld is none: its slot is released, another upstream is chosen, and it counts neither as an attempt nor as tried. The only wait left is the write itself.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -43,6 +43,10 @@
 	// Header is sent unchanged. It contains the attempt's id.
 	Header http.Header
 	Body   []byte
+	// MaySend, if set, is called once the connection is there, just before the first byte. If it
+	// returns an error, nothing is sent: what was known when the upstream was chosen no longer
+	// holds. The error of Send then wraps it.
+	MaySend func() error
 }
 
 // Response is an upstream's response to an attempt. Callers must close it.
@@ -137,6 +141,11 @@
 	if ctx.Err() != nil {
 		return nil, newError(verdict.NotRun, contextCode(ctx), "ended before it was sent", ctx.Err())
 	}
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			return nil, newError(verdict.NotRun, verdict.CodeNoUpstream, "not sent to this upstream", err)
+		}
+	}
 	conn.requests++
 	sentAt := c.now()
 	if n, err := conn.Write(encodeRequest(t, r, c.headerNames)); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,8 +50,19 @@
 }
 
 // send picks an upstream and sends the request to it. If ok is false, c.last holds the error.
-// resume is the id of the last event that the caller has, if a broken stream is resumed.
+// resume is the id of the last event that the caller has, if a broken stream is resumed. If an
+// upstream states just before the first byte that it accepts no request, another one is picked;
+// that is no attempt.
 func (c *call) send(ctx context.Context, resume string) (*dispatch.Response, *reservation, bool) {
+	for {
+		resp, reserved, ok := c.sendToOne(ctx, resume)
+		if ok || c.isFinal || !errors.Is(c.last, errWithheld) {
+			return resp, reserved, ok
+		}
+	}
+}
+
+func (c *call) sendToOne(ctx context.Context, resume string) (*dispatch.Response, *reservation, bool) {
 	u, reserved, err := c.reserve(ctx, resume != "")
 	if err != nil {
 		c.last, c.isFinal = err, true
@@ -69,6 +80,7 @@
 	target := dispatch.Target{ID: u.ID, StartedAt: u.StartedAt, Address: u.Address, MaxConnections: c.g.maxConnections(c.service)}
 	request := &dispatch.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(resume), Body: c.body,
+		MaySend: func() error { return c.maySend(reserved) },
 	}
 	c.log("request sent", "fingerprint", c.fingerprint.String(), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
 		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
@@ -79,6 +91,10 @@
 		since = time.Now()
 	}
 	resp, err := c.sendCancellable(ctx, reserved, since, target, request)
+	if errors.Is(err, errWithheld) || errors.Is(err, errQuarantinedMeanwhile) {
+		c.withhold(reserved, err)
+		return nil, nil, false
+	}
 	if err != nil {
 		c.last = err
 		result := outcomeOfError(ctx, err)
@@ -94,6 +110,31 @@
 	return resp, reserved, true
 }
 
+// errQuarantinedMeanwhile is the reason for not sending a request that was quarantined after its
+// upstream was chosen.
+var errQuarantinedMeanwhile = errors.New("the request is in quarantine")
+
+// maySend is asked just before the first byte of an attempt is sent.
+func (c *call) maySend(reserved *reservation) error {
+	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.fingerprint); c.quarantineVerdict == quarantine.Quarantined {
+		return errQuarantinedMeanwhile
+	}
+	return reserved.maySend()
+}
+
+// withhold undoes an attempt of which nothing was sent. A request in quarantine is refused.
+func (c *call) withhold(reserved *reservation, err error) {
+	reserved.release(outcomeNeutral)
+	c.g.counts.increment("attempts.withheld")
+	c.log("attempt withheld", "upstream", reserved.ID(), "send", c.attempts, "error", err.Error())
+	c.attempts--
+	c.tried = c.tried[:len(c.tried)-1]
+	c.last = err
+	if errors.Is(err, errQuarantinedMeanwhile) {
+		c.last, c.isFinal = c.refuseQuarantined(), true
+	}
+}
+
 // sendCancellable sends an attempt and waits for the response header. If the request may be
 // retried, the attempt is cancelled when the engine's group does not serve.
 func (c *call) sendCancellable(
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -16,6 +16,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
+	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -376,3 +378,84 @@
 		require.Zero(t, requests.Load(), name)
 	}
 }
+
+// afterChoice is a log handler that calls hook once when a request has chosen its upstream, before
+// the first byte is sent.
+type afterChoice struct {
+	slog.Handler
+	once sync.Once
+	hook func(upstream string)
+}
+
+func (h *afterChoice) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h *afterChoice) Handle(_ context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if r.Message == "request sent" && a.Key == "upstream" {
+			h.once.Do(func() { h.hook(a.Value.String()) })
+		}
+		return true
+	})
+	return nil
+}
+
+// Guards against a request that reaches an upstream which has stated, after it was chosen and
+// before the first byte was sent, that it wants no request. Beside load, a dial or the wait for a
+// processor lies between the two. The caller is served by another upstream.
+func TestStatementBetweenChoiceAndSendingCounts(t *testing.T) {
+	for statement, header := range map[string][2]string{"rest": {"Retry-After", "3"}, "leaving": {"X-Leaving", "1"}, "limit": {"X-Limit", "1"}} {
+		for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+			t.Run(statement+path, func(t *testing.T) {
+				t.Parallel()
+				env := newLimitedTestEnv(t, &tokenSource{again: time.Minute})
+				if path == "/stream/x" {
+					env.setTable(engine)
+				} else {
+					env.setTable(nil)
+				}
+				counts := map[string]*atomic.Int64{}
+				for _, id := range []string{"u1", "u2"} {
+					counts[id] = env.addLimitedUpstream(id, textValue(""))
+					env.reportLoad(id, wire.EngineLoad{IsOpen: true})
+				}
+				chosen := ""
+				env.gateway.cfg.Log = slog.New(&afterChoice{hook: func(upstream string) {
+					chosen = upstream
+					now := time.Now()
+					env.gateway.observe(&dispatch.Observation{
+						Target: dispatch.Target{ID: upstream}, Status: http.StatusServiceUnavailable, Header: http.Header{header[0]: {header[1]}}, SentAt: now, ReadAt: now,
+					})
+				}})
+				resp, body := env.post(path, nil)
+				require.Equal(t, http.StatusOK, resp.StatusCode, body)
+				require.NotEmpty(t, chosen)
+				require.Zero(t, counts[chosen].Load())
+				require.EqualValues(t, 1, counts["u1"].Load()+counts["u2"].Load())
+			})
+		}
+	}
+}
+
+// Guards against a request that is sent although it was quarantined after its upstream was chosen.
+func TestQuarantineBetweenChoiceAndSendingCounts(t *testing.T) {
+	env := newTestEnv(t)
+	env.setTable(nil)
+	runs := env.addCrashingUpstream("u1")
+	env.post("/safe/poison", nil)
+	env.clockAhead.Add(int64(10 * time.Second))
+	require.EqualValues(t, 1, runs.Load())
+	var fingerprint quarantine.Fingerprint
+	for _, s := range env.gateway.cfg.Quarantine.All() {
+		fingerprint = s.Fingerprint
+	}
+	other := env.addLimitedUpstream("u2", textValue(""))
+	env.gateway.cfg.Log = slog.New(&afterChoice{hook: func(string) {
+		env.gateway.cfg.Quarantine.UpstreamCrashed(quarantine.Attempt{
+			Fingerprint: fingerprint, Workspace: "w", Request: "another", Incarnation: quarantine.Incarnation{Upstream: "u3"}, Service: "s",
+		})
+	}})
+	resp, _ := env.post("/safe/poison", nil)
+	require.NotEqual(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "not-run", resp.Header.Get(verdict.Header))
+	require.Zero(t, other.Load())
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// errWithheld is the reason for not sending an attempt to the upstream that it has reserved.
+var errWithheld = errors.New("the upstream accepts no request any more")
+
+// maySend returns errWithheld if the upstream has stated since the reservation that it accepts no
+// request.
+func (r *reservation) maySend() error {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if r.g.scheduler.MaySend(r.Ticket, r.g.now()) {
+		return nil
+	}
+	return errWithheld
+}
+
 // isDraining reports whether an upstream has announced that it is draining.
 func (g *Gateway) isDraining(r *reservation) bool {
 	g.mu.Lock()
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -41,6 +41,8 @@
 	began         time.Duration
 	isLate        bool
 	isReleased    bool
+	// hasToken is set if a token of the upstream's rate limit was taken for the attempt.
+	hasToken bool
 }
 
 // ID returns the id of the upstream.
@@ -212,11 +214,18 @@
 	if u.allowance == nil {
 		u.service.quota = max(u.service.quota-1, 0)
 	} else {
-		u.allowance.Take(now)
+		t.hasToken = u.allowance.Take(now)
 	}
 	return t
 }
 
+// MaySend reports whether the attempt may still be sent to its upstream. Since the slot was
+// reserved, the upstream may have left the list, asked for rest or stated a rate limit.
+func (s *Scheduler) MaySend(t *Ticket, now time.Duration) bool {
+	u := t.upstream
+	return t.born == u.StartedAt && u.isServing && now >= u.restUntil && (u.allowance == nil || t.hasToken)
+}
+
 // RecordFirstEvent records that the first event of an attempt's answer has arrived.
 func (s *Scheduler) RecordFirstEvent(t *Ticket, now time.Duration) {
 	t.service.demand.began(now - t.began)
