Take nothing from a cancelled attempt about the health of its upstream

Cause: an entry host that stood still for seconds loses its sessions, so its attempts fail at all engines, which are avoided for 3 s each; where all are avoided, all are used. Callers that had gone meanwhile cancelled attempts, and a cancelled attempt cleared the failure of its engine. Where it cleared one engine's and not the other's, the host sent all its requests to the first, up to its capacity.

TestCancelledAttemptClearsNoFailure fails without the change.

Mend: an outcome that says nothing about the upstream changes nothing. Only a success clears a failure.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -194,7 +194,8 @@
 		return entry.Pick{}, err
 	}
 	return entry.Pick{Upstream: upstream, Done: func(o entry.Outcome) {
-		reportOutcome(routing.Outcome{HasFailed: !o.OK && !isNeutralForHealth(o.Code)})
+		isNeutral := !o.OK && isNeutralForHealth(o.Code)
+		reportOutcome(routing.Outcome{HasFailed: !o.OK && !isNeutral, IsNeutral: isNeutral})
 	}}, nil
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -23,6 +23,9 @@
 type Outcome struct {
 	// HasFailed is set if the upstream or the connection to it failed.
 	HasFailed bool
+	// IsNeutral is set if the attempt ended for a reason that says nothing about the upstream, such
+	// as a caller that disconnected.
+	IsNeutral bool
 }
 
 // Config configures a Router.
@@ -173,11 +176,12 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	stats.addInFlight(now, -1)
-	if outcome.HasFailed {
+	switch {
+	case outcome.HasFailed:
 		stats.failedUntil = now + failureCooldown
-		return
+	case !outcome.IsNeutral:
+		stats.failedUntil = 0
 	}
-	stats.failedUntil = 0
 }
 
 // ApplyCacheEvents applies an upstream's cache events to the prefix index.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -247,6 +247,38 @@
 	require.False(t, f.candidateAt(0).Failing)
 }
 
+// A host that stood still loses its sessions, so attempts fail at all upstreams, and the callers that
+// have gone meanwhile cancel others. A cancelled attempt proves nothing. When it cleared the failure
+// of one upstream and not of the other, the host sent all its requests to the first, up to its
+// capacity, and callers of other hosts waited there while the second was idle.
+func TestCancelledAttemptClearsNoFailure(t *testing.T) {
+	f := newRouterFixture("a", "b")
+	var ends []func(Outcome)
+	seen := map[string]int{}
+	for seen["a"] < 2 || seen["b"] < 2 {
+		up, done, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		if seen[up.Name]++; seen[up.Name] == 1 {
+			done(Outcome{HasFailed: true})
+			continue
+		}
+		ends = append(ends, done)
+	}
+	for _, done := range ends {
+		done(Outcome{IsNeutral: true})
+	}
+	require.True(t, f.candidateAt(0).Failing)
+	require.True(t, f.candidateAt(1).Failing)
+	seen = map[string]int{}
+	for range 64 {
+		up, _, err := f.Pick(&Request{Pool: "p"})
+		require.NoError(t, err)
+		seen[up.Name]++
+	}
+	require.Positive(t, seen["a"])
+	require.Positive(t, seen["b"])
+}
+
 func TestAgentRestartResetsTheUpstreamStats(t *testing.T) {
 	f := newRouterFixture("a")
 	prefixes := []uint64{1, 2}
