Turn a request away from a busy upstream while another one can take it

What callers saw: a caller of one entry host waited up to 6 s for a short answer while an engine was idle.

Cause: load reports are a second or two old. A host that chooses by them may send a request to an upstream that another host has just filled, and the agent let it wait there until a slot was free, here until the streams of a frozen host had ended.

TestRequestDoesNotWaitWhileAnotherUpstreamIsIdle fails without the change.

Mend: an idempotent attempt that another suitable upstream could take says so, and a busy agent then refuses it as not run, which costs a round trip and nothing from the retry budget. The last attempt waits as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -201,6 +201,8 @@
 		return notRun(verdict.CodeDraining, "upstream is leaving").WithRetryAfter(a.cfg.RetryAfter)
 	case a.state != wire.UpstreamReady:
 		return notRun(verdict.CodeNoUpstream, "upstream is not ready").WithRetryAfter(a.cfg.RetryAfter)
+	case a.running >= a.cfg.Capacity && d.MayTurnAway:
+		return notRun(verdict.CodeOverloaded, "upstream is busy").WithRetryAfter(a.cfg.RetryAfter)
 	case a.running >= a.cfg.Capacity && len(a.waitQueue) >= a.cfg.QueueLength:
 		return notRun(verdict.CodeOverloaded, "upstream's queue is full").WithRetryAfter(a.cfg.RetryAfter)
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -184,7 +184,7 @@
 
 // Pick implements entry.Router.
 func (a routerAdapter) Pick(r entry.PickRequest) (entry.Pick, error) {
-	upstream, reportOutcome, err := a.router.Pick(&routing.Request{
+	choice, err := a.router.Pick(&routing.Request{
 		Pool:     r.Pool,
 		Version:  r.Version,
 		Prefixes: r.Prefixes,
@@ -193,9 +193,9 @@
 	if err != nil {
 		return entry.Pick{}, err
 	}
-	return entry.Pick{Upstream: upstream, Done: func(o entry.Outcome) {
+	return entry.Pick{Upstream: choice.Upstream, HasAlternative: choice.HasAlternative, Done: func(o entry.Outcome) {
 		isNeutral := !o.OK && isNeutralForHealth(o.Code)
-		reportOutcome(routing.Outcome{HasFailed: !o.OK && !isNeutral, IsNeutral: isNeutral})
+		choice.Done(routing.Outcome{HasFailed: !o.OK && !isNeutral, IsNeutral: isNeutral})
 	}}, nil
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -82,6 +82,9 @@
 	c        *call
 	id       wire.AttemptID
 	upstream wire.Upstream
+	// mayTurnAway is set if another upstream can be tried, so that waiting at a busy one is of no
+	// use.
+	mayTurnAway bool
 	// began is when the dispatch was sent, firstByte the time from then to the first body byte.
 	began     time.Time
 	firstByte time.Duration
@@ -185,6 +188,7 @@
 		Urgency:     c.req.urgency,
 		FlowWindow:  c.s.cfg.FlowWindow,
 		Offset:      offset,
+		MayTurnAway: a.mayTurnAway,
 	}
 	if !c.plan.Idempotent {
 		d.Claim = &wire.Claim{Workspace: c.plan.Workspace, Key: c.req.key}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,9 @@
 // Pick is an upstream chosen for one attempt.
 type Pick struct {
 	Upstream wire.Upstream
+	// HasAlternative is set if another upstream that was not tried yet is as suitable, apart from
+	// its load.
+	HasAlternative bool
 	// Done is called once when the attempt ends.
 	Done func(Outcome)
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -61,7 +61,7 @@
 	defer r.mu.Unlock()
 	for _, u := range r.upstreams {
 		if !contains(req.Tried, u.Name) {
-			return entry.Pick{Upstream: u, Done: r.done}, nil
+			return entry.Pick{Upstream: u, HasAlternative: len(r.upstreams)-len(req.Tried) > 1, Done: r.done}, nil
 		}
 	}
 	return entry.Pick{}, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "none left")
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -357,6 +358,48 @@
 	require.Zero(t, e.Executions().ByRequest["b"].Started)
 }
 
+// A request must not wait at a busy upstream while another one is idle. Load reports are old by a
+// second or two, so a host may choose an upstream that has just been filled by another host; its
+// caller then waited there until the streams of that host had ended. If all are busy, the request
+// waits at the last.
+func TestRequestDoesNotWaitWhileAnotherUpstreamIsIdle(t *testing.T) {
+	p := startTestProxy(t, nil)
+	started, release := make(chan string, 8), make(chan struct{})
+	unblock := sync.OnceFunc(func() { close(release) })
+	defer unblock()
+	agents := map[string]*agent.Agent{}
+	for _, name := range []string{"u1", "u2"} {
+		agents[name], _ = p.addUpstream(name, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			started <- name
+			<-release
+		}), func(c *agent.Config) { c.Capacity = 1 })
+	}
+	var g errgroup.Group
+	send := func(prompt string) {
+		r := p.newCompletion(context.Background(), prompt, 1, false)
+		g.Go(func() error {
+			_, err := http.DefaultTransport.RoundTrip(r)
+			return err
+		})
+	}
+	send("first")
+	require.Equal(t, "u1", <-started)
+	send("second")
+	select {
+	case name := <-started:
+		require.Equal(t, "u2", name)
+	case <-time.After(testTimeout):
+		require.Fail(t, "the second request waits at the busy upstream")
+	}
+	send("third")
+	require.Eventually(t, func() bool {
+		u, _ := agents["u2"].Record()
+		return u.Load.Queued == 1
+	}, testTimeout, time.Millisecond, "both are busy")
+	unblock()
+	require.NoError(t, g.Wait())
+}
+
 func TestDrainWaitsForStreams(t *testing.T) {
 	p := startTestProxy(t, nil)
 	e := standin.NewEngine(standin.EngineConfig{Step: time.Millisecond})
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -230,7 +230,8 @@
 }
 
 func (b *benchRun) send(r *benchRequest) {
-	up, done, err := b.routers[r.host].Pick(&Request{Pool: "p", Prefixes: r.prefixes, Tried: r.tried})
+	choice, err := b.routers[r.host].Pick(&Request{Pool: "p", Prefixes: r.prefixes, Tried: r.tried})
+	up, done := choice.Upstream, choice.Done
 	if err != nil {
 		b.refusals++
 		return
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -95,9 +95,19 @@
 	return &Router{cfg: cfg, stats: make(map[string]*upstreamStats), prefixes: NewPrefixIndex(cfg.PrefixIndexLimit)}
 }
 
-// Pick chooses the upstream for an attempt and counts the attempt as in flight until done is
-// called. Only the first call of done counts. The error is always ErrNoUpstream.
-func (r *Router) Pick(req *Request) (up wire.Upstream, done func(Outcome), err error) {
+// Choice is the upstream chosen for an attempt.
+type Choice struct {
+	Upstream wire.Upstream
+	// HasAlternative is set if another upstream that was not tried yet is as suitable, apart from
+	// its load.
+	HasAlternative bool
+	// Done must be called when the attempt ends. Only the first call counts.
+	Done func(Outcome)
+}
+
+// Pick chooses the upstream for an attempt and counts the attempt as in flight until Choice.Done
+// is called. The error is always ErrNoUpstream.
+func (r *Router) Pick(req *Request) (Choice, error) {
 	entries := r.cfg.Entries()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,16 +119,17 @@
 			candidates = append(candidates, r.newCandidate(&entries[i], req, now))
 		}
 	}
-	i, err := r.cfg.Policy.Choose(req, candidates, r.cfg.Rand)
-	if err != nil {
-		return wire.Upstream{}, nil, err
+	suitable := r.cfg.Policy.suitable(req, candidates)
+	if len(suitable) == 0 {
+		return Choice{}, ErrNoUpstream
 	}
-	up = candidates[i].Upstream
+	up := candidates[r.cfg.Policy.best(req, candidates, suitable, r.cfg.Rand)].Upstream
 	x := r.statsOf(up)
 	x.addInFlight(now, 1)
 	r.prefixes.RecordSent(up.Name, req.Prefixes)
 	var once sync.Once
-	return up, func(o Outcome) { once.Do(func() { r.finish(x, o) }) }, nil
+	done := func(o Outcome) { once.Do(func() { r.finish(x, o) }) }
+	return Choice{Upstream: up, HasAlternative: len(suitable) > 1, Done: done}, nil
 }
 
 // prune drops the statistics of upstreams that are no longer in the directory, on every
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -100,6 +100,15 @@
 
 // Choose returns the index of the chosen candidate, or ErrNoUpstream.
 func (p *Policy) Choose(r *Request, candidates []Candidate, rng *rand.Rand) (int, error) {
+	suitable := p.suitable(r, candidates)
+	if len(suitable) == 0 {
+		return 0, ErrNoUpstream
+	}
+	return p.best(r, candidates, suitable, rng), nil
+}
+
+// suitable returns the indices of the candidates that all filters keep.
+func (p *Policy) suitable(r *Request, candidates []Candidate) []int {
 	kept := make([]int, 0, len(candidates))
 	for i := range candidates {
 		kept = append(kept, i)
@@ -107,14 +116,16 @@
 	for _, f := range p.Filters {
 		kept = applyFilter(f, r, candidates, kept)
 	}
-	if len(kept) == 0 {
-		return 0, ErrNoUpstream
-	}
-	scored := make([]ScoredCandidate, len(kept))
-	for n, i := range kept {
+	return kept
+}
+
+// best returns the index of the candidate that the picker picks among the suitable ones.
+func (p *Policy) best(r *Request, candidates []Candidate, suitable []int, rng *rand.Rand) int {
+	scored := make([]ScoredCandidate, len(suitable))
+	for n, i := range suitable {
 		scored[n] = ScoredCandidate{Candidate: &candidates[i], Cost: p.cost(r, &candidates[i])}
 	}
-	return kept[p.Picker.Pick(scored, rng)], nil
+	return suitable[p.Picker.Pick(scored, rng)]
 }
 
 // applyFilter returns the indices that f keeps. A soft filter that would drop all of them
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -193,7 +193,8 @@
 	f := newRouterFixture("a")
 	var done []func(Outcome)
 	for range 5 {
-		_, d, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		d := choice.Done
 		require.NoError(t, err)
 		done = append(done, d)
 	}
@@ -217,7 +218,8 @@
 	f := newRouterFixture("a")
 	for range 3 * maxSamples {
 		f.now += time.Millisecond
-		_, done, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		done := choice.Done
 		require.NoError(t, err)
 		done(Outcome{})
 	}
@@ -229,7 +231,8 @@
 func TestFailedUpstreamIsAvoidedDuringItsCooldown(t *testing.T) {
 	f := newRouterFixture("a", "b")
 	for {
-		up, done, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		up, done := choice.Upstream, choice.Done
 		require.NoError(t, err)
 		if up.Name == "a" {
 			done(Outcome{HasFailed: true})
@@ -238,7 +241,8 @@
 		done(Outcome{})
 	}
 	for range 50 {
-		up, done, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		up, done := choice.Upstream, choice.Done
 		require.NoError(t, err)
 		require.Equal(t, "b", up.Name)
 		done(Outcome{})
@@ -256,7 +260,8 @@
 	var ends []func(Outcome)
 	seen := map[string]int{}
 	for seen["a"] < 2 || seen["b"] < 2 {
-		up, done, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		up, done := choice.Upstream, choice.Done
 		require.NoError(t, err)
 		if seen[up.Name]++; seen[up.Name] == 1 {
 			done(Outcome{HasFailed: true})
@@ -271,7 +276,8 @@
 	require.True(t, f.candidateAt(1).Failing)
 	seen = map[string]int{}
 	for range 64 {
-		up, _, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		up := choice.Upstream
 		require.NoError(t, err)
 		seen[up.Name]++
 	}
@@ -282,7 +288,7 @@
 func TestAgentRestartResetsTheUpstreamStats(t *testing.T) {
 	f := newRouterFixture("a")
 	prefixes := []uint64{1, 2}
-	_, _, err := f.Pick(&Request{Pool: "p", Prefixes: prefixes})
+	_, err := f.Pick(&Request{Pool: "p", Prefixes: prefixes})
 	require.NoError(t, err)
 	require.InDelta(t, 1, f.prefixes.CachedFraction("a", prefixes), 0)
 	f.entries[0].Upstream.Incarnation++
@@ -295,7 +301,8 @@
 	f.candidateAt(0)
 	f.entries = f.entries[1:]
 	for range pruneInterval {
-		_, done, err := f.Pick(&Request{Pool: "p"})
+		choice, err := f.Pick(&Request{Pool: "p"})
+		done := choice.Done
 		require.NoError(t, err)
 		done(Outcome{})
 	}
--- a/internal/wire/attempt.go
+++ b/internal/wire/attempt.go
@@ -53,6 +53,9 @@
 	FlowWindow uint64 `cbor:"13,keyasint"`
 	// Offset asks a resumable engine to continue after that many body bytes.
 	Offset uint64 `cbor:"14,keyasint,omitempty"`
+	// MayTurnAway asks an agent whose upstream is busy to refuse the attempt instead of letting it
+	// wait, because the entry host can try another upstream.
+	MayTurnAway bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Kind implements Message.
