Arm a change for a step that its orders reach in time

Cause: a change of map was armed for the very next step, which came before its orders, so the group was held until they had arrived. The time of a step is taken from polls of the engine's step number, 25 ms apart or more on a busy host. (1) The mean of two such intervals was compared with the longest time on time: steps of 105 to 111 ms, which are on time, looked like 124 to 126, 'late anyway', and the next step was armed on purpose. (2) A step may have started a poll before it was seen, so the next one was expected too late. (3) A step that was held counted as a slow one, so the next change seemed late anyway too.

Mend: whether steps are late anyway is asked of the shortest time that the polls allow, the next step is expected from the earliest time, and the step of a change is not timed. TestStepsOnTimeAreNotPausedForOrders fails without the first and without the second of them, TestPauseForOrdersIsNoStepTime without the third. A change takes effect 25 to 50 ms later on average.

--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -29,14 +29,14 @@
 // armAhead returns how many steps ahead a change should be armed. That is the first step that
 // starts after the orders of the change (arm and commit) have reached all ranks. An earlier
 // step would pause until then, and a later one would keep the group on the old map, and so on
-// its slowest rank, for longer. If steps take so long that streams are late anyway, the next
-// step is armed, and the group may pause for the orders.
+// its slowest rank, for longer. If steps certainly take so long that streams are late anyway, the
+// next step is armed, and the group may pause for the orders.
 func (r *Runner) armAhead(now time.Time) uint64 {
 	step := r.stepTimer.mean()
 	if step == 0 {
 		return min(r.cfg.ArmAhead+r.extraAhead, r.cfg.MaxArmAhead)
 	}
-	if limit := r.maxStepTime(); limit > 0 && step >= limit {
+	if limit := r.maxStepTime(); limit > 0 && r.stepTimer.least() >= limit {
 		return 1
 	}
 	remaining := max(r.orderTime.upperBound()-r.stepTimer.untilNext(now), 0)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -389,6 +389,21 @@
 	go func() { r.polled <- r.readStatuses(ctx) }()
 }
 
+// observeStep records the last step that an engine has started. The step of a change that has
+// taken effect is not timed, since the group may have been paused before it.
+func (r *Runner) observeStep(s expertmap.Status, now time.Time) {
+	step, late := r.pauseMeter.observe(s, &r.stepTimer, now)
+	if step == 0 {
+		r.stepTimer.observe(s.Step, now)
+		return
+	}
+	if r.address == 0 {
+		r.cfg.Log.Info("expert map in force", "group", r.cfg.Group, "step", step, "late_ms", late.Milliseconds(),
+			"pass_ms", r.stepTimer.mean().Milliseconds())
+	}
+	r.stepTimer.skip(s.Step, now)
+}
+
 // observe takes the current states of the engines. It starts a recovery if the ranks wait for a
 // decision and no coordinator has been heard from.
 func (r *Runner) observe(ctx context.Context, s statuses) {
@@ -397,11 +412,7 @@
 	}
 	r.ranks = s.ranks
 	now := time.Now()
-	if step, late := r.pauseMeter.observe(s.ranks[0], &r.stepTimer, now); step != 0 && r.address == 0 {
-		r.cfg.Log.Info("expert map in force", "group", r.cfg.Group, "step", step, "late_ms", late.Milliseconds(),
-			"pass_ms", r.stepTimer.mean().Milliseconds())
-	}
-	r.stepTimer.observe(s.ranks[0].Step, now)
+	r.observeStep(s.ranks[0], now)
 	if r.participant.RecoveryDue(s.ranks) && r.coordinator == nil {
 		r.findMembers(ctx, intent{isRecovery: true})
 	}
--- a/internal/group/steptimer.go
+++ b/internal/group/steptimer.go
@@ -8,24 +8,40 @@
 // stepTimer estimates the step time from polls of the number of the last started step. It
 // averages over the last two polls that found a new step.
 type stepTimer struct {
-	step    uint64
-	changed time.Time
+	step uint64
+	// polled is the time of the last poll, and changed that of the last one that found a new
+	// step. The step started at most pollGap before.
+	polled, changed time.Time
+	pollGap         time.Duration
 	// stepTimes holds the time per step at the last two polls that found a new step, the older
-	// one first; 0 if unknown.
-	stepTimes [2]time.Duration
+	// one first, and stepCounts the number of steps; 0 if unknown.
+	stepTimes  [2]time.Duration
+	stepCounts [2]uint64
 }
 
 // observe records the number of the last started step.
 func (t *stepTimer) observe(step uint64, now time.Time) {
+	gap := now.Sub(t.polled)
 	idle := now.Sub(t.changed)
 	switch {
 	case t.changed.IsZero() || step < t.step:
 		*t = stepTimer{step: step, changed: now}
 	case step > t.step:
-		*t = stepTimer{step: step, changed: now, stepTimes: [2]time.Duration{t.stepTimes[1], idle / time.Duration(step-t.step)}}
+		n := step - t.step
+		t.stepTimes = [2]time.Duration{t.stepTimes[1], idle / time.Duration(n)}
+		t.stepCounts = [2]uint64{t.stepCounts[1], n}
+		t.step, t.changed, t.pollGap = step, now, gap
 	case idle >= idleTimeout:
-		t.stepTimes = [2]time.Duration{}
+		t.stepTimes, t.stepCounts = [2]time.Duration{}, [2]uint64{}
 	}
+	t.polled = now
+}
+
+// skip records the number of the last started step without its time, for a step before which the
+// group may have been paused.
+func (t *stepTimer) skip(step uint64, now time.Time) {
+	t.pollGap = now.Sub(t.polled)
+	t.step, t.changed, t.polled = step, now, now
 }
 
 // mean returns the mean step time; 0 if it is unknown or no steps are being started.
@@ -36,9 +52,17 @@
 	return (t.stepTimes[0] + t.stepTimes[1]) / 2
 }
 
-// untilNext estimates the time until the next step starts.
+// least returns the shortest mean step time that the polls allow: the last step may have started
+// just after the poll before the one that found it.
+func (t *stepTimer) least() time.Duration {
+	steps := t.stepCounts[0] + t.stepCounts[1]
+	return max(t.mean()-t.pollGap/time.Duration(max(steps, 1)), 0)
+}
+
+// untilNext estimates the time until the next step starts, from the earliest time at which the
+// last one may have started.
 func (t *stepTimer) untilNext(now time.Time) time.Duration {
-	return max(t.mean()-now.Sub(t.changed), 0)
+	return max(t.mean()-now.Sub(t.changed)-t.pollGap, 0)
 }
 
 // delay returns how much later a new step started than the mean step time predicts; 0 if the
--- a/internal/group/steptimer_test.go
+++ b/internal/group/steptimer_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -73,6 +74,57 @@
 	require.EqualValues(t, 1, r.armAhead(late))
 }
 
+// Guards against a pause of all streams because a change is armed for a step that starts before its
+// orders have arrived, although steps are on time. A busy host polls its engine every 50 ms, so steps
+// of 108 ms look like 100 or 150 ms, and a step may have started 50 ms before it is seen. When the mean
+// of two was taken as it looked, steps seemed to be late anyway (limit 120 ms).
+func TestStepsOnTimeAreNotPausedForOrders(t *testing.T) {
+	const stepTime, pollGap, orders = 108 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond
+	for phase := range int(pollGap / time.Millisecond) {
+		r := New(Config{
+			ArmAhead: 6, NewID: func() uint64 { return 1 }, Metrics: metrics.NewRegistry(),
+			MaxStepTime: func() time.Duration { return 120 * time.Millisecond },
+		})
+		began := time.Unix(100, 0)
+		for poll := range 40 {
+			since := time.Duration(poll)*pollGap + time.Duration(phase)*time.Millisecond
+			now := began.Add(since)
+			step := uint64(since / stepTime)
+			r.observeStep(expertmap.Status{Step: step}, now)
+			if step < 4 {
+				continue
+			}
+			starts := time.Duration(step+r.armAhead(now))*stepTime - since
+			require.Greater(t, starts, orders, "phase %d poll %d", phase, poll)
+			require.Less(t, starts, orders+2*stepTime, "armed for a needlessly late step")
+		}
+	}
+}
+
+// Guards against a pause that is taken for a slow step: it made the next change seem late anyway,
+// so that it was armed for the next step and paused the group too.
+func TestPauseForOrdersIsNoStepTime(t *testing.T) {
+	r := New(Config{NewID: func() uint64 { return 1 }, Metrics: metrics.NewRegistry(), Log: slog.New(slog.DiscardHandler)})
+	at := time.Unix(100, 0)
+	observe := func(step uint64, after time.Duration, armed uint64) {
+		s := expertmap.Status{Step: step}
+		if armed != 0 {
+			s.Armed = &expertmap.Change{Step: armed}
+		}
+		at = at.Add(after)
+		r.observeStep(s, at)
+	}
+	for step := range uint64(5) {
+		observe(step, 100*time.Millisecond, 0)
+	}
+	observe(5, 100*time.Millisecond, 6)
+	observe(6, 175*time.Millisecond, 0)
+	require.Equal(t, 100*time.Millisecond, r.stepTimer.mean())
+	observe(7, 60*time.Millisecond, 0)
+	observe(8, 60*time.Millisecond, 0)
+	require.Equal(t, 60*time.Millisecond, r.stepTimer.mean(), "the step time follows")
+}
+
 // Guards against pauses that are counted twice or for aborted changes. The pause of a change is
 // how much later than usual the armed step started.
 func TestPauseIsCountedOncePerChange(t *testing.T) {
