Soak: a fault that slows the disk of all hosts

It writes and syncs large files beside the data of the system, from outside its processes, and is played only when it is named, so that the plans of known seeds stay.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -60,7 +60,7 @@
 	flags.IntVar(&o.seeds, "seeds", 1, "number of runs, each with the next seed")
 	flags.IntVar(&o.size, "size", 1, fmt.Sprintf("size of the system, 1 to %d: 21 to 176 processes", soak.MaxSize))
 	flags.DurationVar(&o.faultTime, "for", 20*time.Second, "how long faults are played in a run")
-	flags.StringSliceVar(&o.only, "only", nil, "kinds of faults to play: kill, terminate, pause, cut, silence, delay, reset, poison (default: all)")
+	flags.StringSliceVar(&o.only, "only", nil, "kinds of faults to play: kill, terminate, pause, cut, silence, delay, reset, poison, slow-disk (default: all but slow-disk)")
 	flags.StringVar(&o.keepDir, "keep", "", "folder for the logs of runs with a broken promise")
 	return cmd
 }
@@ -127,8 +127,8 @@
 	var out []soak.Kind
 	for _, name := range names {
 		k := soak.Kind(name)
-		if !slices.Contains(soak.Kinds, k) {
-			return nil, errors.Errorf("no kind of fault %q: there are %v", name, soak.Kinds)
+		if k != soak.SlowDisk && !slices.Contains(soak.Kinds, k) {
+			return nil, errors.Errorf("no kind of fault %q: there are %v and %s", name, soak.Kinds, soak.SlowDisk)
 		}
 		out = append(out, k)
 	}
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -36,9 +36,13 @@
 	// Poison sends a completion request that crashes the engine which executes it, again and
 	// again, to one entry host after the other.
 	Poison Kind = "poison"
+	// SlowDisk writes and syncs large files beside the system's data, so that its syncs take long.
+	// All hosts share the disk, so the fault meets all control hosts.
+	SlowDisk Kind = "slow-disk"
 )
 
-// Kinds lists all kinds.
+// Kinds lists the kinds that a run plays by default. SlowDisk is not among them: it also slows
+// whatever else uses the machine.
 var Kinds = []Kind{Kill, Terminate, Pause, Cut, Silence, Delay, Reset, Poison}
 
 // IsPlanned reports whether a fault of this kind must not interrupt any request.
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -167,6 +167,8 @@
 		resetConnections(ctx, s, h)
 	case Poison:
 		sendPoison(ctx, s, r, f)
+	case SlowDisk:
+		loadDisk(ctx, s.Dir, f.For)
 	case Delay:
 		s.DelayOutbound(h, sendDelay)
 		sleep(ctx, f.For)
