Let each claim ask every control host before it gives up

Cause: a call gave up after as many attempts as there are hosts. All calls of an entry host share the host to ask next, and others, who are told so by hosts that still name the former leader, bring it back into that place; then all attempts of a call were at that one host.

TestClaimAsksEveryHostWhileOthersNameTheFormerLeader fails on the code before.

Mend: a call remembers which hosts it has asked, asks one that it has not asked in place of one that did not answer it, and gives up once it has asked them all.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -138,17 +138,17 @@
 // If there is none, it goes on while one can be elected, see leaderSearch; the error tells the
 // caller to retry after the duration of an election.
 func (c *Client) call(ctx context.Context, m wire.Message, policy resendPolicy) (wire.Message, error) {
-	known := len(c.addressBook.List())
-	if known == 0 {
+	known := c.addressBook.List()
+	if len(known) == 0 {
 		// A single control host that does not lead has no other host to ask.
 		return nil, noLeaderError(false, nil)
 	}
-	search := leaderSearch{known: known, answered: make(map[string]bool)}
+	search := leaderSearch{hosts: known, answered: make(map[string]bool)}
 	started := time.Now()
 	mayHaveRun := false
 	var last error
 	for ctx.Err() == nil {
-		address := c.target()
+		address := search.choose(c.target())
 		reply, sent, err := c.callHost(ctx, address, m)
 		if err == nil {
 			return reply, nil
@@ -163,7 +163,6 @@
 		case isFailure && c.isKnown(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
 		default:
-			search.attempts++
 			c.skipHost(address)
 		}
 		if mayHaveRun && policy == sendOnce || search.isOver(time.Since(started)) {
@@ -174,21 +173,33 @@
 	return nil, noLeaderError(mayHaveRun, last)
 }
 
-// leaderSearch is what a call has learned about the control hosts, of which it knows some.
+// leaderSearch is what one call has learned about the control hosts.
 type leaderSearch struct {
-	known int
-	// attempts counts the hosts asked, also repeatedly, that did not answer or named no other host
-	// as the leader.
-	attempts int
-	// answered tells of each host whether it answered when it was last asked.
+	hosts []string
+	// answered has the hosts that the call has asked, and whether they answered the last time.
 	answered map[string]bool
 }
 
-// isOver reports whether to give up after the given time: once every host was asked and no
-// leader can be elected soon.
+// choose returns the host to ask next: the one proposed, or one that this call has not asked yet
+// if the proposed one did not answer it. All calls share the proposal, so that others may bring a
+// host that is gone back into it.
+func (s *leaderSearch) choose(proposed string) string {
+	if hasAnswered, isAsked := s.answered[proposed]; !isAsked || hasAnswered {
+		return proposed
+	}
+	for _, host := range s.hosts {
+		if _, isAsked := s.answered[host]; !isAsked {
+			return host
+		}
+	}
+	return proposed
+}
+
+// isOver reports whether to give up after the given time: after electionWait, or earlier once every
+// host was asked and no majority answers that could elect a leader.
 func (s *leaderSearch) isOver(elapsed time.Duration) bool {
-	if s.attempts < s.known {
-		return false
+	if elapsed > electionWait || len(s.answered) < len(s.hosts) {
+		return elapsed > electionWait
 	}
 	answering := 0
 	for _, hasAnswered := range s.answered {
@@ -196,10 +207,7 @@
 			answering++
 		}
 	}
-	if answering > s.known/2 {
-		return elapsed > electionWait
-	}
-	return elapsed > leaderSearchTime
+	return answering <= len(s.hosts)/2 && elapsed > leaderSearchTime
 }
 
 // shouldAskAnotherHost reports whether a host rejected a call because it does not lead or is
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -135,6 +135,34 @@
 	require.Equal(t, wire.ClaimGranted, reply.State)
 }
 
+// Calls share what they know of the leader. A claim must ask every host itself before it gives up:
+// when it counted its attempts, three of them could be at the former leader, which other calls named
+// again and again, and the next leader was never asked.
+func TestClaimAsksEveryHostWhileOthersNameTheFormerLeader(t *testing.T) {
+	const former = "127.0.0.1:1" // nothing listens there
+	next := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
+		_ = s.Reply(call, &wire.ClaimReply{State: wire.ClaimGranted})
+	})
+	c := clientOf(t, former, "127.0.0.2:1", next)
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				c.setLeader(former)
+			}
+		}
+	})
+	reply, err := c.Claim(claimContext(t), &wire.ClaimRequest{Key: "k"})
+	close(stop)
+	others.Wait()
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimGranted, reply.State)
+}
+
 // Without a majority no leader can be elected, so the caller must be told at once.
 func TestClaimIsRefusedAtOnceWithoutMajority(t *testing.T) {
 	alone := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) { _ = s.Reply(call, noLeader()) })
