Refuse orders of a change that was given up

Cause: an arm order that had got no answer was carried out 3.5 s later, when its change had been given up, the rank had been disarmed and was being resumed. It should have been refused by the count of orders that each order expects, but these engines don't count the orders of a change: the count is 0 in every report. So it was accepted, and the resume order was sent again, since the count had not changed, to a rank that was armed by then.

TestLateArmOrderIsNotResumed fails on the code before, for a rank that was armed before and for one that never was.

Mend: an order is sent again only while the state is the one that it was based on; orders that end a change have the next fencing token, so the engine refuses those of the change; before a rank is resumed the engine is told once more to pause, with that token, and asked once more whether it is armed. The model of engines in the tests may now count no orders, and checks tokens.

--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -3,8 +3,10 @@
 // to it at a step, and pauses before that step until it is told to resume.
 //
 // Every order states how many orders the engine must have started before it. If an order gets no
-// answer and is sent again, the engine therefore executes only one of the two, and it refuses a
-// delayed order once it has started another one.
+// answer and is sent again, an engine that counts these orders executes only one of the two, and it
+// refuses a delayed order once it has started another one. Not every engine counts them. So an order
+// is sent again only while the state is still the one that it was based on, and the orders that end a
+// change have a higher fencing token than those that armed it, which are refused from then on.
 package rank
 
 import (
@@ -246,25 +248,35 @@
 }
 
 // sendOrder sends an order that is based on the report r. While it gets no answer and the engine
-// hasn't started any order since r, it sends the order again, up to maxSends times. The caller
+// hasn't carried out any order since r, it sends the order again, up to maxSends times. The caller
 // holds mu.
 func (e *Engine) sendOrder(ctx context.Context, r Report, ballot expertmap.Ballot, o Order) error {
 	o.Epoch = e.epoch
 	o.ExpectedSequence = r.Sequence
-	o.FencingCounter = ballot.Counter
+	o.FencingCounter = max(o.FencingCounter, ballot.Counter)
 	var err error
 	for range maxSends {
 		if err = e.sendOnce(ctx, o); !errors.Is(err, ErrUnanswered) {
 			return err
 		}
 		current, reportErr := e.checkedReport(ctx)
-		if reportErr != nil || current.Sequence != o.ExpectedSequence {
+		if reportErr != nil || !current.hasSameOrders(r) {
 			return err
 		}
 	}
 	return err
 }
 
+// hasSameOrders reports whether no order seems to have been carried out between two reports.
+func (r Report) hasSameOrders(other Report) bool {
+	return r.Sequence == other.Sequence && r.Prepared == other.Prepared && r.ArmedVersion == other.ArmedVersion &&
+		r.ArmedStep == other.ArmedStep && r.PauseStep == other.PauseStep
+}
+
+// fence returns the fencing token of the orders that end a ballot's change. The engine then refuses
+// the orders of the change that are still in transit. The next ballot has at least this counter.
+func fence(b expertmap.Ballot) uint64 { return b.Counter + 1 }
+
 // sendOnce sends an order once and waits for its answer for up to orderTimeout.
 func (e *Engine) sendOnce(ctx context.Context, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -369,16 +381,28 @@
 		if r.ArmedVersion == 0 {
 			return nil
 		}
-		return e.sendOrder(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion})
+		return e.sendOrder(ctx, r, b, Order{Operation: Disarm, Version: r.ArmedVersion, FencingCounter: fence(b)})
 	})
 }
 
-// Release implements expertmap.Releaser.
+// Release implements expertmap.Releaser. The engine was perhaps never armed, and an order to arm it
+// may still be in transit. So it is first told again to pause, which changes nothing but the token,
+// and it is resumed only if it isn't armed after that. An engine may refuse to pause where it does
+// already; it has seen the token then.
 func (e *Engine) Release(ctx context.Context, b expertmap.Ballot) error {
 	return e.withReport(ctx, func(r Report) error {
 		if r.PauseStep == 0 || r.ArmedVersion != 0 {
 			return nil
 		}
-		return e.sendOrder(ctx, r, b, Order{Operation: Resume, Step: r.PauseStep})
+		step := r.PauseStep
+		err := e.sendOrder(ctx, r, b, Order{Operation: Pause, Step: step, FencingCounter: fence(b)})
+		if errors.Is(err, ErrUnanswered) {
+			return err
+		}
+		r, err = e.checkedReport(ctx)
+		if err != nil || r.PauseStep != step || r.ArmedVersion != 0 {
+			return err
+		}
+		return e.sendOrder(ctx, r, b, Order{Operation: Resume, Step: step, FencingCounter: fence(b)})
 	})
 }
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -17,6 +17,10 @@
 func TestNoStepRunsOnTwoMaps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.IntRange(2, 4).Draw(t, "ranks"))
+		countsNoOrders := rapid.Bool().Draw(t, "engines count no orders")
+		for _, e := range sim.group.engines {
+			e.countsNoOrders = countsNoOrders
+		}
 		isLossy := rapid.Bool().Draw(t, "lossy")
 		for _, e := range sim.group.engines {
 			e.losesNext = func() bool { return isLossy && rapid.IntRange(0, 5).Draw(t, "lose") == 0 }
@@ -318,3 +322,53 @@
 	require.Zero(t, second.state.PauseStep)
 	require.Zero(t, first.state.Map)
 }
+
+// An arm order that got no answer may be carried out seconds later, when its change was aborted and
+// the rank is about to be resumed. A rank that was resumed then began the step on a map that no other
+// rank used. An engine need not count orders, so the count tells nothing of such an order.
+func TestLateArmOrderIsNotResumed(t *testing.T) {
+	b := expertmap.Ballot{Counter: 7}
+	change := expertmap.Change{Version: b, Ballot: b, Step: 5}
+	for name, isArmedBefore := range map[string]bool{"armed and disarmed before": true, "never armed before": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(1)
+			e := g.engines[0]
+			e.countsNoOrders = true
+			engine := New(e, 1, 1)
+			ctx := t.Context()
+			require.NoError(t, engine.Stage(ctx, expertmap.Map{Version: b, SlotsPerRank: 1, Layers: [][]uint16{{0}}}))
+			lost := 0
+			e.losesNext = func() bool {
+				lost++
+				return lost == 2 || lost > 2 && !isArmedBefore
+			}
+			_ = engine.Arm(ctx, change)
+			require.NotEmpty(t, e.lateOrders)
+			require.Equal(t, isArmedBefore, e.state.ArmedVersion != 0)
+			e.losesNext = func() bool { return false }
+			require.NoError(t, engine.Abort(ctx, b))
+			late := e.lateOrders[0]
+			resumes := 0
+			e.losesNext = func() bool {
+				// The late order is carried out while the first resume order is in transit.
+				if resumes++; resumes == 1 {
+					_ = e.execute(late)
+					return true
+				}
+				return false
+			}
+			for range 10 {
+				if s, err := engine.Status(ctx); err == nil && s.Armed != nil && e.state.PauseStep != 0 {
+					_ = engine.Abort(ctx, b)
+					continue
+				}
+				_ = engine.Release(ctx, b)
+			}
+			require.Zero(t, e.state.PauseStep, "released")
+			for range 5 {
+				require.True(t, g.startStep())
+			}
+			require.Zero(t, e.state.Map, "the change was aborted")
+		})
+	}
+}
--- a/internal/rank/simulation_test.go
+++ b/internal/rank/simulation_test.go
@@ -23,6 +23,10 @@
 	lateOrders []Order
 	// losesNext decides whether the next order is lost in transit.
 	losesNext func() bool
+	// countsNoOrders is set if the engine accepts orders without counting them in its Sequence.
+	countsNoOrders bool
+	// fence is the highest FencingCounter that the engine has seen.
+	fence uint64
 }
 
 func newGroup(ranks int) *simGroup {
@@ -73,10 +77,13 @@
 // execute applies the engine's rules for each kind of order.
 func (e *simEngine) execute(o Order) error {
 	s := &e.state
-	if o.Epoch != s.Epoch || o.ExpectedSequence != s.Sequence {
+	if o.Epoch != s.Epoch || o.ExpectedSequence != s.Sequence || o.FencingCounter != 0 && o.FencingCounter < e.fence {
 		return errRefused
 	}
+	e.fence = max(e.fence, o.FencingCounter)
 	switch {
+	case o.Operation == Pause && s.PauseStep == o.Step:
+		return nil
 	case o.Operation == Prepare && o.Version > s.Map && o.Version > s.Prepared && s.ArmedVersion == 0:
 		s.Prepared = o.Version
 	case o.Operation == Arm && s.Prepared == o.Version && o.Step > s.Step && s.ArmedVersion == 0:
@@ -90,7 +97,9 @@
 	default:
 		return errRefused
 	}
-	s.Sequence++
+	if !e.countsNoOrders {
+		s.Sequence++
+	}
 	return nil
 }
 
