Say that a claim may be granted where an earlier host may have granted it

What callers could see: a key that stays taken until the deadline of a request that was refused.

If the first host may have granted it and the next refuses it, as overloaded, the last answer counted: not run. So its entry host did not release it.

Evidence: TestClaimThatMayBeGrantedSaysSo fails without the change.

Mend: the verdict of the call is that of all hosts asked.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -159,7 +159,7 @@
 		search.answered[address] = isFailure
 		switch {
 		case isFailure && !shouldAskAnotherHost(err, policy):
-			return nil, err
+			return nil, withPossibleRun(err, mayHaveRun)
 		case isFailure && c.isKnown(failure.Leader) && failure.Leader != address:
 			c.setLeader(failure.Leader)
 		default:
@@ -198,8 +198,11 @@
 // isOver reports whether to give up after the given time: after electionWait, or earlier once every
 // host was asked and no majority answers that could elect a leader.
 func (s *leaderSearch) isOver(elapsed time.Duration) bool {
-	if elapsed > electionWait || len(s.answered) < len(s.hosts) {
-		return elapsed > electionWait
+	switch {
+	case elapsed > electionWait:
+		return true
+	case len(s.answered) < len(s.hosts):
+		return false
 	}
 	answering := 0
 	for _, hasAnswered := range s.answered {
@@ -219,6 +222,16 @@
 	return mayAsk && (e.Code == verdict.CodeNoQuorum || e.Code == verdict.CodeDraining)
 }
 
+// withPossibleRun returns the final error of a call. If an earlier host may have processed the
+// message, the call may have run, whatever the last host says.
+func withPossibleRun(err error, mayHaveRun bool) error {
+	e := *verdict.FromError(err)
+	if mayHaveRun && e.Verdict == verdict.NotRun {
+		e.Verdict = verdict.MayHaveRun
+	}
+	return &e
+}
+
 // noLeaderError returns the error of a call that reached no leader. mayHaveSent tells
 // whether a host may have processed the message nevertheless.
 func noLeaderError(mayHaveSent bool, cause error) error {
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -91,6 +91,20 @@
 	require.Equal(t, <-attempts, <-attempts)
 }
 
+// A claim that an earlier host may have granted must not end as one that was not: its entry host
+// would not release it, and its key would stay taken until the deadline.
+func TestClaimThatMayBeGrantedSaysSo(t *testing.T) {
+	former := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
+		_ = s.Reply(call, peer.NewFailure(verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "the leadership ended before the commit")))
+	})
+	next := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
+		_ = s.Reply(call, peer.NewFailure(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many proposals wait")))
+	})
+	_, err := clientOf(t, former, next).Claim(claimContext(t), &wire.ClaimRequest{Key: "k"})
+	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
+	require.Equal(t, verdict.CodeOverloaded, verdict.FromError(err).Code)
+}
+
 // While a majority of the control hosts answers, a leader will be elected, and the claim must wait
 // for it. An election takes one to two seconds and more with slow disks; a client that gave up
 // after 0.3 s refused every booking meanwhile.
