--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,6 +62,7 @@
 	}
 }
 
+// sendToOne is send for one choice of an upstream. If it was withheld, c.last wraps errWithheld.
 func (c *call) sendToOne(ctx context.Context, resume string) (*dispatch.Response, *reservation, bool) {
 	u, reserved, err := c.reserve(ctx, resume != "")
 	if err != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -371,7 +371,7 @@
 	}
 	var done sync.WaitGroup
 	for i := range 10 {
-		time.Sleep(2 * testTick)
+		time.Sleep(2 * testTick) // lets virtual time pass between the proposals
 		done.Go(func() {
 			// A leader whose own disk is slow hands over meanwhile and refuses with the verdict
 			// NotRun; any other error would leave the caller in doubt.
