Apply a leave without a start time to the known incarnation

Upstreams that state their start time in each announcement may leave by a call without a body. It decoded to start time 0, so the registry took it for one of an earlier incarnation, dropped it and acknowledged it all the same. Entry hosts then sent requests to the upstream until it was gone.

The call now concerns the incarnation that a host knows. Control hosts pass the call itself on, because entry hosts may know a later incarnation than they do, and acknowledge it only if no entry host has refused it. A call for an upstream that the control host does not know is passed on but not stored: a host that attaches later would apply it to a later incarnation.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -302,16 +302,22 @@
 		return verdict.New(verdict.NotRun, verdict.CodeDraining, "this control host has just started")
 	}
 	f.mu.Lock()
-	known, changed := f.registry.Announce(u, f.now())
+	records, changed, err := f.registry.Announce(u, f.now())
+	if err != nil {
+		f.mu.Unlock()
+		h.cfg.Log.Warn("announcement refused", "upstream", u.ID, "state", u.State, "sequence", u.Sequence, "error", err.Error())
+		return verdict.New(verdict.NotRun, verdict.CodeConflict, err.Error())
+	}
 	if !changed && !isDrainingOrGone {
 		f.mu.Unlock()
 		return nil
 	}
 	f.upstreamList = nil
 	f.requestSave()
+	known := records[0]
 	h.cfg.Log.Info("upstream announced", "upstream", known.ID, "service", known.Service,
 		"address", known.Address, "state", known.State, "sequence", known.Sequence)
-	m := &wire.Upstreams{All: []registry.Upstream{known}}
+	m := &wire.Upstreams{All: records}
 	if !isDrainingOrGone {
 		f.broadcast(m)
 		f.mu.Unlock()
@@ -328,20 +334,37 @@
 		}
 	}
 	f.mu.Unlock()
-	callAll(ctx, entries, m)
+	if err := callAll(ctx, entries, m); err != nil {
+		h.cfg.Log.Warn("announcement refused by a host", "upstream", u.ID, "state", u.State, "error", err.Error())
+		return err
+	}
 	return nil
 }
 
 // callAll sends m to all sessions and waits for the replies. A host that does not reply
-// within notifyTimeout counts as disconnected.
-func callAll(ctx context.Context, sessions []*peer.Session, m wire.Message) {
+// within notifyTimeout counts as disconnected. The error is that of a host that has not applied
+// the message.
+func callAll(ctx context.Context, sessions []*peer.Session, m wire.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
+	refusals := make(chan error, len(sessions))
 	var wg sync.WaitGroup
 	for _, s := range sessions {
-		wg.Go(func() { _, _, _ = s.Call(ctx, m) })
+		wg.Go(func() {
+			if reply, _, err := s.Call(ctx, m); err != nil {
+				if _, isRefusal := reply.(*wire.Failure); isRefusal {
+					refusals <- err
+				}
+			}
+		})
 	}
 	wg.Wait()
+	select {
+	case err := <-refusals:
+		return err
+	default:
+		return nil
+	}
 }
 
 // ControlHostConnected adds a control host with which a session has begun. It sends the
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -298,7 +298,7 @@
 	env.setTable(nil)
 	requests := env.addLimitedUpstream("u1", textValue("1"))
 	env.limit("u1")
-	env.gateway.Merge("c", []registry.Upstream{{ID: "u1", Service: "s", Address: env.addresses["u1"], Slots: 9, Sequence: 2}})
+	_ = env.gateway.Merge("c", []registry.Upstream{{ID: "u1", Service: "s", Address: env.addresses["u1"], Slots: 9, Sequence: 2}})
 	env.post("/safe/x", nil)
 	require.Zero(t, requests.Load())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,13 +148,15 @@
 func (g *Gateway) StartDraining() { g.draining.Store(true) }
 
 // Merge applies what a control host reports about upstreams. The change has taken effect when
-// Merge returns.
-func (g *Gateway) Merge(source string, all []registry.Upstream) {
+// Merge returns, except for records that registry.ErrAmbiguous is returned for.
+func (g *Gateway) Merge(source string, all []registry.Upstream) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.view.Merge(source, all) {
+	changed, err := g.view.Merge(source, all, g.now())
+	if changed {
 		g.updateUpstreams()
 	}
+	return err
 }
 
 // DropSource records that a control host can't be reached any more.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -117,7 +117,7 @@
 	}))
 	env.t.Cleanup(s.Close)
 	env.addresses[id] = s.Listener.Addr().String()
-	env.gateway.Merge("c", []registry.Upstream{{
+	_ = env.gateway.Merge("c", []registry.Upstream{{
 		ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 4, Sequence: 1,
 	}})
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -36,7 +36,7 @@
 	}))
 	env.t.Cleanup(s.Close)
 	env.addresses[id] = s.Listener.Addr().String()
-	env.gateway.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: env.addresses[id], Slots: 4, Sequence: 1}})
+	_ = env.gateway.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: env.addresses[id], Slots: 4, Sequence: 1}})
 	return runs
 }
 
@@ -131,7 +131,7 @@
 	resp, _ := env.post("/safe/x", nil)
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 	require.Empty(t, env.gateway.cfg.Quarantine.List(), "a broken response alone does not mean that the upstream ended")
-	env.gateway.Merge("c", []registry.Upstream{{ID: "u1b", Service: "s", Address: env.addresses["u1"], Slots: 4, Sequence: 1}})
+	_ = env.gateway.Merge("c", []registry.Upstream{{ID: "u1b", Service: "s", Address: env.addresses["u1"], Slots: 4, Sequence: 1}})
 	list := env.gateway.cfg.Quarantine.List()
 	require.Len(t, list, 1)
 	require.Equal(t, quarantine.Suspect, list[0].Verdict)
@@ -163,7 +163,7 @@
 	var ended atomic.Bool
 	var s *httptest.Server
 	s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		env.gateway.Merge("c", []registry.Upstream{{
+		_ = env.gateway.Merge("c", []registry.Upstream{{
 			ID: "u1", Service: "s", Address: env.addresses["u1"], Slots: 4, Sequence: 2, State: registry.Draining,
 		}})
 		_ = s.Listener.Close()
@@ -172,7 +172,7 @@
 	}))
 	t.Cleanup(s.Close)
 	env.addresses["u1"] = s.Listener.Addr().String()
-	env.gateway.Merge("c", []registry.Upstream{{ID: "u1", Service: "s", Address: env.addresses["u1"], Slots: 4, Sequence: 1}})
+	_ = env.gateway.Merge("c", []registry.Upstream{{ID: "u1", Service: "s", Address: env.addresses["u1"], Slots: 4, Sequence: 1}})
 	env.addUpstream("u2", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
 	require.Eventually(t, func() bool {
 		resp, body := env.post("/safe/x", nil)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -57,6 +57,7 @@
 	follower *follower
 	client   rank.Client
 	table    atomic.Pointer[routetable.Table]
+	started  time.Time
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -84,7 +85,7 @@
 
 func (n *Node) buildAgent() (role, error) {
 	n.openPool("")
-	a := &agentRole{n: n, upstreams: registry.NewView(), client: n.platform.NewEngine(n.settings.Agent.Upstream)}
+	a := &agentRole{n: n, started: time.Now(), upstreams: registry.NewView(), client: n.platform.NewEngine(n.settings.Agent.Upstream)}
 	a.follower = newFollower(n, "agent")
 	// An agent uses only the group shape in the configuration, so it need not wait for the newest
 	// configuration when it starts.
@@ -106,10 +107,11 @@
 	return a, nil
 }
 
-func (a *agentRole) mergeUpstreams(source string, all []registry.Upstream) {
+func (a *agentRole) mergeUpstreams(source string, all []registry.Upstream) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.upstreams.Merge(source, all)
+	_, err := a.upstreams.Merge(source, all, time.Since(a.started))
+	return err
 }
 
 func (a *agentRole) applyTable(t *routetable.Table) bool {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -48,7 +49,7 @@
 	// upstreams, dropSource is called when the sessions with a control host are lost,
 	// setEntryHostCount sets the number of entry hosts, and applyTable puts a configuration into
 	// force and reports whether it did.
-	mergeUpstreams    func(source string, all []registry.Upstream)
+	mergeUpstreams    func(source string, all []registry.Upstream) error
 	dropSource        func(source string)
 	setEntryHostCount func(entries int)
 	applyTable        func(t *routetable.Table) bool
@@ -145,10 +146,7 @@
 func (f *follower) handleMessage(s *peer.Session, call uint64, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.Upstreams:
-		f.mergeUpstreams(s.Remote().Host, m.All)
-		if call != 0 {
-			_ = s.Reply(call, &wire.Ack{})
-		}
+		f.replyMerged(s, call, f.mergeUpstreams(s.Remote().Host, m.All))
 	case *wire.Hosts:
 		f.controlHosts.Add(m.ControlHosts...)
 		if f.setEntryHostCount != nil {
@@ -171,6 +169,20 @@
 	}
 }
 
+// replyMerged tells a control host whether the upstreams that it has sent in a call are in use.
+func (f *follower) replyMerged(s *peer.Session, call uint64, err error) {
+	if err != nil {
+		f.n.log.Warn("upstreams not applied", "from", s.Remote().Host, "error", err.Error())
+	}
+	switch {
+	case call == 0:
+	case err != nil:
+		_ = s.Reply(call, peer.NewFailure(verdict.New(verdict.NotRun, verdict.CodeConflict, err.Error())))
+	default:
+		_ = s.Reply(call, &wire.Ack{})
+	}
+}
+
 // sendSuspicions sends new suspicions to all connected control hosts.
 func (n *Node) sendSuspicions(updates []quarantine.Suspicion) {
 	n.postToControlHosts(&wire.Suspicions{All: updates})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // State is the life-cycle state that an upstream announces.
@@ -49,6 +51,35 @@
 	StartedAt int64 `cbor:"10,keyasint,omitempty"`
 }
 
+// ErrAmbiguous is returned for an announcement without a start time that is not applied, because it
+// may come from an earlier incarnation than the known one.
+var ErrAmbiguous = errors.New("the announcement names no start time and may come from an earlier incarnation")
+
+// maxTransit is the longest time that an announcement takes to arrive. Calls may be held up for
+// several seconds while links are cut off.
+const maxTransit = 5 * time.Second
+
+// isLeaveWithoutStart reports whether the announcement says that an upstream has left, but not
+// which incarnation of it.
+func (u *Upstream) isLeaveWithoutStart() bool { return u.State == Gone && u.StartedAt == 0 }
+
+// lineage tells to which incarnation an announcement without a start time belongs.
+type lineage struct {
+	// replacedAt is when the known incarnation replaced an earlier one. It is only valid if
+	// hasPredecessor is set.
+	replacedAt     time.Duration
+	hasPredecessor bool
+}
+
+// replace records that the known incarnation has replaced an earlier one.
+func (l *lineage) replace(now time.Duration) { l.replacedAt, l.hasPredecessor = now, true }
+
+// isAmbiguous reports whether an announcement without a start time may still come from an earlier
+// incarnation than the known one.
+func (l *lineage) isAmbiguous(now time.Duration) bool {
+	return l.hasPredecessor && now-l.replacedAt < maxTransit
+}
+
 // merge applies an announcement. One of a later incarnation replaces everything, and one of an
 // earlier incarnation is ignored. It reports whether anything changed that matters for
 // sending requests to the upstream.
@@ -86,6 +117,7 @@
 // entry is an upstream with the time of its last accepted announcement.
 type entry struct {
 	Upstream
+	lineage
 	heardAt time.Duration
 }
 
@@ -94,28 +126,65 @@
 type Registry struct {
 	limits Limits
 	byID   map[string]*entry
+	// unknownLeft holds, by ID, when an upstream left of which this control host knew no
+	// incarnation.
+	unknownLeft map[string]time.Duration
 }
 
 // New returns an empty Registry.
-func New(l Limits) *Registry { return &Registry{limits: l, byID: make(map[string]*entry)} }
+func New(l Limits) *Registry {
+	return &Registry{limits: l, byID: make(map[string]*entry), unknownLeft: make(map[string]time.Duration)}
+}
 
-// Announce applies an announcement. It returns the upstream's current record, and whether the
-// hosts that follow this control host must be notified of it.
-func (r *Registry) Announce(u Upstream, now time.Duration) (Upstream, bool) {
+// Announce applies an announcement. It returns the records that the hosts that follow this control
+// host must have before the announcement is acknowledged, the upstream's current one first, and
+// whether these hosts must be notified of them. The error is ErrAmbiguous if the announcement has
+// no effect, so that it must not be acknowledged.
+//
+// An upstream that leaves may call without its start time, although its announcements have one.
+// The call concerns the known incarnation, unless that replaced an earlier one so recently that
+// the call may still come from the earlier one. Other hosts may know a later incarnation than this
+// one does, so they get the call itself too.
+func (r *Registry) Announce(u Upstream, now time.Duration) ([]Upstream, bool, error) {
 	e := r.byID[u.ID]
 	if e == nil {
-		u.IsSilent = false
-		r.byID[u.ID] = &entry{Upstream: u, heardAt: now}
-		return u, true
+		return r.announceUnknown(u, now)
+	}
+	if u.StartedAt < e.StartedAt && u.StartedAt == 0 && u.State != Ready {
+		if u.State == Draining || e.isAmbiguous(now) {
+			return []Upstream{e.Upstream}, false, ErrAmbiguous
+		}
+		changed := e.State != Gone
+		e.State, e.heardAt, e.IsSilent = Gone, now, false
+		return []Upstream{e.Upstream, u}, changed, nil
 	}
 	if u.StartedAt < e.StartedAt || u.StartedAt == e.StartedAt && u.Sequence != 0 && u.Sequence <= e.Sequence && u.State <= e.State {
-		return e.Upstream, false
+		return []Upstream{e.Upstream}, false, nil
 	}
 	wasSilent := e.IsSilent
 	e.heardAt = now
+	if u.StartedAt > e.StartedAt {
+		e.replace(now)
+	}
 	changed := e.merge(u)
 	e.IsSilent = false
-	return e.Upstream, changed || wasSilent
+	return []Upstream{e.Upstream}, changed || wasSilent, nil
+}
+
+// announceUnknown applies an announcement of an upstream that is not known. A call of one that
+// leaves without its start time is not stored, because hosts that attach much later would apply it
+// to a later incarnation.
+func (r *Registry) announceUnknown(u Upstream, now time.Duration) ([]Upstream, bool, error) {
+	if u.isLeaveWithoutStart() {
+		r.unknownLeft[u.ID] = now
+		return []Upstream{u}, true, nil
+	}
+	if left, ok := r.unknownLeft[u.ID]; ok && now-left < maxTransit {
+		return nil, false, ErrAmbiguous
+	}
+	u.IsSilent = false
+	r.byID[u.ID] = &entry{Upstream: u, heardAt: now}
+	return []Upstream{u}, true, nil
 }
 
 // Restore adds upstreams that were saved before a restart, as if they had announced themselves
@@ -133,6 +202,11 @@
 // returns the upstreams that have become silent, of which other hosts must be notified.
 func (r *Registry) Tick(now time.Duration) []Upstream {
 	var out []Upstream
+	for id, left := range r.unknownLeft {
+		if now-left >= maxTransit {
+			delete(r.unknownLeft, id)
+		}
+	}
 	for id, e := range r.byID {
 		quiet := now - e.heardAt
 		if quiet > r.limits.ForgetTimeout {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -15,38 +15,50 @@
 	return Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", State: s, Sequence: sequence, Slots: 4}
 }
 
+// announceTo announces an upstream and returns its current record and whether others must be notified.
+func announceTo(r *Registry, u Upstream, now time.Duration) (Upstream, bool) {
+	records, changed, _ := r.Announce(u, now)
+	return records[0], changed
+}
+
+// mergeInto merges a list into a View at time 0 and reports whether anything changed.
+func mergeInto(v *View, source string, all []Upstream) bool {
+	changed, _ := v.Merge(source, all, 0)
+	return changed
+}
+
 func TestDrainingUpstreamNeverBecomesReadyAgain(t *testing.T) {
 	r := New(testLimits)
-	_, changed := r.Announce(newUpstream("a", 1, Ready), 0)
+	_, changed := announceTo(r, newUpstream("a", 1, Ready), 0)
 	require.True(t, changed)
-	_, changed = r.Announce(newUpstream("a", 3, Draining), time.Second)
+	_, changed = announceTo(r, newUpstream("a", 3, Draining), time.Second)
 	require.True(t, changed)
-	known, changed := r.Announce(newUpstream("a", 2, Ready), 2*time.Second)
+	known, changed := announceTo(r, newUpstream("a", 2, Ready), 2*time.Second)
 	require.False(t, changed)
 	require.Equal(t, Draining, known.State)
-	known, _ = r.Announce(newUpstream("a", 4, Ready), 3*time.Second)
+	known, _ = announceTo(r, newUpstream("a", 4, Ready), 3*time.Second)
 	require.Equal(t, Draining, known.State, "not even by an announcement with a higher sequence number")
 }
 
 func TestLeaveCountsWithoutAnEarlierAnnouncement(t *testing.T) {
 	r, v := New(testLimits), NewView()
-	known, changed := r.Announce(Upstream{ID: "a", State: Gone}, 0)
+	known, changed := announceTo(r, Upstream{ID: "a", State: Gone}, 0)
 	require.True(t, changed)
-	require.True(t, v.Merge("c1", []Upstream{newUpstream("a", 5, Ready)}))
+	require.True(t, mergeInto(v, "c1", []Upstream{newUpstream("a", 5, Ready)}))
 	require.Len(t, v.Serving()["s"], 1)
-	require.True(t, v.Merge("c2", []Upstream{known}))
+	require.True(t, mergeInto(v, "c2", []Upstream{known}))
 	require.Empty(t, v.Serving()["s"])
 }
 
 func TestSilenceIsReportedOnceAndEndsWithAnAnnouncement(t *testing.T) {
 	r := New(testLimits)
-	r.Announce(newUpstream("a", 1, Ready), 0)
+	announceTo(r, newUpstream("a", 1, Ready), 0)
 	require.Empty(t, r.Tick(3*time.Second))
 	silent := r.Tick(5 * time.Second)
 	require.Len(t, silent, 1)
 	require.True(t, silent[0].IsSilent)
 	require.Empty(t, r.Tick(6*time.Second))
-	known, changed := r.Announce(newUpstream("a", 2, Ready), 7*time.Second)
+	known, changed := announceTo(r, newUpstream("a", 2, Ready), 7*time.Second)
 	require.True(t, changed)
 	require.False(t, known.IsSilent)
 	require.Empty(t, r.Tick(8*time.Second))
@@ -59,10 +71,10 @@
 func TestUpstreamIsSilentOnlyIfAllControlHostsReportIt(t *testing.T) {
 	v := NewView()
 	u := newUpstream("a", 1, Ready)
-	v.Merge("c1", []Upstream{u})
-	v.Merge("c2", []Upstream{newUpstream("a", 9, Ready)})
+	mergeInto(v, "c1", []Upstream{u})
+	mergeInto(v, "c2", []Upstream{newUpstream("a", 9, Ready)})
 	u.IsSilent = true
-	v.Merge("c1", []Upstream{u})
+	mergeInto(v, "c1", []Upstream{u})
 	require.False(t, v.Serving()["s"][0].IsSilent)
 	require.True(t, v.DropSource("c2"))
 	require.True(t, v.Serving()["s"][0].IsSilent)
@@ -70,10 +82,10 @@
 
 func TestRevokedIncarnationIsNeverServedAgain(t *testing.T) {
 	v := NewView()
-	v.Merge("c1", []Upstream{newUpstream("old", 9, Ready), newUpstream("new", 1, Ready)})
+	mergeInto(v, "c1", []Upstream{newUpstream("old", 9, Ready), newUpstream("new", 1, Ready)})
 	require.True(t, v.Revoke("old", 0))
 	require.False(t, v.Revoke("old", 0))
-	v.Merge("c1", []Upstream{newUpstream("old", 10, Ready)})
+	mergeInto(v, "c1", []Upstream{newUpstream("old", 10, Ready)})
 	list := v.Serving()["s"]
 	require.Len(t, list, 1)
 	require.Equal(t, "new", list[0].ID)
@@ -94,7 +106,7 @@
 		}
 		v := NewView()
 		for _, i := range rapid.Permutation(indices(len(all))).Draw(t, "order") {
-			v.Merge("c", []Upstream{all[i]})
+			mergeInto(v, "c", []Upstream{all[i]})
 		}
 		if got := v.All()[0]; got.State != Draining || got.Sequence != uint64(last) {
 			t.Fatalf("got %+v", got)
@@ -105,11 +117,11 @@
 func TestGoneIncarnationsAreBounded(t *testing.T) {
 	v := NewView()
 	for i := range maxGone + 10 {
-		v.Merge("c", []Upstream{newUpstream(fmt.Sprint("u", i), 1, Gone)})
-		v.Merge("c", []Upstream{newUpstream(fmt.Sprint("u", i), 2, Gone)})
+		mergeInto(v, "c", []Upstream{newUpstream(fmt.Sprint("u", i), 1, Gone)})
+		mergeInto(v, "c", []Upstream{newUpstream(fmt.Sprint("u", i), 2, Gone)})
 	}
 	require.Len(t, v.All(), maxGone)
-	v.Merge("c", []Upstream{newUpstream(fmt.Sprint("u", maxGone), 9, Ready)})
+	mergeInto(v, "c", []Upstream{newUpstream(fmt.Sprint("u", maxGone), 9, Ready)})
 	require.Empty(t, v.Serving()["s"])
 }
 
@@ -137,8 +149,8 @@
 		r := New(Limits{SilenceTimeout: 4 * time.Second, ForgetTimeout: time.Minute})
 		v := NewView()
 		announce := func(u Upstream) Upstream {
-			known, _ := r.Announce(u, 0)
-			v.Merge("c", []Upstream{known})
+			known, _ := announceTo(r, u, 0)
+			mergeInto(v, "c", []Upstream{known})
 			return known
 		}
 		announce(withBorn(newUpstream("a", 1, Ready), 5))
@@ -149,7 +161,7 @@
 		require.Len(t, v.Serving()["s"], 1, name)
 		for _, delayed := range []Upstream{lastAnnouncement, withBorn(newUpstream("a", 901, Draining), 5), newUpstream("a", 999, Draining), {ID: "a", State: Gone}} {
 			require.Equal(t, int64(6), announce(delayed).StartedAt, name)
-			v.Merge("other", []Upstream{delayed})
+			mergeInto(v, "other", []Upstream{delayed})
 			require.Len(t, v.Serving()["s"], 1, name)
 			require.Equal(t, uint64(1), v.Serving()["s"][0].Sequence, name)
 		}
@@ -166,9 +178,9 @@
 	v := NewView()
 	silent := withBorn(newUpstream("a", 3, Ready), 5)
 	silent.IsSilent = true
-	v.Merge("c", []Upstream{silent})
-	v.Merge("d", []Upstream{withBorn(newUpstream("a", 1, Ready), 6)})
-	v.Merge("c", []Upstream{silent})
+	mergeInto(v, "c", []Upstream{silent})
+	mergeInto(v, "d", []Upstream{withBorn(newUpstream("a", 1, Ready), 6)})
+	mergeInto(v, "c", []Upstream{silent})
 	require.False(t, v.Serving()["s"][0].IsSilent)
 }
 
@@ -176,7 +188,7 @@
 // the restart must take precedence, and a restored upstream without one must become silent.
 func TestAnnouncementsTakePrecedenceOverRestoredUpstreams(t *testing.T) {
 	r := New(Limits{SilenceTimeout: 4 * time.Second, ForgetTimeout: time.Minute})
-	r.Announce(newUpstream("b", 9, Draining), time.Second)
+	announceTo(r, newUpstream("b", 9, Draining), time.Second)
 	r.Restore([]Upstream{newUpstream("a", 5, Ready), newUpstream("b", 7, Ready)}, time.Second)
 	require.Len(t, r.All(), 2)
 	require.Equal(t, Draining, r.All()[1].State)
@@ -184,7 +196,7 @@
 	silent := r.Tick(6 * time.Second)
 	require.Len(t, silent, 1)
 	require.Equal(t, "a", silent[0].ID)
-	current, changed := r.Announce(newUpstream("a", 6, Ready), 7*time.Second)
+	current, changed := announceTo(r, newUpstream("a", 6, Ready), 7*time.Second)
 	require.True(t, changed)
 	require.False(t, current.IsSilent)
 }
@@ -196,8 +208,8 @@
 func TestOnlyTheNewestUpstreamAtAnAddressServes(t *testing.T) {
 	v := NewView()
 	old := Upstream{ID: "z", Service: "s", Address: "10.0.0.1:80", Sequence: 90}
-	v.Merge("c1", []Upstream{old, {ID: "y", Service: "s", Address: "10.0.0.2:80"}})
-	v.Merge("c1", []Upstream{{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 1}})
+	mergeInto(v, "c1", []Upstream{old, {ID: "y", Service: "s", Address: "10.0.0.2:80"}})
+	mergeInto(v, "c1", []Upstream{{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 1}})
 	ids := func() (out []string) {
 		for _, u := range v.Serving()["s"] {
 			out = append(out, u.ID)
@@ -205,22 +217,22 @@
 		return out
 	}
 	require.Equal(t, []string{"a", "y"}, ids())
-	v.Merge("c2", []Upstream{old})
+	mergeInto(v, "c2", []Upstream{old})
 	require.Equal(t, []string{"a", "y"}, ids(), "another control host still lists the old upstream")
 
 	// A delayed announcement of an upstream that was not known before makes it look like the
 	// newest, until a request to it fails and it is revoked.
-	v.Merge("c2", []Upstream{{ID: "m", Service: "s", Address: "10.0.0.1:80", Sequence: 40}})
+	mergeInto(v, "c2", []Upstream{{ID: "m", Service: "s", Address: "10.0.0.1:80", Sequence: 40}})
 	require.Equal(t, []string{"m", "y"}, ids())
 	v.Revoke("m", 0)
 	require.Equal(t, []string{"a", "y"}, ids())
 
 	// Start times decide if they are known. Without them, upstreams that first appeared in the
 	// same Merge can't be ordered, so both are served.
-	v.Merge("c1", []Upstream{{ID: "b", Service: "s", Address: "10.0.0.2:80", StartedAt: 7}, {ID: "c", Service: "s", Address: "10.0.0.2:80", StartedAt: 6}})
+	mergeInto(v, "c1", []Upstream{{ID: "b", Service: "s", Address: "10.0.0.2:80", StartedAt: 7}, {ID: "c", Service: "s", Address: "10.0.0.2:80", StartedAt: 6}})
 	require.Equal(t, []string{"a", "b"}, ids())
 	v = NewView()
-	v.Merge("c1", []Upstream{{ID: "p", Service: "s", Address: "10.0.0.1:80"}, {ID: "q", Service: "s", Address: "10.0.0.1:80"}})
+	mergeInto(v, "c1", []Upstream{{ID: "p", Service: "s", Address: "10.0.0.1:80"}, {ID: "q", Service: "s", Address: "10.0.0.1:80"}})
 	require.Equal(t, []string{"p", "q"}, ids())
 }
 
@@ -228,15 +240,87 @@
 // announcement, and against one that leaves because an earlier start of it did.
 func TestLeavingUpstreamDoesNotServe(t *testing.T) {
 	v := NewView()
-	v.Merge("c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 2, Sequence: 1}})
+	mergeInto(v, "c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 2, Sequence: 1}})
 	require.False(t, v.MarkLeaving("u", 1), "an earlier start")
 	require.False(t, v.MarkLeaving("unknown", 2))
 	require.Len(t, v.Serving()["s"], 1)
 	require.True(t, v.MarkLeaving("u", 2))
 	require.False(t, v.MarkLeaving("u", 2))
-	v.Merge("c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 2, Sequence: 2}})
+	mergeInto(v, "c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 2, Sequence: 2}})
 	require.Empty(t, v.Serving())
 	require.True(t, v.IsDraining("u", 2))
-	v.Merge("c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 3, Sequence: 1}})
+	mergeInto(v, "c", []Upstream{{ID: "u", Service: "s", Address: "a", StartedAt: 3, Sequence: 1}})
 	require.Len(t, v.Serving()["s"], 1, "a new start")
 }
+
+// Guards against a leave without a start time that is acknowledged and has no effect, although the
+// announcements of the same upstream have one.
+func TestLeaveWithoutStartTimeEndsTheKnownIncarnation(t *testing.T) {
+	r, v := New(testLimits), NewView()
+	leave := Upstream{ID: "a", State: Gone}
+	known, _ := announceTo(r, withBorn(newUpstream("a", 1, Ready), 5), 0)
+	mergeInto(v, "c", []Upstream{known})
+	records, changed, err := r.Announce(leave, time.Second)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Equal(t, Gone, records[0].State)
+	require.Equal(t, int64(5), records[0].StartedAt)
+	changed, err = v.Merge("c", records, time.Second)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Empty(t, v.Serving())
+	_, changed, err = r.Announce(leave, 2*time.Second)
+	require.NoError(t, err, "the call is sent again if its acknowledgement is lost")
+	require.False(t, changed)
+}
+
+// Guards against a control host that knows an earlier incarnation only, or none, and acknowledges a
+// leave of the present one that the other hosts then ignore.
+func TestLeaveWithoutStartTimeEndsTheIncarnationThatOthersKnow(t *testing.T) {
+	leave := Upstream{ID: "a", State: Gone}
+	for name, knows := range map[string][]Upstream{"none": nil, "an earlier incarnation": {withBorn(newUpstream("a", 7, Ready), 5)}} {
+		r, v := New(testLimits), NewView()
+		for _, u := range knows {
+			announceTo(r, u, 0)
+		}
+		mergeInto(v, "d", []Upstream{withBorn(newUpstream("a", 1, Ready), 6)})
+		records, _, err := r.Announce(leave, time.Minute)
+		require.NoError(t, err, name)
+		_, err = v.Merge("c", records, time.Minute)
+		require.NoError(t, err, name)
+		require.Empty(t, v.Serving(), name)
+		for _, u := range r.All() {
+			require.NotZero(t, u.StartedAt, "%s: a later incarnation must not be ended by what was kept", name)
+		}
+	}
+}
+
+// Guards against a leave that may come from an earlier incarnation and is acknowledged or applied,
+// and against a delayed announcement of an upstream that has just left.
+func TestAmbiguousAnnouncementsAreRefused(t *testing.T) {
+	r, v := New(testLimits), NewView()
+	leave := Upstream{ID: "a", State: Gone}
+	for _, born := range []int64{5, 6} {
+		known, _ := announceTo(r, withBorn(newUpstream("a", 1, Ready), born), 0)
+		mergeInto(v, "c", []Upstream{known})
+	}
+	_, _, err := r.Announce(leave, time.Second)
+	require.ErrorIs(t, err, ErrAmbiguous)
+	changed, err := v.Merge("d", []Upstream{leave}, time.Second)
+	require.ErrorIs(t, err, ErrAmbiguous)
+	require.False(t, changed)
+	require.Len(t, v.Serving()["s"], 1)
+	_, _, err = r.Announce(newUpstream("a", 99, Draining), time.Minute)
+	require.ErrorIs(t, err, ErrAmbiguous, "announcements of this upstream have a start time")
+	_, _, err = r.Announce(leave, maxTransit)
+	require.NoError(t, err)
+
+	_, _, err = r.Announce(Upstream{ID: "b", State: Gone}, 0)
+	require.NoError(t, err)
+	late := withBorn(newUpstream("b", 3, Ready), 5)
+	_, _, err = r.Announce(late, time.Second)
+	require.ErrorIs(t, err, ErrAmbiguous)
+	r.Tick(maxTransit)
+	_, _, err = r.Announce(late, maxTransit)
+	require.NoError(t, err)
+}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -1,6 +1,9 @@
 package registry
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // View merges the lists of upstreams of several control hosts. An upstream is silent only if
 // every control host that lists it reports it as silent, because an upstream sends its
@@ -23,6 +26,7 @@
 // viewEntry is the merged record of one upstream.
 type viewEntry struct {
 	Upstream
+	lineage
 	// silentBy holds, for each connected control host, whether it last reported the upstream
 	// as silent.
 	silentBy map[string]bool
@@ -37,12 +41,20 @@
 	return &View{byID: make(map[string]*viewEntry), revoked: make(map[string]int64)}
 }
 
-// Merge applies a list of upstreams from a control host. It reports whether anything changed.
-func (v *View) Merge(source string, all []Upstream) bool {
-	changed := false
+// Merge applies a list of upstreams from a control host. It reports whether anything changed. The
+// error is ErrAmbiguous if an upstream in the list has left but may not be the known incarnation;
+// the rest of the list is applied all the same.
+func (v *View) Merge(source string, all []Upstream, now time.Duration) (changed bool, err error) {
 	v.mergeCount++
 	for _, u := range all {
 		s := v.byID[u.ID]
+		if s != nil && s.StartedAt != 0 && u.isLeaveWithoutStart() {
+			if s.isAmbiguous(now) {
+				err = ErrAmbiguous
+				continue
+			}
+			u = Upstream{ID: s.ID, StartedAt: s.StartedAt, State: Gone}
+		}
 		if s == nil {
 			s = &viewEntry{Upstream: u, silentBy: make(map[string]bool), firstMerge: v.mergeCount}
 			s.IsSilent = false
@@ -52,6 +64,7 @@
 			born := s.StartedAt
 			changed = s.merge(u) || changed
 			if s.StartedAt != born {
+				s.replace(now)
 				v.resetIncarnation(s)
 			}
 		}
@@ -61,7 +74,7 @@
 		}
 		changed = s.updateSilence() || changed
 	}
-	return changed
+	return changed, err
 }
 
 // resetIncarnation clears the state that belonged to the previous incarnation.
