Admit requests by priority class where slots are scarce

A step of priority was 100 ms in the queue, and requests that could still be on time went first. Requests of the least urgent class have the most time, so in a burst of them they displaced the most urgent ones.

The queue is ordered by class, then punctuality, then arrival. A request of a less urgent class takes a free slot only if enough are free for the requests on time that are expected of more urgent classes, or if its class has less than its guaranteed share, a third of the slots in proportion to its demand. Waits are estimated by what is left to the class, so the least urgent ones are refused first and at once. Late requests leave capacity only for requests on time of their own class and more urgent ones.

A service whose requests have one priority is served as before (TestOneClassIsServedAsWithoutPriorities).

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -20,9 +20,6 @@
 	// the longest. Callers are spread randomly between the two, because slots become free one
 	// after another.
 	minRetryAfterFraction = 0.5
-	// delayPerPriority is how much later a request is queued for each step down in priority. It
-	// is a fraction of a typical wait, so that urgent requests can't starve the others.
-	delayPerPriority = 100 * time.Millisecond
 )
 
 // Request is a request that needs a slot at an engine.
@@ -51,12 +48,14 @@
 type Waiter struct {
 	service *service
 	tried   []string
+	class   *class
 	// latestStart is the latest time at which the request can start and still send its first
 	// event on time.
 	latestStart time.Duration
-	// effectiveArrival orders the queue: the time when the request was queued, plus
-	// delayPerPriority for each step of its priority below the most urgent.
-	effectiveArrival time.Duration
+	// arrival is when the request was queued.
+	arrival time.Duration
+	// isResumed is set if the caller has received part of the answer already.
+	isResumed bool
 	// giveUpAt is when the request stops waiting for a slot.
 	giveUpAt time.Duration
 	// deadline is when the caller's time ends, 0 if unknown. canRetry reports whether the
@@ -124,7 +123,9 @@
 	w := sv.newWaiter(r, now)
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
+		w.class.onTimeArrivals.add(now)
 	}
+	w.class.arrivals.add(now)
 	if sv.isDown(now) || s.awaitsFirstReports(sv, now) {
 		if (r.CanRetry || len(sv.active) == 0 || sv.isDownForLong(now)) && now >= s.cfg.StartupUntil && !sv.isBrieflyStalled(now) {
 			return s.refuse(Outage, w, now)
@@ -149,7 +150,7 @@
 // now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
-		service: sv, tried: r.Tried, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
+		service: sv, tried: r.Tried, class: sv.class(r.Priority), arrival: now, isResumed: r.IsResumed,
 		latestStart: r.OnTimeUntil - sv.timeToFirstEvent(), giveUpAt: now + MaxQueueWait, canRetry: r.CanRetry,
 	}
 	if r.TimeLeft > 0 {
@@ -179,10 +180,11 @@
 
 // admitNow reserves a slot for a new request, unless a queued request goes first.
 func (s *Scheduler) admitNow(sv *service, w *Waiter, now time.Duration) (*Ticket, bool) {
-	if len(sv.waiters) > 0 && !w.precedes(sv.waiters[sv.nextWaiter(now)], now) {
+	s.updateClasses(sv, now)
+	if i := s.nextAdmissible(sv, now); i >= 0 && !w.precedes(sv.waiters[i], now) {
 		return nil, false
 	}
-	if !s.mayAdmitLate(sv, w, now) {
+	if !s.mayAdmit(sv, w, now) {
 		return nil, false
 	}
 	u, ok := s.pickEngine(sv, w.tried, now)
@@ -229,6 +231,9 @@
 // reserveFor reserves a slot for a request and records the admission.
 func (s *Scheduler) reserveFor(sv *service, u *upstream, w *Waiter, now time.Duration) *Ticket {
 	t := s.reserve(u, now)
+	t.class = w.class
+	w.class.inflight++
+	w.class.admissions.add(now)
 	sv.demand.admissions.add(now)
 	if t.isLate = !w.canBeOnTime(now); t.isLate {
 		sv.late++
--- /dev/null
+++ b/internal/schedule/classes.go
@@ -0,0 +1,135 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// urgentReserve is how long the free slots must last for the requests on time that are
+	// expected of more urgent classes before a request of a less urgent class may take one. It
+	// covers the wait for the load reports that show the next free slots.
+	urgentReserve = 150 * time.Millisecond
+	// guaranteedFraction is the fraction of the slots in proportion to its demand that a class
+	// keeps, however much the more urgent ones ask for. No class starves: each must be served at
+	// least a quarter as often as all requests, and a third leaves a margin for the differences
+	// between hosts.
+	guaranteedFraction = 1.0 / 3
+	// waitMargin is the factor by which the wait of a request may exceed its estimate for the
+	// request still to be queued. Slots become free at irregular intervals, and a request that is
+	// refused after it has waited is worse for its caller than one that is refused at once.
+	waitMargin = 1.5
+	// maxClasses is the largest number of classes of a service. Priorities come from the
+	// configuration; requests of a further one belong to the class with the nearest priority.
+	maxClasses = 16
+)
+
+// class is a priority class of a service: the requests with the same priority. A service whose
+// requests all have the same priority has one class, and nothing in this file affects it.
+type class struct {
+	// priority is the priority of the requests; 0 is the most urgent.
+	priority int
+	// arrivals counts all arriving requests, onTimeArrivals those that could still be on time, and
+	// admissions those that got a slot.
+	arrivals, onTimeArrivals, admissions eventRate
+	// inflight is the number of this host's attempts in flight.
+	inflight int
+	// The fields below are set by updateClasses. isGuaranteed is set while the class has less than
+	// its guaranteed share of the slots. mayAdmitOnTime and mayAdmitLate tell whether requests of
+	// the class that can be on time, or no longer can, may take a free slot.
+	isGuaranteed, mayAdmitOnTime, mayAdmitLate bool
+}
+
+// class returns the class of requests with a priority, which is created if it is new. Classes
+// are ordered from the most to the least urgent.
+func (sv *service) class(priority int) *class {
+	i, ok := slices.BinarySearchFunc(sv.classes, priority, func(c *class, p int) int { return c.priority - p })
+	if ok {
+		return sv.classes[i]
+	}
+	if len(sv.classes) == maxClasses {
+		return sv.classes[min(i, maxClasses-1)]
+	}
+	c := &class{priority: priority}
+	sv.classes = slices.Insert(sv.classes, i, c)
+	return c
+}
+
+// onTimeArrivalRate returns how many requests per second arrive that can be on time, of the
+// given class and the more urgent ones.
+func (sv *service) onTimeArrivalRate(least *class, now time.Duration) float64 {
+	if len(sv.classes) <= 1 {
+		return sv.demand.onTimeArrivals.perSecond(now)
+	}
+	return sv.urgentArrivalRate(least, now) + least.onTimeArrivals.perSecond(now)
+}
+
+// urgentArrivalRate returns how many requests per second arrive that can be on time, of the
+// classes that are more urgent than the given one.
+func (sv *service) urgentArrivalRate(than *class, now time.Duration) float64 {
+	rate := 0.0
+	for _, c := range sv.classes {
+		if c == than {
+			break
+		}
+		rate += c.onTimeArrivals.perSecond(now)
+	}
+	return rate
+}
+
+// updateClasses decides for each class which of its requests may take a free slot. A request of a
+// less urgent class may do so if enough slots are free for the requests that are expected of more
+// urgent classes, or if its class has less than its guaranteed share.
+func (s *Scheduler) updateClasses(sv *service, now time.Duration) {
+	has := s.supply(sv, now)
+	for i, c := range sv.classes {
+		c.isGuaranteed = len(sv.classes) > 1 && float64(c.inflight) < sv.guaranteedSlots(c, has, now)
+		c.mayAdmitOnTime = i == 0 || c.isGuaranteed || has.free > sv.urgentArrivalRate(c, now)*urgentReserve.Seconds()
+		c.mayAdmitLate = c.isGuaranteed || c.mayAdmitOnTime && sv.lateCapacity(c, has, now) > 0
+	}
+}
+
+// mayAdmit reports whether a request may take a free slot. Where all upstreams have rate limits or
+// rest, the tokens bound what is admitted instead, and one that is not used is lost. Classes don't
+// hold back a resumed request, since the engines have done part of its answer already.
+func (s *Scheduler) mayAdmit(sv *service, w *Waiter, now time.Duration) bool {
+	return w.class.mayAdmitLate || w.canBeOnTime(now) && (w.class.mayAdmitOnTime || w.isResumed) || s.isWhollyRestricted(sv, w, now)
+}
+
+// guaranteedSlots returns how many of this host's slots a class keeps if all classes together
+// ask for more than there are.
+func (sv *service) guaranteedSlots(c *class, has supply, now time.Duration) float64 {
+	total := 0.0
+	for _, o := range sv.classes {
+		total += o.arrivals.perSecond(now)
+	}
+	if total == 0 {
+		return 0
+	}
+	own := c.arrivals.perSecond(now)
+	// The slots that all requests of the class would occupy, or its part of those that there are.
+	slots := min(own*sv.meanServiceTime().Seconds(), own/total*has.own)
+	return guaranteedFraction * slots
+}
+
+// classRate estimates how many requests of a class per second get a slot at this host while
+// requests are queued: those that did lately, or what more urgent requests leave of this host's
+// share of the slots, or the guaranteed share, whichever is most.
+func (sv *service) classRate(c *class, has supply, now time.Duration) float64 {
+	turnover := 1 / sv.meanServiceTime().Seconds()
+	left := has.own*turnover - sv.urgentArrivalRate(c, now)
+	return max(left, c.admissions.perSecond(now), sv.guaranteedSlots(c, has, now)*turnover)
+}
+
+// precedesByClass reports whether w is served before o because of their classes, and whether
+// the classes decide. A class with less than its guaranteed share goes first, then the more
+// urgent one.
+func (w *Waiter) precedesByClass(o *Waiter) (precedes, decides bool) {
+	if w.class == o.class {
+		return false, false
+	}
+	if w.class.isGuaranteed != o.class.isGuaranteed {
+		return w.class.isGuaranteed, true
+	}
+	return w.class.priority < o.class.priority, true
+}
--- /dev/null
+++ b/internal/schedule/classes_test.go
@@ -0,0 +1,205 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against requests of a less urgent class that go first because they arrived earlier or have
+// more time left, and against late requests that go before those of the same class that can still
+// be on time. A class with less than its guaranteed share goes first, so that none starves.
+func TestWaitersAreOrderedByClassPunctualityAndArrival(t *testing.T) {
+	urgent, relaxed := &class{priority: 0}, &class{priority: 2}
+	waiter := func(arrived time.Duration, c *class) *Waiter {
+		return &Waiter{latestStart: time.Minute, arrival: arrived, class: c}
+	}
+	precedes := func(w, o *Waiter) bool { return w.precedes(o, time.Second) }
+	require.True(t, precedes(waiter(time.Second, urgent), waiter(0, relaxed)))
+	require.False(t, precedes(waiter(0, relaxed), waiter(time.Second, urgent)))
+	require.False(t, precedes(waiter(0, urgent), waiter(0, urgent)), "equal requests are served in order of arrival")
+	late := waiter(0, urgent)
+	late.latestStart = 0
+	require.False(t, precedes(late, waiter(time.Second, urgent)))
+	require.True(t, precedes(late, waiter(0, relaxed)))
+	relaxed.isGuaranteed = true
+	require.True(t, precedes(waiter(time.Second, relaxed), waiter(0, urgent)))
+}
+
+// stream is a class of requests that arrive at a steady rate.
+type stream struct {
+	priority  int
+	perSecond float64
+	target    time.Duration
+}
+
+// outcomes counts what became of the requests of a stream.
+type outcomes struct {
+	arrived, onTime, late, refused int
+	// heldRefused is the number of requests that were refused after more than an eighth of their
+	// target.
+	heldRefused int
+}
+
+// servedFraction returns the fraction of the requests that were served.
+func (o outcomes) servedFraction() float64 { return float64(o.onTime+o.late) / float64(o.arrived) }
+
+// pending is a request that waits in the queue or runs.
+type pending struct {
+	stream  int
+	arrived time.Duration
+	ticket  *Ticket
+	endsAt  time.Duration
+}
+
+// play sends the requests of the streams to the cluster for the given time and returns what became
+// of them. Requests hold their slots for the given service time on average.
+func (l *testCluster) play(streams []stream, serviceTime, length time.Duration) []outcomes {
+	const step = 5 * time.Millisecond
+	out := make([]outcomes, len(streams))
+	due := make([]float64, len(streams))
+	waiting, running := map[*Waiter]*pending{}, map[*pending]bool{}
+	firstEvent := l.service("s").timeToFirstEvent
+	start := func(p *pending, t *Ticket) {
+		p.ticket, p.endsAt = t, l.now+time.Duration((0.5+l.cfg.Random.Float64())*float64(serviceTime))
+		running[p] = true
+		if l.now+firstEvent()-p.arrived <= streams[p.stream].target {
+			out[p.stream].onTime++
+		} else {
+			out[p.stream].late++
+		}
+	}
+	refuse := func(p *pending) {
+		out[p.stream].refused++
+		if l.now-p.arrived > streams[p.stream].target/8 {
+			out[p.stream].heldRefused++
+		}
+	}
+	decide := func(all []Result) {
+		for _, r := range all {
+			p := waiting[r.Waiter]
+			delete(waiting, r.Waiter)
+			if r.Ticket != nil {
+				start(p, r.Ticket)
+			} else {
+				refuse(p)
+			}
+		}
+	}
+	for until := l.now + length; l.now < until; l.now += step {
+		for p := range running {
+			if l.now >= p.endsAt {
+				delete(running, p)
+				results, _ := l.Release(p.ticket, Success, l.now)
+				decide(results)
+			}
+		}
+		for w, p := range waiting {
+			if l.now-p.arrived >= MaxQueueWait {
+				delete(waiting, w)
+				l.Abandon(w, l.now)
+				refuse(p)
+			}
+		}
+		if l.now%(100*time.Millisecond) == 0 {
+			l.countLoads(running)
+			results, _ := l.report("", nil)
+			decide(results)
+		}
+		for i, c := range streams {
+			for due[i] += c.perSecond * step.Seconds(); due[i] >= 1; due[i]-- {
+				out[i].arrived++
+				p := &pending{stream: i, arrived: l.now}
+				d := l.Admit(&Request{
+					Service: "s", Engine: l.engine, OnTimeUntil: l.now + c.target, Priority: c.priority, CanRetry: true, TimeLeft: 8 * time.Second,
+				}, l.now)
+				switch {
+				case d.Ticket != nil:
+					start(p, d.Ticket)
+				case d.Waiter != nil:
+					waiting[d.Waiter] = p
+				default:
+					refuse(p)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// countLoads sets the load of each engine to the number of requests that run there.
+func (l *testCluster) countLoads(running map[*pending]bool) {
+	l.setLoads(0)
+	for p := range running {
+		load := l.loads[p.ticket.ID()]
+		load.Running++
+		l.loads[p.ticket.ID()] = load
+	}
+}
+
+const testServiceTime = 800 * time.Millisecond
+
+// Load pattern: a burst of the least urgent class, which also has the most time to be on time. It
+// must not delay the others or cause them to be refused, and what is refused of it must be refused
+// at once, while the slots that the others leave stay in use.
+func TestBurstOfLeastUrgentClassDelaysNoOther(t *testing.T) {
+	l := newTestCluster(1, 8, 1)
+	const slots = 32
+	capacity := slots / testServiceTime.Seconds()
+	streams := []stream{
+		{priority: 0, perSecond: 0.3 * capacity, target: 400 * time.Millisecond},
+		{priority: 1, perSecond: 0.15 * capacity, target: 400 * time.Millisecond},
+		{priority: 2, perSecond: 1.2 * capacity, target: time.Second},
+	}
+	out := l.play(streams, testServiceTime, 20*time.Second)
+	t.Logf("%+v", out)
+	for _, o := range out[:2] {
+		require.Zero(t, o.refused)
+		require.GreaterOrEqual(t, float64(o.onTime), 0.98*float64(o.arrived))
+	}
+	relaxed := out[2]
+	require.LessOrEqual(t, float64(relaxed.heldRefused), 0.02*float64(relaxed.refused), "refusals come at once")
+	require.Greater(t, float64(relaxed.onTime+relaxed.late), 0.85*0.55*capacity*20, "the slots that the others leave are used")
+}
+
+// Load pattern: the most urgent class alone asks for more than there is. The least urgent class
+// must still be served at least a quarter as often as all requests.
+func TestUrgentOverloadStarvesNoClass(t *testing.T) {
+	l := newTestCluster(1, 8, 1)
+	capacity := 32 / testServiceTime.Seconds()
+	streams := []stream{
+		{priority: 0, perSecond: 1.5 * capacity, target: 400 * time.Millisecond},
+		{priority: 2, perSecond: 0.3 * capacity, target: time.Second},
+	}
+	out := l.play(streams, testServiceTime, 20*time.Second)
+	t.Logf("%+v", out)
+	all := float64(out[0].onTime+out[0].late+out[1].onTime+out[1].late) / float64(out[0].arrived+out[1].arrived)
+	require.GreaterOrEqual(t, out[1].servedFraction(), all/4)
+	require.GreaterOrEqual(t, out[0].servedFraction(), out[1].servedFraction(), "an urgent class is not served worse")
+}
+
+// Guards against classes that change anything where all requests have the same priority, whichever
+// that is.
+func TestOneClassIsServedAsWithoutPriorities(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := rapid.Float64Range(0.2, 2).Draw(t, "load")
+		priority := rapid.IntRange(0, 9).Draw(t, "priority")
+		play := func(p int) []outcomes {
+			l := newTestCluster(1, 4, 3)
+			return l.play([]stream{{priority: p, perSecond: load * 16 / testServiceTime.Seconds() / 3, target: 400 * time.Millisecond}}, testServiceTime, 4*time.Second)
+		}
+		require.Equal(t, play(0), play(priority))
+	})
+}
+
+// Guards against an unbounded number of classes, since priorities come from the configuration.
+func TestClassesAreBounded(t *testing.T) {
+	sv := &service{}
+	for p := range 100 {
+		sv.class(99 - p)
+	}
+	require.Len(t, sv.classes, maxClasses)
+	require.Equal(t, sv.classes[maxClasses-1], sv.class(1000))
+}
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -51,12 +51,12 @@
 	d.firstEventDeviation += time.Duration(firstEventWeight * float64(max(deviation, -deviation)-d.firstEventDeviation))
 }
 
-// slotsNeeded returns how many slots the requests that can be on time occupy on average. The
-// measured service time is limited to a factor of maxServiceTimeRatio around the expected one,
-// because requests that were stalled in an outage don't predict later ones.
-func (d *demand) slotsNeeded(expected, now time.Duration) float64 {
+// slotsNeeded returns how many slots are occupied on average by requests that arrive at the given
+// rate per second. The measured service time is limited to a factor of maxServiceTimeRatio around
+// the expected one, because requests that were stalled in an outage don't predict later ones.
+func (d *demand) slotsNeeded(perSecond float64, expected time.Duration) float64 {
 	mean := min(max(d.serviceTime, time.Duration(float64(expected)/maxServiceTimeRatio)), time.Duration(float64(expected)*maxServiceTimeRatio))
-	return d.onTimeArrivals.perSecond(now) * mean.Seconds()
+	return perSecond * mean.Seconds()
 }
 
 // eventRate counts events in a sliding window. The zero value is ready to use.
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -23,33 +23,30 @@
 	return sv.demand.serviceTime
 }
 
+// supply is this host's equal share of the usable slots of a service, and of those that are free.
+type supply struct{ own, free float64 }
+
+// supply returns what this host may use of a service's slots.
+func (s *Scheduler) supply(sv *service, now time.Duration) supply {
+	total, free := s.capacity(sv, now)
+	return supply{own: total / float64(s.hosts), free: free / float64(s.hosts)}
+}
+
 // lateCapacity returns how many more requests that can no longer be on time this host may admit
 // now. They get the capacity that requests which can be on time leave: an answer on time is
 // worth more to its caller than a late one, and a late request that takes a slot needed by
 // others makes the next ones late too, for as long as the backlog of an outage lasts.
-func (s *Scheduler) lateCapacity(sv *service, now time.Duration) float64 {
-	_, free := s.capacity(sv, now)
-	spare := free/float64(s.hosts) - sv.demand.onTimeArrivals.perSecond(now)*onTimeReserve.Seconds()
-	return max(s.capacityLeftForLate(sv, now)-float64(sv.late), spare)
-}
-
-// mayAdmitLate reports whether a request may be admitted although it can no longer be on time.
-// Where all upstreams have rate limits or rest, the tokens bound what is admitted instead, and one
-// that is not used is lost.
-func (s *Scheduler) mayAdmitLate(sv *service, w *Waiter, now time.Duration) bool {
-	return w.canBeOnTime(now) || s.isWhollyRestricted(sv, w, now) || s.lateCapacity(sv, now) > 0
-}
-
-// ownCapacity returns this host's share of the service's slots.
-func (s *Scheduler) ownCapacity(sv *service, now time.Duration) float64 {
-	total, _ := s.capacity(sv, now)
-	return total / float64(s.hosts)
+//
+// Only requests on time of the same class and of more urgent ones count.
+func (sv *service) lateCapacity(c *class, has supply, now time.Duration) float64 {
+	spare := has.free - sv.onTimeArrivalRate(c, now)*onTimeReserve.Seconds()
+	return max(sv.capacityLeftForLate(c, has, now)-float64(sv.late), spare)
 }
 
-// capacityLeftForLate returns how many slots of this host's share are left over by requests
-// that can be on time.
-func (s *Scheduler) capacityLeftForLate(sv *service, now time.Duration) float64 {
-	return s.ownCapacity(sv, now) - sv.demand.slotsNeeded(sv.expectedServiceTime(), now)
+// capacityLeftForLate returns how many slots of this host's share are left over for a class by
+// requests that can be on time.
+func (sv *service) capacityLeftForLate(c *class, has supply, now time.Duration) float64 {
+	return has.own - sv.demand.slotsNeeded(sv.onTimeArrivalRate(c, now), sv.expectedServiceTime())
 }
 
 // cannotBeServedInTime reports whether a request would wait for a slot in vain, judging by the
@@ -58,28 +55,32 @@
 	if sv.demand.serviceTime == 0 {
 		return false
 	}
-	if w.canBeOnTime(now) && s.expectedOnTimeWait(sv, w, now) < w.latestStart-now {
+	has := s.supply(sv, now)
+	if w.class.isGuaranteed || w.canBeOnTime(now) && sv.expectedOnTimeWait(w, has, now) < w.latestStart-now {
 		return false
 	}
-	available := s.capacityLeftForLate(sv, now)
+	available := sv.capacityLeftForLate(w.class, has, now)
 	if available <= 0 {
 		return true
 	}
-	return s.expectedWait(sv, w, available, now)-s.timeToFree(sv, s.lateCapacity(sv, now), available) > w.giveUpAt-now
+	return sv.expectedWait(w, available, now)-sv.timeToFree(sv.lateCapacity(w.class, has, now), available) > w.giveUpAt-now
 }
 
 // expectedWait estimates how long a request waits behind those ahead of it in the queue, if the
 // given number of slots turns over once per mean service time.
-func (s *Scheduler) expectedWait(sv *service, w *Waiter, slots float64, now time.Duration) time.Duration {
-	return s.timeToFree(sv, sv.queuePosition(w, now), slots)
+func (sv *service) expectedWait(w *Waiter, slots float64, now time.Duration) time.Duration {
+	return sv.timeToFree(sv.queuePosition(w, now), slots)
 }
 
 // expectedOnTimeWait estimates the wait of a request that can still be on time. It may use any
 // slot of this host's share as it becomes free, and also the quota of slots that are free
 // already. Hosts have unequal numbers of callers, so a host with more than its share of them
 // depends on the slots that other hosts leave free.
-func (s *Scheduler) expectedOnTimeWait(sv *service, w *Waiter, now time.Duration) time.Duration {
-	perSecond := s.ownCapacity(sv, now)/sv.demand.serviceTime.Seconds() + sv.quotaRate.perSecond
+func (sv *service) expectedOnTimeWait(w *Waiter, has supply, now time.Duration) time.Duration {
+	perSecond := has.own/sv.demand.serviceTime.Seconds() + sv.quotaRate.perSecond
+	if len(sv.classes) > 1 {
+		perSecond = sv.classRate(w.class, has, now) / waitMargin
+	}
 	if perSecond <= 0 {
 		return forever
 	}
@@ -103,7 +104,7 @@
 
 // timeToFree estimates the time until n requests have released their slots, where the given
 // number of slots is in use.
-func (s *Scheduler) timeToFree(sv *service, n, slots float64) time.Duration {
+func (sv *service) timeToFree(n, slots float64) time.Duration {
 	if slots <= 0 {
 		return forever
 	}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -15,14 +15,15 @@
 	return s.refuse(NoCapacity, w, now)
 }
 
-// admitWaiters admits up to n requests from the queue, those that can still be on time first.
+// admitWaiters admits up to n requests from the queue, in the order that Waiter.precedes states.
 func (s *Scheduler) admitWaiters(out []Result, sv *service, n int, now time.Duration) []Result {
 	for ; n > 0 && len(sv.waiters) > 0; n-- {
-		i := sv.nextWaiter(now)
-		w := sv.waiters[i]
-		if !s.mayAdmitLate(sv, w, now) {
+		s.updateClasses(sv, now)
+		i := s.nextAdmissible(sv, now)
+		if i < 0 {
 			break
 		}
+		w := sv.waiters[i]
 		u, ok := s.pickEngine(sv, w.tried, now)
 		if !ok {
 			break
@@ -69,12 +70,12 @@
 	return out
 }
 
-// nextWaiter returns the index of the queued request to be served next. The queue must not be
-// empty.
-func (sv *service) nextWaiter(now time.Duration) int {
-	best := 0
+// nextAdmissible returns the index of the queued request that goes first among those that may
+// take a free slot, or -1 if there is none.
+func (s *Scheduler) nextAdmissible(sv *service, now time.Duration) int {
+	best := -1
 	for i, w := range sv.waiters {
-		if w.precedes(sv.waiters[best], now) {
+		if (best < 0 || w.precedes(sv.waiters[best], now)) && s.mayAdmit(sv, w, now) {
 			best = i
 		}
 	}
@@ -84,11 +85,14 @@
 // canBeOnTime reports whether the request's first event can be on time if it gets a slot now.
 func (w *Waiter) canBeOnTime(now time.Duration) bool { return now < w.latestStart }
 
-// precedes reports whether w is served before o. Requests that can be on time go first, then
-// those with the earlier effective arrival.
+// precedes reports whether w is served before o. The class decides first, then whether a request
+// can be on time, then the earlier arrival.
 func (w *Waiter) precedes(o *Waiter, now time.Duration) bool {
+	if precedes, decides := w.precedesByClass(o); decides {
+		return precedes
+	}
 	if isOnTime := w.canBeOnTime(now); isOnTime != o.canBeOnTime(now) {
 		return isOnTime
 	}
-	return w.effectiveArrival < o.effectiveArrival
+	return w.arrival < o.arrival
 }
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -31,8 +31,10 @@
 type Ticket struct {
 	upstream *upstream
 	service  *service
-	born     int64
-	address  string
+	// class is the priority class of the request; nil for plain services.
+	class   *class
+	born    int64
+	address string
 	// EstimatedLoad is the number of requests that the upstream was assumed to have when the
 	// slot was reserved. LoadAge is the age of the load report used for that; it is negative if
 	// there was none.
@@ -254,6 +256,9 @@
 	delete(sv.movable, t)
 	u.inflight--
 	sv.inflight--
+	if t.class != nil {
+		t.class.inflight--
+	}
 	// This host may reuse the released slot at once, unless the engine still has at least as
 	// many requests as its concurrency limit.
 	if sv.engineSpec != nil && u.allowance == nil && s.estimatedLoad(u, now) < float64(sv.limitOf(u, sv.minStepTimeRatio(now), now)) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -125,7 +125,9 @@
 	// quotaRate is this host's share of free slots per second.
 	quotaRate averageRate
 	waiters   []*Waiter
-	demand    demand
+	// classes are the priority classes of the requests that have arrived, the most urgent first.
+	classes []*class
+	demand  demand
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -44,7 +44,7 @@
 	}
 	if sv.engineSpec != nil {
 		out.Capacity, _ = s.capacity(sv, now)
-		out.OnTimeDemand = sv.demand.slotsNeeded(sv.expectedServiceTime(), now)
+		out.OnTimeDemand = sv.demand.slotsNeeded(sv.demand.onTimeArrivals.perSecond(now), sv.expectedServiceTime())
 	}
 	return out
 }
