--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,7 +80,7 @@
 	c.tried = append(c.tried, u.ID)
 	target := dispatch.Target{ID: u.ID, StartedAt: u.StartedAt, Address: u.Address, MaxConnections: c.g.maxConnections(c.service)}
 	request := &dispatch.Request{
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(resume), Body: c.body,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(reserved, resume), Body: c.body,
 		MaySend: func() error { return c.maySend(reserved) },
 	}
 	c.log("request sent", "fingerprint", c.fingerprint.String(), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,10 @@
 	KeyHeader, WorkspaceHeader string
 	// ResumeHeader carries the id of the last event that the caller has received.
 	ResumeHeader string
+	// PriorityHeader tells an engine the priority of a request in its own queue, from 0 for the most
+	// urgent to maxUpstreamPriority. It is sent to services whose requests have several priorities;
+	// empty if upstreams don't have such a field.
+	PriorityHeader string
 	// Deadline returns how long the caller waits, and false if the caller does not say so.
 	Deadline func(http.Header) (time.Duration, bool)
 	// Statement returns what an upstream states about itself in a response, without the times. The
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,7 +53,7 @@
 	began := time.Now()
 	d := Dialect{
 		UpstreamHeaders: dispatch.HeaderNames{Attempt: "X-A", Instance: "X-I", Deadline: "X-D", NotRun: "X-N"},
-		KeyHeader:       "X-K", WorkspaceHeader: "X-W", ResumeHeader: "X-R",
+		KeyHeader:       "X-K", WorkspaceHeader: "X-W", ResumeHeader: "X-R", PriorityHeader: "X-P",
 		Deadline: func(h http.Header) (time.Duration, bool) {
 			ms, err := strconv.Atoi(h.Get("X-D"))
 			return time.Duration(ms) * time.Millisecond, err == nil
@@ -167,6 +168,29 @@
 	require.Equal(t, "POST /safe/x//y?a=%20b body w u1", body)
 }
 
+// Guards against engines that take requests from their queues without regard to priority where the
+// requests of a service differ in it, and against a changed header where they don't.
+func TestEnginesAreToldThePriorityOfRequests(t *testing.T) {
+	env := newTestEnv(t)
+	engine := &routetable.Engine{Slots: 4, StepTime: time.Millisecond, StepsPerPass: 1, MeanPromptTokens: 10, MeanAnswerTokens: 10, PrefillRate: 1000}
+	env.setTable(engine)
+	env.addUpstream("u1", func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Header.Get("X-P")) })
+	_, body := env.post("/safe/", nil)
+	require.Empty(t, body)
+	_, body = env.post("/safe/", func(r *http.Request) { r.Header.Set("X-P", "7") })
+	require.Equal(t, "7", body)
+	table := *env.gateway.Table()
+	table.Number++
+	table.Routes = slices.Clone(table.Routes)
+	table.Routes[0].Priority = 2
+	require.NoError(t, table.Build())
+	require.True(t, env.gateway.SetTable(&table))
+	_, body = env.post("/safe/", func(r *http.Request) { r.Header.Set("X-P", "7") })
+	require.Equal(t, "2", body)
+	_, body = env.post("/unsafe/", nil)
+	require.Equal(t, "9", body, "the least urgent priority that engines know")
+}
+
 func TestGatewayRefusals(t *testing.T) {
 	env := newTestEnv(t)
 	env.setTable(nil)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -189,9 +189,12 @@
 	}
 }
 
-// upstreamHeader returns the header for an upstream. If not empty, resume is the id of the last
-// event that the caller has received.
-func (c *call) upstreamHeader(resume string) http.Header {
+// maxUpstreamPriority is the least urgent priority that an engine knows.
+const maxUpstreamPriority = 9
+
+// upstreamHeader returns the header for the upstream of a reservation. If not empty, resume is the
+// id of the last event that the caller has received.
+func (c *call) upstreamHeader(reserved *reservation, resume string) http.Header {
 	d := c.g.cfg.Dialect
 	h := c.r.Header.Clone()
 	stripHopByHop(h)
@@ -204,6 +207,9 @@
 	if resume != "" {
 		h.Set(d.ResumeHeader, resume)
 	}
+	if d.PriorityHeader != "" && reserved.HasClasses() {
+		h.Set(d.PriorityHeader, strconv.Itoa(min(max(c.priority, 0), maxUpstreamPriority)))
+	}
 	h.Set(d.UpstreamHeaders.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
 	return h
 }
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -53,6 +53,9 @@
 // StartedAt returns when the upstream's process started.
 func (t *Ticket) StartedAt() int64 { return t.born }
 
+// HasClasses reports whether the requests of the service have several priorities.
+func (t *Ticket) HasClasses() bool { return len(t.service.classes) > 1 }
+
 // Address returns the address of the upstream when the attempt began, as "ip:port".
 func (t *Ticket) Address() string { return t.address }
 
