Share the slots of a class among workspaces

A workspace that uses more than an equal part of the slots in use is refused earlier, in proportion, which leaves the queue to the others. What those don't ask for stays with it. Only services with several classes are affected.

A request is queued only if twice its estimated wait is in time.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -34,6 +34,8 @@
 	OnTimeUntil time.Duration
 	// Priority is the priority level of the request; 0 is the most urgent.
 	Priority int
+	// Workspace is the workspace of the caller, empty if unknown.
+	Workspace string
 	// Tried lists the ids of the upstreams that earlier attempts of the request were sent to.
 	Tried []string
 	// TimeLeft is the time until the caller's deadline, 0 if unknown.
@@ -49,6 +51,8 @@
 	service *service
 	tried   []string
 	class   *class
+	// workspace is the workspace of the caller.
+	workspace string
 	// latestStart is the latest time at which the request can start and still send its first
 	// event on time.
 	latestStart time.Duration
@@ -150,7 +154,7 @@
 // now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
-		service: sv, tried: r.Tried, class: sv.class(r.Priority), arrival: now, isResumed: r.IsResumed,
+		service: sv, tried: r.Tried, class: sv.class(r.Priority), workspace: r.Workspace, arrival: now, isResumed: r.IsResumed,
 		latestStart: r.OnTimeUntil - sv.timeToFirstEvent(), giveUpAt: now + MaxQueueWait, canRetry: r.CanRetry,
 	}
 	if r.TimeLeft > 0 {
@@ -232,7 +236,8 @@
 func (s *Scheduler) reserveFor(sv *service, u *upstream, w *Waiter, now time.Duration) *Ticket {
 	t := s.reserve(u, now)
 	t.class = w.class
-	w.class.inflight++
+	t.workspace = w.workspace
+	w.class.begin(w.workspace)
 	w.class.admissions.add(now)
 	sv.demand.admissions.add(now)
 	if t.isLate = !w.canBeOnTime(now); t.isLate {
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -18,7 +18,7 @@
 	// waitMargin is the factor by which the wait of a request may exceed its estimate for the
 	// request still to be queued. Slots become free at irregular intervals, and a request that is
 	// refused after it has waited is worse for its caller than one that is refused at once.
-	waitMargin = 1.5
+	waitMargin = 2
 	// maxClasses is the largest number of classes of a service. Priorities come from the
 	// configuration; requests of a further one belong to the class with the nearest priority.
 	maxClasses = 16
@@ -32,8 +32,10 @@
 	// arrivals counts all arriving requests, onTimeArrivals those that could still be on time, and
 	// admissions those that got a slot.
 	arrivals, onTimeArrivals, admissions eventRate
-	// inflight is the number of this host's attempts in flight.
-	inflight int
+	// inflight is the number of this host's attempts in flight, and inflightBy that of each
+	// workspace that has any.
+	inflight   int
+	inflightBy map[string]int
 	// The fields below are set by updateClasses. isGuaranteed is set while the class has less than
 	// its guaranteed share of the slots. mayAdmitOnTime and mayAdmitLate tell whether requests of
 	// the class that can be on time, or no longer can, may take a free slot.
@@ -50,7 +52,7 @@
 	if len(sv.classes) == maxClasses {
 		return sv.classes[min(i, maxClasses-1)]
 	}
-	c := &class{priority: priority}
+	c := &class{priority: priority, inflightBy: make(map[string]int)}
 	sv.classes = slices.Insert(sv.classes, i, c)
 	return c
 }
@@ -121,6 +123,30 @@
 	return max(left, c.admissions.perSecond(now), sv.guaranteedSlots(c, has, now)*turnover)
 }
 
+// begin counts an attempt of a workspace, end takes it off again.
+func (c *class) begin(workspace string) {
+	c.inflight++
+	c.inflightBy[workspace]++
+}
+
+func (c *class) end(workspace string) {
+	c.inflight--
+	if c.inflightBy[workspace]--; c.inflightBy[workspace] == 0 {
+		delete(c.inflightBy, workspace)
+	}
+}
+
+// excessOf returns how many times its fair share of the slots a workspace uses, at least 1. The
+// slots that the class uses are shared equally by the workspaces that use any; what one of them
+// does not need is thereby left to the others.
+func (c *class) excessOf(workspace string) float64 {
+	used := c.inflightBy[workspace]
+	if used == 0 {
+		return 1
+	}
+	return max(1, float64(used*len(c.inflightBy))/float64(c.inflight))
+}
+
 // precedesByClass reports whether w is served before o because of their classes, and whether
 // the classes decide. A class with less than its guaranteed share goes first, then the more
 // urgent one.
--- a/internal/schedule/classes_test.go
+++ b/internal/schedule/classes_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 // stream is a class of requests that arrive at a steady rate.
 type stream struct {
 	priority  int
+	workspace string
 	perSecond float64
 	target    time.Duration
 }
@@ -60,11 +62,12 @@
 	const step = 5 * time.Millisecond
 	out := make([]outcomes, len(streams))
 	due := make([]float64, len(streams))
-	waiting, running := map[*Waiter]*pending{}, map[*pending]bool{}
+	waiting := map[*Waiter]*pending{}
+	var running []*pending
 	firstEvent := l.service("s").timeToFirstEvent
 	start := func(p *pending, t *Ticket) {
 		p.ticket, p.endsAt = t, l.now+time.Duration((0.5+l.cfg.Random.Float64())*float64(serviceTime))
-		running[p] = true
+		running = append(running, p)
 		if l.now+firstEvent()-p.arrived <= streams[p.stream].target {
 			out[p.stream].onTime++
 		} else {
@@ -89,15 +92,16 @@
 		}
 	}
 	for until := l.now + length; l.now < until; l.now += step {
-		for p := range running {
-			if l.now >= p.endsAt {
-				delete(running, p)
+		for i := 0; i < len(running); i++ {
+			if p := running[i]; l.now >= p.endsAt {
+				running = slices.Delete(running, i, i+1)
+				i--
 				results, _ := l.Release(p.ticket, Success, l.now)
 				decide(results)
 			}
 		}
-		for w, p := range waiting {
-			if l.now-p.arrived >= MaxQueueWait {
+		for _, w := range slices.Clone(l.service("s").waiters) {
+			if p := waiting[w]; l.now-p.arrived >= MaxQueueWait {
 				delete(waiting, w)
 				l.Abandon(w, l.now)
 				refuse(p)
@@ -113,7 +117,7 @@
 				out[i].arrived++
 				p := &pending{stream: i, arrived: l.now}
 				d := l.Admit(&Request{
-					Service: "s", Engine: l.engine, OnTimeUntil: l.now + c.target, Priority: c.priority, CanRetry: true, TimeLeft: 8 * time.Second,
+					Service: "s", Engine: l.engine, OnTimeUntil: l.now + c.target, Priority: c.priority, Workspace: c.workspace, CanRetry: true, TimeLeft: 8 * time.Second,
 				}, l.now)
 				switch {
 				case d.Ticket != nil:
@@ -130,9 +134,9 @@
 }
 
 // countLoads sets the load of each engine to the number of requests that run there.
-func (l *testCluster) countLoads(running map[*pending]bool) {
+func (l *testCluster) countLoads(running []*pending) {
 	l.setLoads(0)
-	for p := range running {
+	for _, p := range running {
 		load := l.loads[p.ticket.ID()]
 		load.Running++
 		l.loads[p.ticket.ID()] = load
@@ -180,6 +184,26 @@
 	require.GreaterOrEqual(t, out[0].servedFraction(), out[1].servedFraction(), "an urgent class is not served worse")
 }
 
+// Load pattern: one workspace asks for most of the slots of a class and more than there are. The
+// others, which ask for less than an equal share, must not be refused because of it, and the large
+// workspace must get what they leave.
+func TestLargeWorkspaceDisplacesNoOther(t *testing.T) {
+	l := newTestCluster(1, 8, 1)
+	capacity := 32 / testServiceTime.Seconds()
+	streams := []stream{
+		{priority: 1, workspace: "large", perSecond: 1.3 * capacity, target: 400 * time.Millisecond},
+		{priority: 1, workspace: "small", perSecond: 0.15 * capacity, target: 400 * time.Millisecond},
+		{priority: 1, workspace: "smaller", perSecond: 0.05 * capacity, target: 400 * time.Millisecond},
+		{priority: 0, perSecond: 0.05 * capacity, target: 400 * time.Millisecond},
+	}
+	out := l.play(streams, testServiceTime, 20*time.Second)
+	t.Logf("%+v", out)
+	for _, o := range out[1:] {
+		require.GreaterOrEqual(t, o.servedFraction(), 0.97)
+	}
+	require.Greater(t, float64(out[0].onTime+out[0].late), 0.85*0.75*capacity*20, "the slots that the others leave are used")
+}
+
 // Guards against classes that change anything where all requests have the same priority, whichever
 // that is.
 func TestOneClassIsServedAsWithoutPriorities(t *testing.T) {
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -79,7 +79,9 @@
 func (sv *service) expectedOnTimeWait(w *Waiter, has supply, now time.Duration) time.Duration {
 	perSecond := has.own/sv.demand.serviceTime.Seconds() + sv.quotaRate.perSecond
 	if len(sv.classes) > 1 {
-		perSecond = sv.classRate(w.class, has, now) / waitMargin
+		// A workspace that uses more than its fair share is refused first, which leaves the queue to
+		// the others.
+		perSecond = sv.classRate(w.class, has, now) / (waitMargin * w.class.excessOf(w.workspace))
 	}
 	if perSecond <= 0 {
 		return forever
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -32,9 +32,10 @@
 	upstream *upstream
 	service  *service
 	// class is the priority class of the request; nil for plain services.
-	class   *class
-	born    int64
-	address string
+	class     *class
+	workspace string
+	born      int64
+	address   string
 	// EstimatedLoad is the number of requests that the upstream was assumed to have when the
 	// slot was reserved. LoadAge is the age of the load report used for that; it is negative if
 	// there was none.
@@ -260,7 +261,7 @@
 	u.inflight--
 	sv.inflight--
 	if t.class != nil {
-		t.class.inflight--
+		t.class.end(t.workspace)
 	}
 	// This host may reuse the released slot at once, unless the engine still has at least as
 	// many requests as its concurrency limit.
