Choose the concurrency limit by the classes that it serves

A higher limit serves more requests and makes passes longer. Where requests have several priorities the slots beyond the urgent demand only serve less urgent requests, while the longer passes make all answers late. The goodput that the limit maximises now counts what is served by class, each worth half of the next more urgent one. With one class nothing changes.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -123,7 +123,7 @@
 // Admit decides on a new request: it reserves a slot, queues the request or refuses it.
 func (s *Scheduler) Admit(r *Request, now time.Duration) Decision {
 	sv := s.service(r.Service)
-	sv.setEngine(r.Engine, r.MaxEventGap, now)
+	sv.setEngine(r.Engine, r.MaxEventGap, s.hosts, now)
 	w := sv.newWaiter(r, now)
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -19,6 +19,13 @@
 	// request still to be queued. Slots become free at irregular intervals, and a request that is
 	// refused after it has waited is worse for its caller than one that is refused at once.
 	waitMargin = 2
+	// classValueRatio is the value of serving a request relative to one of the next more urgent
+	// class. The configuration does not state values; with one half, a few urgent requests on time
+	// outweigh as many of all less urgent classes together.
+	classValueRatio = 0.5
+	// spareValue is the value of capacity beyond the present demand, relative to the least urgent
+	// class. It only prefers the higher one of two limits that serve all requests equally well.
+	spareValue = 0.05
 	// maxClasses is the largest number of classes of a service. Priorities come from the
 	// configuration; requests of a further one belong to the class with the nearest priority.
 	maxClasses = 16
@@ -159,3 +166,42 @@
 	}
 	return w.class.priority < o.class.priority, true
 }
+
+// classDemand holds how many requests of each class arrive per second and rank, the most urgent
+// class first. It is nil for a service with one class.
+type classDemand []float64
+
+// classDemand returns the demand at a rank, assuming that the other hosts get as many requests as
+// this one.
+func (sv *service) classDemand(hosts int, now time.Duration) classDemand {
+	ranks := 0
+	for _, g := range sv.groups {
+		if !g.isClosed {
+			ranks += g.ranks
+		}
+	}
+	if len(sv.classes) <= 1 || ranks == 0 {
+		return nil
+	}
+	demand := make(classDemand, len(sv.classes))
+	for i, c := range sv.classes {
+		demand[i] = c.arrivals.perSecond(now) * float64(hosts) / float64(ranks)
+	}
+	return demand
+}
+
+// value returns the value of serving the given number of requests per second, the most urgent
+// ones first. With one class each request counts the same, whether or not there are as many.
+func (d classDemand) value(perSecond float64) float64 {
+	if d == nil {
+		return perSecond
+	}
+	value, weight := 0.0, 1.0
+	for _, arrivals := range d {
+		served := min(arrivals, perSecond)
+		value += weight * served
+		perSecond -= served
+		weight *= classValueRatio
+	}
+	return value + weight*spareValue*perSecond
+}
--- a/internal/schedule/classes_test.go
+++ b/internal/schedule/classes_test.go
@@ -227,3 +227,31 @@
 	require.Len(t, sv.classes, maxClasses)
 	require.Equal(t, sv.classes[maxClasses-1], sv.class(1000))
 }
+
+// Load pattern: more requests of the least urgent class than there are slots, while shifts of expert
+// popularity now and then make passes too long at the highest limit. Serving more of them must not
+// make urgent answers late, whereas requests of one class are served as many as possible.
+func TestLimitIsLowerWhereOnlyLessUrgentRequestsGain(t *testing.T) {
+	l := newSkewedCluster()
+	l.runWithShifts(1.9, 1.2, 8*time.Second, historySpan)
+	p, gap := &l.service("s").groups["0"].passTimes, l.gapLimitedRequest().MaxEventGap
+	limit := func(d classDemand) float64 {
+		p.engineSpec = nil
+		return p.limit(l.engine, gap, d, l.now)
+	}
+	served := limit(nil) / ServiceTime(l.engine, int(limit(nil))).Seconds()
+	mixed := limit(classDemand{0.4 * served, 0, 2 * served})
+	t.Logf("limit %v for one class, %v for a mix, %v for urgent requests only", limit(nil), mixed, limit(classDemand{2 * served, 0, 0}))
+	require.Less(t, mixed, limit(nil))
+	require.Equal(t, limit(nil), limit(classDemand{20 * served, 0, 0}), "urgent requests alone fill the slots")
+	require.GreaterOrEqual(t, mixed, float64(ConcurrencyLimit(l.engine, gap)))
+}
+
+func TestClassDemandValuesUrgentRequestsFirst(t *testing.T) {
+	require.Equal(t, 7.0, classDemand(nil).value(7))
+	d := classDemand{2, 0, 4}
+	require.Equal(t, 1.0, d.value(1))
+	require.Equal(t, 2.0, d.value(2))
+	require.Equal(t, 2.5, d.value(4))
+	require.InDelta(t, 3+spareValue*2/8, d.value(8), 1e-9)
+}
--- a/internal/schedule/goodput.go
+++ b/internal/schedule/goodput.go
@@ -28,7 +28,10 @@
 // achieve that, so passes that are too long even at the lowest limit are ignored. The lowest
 // limit, which tolerates the worst expected shift of popularity, is returned if nothing is
 // known yet and while the newest passes would be too long at any limit.
-func (p *passHistory) limit(e *routetable.Engine, maxEventGap, now time.Duration) float64 {
+//
+// If the requests have several priorities, what is served counts by its class: once the urgent
+// requests are served, more requests of less urgent classes don't make up for late urgent ones.
+func (p *passHistory) limit(e *routetable.Engine, maxEventGap time.Duration, demand classDemand, now time.Duration) float64 {
 	minLimit := float64(ConcurrencyLimit(e, maxEventGap))
 	if maxEventGap <= 0 || e.StepsPerPass <= 0 || e.StepTimePerRequest <= 0 || !p.hasStarted || now-p.startedAt < minObservation {
 		return minLimit
@@ -48,7 +51,7 @@
 		passTime := float64(balancedPassTime(e, n))
 		serviceTime := prefillTime(e).Seconds() + (e.MeanAnswerTokens/float64(e.StepsPerPass)+2)*meanSlowdown*passTime/float64(time.Second)
 		onTime := fractionOnTime(slowdowns, maxPassTime/passTime, int(serviceTime/bucketSpan.Seconds())+1)
-		if goodput := n / serviceTime * (onTime + lateAnswerValue*(1-onTime)); goodput > bestGoodput {
+		if goodput := demand.value(n/serviceTime) * (onTime + lateAnswerValue*(1-onTime)); goodput > bestGoodput {
 			bestGoodput, p.cachedLimit = goodput, n
 		}
 	}
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -82,7 +82,7 @@
 	for _, sv := range s.services {
 		sv.updateGroups()
 		sv.updateMeanLoads()
-		sv.updateLimits(now)
+		sv.updateLimits(s.hosts, now)
 		sv.updateOutage(now)
 	}
 	s.updateQuotas(all, now)
--- a/internal/schedule/passtimes_test.go
+++ b/internal/schedule/passtimes_test.go
@@ -111,8 +111,8 @@
 	}
 	var unknown passHistory
 	e := newSkewedCluster().engine
-	require.Equal(t, float64(ConcurrencyLimit(e, time.Second)), unknown.limit(e, time.Second, time.Hour))
-	require.Equal(t, float64(ConcurrencyLimit(e, 0)), unknown.limit(e, 0, time.Hour))
+	require.Equal(t, float64(ConcurrencyLimit(e, time.Second)), unknown.limit(e, time.Second, nil, time.Hour))
+	require.Equal(t, float64(ConcurrencyLimit(e, 0)), unknown.limit(e, 0, nil, time.Hour))
 }
 
 // Slow passes of one group must not lower the limit of another, whose expert popularity is its
@@ -134,7 +134,7 @@
 	p := &l.service("s").groups["0"].passTimes
 	for b.Loop() {
 		p.cachedBucket = -1
-		p.limit(l.engine, l.gapLimitedRequest().MaxEventGap, l.now)
+		p.limit(l.engine, l.gapLimitedRequest().MaxEventGap, nil, l.now)
 	}
 }
 
