Let urgent requests use slots without waiting for their host's quota

Each host has an equal quota of the slots that become free, whichever classes its callers are of.

While there are slots for all of them, urgent requests need no quota and may exceed the concurrency limit of an engine by one request, up to its slots. Less urgent requests are admitted only below the limit and make up for it.

--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -191,7 +191,7 @@
 	if !s.mayAdmit(sv, w, now) {
 		return nil, false
 	}
-	u, ok := s.pickEngine(sv, w.tried, now)
+	u, ok := s.pickEngine(sv, w.tried, w.class.isPreferred, now)
 	if !ok {
 		return nil, false
 	}
--- a/internal/schedule/capacity.go
+++ b/internal/schedule/capacity.go
@@ -27,6 +27,14 @@
 	return SlowRankLimit(sv.engineSpec, limit, u.load.stepTimeRatio/minRatio)
 }
 
+// isSlow reports whether an engine is slower than the fastest of its service.
+func (u *upstream) isSlow(minRatio float64, now time.Duration) bool {
+	return u.load.isFresh(now) && minRatio > 0 && u.load.stepTimeRatio > slowStepTimeRatio*minRatio
+}
+
+// slowStepTimeRatio is the step time relative to the fastest engine from which an engine is slow.
+const slowStepTimeRatio = 1.05
+
 // capacity returns the total number of usable slots at the engines of a service that serve, and
 // how many of them are free. An engine with a rate limit has as many usable slots as the rate
 // keeps occupied, and a free one only if this host has a token. One that rests has none.
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -10,6 +10,10 @@
 	// expected of more urgent classes before a request of a less urgent class may take one. It
 	// covers the wait for the load reports that show the next free slots.
 	urgentReserve = 150 * time.Millisecond
+	// urgentHeadroom is by how many requests an urgent one may exceed the concurrency limit of an
+	// engine that has slots beyond it. A slot that becomes free is known to other hosts only after
+	// a load report, for which urgent requests would have to wait.
+	urgentHeadroom = 1
 	// guaranteedFraction is the fraction of the slots in proportion to its demand that a class
 	// keeps, however much the more urgent ones ask for. No class starves: each must be served at
 	// least a quarter as often as all requests, and a third leaves a margin for the differences
@@ -19,6 +23,8 @@
 	// request still to be queued. Slots become free at irregular intervals, and a request that is
 	// refused after it has waited is worse for its caller than one that is refused at once.
 	waitMargin = 2
+	// preferredRate is how many times this host's share of the slots a preferred class gets.
+	preferredRate = 4
 	// classValueRatio is the value of serving a request relative to one of the next more urgent
 	// class. The configuration does not state values; with one half, a few urgent requests on time
 	// outweigh as many of all less urgent classes together.
@@ -47,6 +53,11 @@
 	// its guaranteed share of the slots. mayAdmitOnTime and mayAdmitLate tell whether requests of
 	// the class that can be on time, or no longer can, may take a free slot.
 	isGuaranteed, mayAdmitOnTime, mayAdmitLate bool
+	// isPreferred is set while there are enough slots for the requests on time of this class and the
+	// more urgent ones, and there is a less urgent class. Its requests don't wait for this host's
+	// quota and may exceed the concurrency limit by urgentHeadroom. Less urgent requests make up for
+	// it, since they are admitted only below the limit.
+	isPreferred bool
 }
 
 // class returns the class of requests with a priority, which is created if it is new. Classes
@@ -93,6 +104,8 @@
 	has := s.supply(sv, now)
 	for i, c := range sv.classes {
 		c.isGuaranteed = len(sv.classes) > 1 && float64(c.inflight) < sv.guaranteedSlots(c, has, now)
+		needed := sv.demand.slotsNeeded(sv.onTimeArrivalRate(c, now), sv.expectedServiceTime())
+		c.isPreferred = i < len(sv.classes)-1 && needed < has.own
 		c.mayAdmitOnTime = i == 0 || c.isGuaranteed || has.free > sv.urgentArrivalRate(c, now)*urgentReserve.Seconds()
 		c.mayAdmitLate = c.isGuaranteed || c.mayAdmitOnTime && sv.lateCapacity(c, has, now) > 0
 	}
@@ -126,6 +139,10 @@
 // share of the slots, or the guaranteed share, whichever is most.
 func (sv *service) classRate(c *class, has supply, now time.Duration) float64 {
 	turnover := 1 / sv.meanServiceTime().Seconds()
+	if c.isPreferred {
+		// Less urgent requests leave it any slot that becomes free, also those that other hosts use.
+		return max(has.own, 1) * turnover * waitMargin * preferredRate
+	}
 	left := has.own*turnover - sv.urgentArrivalRate(c, now)
 	return max(left, c.admissions.perSecond(now), sv.guaranteedSlots(c, has, now)*turnover)
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -24,7 +24,7 @@
 			break
 		}
 		w := sv.waiters[i]
-		u, ok := s.pickEngine(sv, w.tried, now)
+		u, ok := s.pickEngine(sv, w.tried, w.class.isPreferred, now)
 		if !ok {
 			break
 		}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -119,8 +119,9 @@
 }
 
 // pickEngine chooses an engine that was not tried yet and has a free slot. Suspect engines are
-// used only if no other engine serves, not if all others are merely full.
-func (s *Scheduler) pickEngine(sv *service, tried []string, now time.Duration) (*upstream, bool) {
+// used only if no other engine serves, not if all others are merely full. A preferred request needs
+// no quota and finds a slot just beyond the concurrency limit too.
+func (s *Scheduler) pickEngine(sv *service, tried []string, isPreferred bool, now time.Duration) (*upstream, bool) {
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
 	s.trustedCandidates, s.suspectCandidates = s.trustedCandidates[:0], s.suspectCandidates[:0]
 	hasTrusted := false
@@ -131,7 +132,11 @@
 		isTrusted := !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
 		hasTrusted = hasTrusted || isTrusted
 		load := s.estimatedLoad(u, now)
-		hasSlot := u.isWithinQuota(now) && load < float64(sv.limitOf(u, minRatio, now))
+		limit := sv.limitOf(u, minRatio, now)
+		if isPreferred && !u.isSlow(minRatio, now) {
+			limit = min(limit+urgentHeadroom, max(limit, sv.engineSpec.Slots))
+		}
+		hasSlot := (isPreferred || u.isWithinQuota(now)) && load < float64(limit)
 		if hasSlot && !u.accepts(now) {
 			u.passOver(now)
 			continue
