--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -116,5 +116,7 @@
 	c.warn("no place", "reason", reason.Name(), "upstreams", s.Upstreams, "loads_heard", s.Reporting, "serving", s.Serving,
 		"groups", s.Groups, "groups_closed", s.ClosedGroups, "load_age_ms", s.OldestReport.Milliseconds(), "places", s.Capacity,
 		"taken", s.EstimatedLoad, "late", s.LateAttempts, "need", s.OnTimeDemand, "waiting", s.Waiting, "hosts", hosts,
+		"priority", c.priority, "first_event_ms", s.FirstEvent.Milliseconds(), "service_ms", s.ServiceTime.Milliseconds(),
+		"on_time_ms", time.Until(c.onTimeUntil()).Milliseconds(),
 		"waited_ms", time.Since(c.began).Milliseconds())
 }
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -19,6 +19,9 @@
 	// occupied by requests that can be on time.
 	Waiting, LateAttempts int
 	OnTimeDemand          float64
+	// FirstEvent is the expected time from reserving a slot to the first event, ServiceTime that for
+	// which a request holds its slot.
+	FirstEvent, ServiceTime time.Duration
 }
 
 // State returns a summary of what is known of a service.
@@ -44,6 +47,7 @@
 	}
 	if sv.engineSpec != nil {
 		out.Capacity, _ = s.capacity(sv, now)
+		out.FirstEvent, out.ServiceTime = sv.timeToFirstEvent(), sv.meanServiceTime()
 		out.OnTimeDemand = sv.demand.slotsNeeded(sv.demand.onTimeArrivals.perSecond(now), sv.expectedServiceTime())
 	}
 	return out
