Let the priority of the route decide among workspaces of equal priority

All workspaces of a deployment may have the same priority. It replaced that of the route, so that all requests of an engine service were of one class whatever their routes said. The workspace's priority now decides first and the route's among equal ones. Where all routes of a service have one priority, as before, nothing changes. Engines are told the rank of the class.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,8 +32,7 @@
 	route *routetable.Route
 	// workspace is the workspace of the caller, empty on public routes.
 	workspace string
-	// priority is the priority of the workspace, or of the route if the workspace has none; 0
-	// is the most urgent.
+	// priority is the combined priority of workspace and route; 0 is the most urgent.
 	priority  int
 	service   *routetable.Service
 	attemptID string
@@ -92,7 +91,7 @@
 	if c.route == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for this host and path")
 	}
-	c.priority = c.route.Priority
+	c.priority = combinedPriority(c.route.Priority, c.route.Priority)
 	if c.table.NeedsKey(c.route) {
 		w := c.table.WorkspaceByKey(c.r.Header.Get(g.cfg.Dialect.KeyHeader))
 		if w == nil {
@@ -100,7 +99,7 @@
 		}
 		c.workspace = w.Name
 		if w.HasPriority {
-			c.priority = w.Priority
+			c.priority = combinedPriority(w.Priority, c.route.Priority)
 		}
 	}
 	if err := c.readBody(); err != nil {
@@ -189,6 +188,15 @@
 	}
 }
 
+// maxRoutePriority is the least urgent priority of a route that is told apart from others.
+const maxRoutePriority = 999
+
+// combinedPriority returns the priority of a request. That of its workspace decides, and among equal
+// ones that of its route. Where the workspace has none, that of the route takes its place.
+func combinedPriority(workspace, route int) int {
+	return workspace*(maxRoutePriority+1) + min(max(route, 0), maxRoutePriority)
+}
+
 // maxUpstreamPriority is the least urgent priority that an engine knows.
 const maxUpstreamPriority = 9
 
@@ -207,8 +215,8 @@
 	if resume != "" {
 		h.Set(d.ResumeHeader, resume)
 	}
-	if d.PriorityHeader != "" && reserved.HasClasses() {
-		h.Set(d.PriorityHeader, strconv.Itoa(min(max(c.priority, 0), maxUpstreamPriority)))
+	if rank, ok := reserved.ClassRank(); ok && d.PriorityHeader != "" {
+		h.Set(d.PriorityHeader, strconv.Itoa(min(rank, maxUpstreamPriority)))
 	}
 	h.Set(d.UpstreamHeaders.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
 	return h
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -54,8 +54,11 @@
 // StartedAt returns when the upstream's process started.
 func (t *Ticket) StartedAt() int64 { return t.born }
 
-// HasClasses reports whether the requests of the service have several priorities.
-func (t *Ticket) HasClasses() bool { return len(t.service.classes) > 1 }
+// ClassRank returns how many of the service's priority classes are more urgent than that of the
+// request. It returns false if the service has only one class.
+func (t *Ticket) ClassRank() (int, bool) {
+	return slices.Index(t.service.classes, t.class), len(t.service.classes) > 1 && t.class != nil
+}
 
 // Address returns the address of the upstream when the attempt began, as "ip:port".
 func (t *Ticket) Address() string { return t.address }
