Replicate which data centres are evacuated

The tables get a list of data centres with the state, the index of the last order and that of the last change of each. A command names the last order that its proposer knew, so that a proposal that arrives late does not revert an order acknowledged since. An order that changes nothing also counts as the last one: otherwise a delayed start could take effect after an acknowledged end that found nothing to end.

--- a/internal/state/audit.go
+++ b/internal/state/audit.go
@@ -19,6 +19,10 @@
 	// configuration's number.
 	ActionConfiguration Action = "configuration"
 	ActionMembership    Action = "membership"
+	// ActionEvacuationStart and ActionEvacuationEnd start and end the evacuation of a data
+	// centre, which is the record's Subject.
+	ActionEvacuationStart Action = "evacuation-start"
+	ActionEvacuationEnd   Action = "evacuation-end"
 )
 
 // AuditRecord describes one accepted or refused change of the replicated state.
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -23,6 +23,7 @@
 	kindFinishClaims     commandKind = 5
 	kindSetVoterAddress  commandKind = 6
 	kindPutConfiguration commandKind = 7
+	kindSetEvacuation    commandKind = 8
 )
 
 // envelope is the encoded form of a command in the log.
@@ -33,7 +34,7 @@
 }
 
 // Command is one change of the tables: Init, AdvanceClock, SubmitDocument,
-// ClaimBatch, FinishClaims, SetVoterAddress or PutConfiguration.
+// ClaimBatch, FinishClaims, SetVoterAddress, PutConfiguration or SetEvacuation.
 type Command interface {
 	kind() commandKind
 }
@@ -172,6 +173,8 @@
 		return decodeBody[SetVoterAddress](e.Body)
 	case kindPutConfiguration:
 		return decodeBody[PutConfiguration](e.Body)
+	case kindSetEvacuation:
+		return decodeBody[SetEvacuation](e.Body)
 	}
 	return nil, &Rejected{Reason: ReasonUnknownKind}
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,5 +1,6 @@
 // Package state implements the replicated tables: documents, claims of non-idempotent
-// calls, the routing configuration, the cluster's id and addresses, and the audit trail.
+// calls, the routing configuration, the evacuations of data centres, the cluster's id and
+// addresses, and the audit trail.
 //
 // The contents of the tables depend on the log alone. The tables read no clock: they have
 // a logical clock, which AdvanceClock commands advance, and everything expires by it.
@@ -11,7 +12,8 @@
 // Each table has a lock of its own for concurrent readers. A goroutine that holds
 // one lock may only take a lock that comes later in this order:
 //
-//	Machine.applyMu, documents.mu, claims.mu, cluster.mu, configuration.mu, audit.mu
+//	Machine.applyMu, documents.mu, claims.mu, cluster.mu, configuration.mu, evacuations.mu,
+//	audit.mu
 //
 // Readers take one lock at a time. No code of other packages is called while a lock is
 // held, except the filter of History.
@@ -124,6 +126,7 @@
 	claims        claims
 	cluster       cluster
 	configuration configuration
+	evacuations   evacuations
 	audit         audit
 }
 
@@ -134,6 +137,7 @@
 	m.claims.init(m.options)
 	m.cluster.init()
 	m.configuration.init()
+	m.evacuations.init()
 	m.audit.init(m.options.AuditRecords)
 	return m
 }
@@ -172,6 +176,8 @@
 		return m.setVoterAddress(index, c)
 	case PutConfiguration:
 		return m.putConfiguration(index, c)
+	case SetEvacuation:
+		return m.setEvacuation(index, c)
 	}
 	return Rejected{Reason: ReasonUnknownKind}
 }
--- a/internal/state/result.go
+++ b/internal/state/result.go
@@ -15,6 +15,8 @@
 	ReasonAlreadyApplied Reason = "already applied"
 	ReasonInvalidName    Reason = "missing or too long name"
 	ReasonTooLarge       Reason = "document is too large"
+	// ReasonTooManyDataCentres: there were orders for MaxDataCentres other data centres.
+	ReasonTooManyDataCentres Reason = "too many data centres"
 )
 
 // Rejected is the result of an invalid command, which had no effect.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -29,6 +29,8 @@
 	CompactClaims []byte `cbor:"13,keyasint,omitempty"`
 	// Configuration is zero in snapshots of older builds.
 	Configuration Configuration `cbor:"14,keyasint,omitempty"`
+	// Evacuations is nil if there never was an order, and in snapshots of older builds.
+	Evacuations *Evacuations `cbor:"15,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded tables after the last applied log entry.
@@ -57,6 +59,9 @@
 	s.Retention = m.claims.currentRetention()
 	m.cluster.capture(&s)
 	s.Configuration = m.Configuration()
+	if e := m.Evacuations(); len(e.All) > 0 {
+		s.Evacuations = &e
+	}
 	m.audit.capture(&s)
 	return s
 }
@@ -113,23 +118,34 @@
 	m.claims.restore(s.Claims, s.CompactClaims)
 	m.cluster.restore(s.ClusterID, s.Membership, s.Addresses)
 	m.configuration.set(s.Configuration)
+	m.evacuations.restore(evacuationsOf(&s))
 	m.audit.restore(s.Audit)
 	m.logicalTime.Store(uint64(s.LogicalTime))
 	m.appliedIndex.Store(s.AppliedIndex)
 	return nil
 }
 
+// evacuationsOf returns the table of evacuations in a snapshot.
+func evacuationsOf(s *snapshot) Evacuations {
+	if s.Evacuations == nil {
+		return Evacuations{}
+	}
+	return *s.Evacuations
+}
+
 // lockTables takes the locks of all tables in the order that the package comment states.
 func (m *Machine) lockTables() {
 	m.documents.mu.Lock()
 	m.claims.mu.Lock()
 	m.cluster.mu.Lock()
 	m.configuration.mu.Lock()
+	m.evacuations.mu.Lock()
 	m.audit.mu.Lock()
 }
 
 func (m *Machine) unlockTables() {
 	m.audit.mu.Unlock()
+	m.evacuations.mu.Unlock()
 	m.configuration.mu.Unlock()
 	m.cluster.mu.Unlock()
 	m.claims.mu.Unlock()
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -57,7 +57,7 @@
 // same document or claim.
 func drawCommand(t *rapid.T, revisions []uint64) Command {
 	draw := func(label string, values ...string) string { return rapid.SampledFrom(values).Draw(t, label) }
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
 	case 0:
 		return Init{ClusterID: draw("cluster", "c1", "c2")}
 	case 1:
@@ -87,6 +87,13 @@
 			})
 		}
 		return b
+	case 8, 9:
+		return SetEvacuation{
+			DataCentre:  draw("data centre", "east", "west"),
+			IsEvacuated: rapid.Bool().Draw(t, "evacuated"),
+			LastOrder:   rapid.Uint64Range(0, 12).Draw(t, "last order"),
+			Author:      draw("author", "ann", "bob"),
+		}
 	}
 	f := Finish{
 		Workspace: draw("workspace", "v", "w"),
@@ -214,7 +221,7 @@
 		if rapid.Bool().Draw(t, "wrapped") {
 			raw, err := cbor.Marshal(data)
 			require.NoError(t, err)
-			kind := commandKind(rapid.IntRange(0, 8).Draw(t, "kind"))
+			kind := commandKind(rapid.IntRange(0, 9).Draw(t, "kind"))
 			data, err = encoding.Marshal(envelope{Version: commandVersion, Kind: kind, Body: raw})
 			require.NoError(t, err)
 		}
