Evacuate data centres: control hosts, entry hosts and the platform's calls

Entry hosts get the list on attach, on change and with their first configuration, and ignore lower indexes. The gateway gives the scheduler only upstreams elsewhere; requests that none is left for are refused at once with Retry-After, in the queue and at start-up too. Settings zones.ZONE=REGION name the data centres that orders may name.

Running attempts in an evacuated data centre are not cancelled for lack of load reports of their group: those of upstreams that may get no requests are ignored.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -51,7 +51,8 @@
 			return nil, err
 		}
 	}
-	answer := &wire.ConfigurationAnswer{Number: current.Number}
+	// Read after the configuration, so that a linearizable read covers both.
+	answer := &wire.ConfigurationAnswer{Number: current.Number, Evacuations: h.evacuationsMessage()}
 	if current.Number > m.NewerThan {
 		answer.Data = current.Data
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -34,8 +34,8 @@
 	tickInterval = time.Second
 )
 
-// Roles in wire.Attach. Entry hosts use roleEntry, or roleCallers if they want wire.Suspicions
-// messages only.
+// Roles in wire.Attach. Entry hosts use roleEntry, or roleCallers if they want only
+// wire.Suspicions and wire.Evacuations.
 const (
 	roleEntry   = "entry"
 	roleCallers = "callers"
@@ -99,10 +99,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.attached[s] = m.Role
-	if m.Role == roleEntry || m.Role == roleCallers {
+	if servesCallers(m.Role) {
 		// Sent before the configuration, so that a restarted host has the suspicions before it
 		// serves requests.
 		_ = s.Post(&wire.Suspicions{All: f.quarantine.All()})
+		if e := f.h.evacuationsMessage(); e != nil {
+			_ = s.Post(e)
+		}
 	}
 	if m.Role == roleCallers {
 		return
@@ -239,6 +242,7 @@
 // run sends changes to the attached hosts until ctx ends.
 func (f *fleet) run(ctx context.Context) {
 	go f.saveLoop(ctx)
+	go f.runEvacuations(ctx)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	var lastNumber uint64
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -55,6 +55,7 @@
 	Address       *state.VoterAddressResult  `cbor:"4,keyasint,omitempty"`
 	Rejected      *state.Rejected            `cbor:"5,keyasint,omitempty"`
 	Configuration *state.ConfigurationResult `cbor:"6,keyasint,omitempty"`
+	Evacuation    *state.EvacuationResult    `cbor:"7,keyasint,omitempty"`
 }
 
 // encodeResult encodes the result of a forwarded command. Results of claims can't be encoded,
@@ -72,6 +73,8 @@
 		r.Rejected = &v
 	case state.ConfigurationResult:
 		r.Configuration = &v
+	case state.EvacuationResult:
+		r.Evacuation = &v
 	default:
 		return nil, errors.Errorf("control: result %T can't be forwarded", value)
 	}
@@ -95,6 +98,8 @@
 		return *r.Rejected, nil
 	case r.Configuration != nil:
 		return *r.Configuration, nil
+	case r.Evacuation != nil:
+		return *r.Evacuation, nil
 	}
 	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "empty result of a forwarded command")
 }
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -66,6 +66,8 @@
 	// Registry are the timeouts of upstreams' announcements; zero if upstreams do not
 	// announce themselves to control hosts.
 	Registry registry.Limits
+	// DataCentres are the data centres that can be evacuated; any if empty.
+	DataCentres []string
 	// RestartCache saves the list of upstreams for a restart; nil if it is not saved.
 	RestartCache *RestartCache
 	// Address is the peer address of this host.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,8 @@
 	view      *registry.View
 	scheduler *schedule.Scheduler
 	// statements holds what upstreams last stated about themselves.
-	statements *backpressure.Table
+	statements  *backpressure.Table
+	evacuations evacuations
 	// waiters holds the channel on which each queued request gets its decision. The channels
 	// have a buffer of one, so that sending never blocks.
 	waiters map[*schedule.Waiter]chan schedule.Decision
@@ -169,7 +170,7 @@
 }
 
 // updateUpstreams passes the serving upstreams of the view to the scheduler and the quarantine.
-// The caller holds mu.
+// The scheduler gets none that is in an evacuated data centre. The caller holds mu.
 func (g *Gateway) updateUpstreams() {
 	g.statements.Retain(func(i backpressure.Incarnation) bool { return g.view.Contains(i.Upstream, i.StartedAt) }, g.now())
 	for _, n := range g.statements.Notices(g.now()) {
@@ -178,7 +179,8 @@
 		}
 	}
 	serving := g.view.Serving()
-	g.deliver(g.scheduler.SetUpstreams(serving, g.now()))
+	g.deliver(g.scheduler.SetUpstreams(g.withoutEvacuated(serving), g.now()))
+	g.refuseWaitersOfClosed()
 	g.limitUpstreams()
 	for _, all := range serving {
 		for _, u := range all {
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -39,8 +39,7 @@
 		Priority: c.priority, Tried: c.tried, TimeLeft: time.Until(c.deadline), CanRetry: c.callerCanRetry(), IsResumed: isResumed,
 	}
 	g.mu.Lock()
-	d := g.scheduler.Admit(request, g.now())
-	g.requestTokens()
+	d := c.admit(request)
 	var decided chan schedule.Decision
 	if d.Waiter != nil {
 		decided = make(chan schedule.Decision, 1)
@@ -57,6 +56,17 @@
 	return d.Upstream, &reservation{Ticket: d.Ticket, g: g}, nil
 }
 
+// admit decides on a request for a slot. The caller holds the gateway's lock.
+func (c *call) admit(r *schedule.Request) schedule.Decision {
+	g := c.g
+	if g.evacuations.closedServices[r.Service] {
+		return evacuatedDecision(c.deadline)
+	}
+	d := g.scheduler.Admit(r, g.now())
+	g.requestTokens()
+	return d
+}
+
 // onTimeUntil returns the latest time for the first event to count as on time. A retry by the
 // caller is late already, because its time started with the first try.
 func (c *call) onTimeUntil() time.Time {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -29,8 +29,8 @@
 
 // reservePlain reserves an upstream of a plain service, which is one without engines, that was
 // not tried yet. If the host has just started, it waits until the upstreams are known. If all
-// upstreams have rate limits or rest, it waits up to maxTokenWait for one. Errors are *verdict.Error
-// and always NotRun.
+// upstreams have rate limits or rest, it waits up to maxTokenWait for one. If all are in evacuated
+// data centres, it does not wait. Errors are *verdict.Error and always NotRun.
 func (g *Gateway) reservePlain(ctx context.Context, name string, tried []string) (registry.Upstream, *reservation, error) {
 	waitsUntil := g.now() + maxTokenWait
 	for {
@@ -38,12 +38,15 @@
 		now := g.now()
 		u, t, ok := g.scheduler.ReserveLeastLoaded(name, tried, now)
 		next, isRestricted := g.scheduler.AcceptsAt(name, tried, now)
-		changed := g.upstreamsChanged
+		changed, isClosed := g.upstreamsChanged, g.evacuations.closedServices[name]
 		g.requestTokens()
 		g.mu.Unlock()
 		if ok {
 			return u, &reservation{Ticket: t, g: g}, nil
 		}
+		if isClosed {
+			return u, nil, g.refuseEvacuated(ctx)
+		}
 		if isRestricted && (next > waitsUntil || now >= waitsUntil) {
 			return u, nil, g.refuseRestricted(name, next)
 		}
@@ -173,7 +176,7 @@
 	g.deliver(results)
 	g.requestTokens()
 	for _, s := range stalled {
-		if cancel := g.cancels[s.Ticket]; cancel != nil {
+		if cancel := g.cancels[s.Ticket]; cancel != nil && !g.runsInEvacuated(s.Ticket) {
 			cancel(&stalledError{hasOtherGroup: s.HasOtherGroup, retryAfter: s.RetryAfter})
 		}
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -50,6 +51,7 @@
 	Announce(ctx context.Context, u registry.Upstream) error
 	PutConfiguration(ctx context.Context, number uint64, data []byte, author string) (uint64, error)
 	Configuration(ctx context.Context) (state.Configuration, error)
+	SetEvacuation(ctx context.Context, dataCentre string, isEvacuated bool, author string) (state.EvacuationResult, error)
 }
 
 // controlRole runs a replica of the state that must survive the loss of hosts.
@@ -77,6 +79,7 @@
 		Registry: registry.Limits{
 			SilenceTimeout: time.Duration(silenceIntervals * float64(n.settings.AnnounceInterval)), ForgetTimeout: forgetTimeout,
 		},
+		DataCentres:  slices.Sorted(maps.Keys(n.settings.Regions)),
 		RestartCache: control.NewRestartCache(journal.OS{}, set.DataFolder+restartCacheSuffix),
 		Log:          n.log, Metrics: n.metrics,
 	})
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -64,6 +64,7 @@
 	f.mergeUpstreams, f.dropSource, f.setEntryHostCount, f.applyTable = e.gateway.Merge, e.gateway.DropSource, e.gateway.SetHostCount, e.gateway.SetTable
 	f.setLoads, f.quarantine = e.gateway.SetLoads, keeper
 	f.mergeNotices, f.notices = e.gateway.MergeNotices, e.gateway.Notices
+	f.setEvacuations = e.gateway.SetEvacuations
 	e.follower = f
 	callers, err := net.Listen("tcp", n.settings.Entry.Listen.String())
 	if err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -53,6 +53,9 @@
 	dropSource        func(source string)
 	setEntryHostCount func(entries int)
 	applyTable        func(t *routetable.Table) bool
+	// setEvacuations puts a list of evacuated data centres into force; nil if the role doesn't send
+	// requests to upstreams.
+	setEvacuations func(source string, m *wire.Evacuations)
 	// setLoads receives the loads of engines; nil if the role doesn't use them.
 	setLoads func(all []wire.EngineLoad)
 	// quarantine tracks the requests during which upstreams crashed; nil if the role doesn't serve
@@ -156,6 +159,11 @@
 		if f.setLoads != nil {
 			f.setLoads(f.decodeLoads(s, m))
 		}
+	case *wire.Evacuations:
+		f.applyEvacuations(s, m)
+		if call != 0 {
+			_ = s.Reply(call, &wire.Ack{})
+		}
 	case *wire.ConfigurationNotice:
 		f.handleNotice(s, m.Number)
 	case *wire.Notices:
@@ -169,6 +177,13 @@
 	}
 }
 
+// applyEvacuations puts a list of evacuated data centres into force, if the role obeys it.
+func (f *follower) applyEvacuations(s *peer.Session, m *wire.Evacuations) {
+	if f.setEvacuations != nil {
+		f.setEvacuations(s.Remote().Host, m)
+	}
+}
+
 // replyMerged tells a control host whether the upstreams that it has sent in a call are in use.
 func (f *follower) replyMerged(s *peer.Session, call uint64, err error) {
 	if err != nil {
@@ -309,6 +324,11 @@
 			"linearizable", isLinearizable, "error", fmt.Sprint(err))
 		return false
 	}
+	// The evacuations must be in force before the first configuration is, because the host serves
+	// callers from then on.
+	if answer.Evacuations != nil {
+		f.applyEvacuations(s, answer.Evacuations)
+	}
 	if answer.Number > applied && !f.apply(answer) {
 		return false
 	}
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -60,3 +60,42 @@
 	require.Eventually(t, func() bool { return f.appliedNumber() == changes }, time.Minute, time.Millisecond)
 	require.LessOrEqual(t, queries.Load(), uint64(2+time.Since(start)/minFetchInterval))
 }
+
+// Guards against a starting host that serves callers before it knows of an evacuation that began
+// before, and against a confirmation that a control host waits for in vain.
+func TestEvacuationsAreInForceBeforeTheFirstConfiguration(t *testing.T) {
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	controlPool := peer.NewPool(peer.Config{
+		Hello:  wire.Hello{Host: "control", Replica: "r", Address: strings.TrimPrefix(srv.URL, "http://")},
+		Secret: "secret",
+		Handler: peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) {
+			if _, ok := m.(*wire.ConfigurationQuery); ok {
+				_ = s.Reply(call, &wire.ConfigurationAnswer{Number: 1, Data: []byte{0}, Evacuations: &wire.Evacuations{Index: 5, DataCentres: []string{"east"}}})
+			}
+		}),
+	})
+	defer controlPool.Close()
+	mux.Handle(peer.Path, peer.NewServer(controlPool))
+	var f *follower
+	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: "entry"}, Secret: "secret", Handler: peer.HandlerFunc(func(s *peer.Session, call uint64, m wire.Message) {
+		f.handleMessage(s, call, m)
+	})})
+	defer pool.Close()
+	inForce := make(chan string, 9)
+	f = &follower{
+		n: &Node{pool: pool, log: slog.New(slog.DiscardHandler), platform: Platform{DecodeTable: decodeLength}}, started: time.Now(),
+		applyTable:     func(*routetable.Table) bool { inForce <- "configuration"; return true },
+		setEvacuations: func(_ string, m *wire.Evacuations) { inForce <- m.DataCentres[0] },
+	}
+	s, err := pool.Get(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
+	require.NoError(t, err)
+	f.handleNotice(s, 1)
+	require.Equal(t, "east", <-inForce)
+	require.Equal(t, "configuration", <-inForce)
+	reply, _, err := controlPool.Sessions()[0].Call(t.Context(), &wire.Evacuations{Index: 6, DataCentres: []string{"west"}})
+	require.NoError(t, err)
+	require.IsType(t, &wire.Ack{}, reply)
+	require.Equal(t, "west", <-inForce)
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -14,6 +14,9 @@
 	// Host is the name of this host, DataCentre the data centre that it is in.
 	Host, DataCentre string
 	IP               netip.Addr
+	// Regions has the region of each data centre by the name of the data centre. It is empty if the
+	// settings don't name the data centres.
+	Regions map[string]string
 	// PeerPort is the port for sessions of other hosts, MetricsPort the port for metrics. Both are
 	// the same on all hosts.
 	PeerPort, MetricsPort uint16
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -82,6 +82,8 @@
 	// Restricted means that all upstreams have rate limits or rest, and none accepts a request in
 	// time.
 	Restricted
+	// Evacuated means that all upstreams are in data centres that are evacuated.
+	Evacuated
 )
 
 // String returns the reason as a sentence for callers and logs.
@@ -91,6 +93,8 @@
 		return "the group does not serve"
 	case Restricted:
 		return "all upstreams limit the rate of requests or rest"
+	case Evacuated:
+		return "all upstreams are in evacuated data centres"
 	}
 	return "no place became free in time"
 }
@@ -102,6 +106,8 @@
 		return "outage"
 	case Restricted:
 		return "restricted"
+	case Evacuated:
+		return "evacuated"
 	}
 	return "full"
 }
@@ -201,7 +207,7 @@
 func (s *Scheduler) refuse(reason Reason, w *Waiter, now time.Duration) Decision {
 	latest := maxRetryAfterFor(w, now)
 	switch reason {
-	case Outage:
+	case Outage, Evacuated:
 		return Decision{Reason: reason, RetryAfter: latest}
 	case Restricted:
 		next, _ := s.acceptsAt(w.service, w.tried, now)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -21,12 +21,15 @@
 	KindNotices             Kind = 99
 	KindTokenRequest        Kind = 100
 	KindTokens              Kind = 101
+	KindEvacuations         Kind = 102
 )
 
 // Attach asks a control host to send its state and all later changes, as Upstreams,
-// ConfigurationNotice and Hosts. Hosts that serve callers also receive Suspicions and Notices.
+// ConfigurationNotice and Hosts. Hosts that serve callers also receive Suspicions, Evacuations and
+// Notices.
 type Attach struct {
-	// Role is "entry", "agent", or "callers" for an entry host that only wants Suspicions.
+	// Role is "entry", "agent", or "callers" for an entry host that only wants
+	// Suspicions and Evacuations.
 	Role string `cbor:"1,keyasint"`
 }
 
@@ -67,6 +70,9 @@
 type ConfigurationAnswer struct {
 	Number uint64 `cbor:"1,keyasint"`
 	Data   []byte `cbor:"2,keyasint,omitempty"`
+	// Evacuations is what the sender knew at the read that returned the configuration; nil if no
+	// data centre was ever evacuated.
+	Evacuations *Evacuations `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
@@ -168,3 +174,16 @@
 
 // Kind implements Message.
 func (*Tokens) Kind() Kind { return KindTokens }
+
+// Evacuations lists the data centres whose upstreams get no new requests. If it is sent as a call,
+// the receiver replies with Ack when the list, or a later one, is in use.
+type Evacuations struct {
+	// Index is the index of the log entry with the last change of the list. A receiver ignores a
+	// list with a lower index than the one that it has.
+	Index uint64 `cbor:"1,keyasint"`
+	// DataCentres is in ascending order.
+	DataCentres []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Evacuations) Kind() Kind { return KindEvacuations }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -144,7 +144,7 @@
 		&OrderQuery{}, &OrderAnswer{}, &MapRequest{}, &MapReply{}, &GroupQuery{}, &GroupAnswer{}, &ExpertLoad{}, &ExpertsWanted{}, &Join{}, &Ack{},
 		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{}, &ConsensusPart{},
 		&Attach{}, &Upstreams{}, &ConfigurationNotice{}, &ConfigurationQuery{}, &ConfigurationAnswer{}, &Hosts{}, &EngineLoad{}, &EngineLoads{},
-		&Suspicions{}, &Notices{}, &TokenRequest{}, &Tokens{},
+		&Suspicions{}, &Notices{}, &TokenRequest{}, &Tokens{}, &Evacuations{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
 	for _, msg := range all {
