--- a/api/oas/oas_client_gen.go
+++ b/api/oas/oas_client_gen.go
@@ -28,6 +28,12 @@
 	//
 	// POST /v1/check
 	CheckDocument(ctx context.Context, request CheckDocumentReq) (*Checked, error)
+	// EndEvacuation invokes endEvacuation operation.
+	//
+	// Answers like the start. The request has no body.
+	//
+	// DELETE /v1/evacuations/{dataCentre}
+	EndEvacuation(ctx context.Context, params EndEvacuationParams) (*Evacuations, error)
 	// GetCluster invokes getCluster operation.
 	//
 	// Returns the replicas as this control host knows them.
@@ -64,6 +70,12 @@
 	//
 	// GET /v1/documents
 	ListDocuments(ctx context.Context) (*DocumentList, error)
+	// ListEvacuations invokes listEvacuations operation.
+	//
+	// Lists the evacuated data centres, as a quorum knows them.
+	//
+	// GET /v1/evacuations
+	ListEvacuations(ctx context.Context) (*Evacuations, error)
 	// ListQuarantine invokes listQuarantine operation.
 	//
 	// Lists the requests under which upstreams ended, as this control host knows them.
@@ -84,6 +96,13 @@
 	//
 	// DELETE /v1/quarantine/{fingerprint}
 	ReleaseRequest(ctx context.Context, params ReleaseRequestParams) (*Released, error)
+	// StartEvacuation invokes startEvacuation operation.
+	//
+	// Answers once the order is committed and the entry hosts at the control host have confirmed it, or
+	// after 600 ms. Starting it again changes nothing. The request has no body.
+	//
+	// PUT /v1/evacuations/{dataCentre}
+	StartEvacuation(ctx context.Context, params StartEvacuationParams) (*Evacuations, error)
 }
 
 // Client implements OAS client.
@@ -206,6 +225,100 @@
 	return result, nil
 }
 
+// EndEvacuation invokes endEvacuation operation.
+//
+// Answers like the start. The request has no body.
+//
+// DELETE /v1/evacuations/{dataCentre}
+func (c *Client) EndEvacuation(ctx context.Context, params EndEvacuationParams) (*Evacuations, error) {
+	res, err := c.sendEndEvacuation(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendEndEvacuation(ctx context.Context, params EndEvacuationParams) (res *Evacuations, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/evacuations/"
+	{
+		// Encode "dataCentre" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "dataCentre",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.DataCentre))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "DELETE", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, EndEvacuationOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeEndEvacuationResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetCluster invokes getCluster operation.
 //
 // Returns the replicas as this control host knows them.
@@ -736,6 +849,82 @@
 	return result, nil
 }
 
+// ListEvacuations invokes listEvacuations operation.
+//
+// Lists the evacuated data centres, as a quorum knows them.
+//
+// GET /v1/evacuations
+func (c *Client) ListEvacuations(ctx context.Context) (*Evacuations, error) {
+	res, err := c.sendListEvacuations(ctx)
+	return res, err
+}
+
+func (c *Client) sendListEvacuations(ctx context.Context) (res *Evacuations, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/evacuations"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, ListEvacuationsOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListEvacuationsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListQuarantine invokes listQuarantine operation.
 //
 // Lists the requests under which upstreams ended, as this control host knows them.
@@ -1028,3 +1217,98 @@
 
 	return result, nil
 }
+
+// StartEvacuation invokes startEvacuation operation.
+//
+// Answers once the order is committed and the entry hosts at the control host have confirmed it, or
+// after 600 ms. Starting it again changes nothing. The request has no body.
+//
+// PUT /v1/evacuations/{dataCentre}
+func (c *Client) StartEvacuation(ctx context.Context, params StartEvacuationParams) (*Evacuations, error) {
+	res, err := c.sendStartEvacuation(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendStartEvacuation(ctx context.Context, params StartEvacuationParams) (res *Evacuations, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/evacuations/"
+	{
+		// Encode "dataCentre" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "dataCentre",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.DataCentre))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "PUT", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, StartEvacuationOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeStartEvacuationResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/api/oas/oas_handlers_gen.go
+++ b/api/oas/oas_handlers_gen.go
@@ -169,6 +169,147 @@
 	}
 }
 
+// handleEndEvacuationRequest handles endEvacuation operation.
+//
+// Answers like the start. The request has no body.
+//
+// DELETE /v1/evacuations/{dataCentre}
+func (s *Server) handleEndEvacuationRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: EndEvacuationOperation,
+			ID:   "endEvacuation",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, EndEvacuationOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeEndEvacuationParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Evacuations
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    EndEvacuationOperation,
+			OperationSummary: "Ends the evacuation of a data centre.",
+			OperationID:      "endEvacuation",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "dataCentre",
+					In:   "path",
+				}: params.DataCentre,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = EndEvacuationParams
+			Response = *Evacuations
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackEndEvacuationParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.EndEvacuation(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.EndEvacuation(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeEndEvacuationResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetClusterRequest handles getCluster operation.
 //
 // Returns the replicas as this control host knows them.
@@ -974,6 +1115,132 @@
 	}
 }
 
+// handleListEvacuationsRequest handles listEvacuations operation.
+//
+// Lists the evacuated data centres, as a quorum knows them.
+//
+// GET /v1/evacuations
+func (s *Server) handleListEvacuationsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListEvacuationsOperation,
+			ID:   "listEvacuations",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListEvacuationsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *Evacuations
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListEvacuationsOperation,
+			OperationSummary: "Lists the evacuated data centres, as a quorum knows them.",
+			OperationID:      "listEvacuations",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Evacuations
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListEvacuations(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListEvacuations(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListEvacuationsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListQuarantineRequest handles listQuarantine operation.
 //
 // Lists the requests under which upstreams ended, as this control host knows them.
@@ -1406,3 +1673,145 @@
 		return
 	}
 }
+
+// handleStartEvacuationRequest handles startEvacuation operation.
+//
+// Answers once the order is committed and the entry hosts at the control host have confirmed it, or
+// after 600 ms. Starting it again changes nothing. The request has no body.
+//
+// PUT /v1/evacuations/{dataCentre}
+func (s *Server) handleStartEvacuationRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: StartEvacuationOperation,
+			ID:   "startEvacuation",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, StartEvacuationOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeStartEvacuationParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Evacuations
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    StartEvacuationOperation,
+			OperationSummary: "Orders that the upstreams of a data centre get no new requests.",
+			OperationID:      "startEvacuation",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "dataCentre",
+					In:   "path",
+				}: params.DataCentre,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = StartEvacuationParams
+			Response = *Evacuations
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackStartEvacuationParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.StartEvacuation(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.StartEvacuation(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeStartEvacuationResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -544,15 +544,26 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.Evacuated != nil {
+			e.FieldStart("evacuated")
+			e.ArrStart()
+			for _, elem := range s.Evacuated {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfCluster = [6]string{
+var jsonFieldsNameOfCluster = [7]string{
 	0: "id",
 	1: "leader",
 	2: "term",
 	3: "commit",
 	4: "hasQuorum",
 	5: "replicas",
+	6: "evacuated",
 }
 
 // Decode decodes Cluster from json.
@@ -640,6 +651,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"replicas\"")
 			}
+		case "evacuated":
+			if err := func() error {
+				s.Evacuated = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Evacuated = append(s.Evacuated, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evacuated\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1390,6 +1420,114 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Evacuations) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Evacuations) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("dataCentres")
+		e.ArrStart()
+		for _, elem := range s.DataCentres {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfEvacuations = [1]string{
+	0: "dataCentres",
+}
+
+// Decode decodes Evacuations from json.
+func (s *Evacuations) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Evacuations to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "dataCentres":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.DataCentres = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.DataCentres = append(s.DataCentres, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dataCentres\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Evacuations")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfEvacuations) {
+					name = jsonFieldsNameOfEvacuations[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Evacuations) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Evacuations) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Fault) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/oas/oas_operations_gen.go
+++ b/api/oas/oas_operations_gen.go
@@ -6,14 +6,17 @@
 type OperationName = string
 
 const (
-	CheckDocumentOperation  OperationName = "CheckDocument"
-	GetClusterOperation     OperationName = "GetCluster"
-	GetDocumentOperation    OperationName = "GetDocument"
-	GetHistoryOperation     OperationName = "GetHistory"
-	GetStatusOperation      OperationName = "GetStatus"
-	InitClusterOperation    OperationName = "InitCluster"
-	ListDocumentsOperation  OperationName = "ListDocuments"
-	ListQuarantineOperation OperationName = "ListQuarantine"
-	PutDocumentOperation    OperationName = "PutDocument"
-	ReleaseRequestOperation OperationName = "ReleaseRequest"
+	CheckDocumentOperation   OperationName = "CheckDocument"
+	EndEvacuationOperation   OperationName = "EndEvacuation"
+	GetClusterOperation      OperationName = "GetCluster"
+	GetDocumentOperation     OperationName = "GetDocument"
+	GetHistoryOperation      OperationName = "GetHistory"
+	GetStatusOperation       OperationName = "GetStatus"
+	InitClusterOperation     OperationName = "InitCluster"
+	ListDocumentsOperation   OperationName = "ListDocuments"
+	ListEvacuationsOperation OperationName = "ListEvacuations"
+	ListQuarantineOperation  OperationName = "ListQuarantine"
+	PutDocumentOperation     OperationName = "PutDocument"
+	ReleaseRequestOperation  OperationName = "ReleaseRequest"
+	StartEvacuationOperation OperationName = "StartEvacuation"
 )
--- a/api/oas/oas_parameters_gen.go
+++ b/api/oas/oas_parameters_gen.go
@@ -14,6 +14,91 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// EndEvacuationParams is parameters of endEvacuation operation.
+type EndEvacuationParams struct {
+	DataCentre string
+}
+
+func unpackEndEvacuationParams(packed middleware.Parameters) (params EndEvacuationParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "dataCentre",
+			In:   "path",
+		}
+		params.DataCentre = packed[key].(string)
+	}
+	return params
+}
+
+func decodeEndEvacuationParams(args [1]string, argsEscaped bool, r *http.Request) (params EndEvacuationParams, _ error) {
+	// Decode path: dataCentre.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "dataCentre",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.DataCentre = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     256,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.DataCentre)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "dataCentre",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetDocumentParams is parameters of getDocument operation.
 type GetDocumentParams struct {
 	Name string
@@ -651,3 +736,88 @@
 	}
 	return params, nil
 }
+
+// StartEvacuationParams is parameters of startEvacuation operation.
+type StartEvacuationParams struct {
+	DataCentre string
+}
+
+func unpackStartEvacuationParams(packed middleware.Parameters) (params StartEvacuationParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "dataCentre",
+			In:   "path",
+		}
+		params.DataCentre = packed[key].(string)
+	}
+	return params
+}
+
+func decodeStartEvacuationParams(args [1]string, argsEscaped bool, r *http.Request) (params StartEvacuationParams, _ error) {
+	// Decode path: dataCentre.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "dataCentre",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.DataCentre = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     256,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.DataCentre)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "dataCentre",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -182,6 +182,182 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeEndEvacuationResponse(resp *http.Response) (res *Evacuations, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Evacuations
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetClusterResponse(resp *http.Response) (res *Cluster, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -1264,7 +1440,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeListQuarantineResponse(resp *http.Response) (res *Quarantine, _ error) {
+func decodeListEvacuationsResponse(resp *http.Response) (res *Evacuations, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1280,7 +1456,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Quarantine
+			var response Evacuations
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -1440,7 +1616,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodePutDocumentResponse(resp *http.Response) (res *AcceptedHeaders, _ error) {
+func decodeListQuarantineResponse(resp *http.Response) (res *Quarantine, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1456,7 +1632,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Accepted
+			var response Quarantine
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -1473,42 +1649,16 @@
 				}
 				return res, err
 			}
-			var wrapper AcceptedHeaders
-			wrapper.Response = response
-			h := uri.NewHeaderDecoder(resp.Header)
-			// Parse "ETag" header.
-			{
-				cfg := uri.HeaderParameterDecodingConfig{
-					Name:    "ETag",
-					Explode: false,
-				}
-				if err := func() error {
-					if err := h.HasParam(cfg); err == nil {
-						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
-							val, err := d.DecodeValue()
-							if err != nil {
-								return err
-							}
-
-							c, err := conv.ToString(val)
-							if err != nil {
-								return err
-							}
-
-							wrapper.ETag = c
-							return nil
-						}); err != nil {
-							return err
-						}
-					} else {
-						return err
-					}
-					return nil
-				}(); err != nil {
-					return res, errors.Wrap(err, "parse ETag header")
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
 				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
 			}
-			return &wrapper, nil
+			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -1642,7 +1792,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeReleaseRequestResponse(resp *http.Response) (res *Released, _ error) {
+func decodePutDocumentResponse(resp *http.Response) (res *AcceptedHeaders, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -1658,7 +1808,7 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response Released
+			var response Accepted
 			if err := func() error {
 				if err := response.Decode(d); err != nil {
 					return err
@@ -1675,6 +1825,384 @@
 				}
 				return res, err
 			}
+			var wrapper AcceptedHeaders
+			wrapper.Response = response
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "ETag" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "ETag",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							val, err := d.DecodeValue()
+							if err != nil {
+								return err
+							}
+
+							c, err := conv.ToString(val)
+							if err != nil {
+								return err
+							}
+
+							wrapper.ETag = c
+							return nil
+						}); err != nil {
+							return err
+						}
+					} else {
+						return err
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse ETag header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeReleaseRequestResponse(resp *http.Response) (res *Released, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Released
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			// Parse "WWW-Authenticate" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "WWW-Authenticate",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotWWWAuthenticateVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotWWWAuthenticateVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.WWWAuthenticate.SetTo(wrapperDotWWWAuthenticateVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse WWW-Authenticate header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeStartEvacuationResponse(resp *http.Response) (res *Evacuations, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Evacuations
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
 			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -25,6 +25,19 @@
 	return nil
 }
 
+func encodeEndEvacuationResponse(response *Evacuations, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetClusterResponse(response *Cluster, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -120,6 +133,19 @@
 	return nil
 }
 
+func encodeListEvacuationsResponse(response *Evacuations, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListQuarantineResponse(response *Quarantine, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -176,6 +202,19 @@
 	return nil
 }
 
+func encodeStartEvacuationResponse(response *Evacuations, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *ProblemStatusCodeWithHeaders, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set("Access-Control-Expose-Headers", "Retry-After,Www-Authenticate")
--- a/api/oas/oas_router_gen.go
+++ b/api/oas/oas_router_gen.go
@@ -14,29 +14,36 @@
 	rn1AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
-	rn3AllowedHeaders = map[string]string{
+	rn6AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn12AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn6AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 		"PUT": "Authorization,Change-Id,Content-Type,If-Match",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn10AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn7AllowedHeaders = map[string]string{
+	rn13AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn4AllowedHeaders = map[string]string{
+		"DELETE": "Authorization",
+		"PUT":    "Authorization",
+	}
 	rn9AllowedHeaders = map[string]string{
-		"POST": "Authorization",
+		"GET": "Authorization",
 	}
 	rn11AllowedHeaders = map[string]string{
+		"POST": "Authorization",
+	}
+	rn14AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn13AllowedHeaders = map[string]string{
+	rn16AllowedHeaders = map[string]string{
 		"DELETE": "Authorization",
 	}
 )
@@ -145,7 +152,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn3AllowedHeaders,
+								allowedHeaders: rn6AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -171,7 +178,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn12AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -210,7 +217,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET,PUT",
-								allowedHeaders: rn6AllowedHeaders,
+								allowedHeaders: rn8AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -237,7 +244,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "GET",
-									allowedHeaders: rn8AllowedHeaders,
+									allowedHeaders: rn10AllowedHeaders,
 									acceptPost:     "",
 									acceptPatch:    "",
 								})
@@ -250,6 +257,72 @@
 
 				}
 
+			case 'e': // Prefix: "evacuations"
+
+				if l := len("evacuations"); len(elem) >= l && elem[0:l] == "evacuations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListEvacuationsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn13AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "dataCentre"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "DELETE":
+							s.handleEndEvacuationRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						case "PUT":
+							s.handleStartEvacuationRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "DELETE,PUT",
+								allowedHeaders: rn4AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			case 'h': // Prefix: "history"
 
 				if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
@@ -266,7 +339,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn7AllowedHeaders,
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -291,7 +364,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn11AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -315,7 +388,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn11AllowedHeaders,
+							allowedHeaders: rn14AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -351,7 +424,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "DELETE",
-								allowedHeaders: rn13AllowedHeaders,
+								allowedHeaders: rn16AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -621,6 +694,75 @@
 
 				}
 
+			case 'e': // Prefix: "evacuations"
+
+				if l := len("evacuations"); len(elem) >= l && elem[0:l] == "evacuations" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListEvacuationsOperation
+						r.summary = "Lists the evacuated data centres, as a quorum knows them."
+						r.operationID = "listEvacuations"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/evacuations"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "dataCentre"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "DELETE":
+							r.name = EndEvacuationOperation
+							r.summary = "Ends the evacuation of a data centre."
+							r.operationID = "endEvacuation"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/evacuations/{dataCentre}"
+							r.args = args
+							r.count = 1
+							return r, true
+						case "PUT":
+							r.name = StartEvacuationOperation
+							r.summary = "Orders that the upstreams of a data centre get no new requests."
+							r.operationID = "startEvacuation"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/evacuations/{dataCentre}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			case 'h': // Prefix: "history"
 
 				if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -277,6 +277,8 @@
 	Commit    uint64    `json:"commit"`
 	HasQuorum bool      `json:"hasQuorum"`
 	Replicas  []Replica `json:"replicas"`
+	// The evacuated data centres as this control host knows them; absent where there is none.
+	Evacuated []string `json:"evacuated"`
 }
 
 // GetID returns the value of ID.
@@ -309,6 +311,11 @@
 	return s.Replicas
 }
 
+// GetEvacuated returns the value of Evacuated.
+func (s *Cluster) GetEvacuated() []string {
+	return s.Evacuated
+}
+
 // SetID sets the value of ID.
 func (s *Cluster) SetID(val string) {
 	s.ID = val
@@ -339,6 +346,11 @@
 	s.Replicas = val
 }
 
+// SetEvacuated sets the value of Evacuated.
+func (s *Cluster) SetEvacuated(val []string) {
+	s.Evacuated = val
+}
+
 // The change that won.
 // Ref: #/components/schemas/Conflict
 type Conflict struct {
@@ -574,6 +586,22 @@
 	s.Author = val
 }
 
+// Ref: #/components/schemas/Evacuations
+type Evacuations struct {
+	// In the order of the names.
+	DataCentres []string `json:"dataCentres"`
+}
+
+// GetDataCentres returns the value of DataCentres.
+func (s *Evacuations) GetDataCentres() []string {
+	return s.DataCentres
+}
+
+// SetDataCentres sets the value of DataCentres.
+func (s *Evacuations) SetDataCentres(val []string) {
+	s.DataCentres = val
+}
+
 // A fault of a document.
 // Ref: #/components/schemas/Fault
 type Fault struct {
--- a/api/oas/oas_security_gen.go
+++ b/api/oas/oas_security_gen.go
@@ -34,16 +34,19 @@
 
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
-	CheckDocumentOperation:  []string{},
-	GetClusterOperation:     []string{},
-	GetDocumentOperation:    []string{},
-	GetHistoryOperation:     []string{},
-	GetStatusOperation:      []string{},
-	InitClusterOperation:    []string{},
-	ListDocumentsOperation:  []string{},
-	ListQuarantineOperation: []string{},
-	PutDocumentOperation:    []string{},
-	ReleaseRequestOperation: []string{},
+	CheckDocumentOperation:   []string{},
+	EndEvacuationOperation:   []string{},
+	GetClusterOperation:      []string{},
+	GetDocumentOperation:     []string{},
+	GetHistoryOperation:      []string{},
+	GetStatusOperation:       []string{},
+	InitClusterOperation:     []string{},
+	ListDocumentsOperation:   []string{},
+	ListEvacuationsOperation: []string{},
+	ListQuarantineOperation:  []string{},
+	PutDocumentOperation:     []string{},
+	ReleaseRequestOperation:  []string{},
+	StartEvacuationOperation: []string{},
 }
 
 // GetRolesForBearer returns the required roles for the given operation.
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -14,6 +14,12 @@
 	//
 	// POST /v1/check
 	CheckDocument(ctx context.Context, req CheckDocumentReq) (*Checked, error)
+	// EndEvacuation implements endEvacuation operation.
+	//
+	// Answers like the start. The request has no body.
+	//
+	// DELETE /v1/evacuations/{dataCentre}
+	EndEvacuation(ctx context.Context, params EndEvacuationParams) (*Evacuations, error)
 	// GetCluster implements getCluster operation.
 	//
 	// Returns the replicas as this control host knows them.
@@ -50,6 +56,12 @@
 	//
 	// GET /v1/documents
 	ListDocuments(ctx context.Context) (*DocumentList, error)
+	// ListEvacuations implements listEvacuations operation.
+	//
+	// Lists the evacuated data centres, as a quorum knows them.
+	//
+	// GET /v1/evacuations
+	ListEvacuations(ctx context.Context) (*Evacuations, error)
 	// ListQuarantine implements listQuarantine operation.
 	//
 	// Lists the requests under which upstreams ended, as this control host knows them.
@@ -70,6 +82,13 @@
 	//
 	// DELETE /v1/quarantine/{fingerprint}
 	ReleaseRequest(ctx context.Context, params ReleaseRequestParams) (*Released, error)
+	// StartEvacuation implements startEvacuation operation.
+	//
+	// Answers once the order is committed and the entry hosts at the control host have confirmed it, or
+	// after 600 ms. Starting it again changes nothing. The request has no body.
+	//
+	// PUT /v1/evacuations/{dataCentre}
+	StartEvacuation(ctx context.Context, params StartEvacuationParams) (*Evacuations, error)
 	// NewError creates *ProblemStatusCodeWithHeaders from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -55,6 +55,29 @@
 	return nil
 }
 
+func (s *Evacuations) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.DataCentres == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "dataCentres",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *History) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -27,6 +27,9 @@
 	// hosts that can be reached. It needs no quorum. It reports whether the request was
 	// suspected or quarantined.
 	Release(ctx context.Context, req ReleaseRequest) (bool, error)
+	// SetEvacuation starts or ends the evacuation of a data centre. It returns the evacuated
+	// data centres after the order, once that is committed.
+	SetEvacuation(ctx context.Context, req EvacuationRequest) ([]string, error)
 }
 
 // Queries read the state of this control host. Errors are *verdict.Error, with CodeNotFound for
@@ -45,6 +48,8 @@
 	// Quarantine lists the requests that are suspected of crashing upstreams. It needs no
 	// quorum.
 	Quarantine(ctx context.Context) ([]quarantine.Entry, error)
+	// Evacuated lists the evacuated data centres by name.
+	Evacuated(ctx context.Context) ([]string, error)
 }
 
 // SubmitRequest is a submission of a valid document.
@@ -89,6 +94,14 @@
 	Author string
 }
 
+// EvacuationRequest asks to start or end the evacuation of a data centre.
+type EvacuationRequest struct {
+	DataCentre  string
+	IsEvacuated bool
+	// Author is the operator's name.
+	Author string
+}
+
 // Document is an accepted document.
 type Document struct {
 	Name     string
@@ -162,7 +175,8 @@
 	// Outcome is accepted, conflict or change-id-reused for a submission, followed by
 	// "(repeated)" for a retry. It is applied for a change of the cluster's membership.
 	Outcome string
-	// Detail describes a change of the cluster. It may be empty.
+	// Detail describes a change of the cluster, or is the data centre of an evacuation. It may be
+	// empty.
 	Detail string
 	// Document is empty for changes of the cluster, and so are Revision, ChangeID and Digest.
 	// Revision is the accepted revision or, if the change was refused, the current one. Digest
@@ -183,6 +197,8 @@
 	Commit    uint64
 	HasQuorum bool
 	Replicas  []Replica
+	// Evacuated are the evacuated data centres by name.
+	Evacuated []string
 }
 
 // Replica is a member of the cluster.
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -36,6 +36,8 @@
 
 	quarantine []quarantine.Entry
 	released   []ReleaseRequest
+	evacuated  []string
+	orders     []EvacuationRequest
 }
 
 func (f *fakeBackend) Submit(_ context.Context, req SubmitRequest) (SubmitResult, error) {
@@ -52,6 +54,13 @@
 	return true, f.err
 }
 
+func (f *fakeBackend) SetEvacuation(_ context.Context, req EvacuationRequest) ([]string, error) {
+	f.orders = append(f.orders, req)
+	return f.evacuated, f.err
+}
+
+func (f *fakeBackend) Evacuated(context.Context) ([]string, error) { return f.evacuated, f.err }
+
 func (f *fakeBackend) Quarantine(context.Context) ([]quarantine.Entry, error) {
 	return f.quarantine, f.err
 }
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -336,5 +336,6 @@
 		Commit:    c.Commit,
 		HasQuorum: c.HasQuorum,
 		Replicas:  replicas,
+		Evacuated: c.Evacuated,
 	}
 }
--- a/internal/adminapi/limits.go
+++ b/internal/adminapi/limits.go
@@ -40,6 +40,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), h.timeout)
 	defer cancel()
 	r = r.WithContext(ctx)
+	if hasUnexpectedBody(r) {
+		h.problems.serve(w, r, unexpectedBody())
+		return
+	}
 	if r.ContentLength == 0 {
 		h.next.ServeHTTP(w, r)
 		return
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,7 @@
 	root.AddCommand(
 		newSubmit(o), newGet(o), newList(o), newStatus(o), newHistory(o),
 		newCheck(o), newInit(o), newCluster(o), newVersion(o),
-		newStats(o), newTrace(o), newQuarantine(o), newBackpressure(o),
+		newStats(o), newTrace(o), newQuarantine(o), newBackpressure(o), newEvacuate(o),
 	)
 	return root
 }
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -182,6 +182,9 @@
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s", r.ID, r.Host, replicaRole(c, r)))
 	}
 	table(w, "REPLICA\tHOST\tROLE", rows)
+	if len(c.Evacuated) > 0 {
+		printEvacuated(w, c.Evacuated)
+	}
 }
 
 func replicaRole(c *oas.Cluster, r oas.Replica) string {
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -285,6 +285,9 @@
 		Outcome: r.Outcome,
 		Detail:  r.Detail,
 	}
+	if r.Action == state.ActionEvacuationStart || r.Action == state.ActionEvacuationEnd {
+		c.Detail = r.Subject
+	}
 	if r.Action != state.ActionSubmit {
 		return c
 	}
@@ -306,6 +309,7 @@
 		Term:      st.Term,
 		Commit:    st.Commit,
 		HasQuorum: readErr == nil,
+		Evacuated: a.h.tables.Evacuations().Evacuated(),
 	}
 	for _, id := range st.Membership.Voters {
 		c.Replicas = append(c.Replicas, adminapi.Replica{ID: string(id), Host: hostOf(id), Voter: true})
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -7,6 +7,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/sassafraspost/sassafraspost/internal/adminapi"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/state"
@@ -89,6 +90,18 @@
 	return h.tables.Evacuations(), nil
 }
 
+// SetEvacuation implements adminapi.Commands.
+func (a API) SetEvacuation(ctx context.Context, req adminapi.EvacuationRequest) ([]string, error) {
+	r, err := a.h.SetEvacuation(ctx, req.DataCentre, req.IsEvacuated, req.Author)
+	return r.Evacuated, err
+}
+
+// Evacuated implements adminapi.Queries.
+func (a API) Evacuated(ctx context.Context) ([]string, error) {
+	e, err := a.h.Evacuations(ctx)
+	return e.Evacuated(), err
+}
+
 // evacuationsMessage returns the table of this host for entry hosts, or nil if no data centre was
 // ever evacuated. Hosts of older builds don't know the message.
 func (h *Host) evacuationsMessage() *wire.Evacuations {
