Entry hosts of sassafraspostd obey evacuations

The router drops upstreams in evacuated data centres, and an attempt asks again just before its dispatch. The follower of documents gets the list on attach, on change, with every confirmed list of documents and from other entry hosts of the data centre, so that a starting host has it before it is ready.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -37,6 +37,11 @@
 	// hosts of the data centre.
 	ControlHosts []string
 	EntryPeers   []string
+	// SetEvacuations puts a list of evacuated data centres into force, unless it is out of date, and
+	// Evacuations returns the one in force, nil if there is none. Both are nil on hosts that don't
+	// send requests to upstreams.
+	SetEvacuations func(source string, m *wire.Evacuations)
+	Evacuations    func() *wire.Evacuations
 	// Self describes this host in its reports to control hosts.
 	Self    wire.ActiveRevision
 	Log     *slog.Logger
@@ -160,21 +165,38 @@
 }
 
 // HandlePeer handles a message from another host. It returns false if the message does not
-// concern documents.
+// concern documents or evacuations.
 func (f *Follower) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
 	switch m := m.(type) {
 	case *wire.Changes:
 		f.handleChanges(s, m)
 	case *wire.Watch:
 		c, _ := f.cfg.Store.Since(m.Since)
+		if f.cfg.Evacuations != nil {
+			c.Evacuations = f.cfg.Evacuations()
+		}
 		_ = s.Reply(call, c)
+	case *wire.Evacuations:
+		f.applyEvacuations(s, m)
+		if call != 0 {
+			_ = s.Reply(call, &wire.Ack{})
+		}
 	default:
 		return false
 	}
 	return true
 }
 
+// applyEvacuations puts a list of evacuated data centres into force, if there is one.
+func (f *Follower) applyEvacuations(s *peer.Session, m *wire.Evacuations) {
+	if m != nil && f.cfg.SetEvacuations != nil {
+		f.cfg.SetEvacuations(s.Remote().Host, m)
+	}
+}
+
 func (f *Follower) handleChanges(s *peer.Session, m *wire.Changes) {
+	// The evacuations must be in force before the host is ready to serve callers.
+	f.applyEvacuations(s, m.Evacuations)
 	if f.cfg.Store.Merge(m.Documents) {
 		f.sendReport(s)
 	}
@@ -231,6 +253,7 @@
 		return
 	}
 	if c, ok := reply.(*wire.Changes); ok {
+		f.applyEvacuations(s, c.Evacuations)
 		f.cfg.Store.Merge(c.Documents)
 	}
 }
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -113,6 +113,34 @@
 	require.Equal(t, &wire.Evacuations{Index: r.Index, DataCentres: []string{"east"}}, answer.(*wire.ConfigurationAnswer).Evacuations)
 }
 
+// Guards against a host that follows documents, starts during an evacuation and serves callers before it
+// knows of it.
+func TestConfirmedDocumentsHaveEvacuations(t *testing.T) {
+	h, th := startLeader(t)
+	changes := make(chan *wire.Changes, 100)
+	pool := peer.NewPool(peer.Config{
+		Hello: wire.Hello{Host: "e"}, Secret: "s", Metrics: metrics.NewRegistry(), DialTimeout: conditionTimeout,
+		Handler: peer.HandlerFunc(func(_ *peer.Session, _ uint64, m wire.Message) {
+			if c, ok := m.(*wire.Changes); ok {
+				changes <- c
+			}
+		}),
+	})
+	t.Cleanup(pool.Close)
+	s, err := pool.Get(t.Context(), th.address)
+	require.NoError(t, err)
+	require.NoError(t, s.Post(&wire.Watch{}))
+	require.Eventually(t, h.watchers.hasWatchers, conditionTimeout, time.Millisecond)
+	h.confirmUpToDate(t.Context())
+	c := <-changes
+	require.True(t, c.Linearizable)
+	require.Nil(t, c.Evacuations, "there was no order")
+	r, err := h.SetEvacuation(t.Context(), "east", true, "ann")
+	require.NoError(t, err)
+	h.confirmUpToDate(t.Context())
+	require.Equal(t, &wire.Evacuations{Index: r.Index, DataCentres: []string{"east"}}, (<-changes).Evacuations)
+}
+
 // Guards against an order that fails because its host's table was out of date, and against one that
 // is proposed again although its caller has left: a later order may have been acknowledged since.
 func TestStaleEvacuationIsProposedAgainOnlyForAWaitingCaller(t *testing.T) {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -130,7 +130,7 @@
 	}
 	h.client = NewClientWithAddressBook(cfg.Pool, h.addressBook)
 	h.fleet = newFleet(h)
-	h.watchers = newWatchers(h.store)
+	h.watchers = newWatchers(h.store, h.evacuationsMessage)
 	var err error
 	h.replica, err = replica.Open(replica.Options{
 		ID:              h.id,
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -15,6 +15,8 @@
 // watchers sends documents to the hosts that have sent a wire.Watch.
 type watchers struct {
 	store *catalog.Store
+	// evacuations returns the evacuated data centres, nil if there never was one.
+	evacuations func() *wire.Evacuations
 
 	// mu guards the fields below. While it is held, messages are sent only by Session.Post,
 	// which does not block.
@@ -23,8 +25,8 @@
 	sentRevision map[*peer.Session]uint64
 }
 
-func newWatchers(store *catalog.Store) *watchers {
-	return &watchers{store: store, sentRevision: make(map[*peer.Session]uint64)}
+func newWatchers(store *catalog.Store, evacuations func() *wire.Evacuations) *watchers {
+	return &watchers{store: store, evacuations: evacuations, sentRevision: make(map[*peer.Session]uint64)}
 }
 
 func (w *watchers) add(s *peer.Session, m *wire.Watch) {
@@ -62,6 +64,7 @@
 		var c *wire.Changes
 		c, isComplete = w.store.Since(w.sentRevision[s])
 		c.Linearizable = isCurrent && isComplete
+		c.Evacuations = w.evacuations()
 		if len(c.Documents) == 0 && !c.Linearizable {
 			return
 		}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sassafraspost/sassafraspost/internal/catalog"
 	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/directory"
@@ -68,9 +70,17 @@
 		Pool:         d.pool,
 		ControlHosts: addresses(set.ControlHosts),
 		EntryPeers:   otherEntryHosts,
-		Self:         wire.ActiveRevision{Host: d.set.Host.Name, DataCentre: d.set.Host.DataCentre, Role: "entry"},
-		Log:          d.log,
-		Metrics:      d.metrics,
+		Evacuations:  router.Evacuations,
+		SetEvacuations: func(source string, m *wire.Evacuations) {
+			if router.SetEvacuations(m) {
+				d.log.Warn("evacuations in force", "evacuated", m.DataCentres, "index", m.Index, "from", source)
+				metrics.GetOrRegisterCounter("evacuations.changed", d.metrics).Inc(1)
+				metrics.GetOrRegisterGauge("evacuations.data-centres", d.metrics).Update(int64(len(m.DataCentres)))
+			}
+		},
+		Self:    wire.ActiveRevision{Host: d.set.Host.Name, DataCentre: d.set.Host.DataCentre, Role: "entry"},
+		Log:     d.log,
+		Metrics: d.metrics,
 	})
 	r.admitter = d.newAdmitter(set, store, hosts, entries)
 	r.entryPeers = otherEntryHosts
@@ -113,7 +123,7 @@
 	return hosts, others
 }
 
-// onSessionUp subscribes to the suspicions of a control host, and sends this host's suspicions to
+// onSessionUp subscribes to the suspicions and evacuations of a control host, and sends this host's suspicions to
 // control hosts and other entry hosts. A suspicion records a request during which upstreams crashed.
 func (r *entryRole) onSessionUp(s *peer.Session) {
 	if s.Remote().Replica != "" {
@@ -193,7 +203,8 @@
 	if err != nil {
 		return entry.Pick{}, err
 	}
-	return entry.Pick{Upstream: choice.Upstream, HasAlternative: choice.HasAlternative, Done: func(o entry.Outcome) {
+	maySend := func() bool { return a.router.MaySend(choice.Upstream) }
+	return entry.Pick{Upstream: choice.Upstream, HasAlternative: choice.HasAlternative, MaySend: maySend, Done: func(o entry.Outcome) {
 		isNeutral := !o.OK && isNeutralForHealth(o.Code)
 		choice.Done(routing.Outcome{HasFailed: !o.OK && !isNeutral, IsNeutral: isNeutral})
 	}}, nil
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -85,6 +85,8 @@
 	// mayTurnAway is set if another upstream can be tried, so that waiting at a busy one is of no
 	// use.
 	mayTurnAway bool
+	// maySend is Pick.MaySend.
+	maySend func() bool
 	// began is when the dispatch was sent, firstByte the time from then to the first body byte.
 	began     time.Time
 	firstByte time.Duration
@@ -123,6 +125,9 @@
 	if err != nil {
 		return err
 	}
+	if a.maySend != nil && !a.maySend() {
+		return notRun(verdict.CodeNoUpstream, "the data centre of the upstream is evacuated").WithRetryAfter(s.cfg.RetryAfter)
+	}
 	session.StartProbing()
 	defer session.StopProbing()
 	receiver := answer.New(a.id, s.cfg.FlowWindow)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -305,6 +305,7 @@
 	}
 	name := pick.Upstream.Name
 	a := newAttempt(c, pick.Upstream)
+	a.maySend = pick.MaySend
 	a.mayTurnAway = pick.HasAlternative && len(tried)+1 < c.s.cfg.MaxAttempts
 	err = a.run(ctx, c.out)
 	c.reportToQuarantine(a, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,6 +117,9 @@
 	// HasAlternative is set if another upstream that was not tried yet is as suitable, apart from
 	// its load.
 	HasAlternative bool
+	// MaySend reports whether the request may still be sent to the upstream. It is asked just
+	// before that; nil means always.
+	MaySend func() bool
 	// Done is called once when the attempt ends.
 	Done func(Outcome)
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -54,6 +54,8 @@
 	mu        sync.Mutex
 	upstreams []wire.Upstream
 	outcomes  []entry.Outcome
+	// withheld has the upstreams to which nothing may be sent any more once they are chosen.
+	withheld map[string]bool
 }
 
 func (r *testRouter) Pick(req entry.PickRequest) (entry.Pick, error) {
@@ -61,7 +63,7 @@
 	defer r.mu.Unlock()
 	for _, u := range r.upstreams {
 		if !contains(req.Tried, u.Name) {
-			return entry.Pick{Upstream: u, HasAlternative: len(r.upstreams)-len(req.Tried) > 1, Done: r.done}, nil
+			return entry.Pick{Upstream: u, HasAlternative: len(r.upstreams)-len(req.Tried) > 1, Done: r.done, MaySend: func() bool { return !r.withheld[u.Name] }}, nil
 		}
 	}
 	return entry.Pick{}, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "none left")
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -135,7 +135,7 @@
 		c.failClaimed(a, err)
 		return
 	}
-	a.upstream = pick.Upstream
+	a.upstream, a.maySend = pick.Upstream, pick.MaySend
 	err = a.run(ctx, c.out)
 	c.reportToQuarantine(a, err)
 	pick.Done(a.outcome(err))
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -33,6 +33,18 @@
 // IsHard implements Filter.
 func (ReadyFilter) IsHard() bool { return true }
 
+// EvacuationFilter drops the upstreams in evacuated data centres.
+type EvacuationFilter struct{}
+
+// Name implements Filter.
+func (EvacuationFilter) Name() string { return "evacuation" }
+
+// Keep implements Filter.
+func (EvacuationFilter) Keep(_ *Request, c *Candidate) bool { return !c.Evacuated }
+
+// IsHard implements Filter.
+func (EvacuationFilter) IsHard() bool { return true }
+
 // UntriedFilter drops the upstreams that earlier attempts of the request used.
 type UntriedFilter struct{}
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -45,10 +45,13 @@
 	cfg Config
 
 	// mu guards the fields below and cfg.Rand.
-	mu        sync.Mutex
-	stats     map[string]*upstreamStats
-	prefixes  *PrefixIndex
-	pickCount int
+	mu    sync.Mutex
+	stats map[string]*upstreamStats
+	// evacuations is the list of evacuated data centres with the highest index so far; nil if
+	// there was none. It is not changed in place.
+	evacuations *wire.Evacuations
+	prefixes    *PrefixIndex
+	pickCount   int
 }
 
 // upstreamStats is what this host has observed of one incarnation of an upstream.
@@ -160,6 +163,7 @@
 	return Candidate{
 		Upstream:       e.Upstream,
 		Suspect:        e.Suspect,
+		Evacuated:      r.isEvacuated(e.Upstream.DataCentre),
 		Failing:        now < stats.failedUntil,
 		ReportAge:      age,
 		InFlight:       stats.inFlight,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -33,6 +33,8 @@
 	Upstream wire.Upstream
 	// Suspect is set if no directory host receives announcements of the upstream.
 	Suspect bool
+	// Evacuated is set if the upstream is in an evacuated data centre.
+	Evacuated bool
 	// Failing is set if an attempt of this host failed there within failureCooldown.
 	Failing bool
 	// ReportAge is the age of the load report.
@@ -89,7 +91,7 @@
 // DefaultPolicy returns the policy that entry hosts use.
 func DefaultPolicy() *Policy {
 	return &Policy{
-		Filters: []Filter{PoolFilter{}, ReadyFilter{}, UntriedFilter{}, VersionFilter{}, HealthyFilter{}},
+		Filters: []Filter{PoolFilter{}, ReadyFilter{}, EvacuationFilter{}, UntriedFilter{}, VersionFilter{}, HealthyFilter{}},
 		Scorers: []Scorer{WaitScorer{}, PrefillScorer{}},
 		Picker:  PowerOfDChoices{Draws: 3},
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -33,6 +33,7 @@
 	suspect := modifiedCandidate("suspect", func(c *Candidate) { c.Suspect = true })
 	failing := modifiedCandidate("failing", func(c *Candidate) { c.Failing = true })
 	newer := modifiedCandidate("newer", func(c *Candidate) { c.Upstream.Version = "v2" })
+	evacuated := modifiedCandidate("evacuated", func(c *Candidate) { c.Evacuated = true })
 	good := readyCandidate("good")
 	cases := []struct {
 		name       string
@@ -43,6 +44,8 @@
 		{"another pool", Request{}, []Candidate{other, good}, []string{"good"}},
 		{"draining", Request{}, []Candidate{draining, good}, []string{"good"}},
 		{"only one that is draining", Request{}, []Candidate{draining}, nil},
+		{"evacuated", Request{}, []Candidate{evacuated, suspect}, []string{"suspect"}},
+		{"only one that is evacuated", Request{}, []Candidate{evacuated}, nil},
 		{"only one that is starting", Request{}, []Candidate{starting}, nil},
 		{"only one of another pool", Request{}, []Candidate{other}, nil},
 		{"tried", Request{Tried: []string{"good"}}, []Candidate{good, suspect}, []string{"suspect"}},
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -90,6 +90,9 @@
 	// Linearizable is set if the sender confirmed with a quorum that it has the newest
 	// documents.
 	Linearizable bool `cbor:"3,keyasint,omitempty"`
+	// Evacuations is what the sender knows, at the same read if Linearizable is set; nil if no
+	// data centre was ever evacuated.
+	Evacuations *Evacuations `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind implements Message.
