Propose no order of a caller that has left; proofs of evacuation

An order that reaches a frozen or cut-off control host late looks like a new one, and with an up-to-date table it would revert an opposite order that was acknowledged since. The end of the caller's connection arrives right behind the order, so the host now waits 25 ms before each proposal, not only before a repeated one.

Without the wait the new unit test fails; the lab's test with frozen control hosts passes either way. go test -race ./internal/control passes (62 s beside other load), go test ./platform/platformlab -run 'Abandoned|Evacuat|Orders' passes (34 s).

--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -53,12 +53,19 @@
 	return nil
 }
 
+// callerCheckDelay is the pause before each proposal of an order. A caller may have left while this
+// host was cut off or frozen, and the opposite order may have been acknowledged by another host since.
+// The end of the caller's connection arrives right behind the order, within a round trip, and ends
+// the order's context.
+const callerCheckDelay = 25 * time.Millisecond
+
 // proposeEvacuation proposes an order until it is not stale any more or ctx ends. The first index is
 // from this host's table, which may be out of date; later ones come with the results.
 func (h *Host) proposeEvacuation(ctx context.Context, c state.SetEvacuation) (state.EvacuationResult, error) {
 	for {
+		pause.For(ctx, callerCheckDelay)
 		if ctx.Err() != nil {
-			return state.EvacuationResult{}, verdict.New(verdict.NotRun, verdict.CodeDeadline, "other orders were given meanwhile")
+			return state.EvacuationResult{}, verdict.New(verdict.NotRun, verdict.CodeDeadline, "the caller does not wait any more")
 		}
 		data, err := state.Encode(c)
 		if err != nil {
@@ -76,9 +83,6 @@
 			return r, nil
 		}
 		c.LastOrder = r.LastOrder
-		// A caller may have left while this host was cut off or frozen, and its order may be older
-		// than the one that has made it stale. The pause lets the end of its connection be noticed.
-		pause.For(ctx, retryDelay)
 	}
 }
 
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -150,7 +150,7 @@
 		require.NoError(t, err)
 	}
 	stale := state.SetEvacuation{DataCentre: "east", IsEvacuated: true}
-	ctx, cancel := context.WithTimeout(t.Context(), retryDelay/2)
+	ctx, cancel := context.WithTimeout(t.Context(), callerCheckDelay*3/2)
 	defer cancel()
 	_, err := h.proposeEvacuation(ctx, stale)
 	require.Error(t, err)
@@ -160,6 +160,19 @@
 	require.Equal(t, state.EvacuationChanged, r.Outcome)
 }
 
+// Guards against an order that is proposed although the end of its caller's connection has arrived right
+// behind it, as it does at a host that was frozen.
+func TestOrderOfCallerThatHasLeftIsNotProposed(t *testing.T) {
+	h, _ := startLeader(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := h.SetEvacuation(ctx, "east", true, "ann")
+	require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict)
+	e, err := h.Evacuations(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, e.All)
+}
+
 // Guards against two operators of whom one gets an error or neither gets its way.
 func TestConcurrentEvacuationOrdersAreAllAcknowledged(t *testing.T) {
 	h, _ := startLeader(t)
