--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,8 @@
 //
 // # Locks
 //
-// Gateway.mu guards the view of upstreams, their statements and the scheduler. It is never held
-// during I/O; messages to other hosts are only queued. The quarantine's lock may be taken while mu
+// Gateway.mu guards the view of upstreams, their statements, the evacuations and the scheduler. It is
+// never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken while mu
 // is held, not the other way round. The configuration is published as an immutable value.
 package gateway
 
