Limits for cold upstreams: configuration, decision and tokens

Cause: nothing limits what upstreams get that have just started, and a cold upstream crashes well above its bound.

--- a/internal/backpressure/dispenser.go
+++ b/internal/backpressure/dispenser.go
@@ -22,6 +22,11 @@
 // one.
 type Dispenser struct {
 	buckets map[Incarnation]*bucket
+	// cold holds the buckets of the tokens for cold upstreams. term is the term in which this
+	// control host has last handed out such tokens, and coldFrom when it may do so.
+	cold     map[Incarnation]*bucket
+	term     uint64
+	coldFrom time.Duration
 }
 
 // bucket is the token bucket of one upstream.
@@ -32,40 +37,82 @@
 }
 
 // NewDispenser returns a Dispenser that has handed out no tokens.
-func NewDispenser() *Dispenser { return &Dispenser{buckets: make(map[Incarnation]*bucket)} }
+func NewDispenser() *Dispenser {
+	return &Dispenser{buckets: make(map[Incarnation]*bucket), cold: make(map[Incarnation]*bucket)}
+}
 
 // Hand hands out up to count tokens of an upstream with the given rate in requests per second to
 // a host. It returns the waits until the tokens are usable, and the time after which the host
 // may ask again. The random number, in [0, 1), spreads the hosts that ask again.
 func (d *Dispenser) Hand(i Incarnation, host string, perSecond float64, count int, random float64, now time.Duration) (waits []time.Duration, again time.Duration) {
-	b := d.bucket(i, perSecond, now)
-	b.askers[host] = now
-	b.forgetAskers(now)
+	b := bucketOf(d.buckets, i, perSecond, now)
+	waits, blocked := b.reserve(host, count, maxAhead, now)
+	return waits, max(blocked, b.contention(random))
+}
+
+// BeginTerm tells the term in which this control host leads. The leader of an earlier term may have
+// handed out tokens of cold upstreams just before, so none is handed out until all of them are used
+// or have ended. Calls with the same term have no effect.
+func (d *Dispenser) BeginTerm(term uint64, now time.Duration) {
+	if term != d.term {
+		d.term, d.coldFrom = term, now+coldMaxAhead+coldTokenLifetime
+		clear(d.cold)
+	}
+}
+
+// HandCold hands out up to count tokens of a cold upstream, as Hand does, where term is the term in
+// which this control host leads.
+func (d *Dispenser) HandCold(
+	i Incarnation, host string, perSecond float64, count int, random float64, term uint64, now time.Duration,
+) (waits []time.Duration, again time.Duration) {
+	d.BeginTerm(term, now)
+	b := bucketOf(d.cold, i, perSecond, now)
+	if now < d.coldFrom {
+		b.record(host, now)
+		return nil, d.coldFrom - now + b.contention(random)
+	}
+	waits, blocked := b.reserve(host, count, coldMaxAhead, now)
+	return waits, max(blocked, b.contention(random))
+}
+
+// reserve takes up to count tokens for a host that are usable at most ahead from now. It returns
+// the waits until they are, and after which time there may be another one.
+func (b *bucket) reserve(host string, count int, ahead, now time.Duration) (waits []time.Duration, blocked time.Duration) {
+	b.record(host, now)
 	at := wallTime(now)
-	blocked := time.Duration(0)
 	for range min(count, maxTokens) {
 		r := b.limiter.ReserveN(at, 1)
 		delay := r.DelayFrom(at)
-		if delay > maxAhead {
+		if delay > ahead {
 			r.CancelAt(at)
-			blocked = delay - maxAhead
-			break
+			return waits, delay - ahead
 		}
 		waits = append(waits, delay)
 	}
-	contention := time.Duration(float64(len(b.askers)) * (0.5 + random) * float64(askInterval))
-	return waits, max(blocked, contention)
+	return waits, 0
+}
+
+// record records that a host has asked for tokens.
+func (b *bucket) record(host string, now time.Duration) {
+	b.askers[host] = now
+	b.forgetAskers(now)
+}
+
+// contention returns the time after which a host may ask again, so that all that ask keep
+// askInterval together.
+func (b *bucket) contention(random float64) time.Duration {
+	return time.Duration(float64(len(b.askers)) * (0.5 + random) * float64(askInterval))
 }
 
-// bucket returns the bucket of an upstream, with its present rate. A new one is empty, because
+// bucketOf returns the bucket of an upstream, with its present rate. A new one is empty, because
 // another control host may have handed out tokens before.
-func (d *Dispenser) bucket(i Incarnation, perSecond float64, now time.Duration) *bucket {
+func bucketOf(buckets map[Incarnation]*bucket, i Incarnation, perSecond float64, now time.Duration) *bucket {
 	at := wallTime(now)
-	b := d.buckets[i]
+	b := buckets[i]
 	if b == nil {
 		b = &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), 1), askers: make(map[string]time.Duration)}
 		b.limiter.AllowN(at, 1)
-		d.buckets[i] = b
+		buckets[i] = b
 	}
 	if b.limiter.Limit() != rate.Limit(perSecond) {
 		b.limiter.SetLimitAt(at, rate.Limit(perSecond))
@@ -83,9 +130,11 @@
 
 // Sweep removes the buckets of the upstreams for which no host has asked lately.
 func (d *Dispenser) Sweep(now time.Duration) {
-	for i, b := range d.buckets {
-		if b.forgetAskers(now); len(b.askers) == 0 {
-			delete(d.buckets, i)
+	for _, buckets := range []map[Incarnation]*bucket{d.buckets, d.cold} {
+		for i, b := range buckets {
+			if b.forgetAskers(now); len(b.askers) == 0 {
+				delete(buckets, i)
+			}
 		}
 	}
 }
--- a/internal/backpressure/sharing_test.go
+++ b/internal/backpressure/sharing_test.go
@@ -97,7 +97,7 @@
 }
 
 func (h *handedOut) send(host int, now time.Duration) bool {
-	if h.allowances[host].Take(now) {
+	if _, ok := h.allowances[host].Take(now); ok {
 		return true
 	}
 	h.allowances[host].PassOver()
@@ -120,7 +120,7 @@
 		m := h.answers[0]
 		h.answers = h.answers[1:]
 		if m.isUnanswered {
-			h.allowances[m.host].Unanswered(len(h.allowances), now)
+			h.allowances[m.host].Unanswered(len(h.allowances), 0, now)
 		} else {
 			h.allowances[m.host].Granted(m.waits, m.again, now)
 		}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 )
 
@@ -34,6 +35,8 @@
 	MaxControlHostFailures int
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
+	// ColdBound limits what a cold upstream gets from all hosts together in any second.
+	ColdBound backpressure.ColdBound
 
 	Entry   *EntrySettings
 	Control *ControlSettings
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -89,6 +89,11 @@
 	// MaxConnections limits the connections to one upstream from all hosts together; 0 means no
 	// limit.
 	MaxConnections int
+	// ColdDuration is how long an upstream is cold after its start, and ColdRate how many requests
+	// per second a cold upstream tolerates from all hosts together. Unless both are positive, no
+	// upstream of the service is cold.
+	ColdDuration time.Duration
+	ColdRate     float64
 	// Engine describes model engines; nil for plain services.
 	Engine *Engine
 }
@@ -180,6 +185,9 @@
 		if s.Name == "" || t.serviceByName[s.Name] != nil {
 			return errors.Errorf("service %q has no name or is defined twice", s.Name)
 		}
+		if s.ColdDuration < 0 || s.ColdRate < 0 {
+			return errors.Errorf("service %q has a negative cold duration or tolerated rate", s.Name)
+		}
 		t.serviceByName[s.Name] = s
 	}
 	return nil
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -214,7 +214,7 @@
 	if u.allowance == nil {
 		u.service.quota = max(u.service.quota-1, 0)
 	} else {
-		t.hasToken = u.allowance.Take(now)
+		_, t.hasToken = u.allowance.Take(now)
 	}
 	return t
 }
--- a/internal/schedule/restriction.go
+++ b/internal/schedule/restriction.go
@@ -142,7 +142,7 @@
 	if now-s.recentHostsAt > hostMemory {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
-	u.allowance.Unanswered(max(s.recentHosts, s.hosts), now)
+	u.allowance.Unanswered(max(s.recentHosts, s.hosts), 0, now)
 	return s.reconsiderWaiters(u.service, now)
 }
 
