Forward and keep the ends of cold times; tokens for cold upstreams

Cause: control hosts forwarded a record only if its state, slots, service or address had changed, and the remaining cold time of a record aged with it. Change: a changed end of a cold time, beyond 250 ms of jitter, is a change for Registry and View. Lists for hosts that attach have the cold time that remains. A missing or restored cold time is unknown. The leading control host hands out tokens of a cold upstream at the rate that comes with the request.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,8 @@
 	// upstreamList is the encoded list of all upstreams for hosts that attach; nil if the
 	// list has changed since it was encoded.
 	upstreamList *peer.Prepared
+	// isUpstreamListCold tells that the encoded list has remaining cold times, which decrease.
+	isUpstreamListCold bool
 	// pendingSuspicions are the suspicions that sendSuspicions will send.
 	pendingSuspicions []quarantine.Suspicion
 	// statements holds what upstreams have stated about themselves, and dispenser the tokens of
@@ -107,8 +110,10 @@
 	if m.Role == roleCallers {
 		return
 	}
-	if f.upstreamList == nil {
-		f.upstreamList, _ = peer.Prepare(&wire.Upstreams{All: f.registry.All()})
+	if f.upstreamList == nil || f.isUpstreamListCold {
+		all := f.registry.List(f.now())
+		f.upstreamList, _ = peer.Prepare(&wire.Upstreams{All: all})
+		f.isUpstreamListCold = slices.ContainsFunc(all, func(u registry.Upstream) bool { return u.ColdRemainingMS > 0 })
 	}
 	_ = s.PostPrepared(f.upstreamList)
 	_ = s.Post(&wire.ConfigurationNotice{Number: f.h.tables.Configuration().Number})
@@ -271,6 +276,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.quarantine.Sweep()
+	if term, isLeader := f.h.replica.LeaderTerm(); isLeader {
+		f.dispenser.BeginTerm(term, f.now())
+	}
 	f.sweepRateLimits()
 	if all := f.registry.Tick(f.now()); len(all) > 0 {
 		f.upstreamList = nil
--- a/internal/control/ratelimit.go
+++ b/internal/control/ratelimit.go
@@ -1,11 +1,15 @@
 package control
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -66,9 +70,47 @@
 	if err := h.requireLeader(); err != nil {
 		return nil, err
 	}
+	if m.ColdRate > 0 {
+		return h.handOutCold(s, m)
+	}
 	return h.fleet.handOut(s, m), nil
 }
 
+// handOutCold hands out tokens of a cold upstream. The rate comes with the request, since control
+// hosts know neither the configuration's services nor which upstreams are cold. All hosts compute
+// it from the same configuration and settings.
+func (h *Host) handOutCold(s *peer.Session, m *wire.TokenRequest) (wire.Message, error) {
+	if math.IsInf(m.ColdRate, 0) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the rate of a cold upstream is not finite")
+	}
+	term, isLeader := h.replica.LeaderTerm()
+	if !isLeader {
+		return nil, h.requireLeader()
+	}
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, i := f.now(), m.Notice.Incarnation
+	f.statements.Add(m.Notice, now)
+	rate := m.ColdRate
+	if stated := f.statements.Rate(i); stated > 0 {
+		rate = min(rate, stated*f.reachable)
+	}
+	waits, again := f.dispenser.HandCold(i, s.Remote().Host, rate, m.Count, rand.Float64(), term, now)
+	metrics.GetOrRegisterCounter("control.cold.tokens.asked", h.cfg.Metrics).Inc(int64(max(m.Count, 0)))
+	metrics.GetOrRegisterCounter("control.cold.tokens.granted", h.cfg.Metrics).Inc(int64(len(waits)))
+	return newTokens(waits, again), nil
+}
+
+// newTokens returns the message that hands out tokens.
+func newTokens(waits []time.Duration, again time.Duration) *wire.Tokens {
+	reply := &wire.Tokens{AgainMS: again.Milliseconds() + 1}
+	for _, wait := range waits {
+		reply.WaitsMS = append(reply.WaitsMS, wait.Milliseconds())
+	}
+	return reply
+}
+
 func (f *fleet) handOut(s *peer.Session, m *wire.TokenRequest) *wire.Tokens {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -81,11 +123,7 @@
 		return &wire.Tokens{WaitsMS: make([]int64, min(max(m.Count, 0), maxTokensWithoutLimit))}
 	}
 	waits, again := f.dispenser.Hand(i, s.Remote().Host, perSecond*f.reachable, m.Count, rand.Float64(), now)
-	reply := &wire.Tokens{AgainMS: again.Milliseconds() + 1}
-	for _, wait := range waits {
-		reply.WaitsMS = append(reply.WaitsMS, wait.Milliseconds())
-	}
-	return reply
+	return newTokens(waits, again)
 }
 
 // maxTokensWithoutLimit bounds the tokens handed out for an upstream that has no limit any more.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,15 +40,19 @@
 	State      State  `cbor:"6,keyasint,omitempty"`
 	// Sequence increases with each announcement of the incarnation.
 	Sequence uint64 `cbor:"7,keyasint,omitempty"`
-	// ColdRemainingMS is how much longer the upstream stays slow after its cold start, in
-	// milliseconds.
+	// ColdRemainingMS is how much longer the upstream is cold, in milliseconds. If IsColdUnknown is
+	// set, no recent announcement has told that.
 	ColdRemainingMS int64 `cbor:"8,keyasint,omitempty"`
 	// IsSilent is set by a control host if the upstream's announcements have stopped.
 	IsSilent bool `cbor:"9,keyasint,omitempty"`
 	// StartedAt is the start time of the incarnation, in Unix milliseconds by the upstream's clock,
 	// or 0 if the upstream does not send it. The incarnation with the highest value is the
 	// current one. It takes over no state of earlier incarnations.
-	StartedAt int64 `cbor:"10,keyasint,omitempty"`
+	StartedAt     int64 `cbor:"10,keyasint,omitempty"`
+	IsColdUnknown bool  `cbor:"11,keyasint,omitempty"`
+	// ColdUntil is when the stated cold time ends, 0 for none, and ColdStatedAt when the newest
+	// announcement was received. Both are times of the clock of this host.
+	ColdUntil, ColdStatedAt time.Duration `cbor:"-"`
 }
 
 // ErrAmbiguous is returned for an announcement without a start time that is not applied, because it
@@ -83,25 +87,27 @@
 // merge applies an announcement. One of a later incarnation replaces everything, and one of an
 // earlier incarnation is ignored. It reports whether anything changed that matters for
 // sending requests to the upstream.
-func (u *Upstream) merge(next Upstream) bool {
+func (u *Upstream) merge(next Upstream, now time.Duration) bool {
 	if next.StartedAt != u.StartedAt {
 		if next.StartedAt > u.StartedAt {
 			*u = next
+			u.receiveColdTime(now)
 			return true
 		}
 		return false
 	}
 	before := *u
+	hasColdTimeChanged := false
 	if next.Sequence > u.Sequence {
 		u.Sequence = next.Sequence
-		u.ColdRemainingMS = next.ColdRemainingMS
+		hasColdTimeChanged = u.mergeColdTime(&next, now)
 		u.Slots = next.Slots
 		u.Service = cmp.Or(next.Service, u.Service)
 		u.Address = cmp.Or(next.Address, u.Address)
 		u.DataCentre = cmp.Or(next.DataCentre, u.DataCentre)
 	}
 	u.State = max(u.State, next.State)
-	return u.State != before.State || u.Slots != before.Slots || u.Service != before.Service || u.Address != before.Address
+	return hasColdTimeChanged || u.State != before.State || u.Slots != before.Slots || u.Service != before.Service || u.Address != before.Address
 }
 
 // Limits are the timeouts of a Registry.
@@ -152,23 +158,23 @@
 	}
 	if u.StartedAt < e.StartedAt && u.StartedAt == 0 && u.State != Ready {
 		if u.State == Draining || e.isAmbiguous(now) {
-			return []Upstream{e.Upstream}, false, ErrAmbiguous
+			return []Upstream{e.at(now)}, false, ErrAmbiguous
 		}
 		changed := e.State != Gone
 		e.State, e.heardAt, e.IsSilent = Gone, now, false
-		return []Upstream{e.Upstream, u}, changed, nil
+		return []Upstream{e.at(now), u}, changed, nil
 	}
 	if u.StartedAt < e.StartedAt || u.StartedAt == e.StartedAt && u.Sequence != 0 && u.Sequence <= e.Sequence && u.State <= e.State {
-		return []Upstream{e.Upstream}, false, nil
+		return []Upstream{e.at(now)}, false, nil
 	}
 	wasSilent := e.IsSilent
 	e.heardAt = now
 	if u.StartedAt > e.StartedAt {
 		e.replace(now)
 	}
-	changed := e.merge(u)
+	changed := e.merge(u, now)
 	e.IsSilent = false
-	return []Upstream{e.Upstream}, changed || wasSilent, nil
+	return []Upstream{e.at(now)}, changed || wasSilent, nil
 }
 
 // announceUnknown applies an announcement of an upstream that is not known. A call of one that
@@ -183,8 +189,10 @@
 		return nil, false, ErrAmbiguous
 	}
 	u.IsSilent = false
-	r.byID[u.ID] = &entry{Upstream: u, heardAt: now}
-	return []Upstream{u}, true, nil
+	e := &entry{Upstream: u, heardAt: now}
+	e.receiveColdTime(now)
+	r.byID[u.ID] = e
+	return []Upstream{e.at(now)}, true, nil
 }
 
 // Restore adds upstreams that were saved before a restart, as if they had announced themselves
@@ -192,7 +200,8 @@
 func (r *Registry) Restore(all []Upstream, now time.Duration) {
 	for _, u := range all {
 		if r.byID[u.ID] == nil {
-			u.IsSilent = false
+			// It may have become cold since it was saved.
+			u.IsSilent, u.ColdRemainingMS, u.IsColdUnknown = false, 0, true
 			r.byID[u.ID] = &entry{Upstream: u, heardAt: now}
 		}
 	}
@@ -215,7 +224,7 @@
 		}
 		if quiet > r.limits.SilenceTimeout && !e.IsSilent && e.State == Ready {
 			e.IsSilent = true
-			out = append(out, e.Upstream)
+			out = append(out, e.at(now))
 		}
 	}
 	return out
@@ -231,6 +240,16 @@
 	return out
 }
 
+// List returns all upstreams sorted by ID, with the cold times that remain now.
+func (r *Registry) List(now time.Duration) []Upstream {
+	out := make([]Upstream, 0, len(r.byID))
+	for _, e := range r.byID {
+		out = append(out, e.at(now))
+	}
+	sortByID(out)
+	return out
+}
+
 // sortByID sorts a list of upstreams, so that all hosts have them in the same order.
 func sortByID(list []Upstream) {
 	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -58,11 +58,12 @@
 		if s == nil {
 			s = &viewEntry{Upstream: u, silentBy: make(map[string]bool), firstMerge: v.mergeCount}
 			s.IsSilent = false
+			s.receiveColdTime(now)
 			v.byID[u.ID] = s
 			changed = true
 		} else {
 			born := s.StartedAt
-			changed = s.merge(u) || changed
+			changed = s.merge(u, now) || changed
 			if s.StartedAt != born {
 				s.replace(now)
 				v.resetIncarnation(s)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -235,6 +235,13 @@
 // IsLeader reports whether this replica believes that it leads.
 func (r *Replica) IsLeader() bool { return r.softState.Load().Role == consensus.Leader }
 
+// LeaderTerm returns the term in which this replica believes that it leads, and false if it does
+// not lead.
+func (r *Replica) LeaderTerm() (uint64, bool) {
+	s := r.softState.Load()
+	return s.Term, s.Role == consensus.Leader
+}
+
 // AppliedIndex returns the index of the last applied entry. Entries that don't change the
 // state machine count too. It does not wait for the loop.
 func (r *Replica) AppliedIndex() uint64 { return r.publishedAppliedIndex.Load() }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -152,6 +152,9 @@
 	Notice backpressure.Notice `cbor:"1,keyasint"`
 	// Count is how many tokens the sender could use now.
 	Count int `cbor:"2,keyasint"`
+	// ColdRate is set if the upstream is cold: the rate at which tokens may be handed out to all
+	// hosts together, in requests per second.
+	ColdRate float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
