Limit what cold upstreams get

Cause: entry hosts sent to upstreams that have just started as to all others. Change: the scheduler limits upstreams that are cold by their announcements, by a response, after an evacuation of their data centre, or because nothing is known of them, until that time is over; the lower of this and a stated limit holds. Tokens are asked for only at the upstream to which a waiting request would go next, one for each. A token must be used before it ends, also if a connection took long to open. The gateway logs which upstreams are cold and counts tokens, and requests that were sent elsewhere or refused.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -58,6 +58,8 @@
 	// Rest is for how long after ReadAt the upstream wants no requests from the host that sent
 	// this one. An upstream that turned a request away may ask for it.
 	Rest time.Duration
+	// Cold is for how long after ReadAt the upstream is cold, 0 if it states nothing.
+	Cold time.Duration
 	// IsLeaving tells that the upstream is about to shut down.
 	IsLeaving bool
 }
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -37,6 +37,10 @@
 	before := g.statements.Rate(i)
 	change := g.statements.Observe(i, statement, g.now())
 	g.apply(i, change, before, 0, "request", o.Attempt, "status", o.Status)
+	if statement.Cold > 0 {
+		g.scheduler.SetObservedCold(i, statement.ReadAt+statement.Cold, g.now())
+		g.noteCold()
+	}
 	if statement.Rest > 0 {
 		g.deliver(g.scheduler.SetRest(i, statement.ReadAt+statement.Rest, g.now()))
 	}
@@ -114,9 +118,13 @@
 
 // requestTokens asks for the tokens that requests have missed. The caller holds mu.
 func (g *Gateway) requestTokens() {
+	g.countPassedOver()
 	for _, r := range g.scheduler.TakeTokenRequests(g.now()) {
 		i := backpressure.Incarnation{Upstream: r.Upstream.ID, StartedAt: r.Upstream.StartedAt}
-		go g.awaitTokens(i, &wire.TokenRequest{Notice: g.statements.Notice(i, g.now()), Count: r.Count})
+		if r.ColdRate > 0 {
+			g.counts.add("cold.tokens.asked", r.Count)
+		}
+		go g.awaitTokens(i, &wire.TokenRequest{Notice: g.statements.Notice(i, g.now()), Count: r.Count, ColdRate: r.ColdRate})
 	}
 }
 
@@ -130,7 +138,7 @@
 	var results []schedule.Result
 	if err != nil {
 		g.counts.increment("tokens.unanswered")
-		g.cfg.Log.Info("no tokens: using this host's share of the rate", "upstream", i.Upstream, "per_second", m.Notice.Rate, "error", err.Error())
+		g.cfg.Log.Info("no tokens: using this host's share of the rate", "upstream", i.Upstream, "per_second", max(m.Notice.Rate, m.ColdRate), "error", err.Error())
 		results = g.scheduler.TokensUnanswered(i, g.now())
 	} else {
 		g.counts.add("tokens.granted", len(tokens.WaitsMS))
@@ -139,6 +147,9 @@
 	}
 	g.deliver(results)
 	g.upstreamsHaveChanged()
+	if m.ColdRate > 0 {
+		g.useColdTokens(tokens)
+	}
 }
 
 // durations converts milliseconds.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	Quarantine *quarantine.Keeper
 	// Backpressure connects the host with the others that send requests to the same upstreams.
 	Backpressure Backpressure
+	// ColdBound limits what a cold upstream gets from all hosts together in any second.
+	ColdBound backpressure.ColdBound
 	// Now returns the time since the host's start; nil means the system's monotonic clock.
 	Now     func() time.Duration
 	Log     *slog.Logger
@@ -92,6 +94,10 @@
 	// cancels holds the cancel functions of the attempts that may be cancelled because their
 	// group does not serve.
 	cancels map[*schedule.Ticket]context.CancelCauseFunc
+	// cold holds the upstreams that were cold when they were last logged. coldTimer calls
+	// endColdTimes when the first of them stops being cold; nil if none is cold.
+	cold      map[backpressure.Incarnation]schedule.ColdUpstream
+	coldTimer *time.Timer
 }
 
 // New returns a Gateway. Until it has a configuration, requests wait for one during the
@@ -130,18 +136,19 @@
 // SetTable makes t the current configuration, unless the current one has the same or a higher
 // number. It reports whether it did.
 func (g *Gateway) SetTable(t *routetable.Table) bool {
-	for {
-		current := g.table.Load()
-		if current != nil && current.Number >= t.Number {
-			return false
-		}
-		if g.table.CompareAndSwap(current, t) {
-			if current == nil {
-				close(g.tableKnown)
-			}
-			return true
-		}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.table.Load()
+	if current != nil && current.Number >= t.Number {
+		return false
+	}
+	// Before the table is used, since requests must keep its limits.
+	g.setColdParams(t)
+	g.table.Store(t)
+	if current == nil {
+		close(g.tableKnown)
 	}
+	return true
 }
 
 // StartDraining makes the gateway close each caller's connection after its next response.
@@ -186,6 +193,7 @@
 		}
 	}
 	g.upstreamsHaveChanged()
+	g.noteCold()
 }
 
 // randomFraction returns a random number in [0, 1).
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -111,6 +111,7 @@
 func (c *call) logRefusal(reason schedule.Reason) {
 	c.g.counts.increment("refused." + reason.Name())
 	c.g.mu.Lock()
+	c.g.countColdRefusal(c.service.Name)
 	s, hosts := c.g.scheduler.State(c.service.Name, c.g.now()), c.g.scheduler.HostCount()
 	c.g.mu.Unlock()
 	c.warn("no place", "reason", reason.Name(), "upstreams", s.Upstreams, "loads_heard", s.Reporting, "serving", s.Serving,
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -33,10 +33,13 @@
 // and always NotRun.
 func (g *Gateway) reservePlain(ctx context.Context, name string, tried []string) (registry.Upstream, *reservation, error) {
 	waitsUntil := g.now() + maxTokenWait
+	var waiter *schedule.PlainWaiter
+	defer func() { g.stopWaiting(waiter) }()
 	for {
 		g.mu.Lock()
 		now := g.now()
 		u, t, ok := g.scheduler.ReserveLeastLoaded(name, tried, now)
+		waiter = g.waitForToken(waiter, name, tried, !ok)
 		next, isRestricted := g.scheduler.AcceptsAt(name, tried, now)
 		changed := g.upstreamsChanged
 		g.requestTokens()
@@ -61,11 +64,34 @@
 	}
 }
 
+// waitForToken tells the scheduler whether a request to a plain service waits for a token of a cold
+// upstream. It returns the request's entry there, nil if it does not wait. The caller holds mu.
+func (g *Gateway) waitForToken(w *schedule.PlainWaiter, name string, tried []string, waits bool) *schedule.PlainWaiter {
+	switch {
+	case waits && w == nil && g.scheduler.HasCold(name, g.now()):
+		return g.scheduler.AddPlainWaiter(name, tried)
+	case !waits && w != nil:
+		g.scheduler.RemovePlainWaiter(w)
+		return nil
+	}
+	return w
+}
+
+// stopWaiting tells the scheduler that a request waits no longer; w may be nil.
+func (g *Gateway) stopWaiting(w *schedule.PlainWaiter) {
+	if w != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.scheduler.RemovePlainWaiter(w)
+	}
+}
+
 // refuseRestricted returns the error of a request that no upstream accepts before the given time.
 func (g *Gateway) refuseRestricted(name string, next time.Duration) error {
 	g.counts.increment("refused." + schedule.Restricted.Name())
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.countColdRefusal(name)
 	retryAfter := g.scheduler.RestrictedRetryAfter(name, next, g.now())
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, schedule.Restricted.String()).WithRetryAfter(retryAfter)
 }
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -119,6 +119,7 @@
 
 // Admit decides on a new request: it reserves a slot, queues the request or refuses it.
 func (s *Scheduler) Admit(r *Request, now time.Duration) Decision {
+	s.expireCold(now)
 	sv := s.service(r.Service)
 	sv.setEngine(r.Engine, r.MaxEventGap, now)
 	w := sv.newWaiter(r, now)
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -74,6 +74,7 @@
 // SetLoads records load reports of engines. It returns the decisions on queued requests, and
 // the attempts to end because their group does not serve.
 func (s *Scheduler) SetLoads(all []wire.EngineLoad, now time.Duration) ([]Result, []StalledAttempt) {
+	s.expireCold(now)
 	for i := range all {
 		s.setLoad(&all[i], now)
 	}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 )
 
@@ -41,8 +43,11 @@
 	began         time.Duration
 	isLate        bool
 	isReleased    bool
-	// hasToken is set if a token of the upstream's rate limit was taken for the attempt.
-	hasToken bool
+	// hasToken is set if a token of the upstream's rate limit was taken for the attempt. allowance is
+	// where it was taken from, and sendBy until when it lasts.
+	hasToken  bool
+	allowance *backpressure.Allowance
+	sendBy    time.Duration
 }
 
 // ID returns the id of the upstream.
@@ -58,6 +63,7 @@
 // yet. Upstreams suspected of failure are used only if there is no other. It returns false if
 // none is left, or none that accepts a request now.
 func (s *Scheduler) ReserveLeastLoaded(name string, tried []string, now time.Duration) (registry.Upstream, *Ticket, bool) {
+	s.expireCold(now)
 	sv := s.service(name)
 	for _, mayBeSuspect := range []bool{false, true} {
 		if u := s.leastLoaded(sv, tried, mayBeSuspect, now); u != nil {
@@ -72,11 +78,15 @@
 func (s *Scheduler) leastLoaded(sv *service, tried []string, mayBeSuspect bool, now time.Duration) *upstream {
 	var best *upstream
 	lowest, ties := 0.0, 0
+	lowestCold := math.Inf(1)
 	for _, u := range sv.active {
 		if slices.Contains(tried, u.ID) || !mayBeSuspect && u.isSuspect(now) {
 			continue
 		}
 		if !u.accepts(now) {
+			if u.isCold() && now >= u.restUntil {
+				lowestCold = min(lowestCold, s.estimatedLoad(u, now)/float64(max(u.Slots, 1)))
+			}
 			// The second search, among suspect upstreams too, is for the same request.
 			if !mayBeSuspect {
 				u.passOver(now)
@@ -97,6 +107,10 @@
 			}
 		}
 	}
+	if best != nil && lowestCold < lowest {
+		s.coldPassedOver++
+		sv.overflowed = lowest >= 1 && lowestCold < 1
+	}
 	return best
 }
 
@@ -118,6 +132,7 @@
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
 	s.trustedCandidates, s.suspectCandidates = s.trustedCandidates[:0], s.suspectCandidates[:0]
 	hasTrusted := false
+	lowestCold := math.Inf(1)
 	for _, u := range sv.active {
 		if !sv.serves(u, now) || slices.Contains(tried, u.ID) {
 			continue
@@ -128,6 +143,9 @@
 		hasSlot := u.isWithinQuota(now) && load < float64(sv.limitOf(u, minRatio, now))
 		if hasSlot && !u.accepts(now) {
 			u.passOver(now)
+			if u.isCold() {
+				lowestCold = min(lowestCold, load)
+			}
 			continue
 		}
 		switch {
@@ -137,10 +155,15 @@
 			s.suspectCandidates = append(s.suspectCandidates, candidate{u, load})
 		}
 	}
+	candidates := s.suspectCandidates
 	if hasTrusted {
-		return s.drawCandidate(sv, s.trustedCandidates, now)
+		candidates = s.trustedCandidates
 	}
-	return s.drawCandidate(sv, s.suspectCandidates, now)
+	u, ok := s.drawCandidate(sv, candidates, now)
+	if ok && lowestCold < s.estimatedLoad(u, now) {
+		s.coldPassedOver++
+	}
+	return u, ok
 }
 
 // isWithinQuota reports whether this host may take a free slot of the engine. Without a fresh
@@ -214,16 +237,25 @@
 	if u.allowance == nil {
 		u.service.quota = max(u.service.quota-1, 0)
 	} else {
-		_, t.hasToken = u.allowance.Take(now)
+		t.allowance = u.allowance
+		t.sendBy, t.hasToken = u.allowance.Take(now)
 	}
 	return t
 }
 
 // MaySend reports whether the attempt may still be sent to its upstream. Since the slot was
-// reserved, the upstream may have left the list, asked for rest or stated a rate limit.
+// reserved, the upstream may have left the list, asked for rest, stated a rate limit or become cold.
+// The token of a cold upstream may have ended while a connection was opened.
 func (s *Scheduler) MaySend(t *Ticket, now time.Duration) bool {
+	s.expireCold(now)
 	u := t.upstream
-	return t.born == u.StartedAt && u.isServing && now >= u.restUntil && (u.allowance == nil || t.hasToken)
+	if t.born != u.StartedAt || !u.isServing || now < u.restUntil {
+		return false
+	}
+	if u.isCold() {
+		return t.hasToken && t.allowance == u.allowance && now <= t.sendBy
+	}
+	return u.allowance == nil || t.hasToken
 }
 
 // RecordFirstEvent records that the first event of an attempt's answer has arrived.
@@ -248,6 +280,7 @@
 	if t.isReleased {
 		return nil, false
 	}
+	s.expireCold(now)
 	t.isReleased = true
 	u, sv := t.upstream, t.service
 	delete(sv.awaitingHeader, t)
--- a/internal/schedule/restriction.go
+++ b/internal/schedule/restriction.go
@@ -29,7 +29,10 @@
 	if u == nil || u.StartedAt != i.StartedAt || !u.isServing {
 		return nil
 	}
+	u.statedRate = perSecond
 	switch {
+	case u.isCold():
+		u.allowance.SetLimit(u.service.cold.limit().Lower(perSecond))
 	case perSecond == 0:
 		u.allowance = nil
 	case u.allowance == nil:
@@ -84,9 +87,10 @@
 	return now >= u.restUntil && (u.allowance == nil || u.allowance.CanSend(now))
 }
 
-// passOver records that a request was not sent to the upstream because the host has no token.
+// passOver records that a request was not sent to the upstream because the host has no token. It has
+// no effect for cold upstreams, for which coldTokenRequests asks.
 func (u *upstream) passOver(now time.Duration) {
-	if u.allowance != nil && now >= u.restUntil {
+	if u.allowance != nil && !u.isCold() && now >= u.restUntil {
 		u.allowance.PassOver()
 	}
 }
@@ -95,7 +99,11 @@
 func (u *upstream) acceptsAt(now time.Duration) time.Duration {
 	next := max(u.restUntil, now)
 	if u.allowance != nil {
-		next = max(next, u.allowance.NextAt(now))
+		at := u.allowance.NextAt(now)
+		if u.isCold() && u.statedRate == 0 {
+			at = min(at, max(u.coldUntil, now))
+		}
+		next = max(next, at)
 	}
 	return next
 }
@@ -104,14 +112,18 @@
 type TokenRequest struct {
 	Upstream registry.Upstream
 	Count    int
+	// ColdRate is the rate limit of all hosts together in requests per second if the upstream is
+	// cold, and 0 otherwise.
+	ColdRate float64
 }
 
 // TakeTokenRequests returns the requests for tokens that are to be sent now. Each must be answered
 // by AddTokens or TokensUnanswered.
 func (s *Scheduler) TakeTokenRequests(now time.Duration) []TokenRequest {
-	var out []TokenRequest
+	s.expireCold(now)
+	out := s.coldTokenRequests(nil, now)
 	for _, u := range s.restricted {
-		if u.allowance == nil {
+		if u.allowance == nil || u.isCold() {
 			continue
 		}
 		if n := u.allowance.Ask(now); n > 0 {
@@ -124,6 +136,7 @@
 // AddTokens records the answer to a request for tokens: the waits until each is usable, and the
 // time after which the host may ask again. It returns the decisions on queued requests.
 func (s *Scheduler) AddTokens(i backpressure.Incarnation, waits []time.Duration, again, now time.Duration) []Result {
+	s.expireCold(now)
 	u := s.limitedUpstream(i)
 	if u == nil {
 		return nil
@@ -135,6 +148,7 @@
 // TokensUnanswered records that a request for tokens was not answered. It returns the decisions on
 // queued requests.
 func (s *Scheduler) TokensUnanswered(i backpressure.Incarnation, now time.Duration) []Result {
+	s.expireCold(now)
 	u := s.limitedUpstream(i)
 	if u == nil {
 		return nil
@@ -142,7 +156,11 @@
 	if now-s.recentHostsAt > hostMemory {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
-	u.allowance.Unanswered(max(s.recentHosts, s.hosts), 0, now)
+	random := 0.0
+	if u.isCold() {
+		random = s.cfg.Random.Float64()
+	}
+	u.allowance.Unanswered(max(s.recentHosts, s.hosts), random, now)
 	return s.reconsiderWaiters(u.service, now)
 }
 
@@ -164,7 +182,7 @@
 }
 
 // isWhollyRestricted reports whether all upstreams to which the request could be sent have rate limits
-// or rest.
+// or rest. It is false if all of them are cold and full, because the request then waits for a slot.
 func (s *Scheduler) isWhollyRestricted(sv *service, w *Waiter, now time.Duration) bool {
 	if len(s.restricted) == 0 {
 		return false
@@ -177,7 +195,7 @@
 		if !u.isRestricted(now) {
 			return false
 		}
-		hasUpstream = true
+		hasUpstream = hasUpstream || !u.isCold() || s.estimatedLoad(u, now) < float64(sv.limitOf(u, sv.minStepTimeRatio(now), now))
 	}
 	return hasUpstream
 }
@@ -188,7 +206,10 @@
 func (s *Scheduler) isRefusedByRestriction(sv *service, w *Waiter, now time.Duration) bool {
 	next, _ := s.acceptsAt(sv, w.tried, now)
 	ahead := sv.queuePosition(w, now) - 1
-	return next > w.giveUpAt || ahead > 1+s.ownRate(sv)*MaxQueueWait.Seconds()
+	if next > w.giveUpAt {
+		return true
+	}
+	return ahead > 1+s.ownRate(sv)*MaxQueueWait.Seconds() && !sv.coldEndsBy(w.giveUpAt)
 }
 
 // ownRate returns this host's equal share of the rate limits of a service's upstreams, in requests
@@ -208,6 +229,7 @@
 // of this host, as far as it is known. It returns false if there is none, or if no upstream has a
 // rate limit or rests.
 func (s *Scheduler) AcceptsAt(name string, tried []string, now time.Duration) (time.Duration, bool) {
+	s.expireCold(now)
 	return s.acceptsAt(s.service(name), tried, now)
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -47,6 +47,14 @@
 	// restricted holds the upstreams that serve and have a rate limit or rest. The rest of some of
 	// them may be over.
 	restricted []*upstream
+	// hasColdParams is set if a service has cold upstreams by its parameters, and hadCold if one was
+	// cold at the last update. nextColdEnd is when the first of them stops being cold.
+	hasColdParams, hadCold bool
+	nextColdEnd            time.Duration
+	// evacuatedUntil holds when the last evacuation of each data centre ended.
+	evacuatedUntil map[string]time.Duration
+	// coldPassedOver counts requests that were sent elsewhere because an upstream is cold.
+	coldPassedOver int
 	// upstreams holds, by id, the upstreams that serve and those that still have attempts of
 	// this host in flight. byAddress holds only the upstreams that serve.
 	upstreams map[string]*upstream
@@ -60,7 +68,7 @@
 // New returns an empty Scheduler that assumes no other hosts.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg: cfg, hosts: 1, recentHosts: 1,
+		cfg: cfg, hosts: 1, recentHosts: 1, nextColdEnd: never, evacuatedUntil: map[string]time.Duration{},
 		upstreams: map[string]*upstream{}, byAddress: map[string]*upstream{}, services: map[string]*service{},
 	}
 }
@@ -88,6 +96,10 @@
 	// allowance says when this host may send to an upstream that has a rate limit; nil for
 	// others.
 	allowance *backpressure.Allowance
+	// statedRate is the rate limit that the upstream states, 0 for none. coldUntil is until when it
+	// is cold, and observedColdUntil until when it is by its responses.
+	statedRate                   float64
+	coldUntil, observedColdUntil time.Duration
 }
 
 // service is the state of a service as seen by this host.
@@ -126,6 +138,13 @@
 	quotaRate averageRate
 	waiters   []*Waiter
 	demand    demand
+	// cold holds the limits of cold upstreams, and coldCount is how many are cold. plainWaiters are
+	// the requests to a plain service that wait for a token. overflowed is set if a request was sent
+	// to a full upstream while a cold one has free slots.
+	cold         ColdParams
+	coldCount    int
+	plainWaiters []*PlainWaiter
+	overflowed   bool
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
@@ -171,11 +190,11 @@
 		}
 	}
 	for id, u := range s.upstreams {
-		if !u.isServing && u.inflight == 0 && now >= u.restUntil {
+		if !u.isServing && u.inflight == 0 && now >= max(u.restUntil, u.observedColdUntil) {
 			delete(s.upstreams, id)
 		}
 	}
-	s.updateRestricted(now)
+	s.updateCold(now)
 	var out []Result
 	for _, sv := range s.services {
 		sv.updateGroups()
@@ -197,6 +216,7 @@
 	case u.StartedAt != announced.StartedAt:
 		u.consecutiveFailures, u.suspectUntil, u.load = 0, 0, load{}
 		u.allowance, u.restUntil, u.avoidUntil = nil, 0, 0
+		u.statedRate, u.observedColdUntil = 0, 0
 	}
 	u.Upstream = announced
 	return u
