Tests of tokens and shares of cold upstreams

Cause: three faults of the limits were not seen by any test: shares that are kept, tokens that last from their receipt, and a leader that begins too early. Change: unit tests of the share and the token, a scenario in which the leadership moves in a burst, and a test of the leading control host's answers.

--- a/internal/backpressure/cold_test.go
+++ b/internal/backpressure/cold_test.go
@@ -50,3 +50,54 @@
 	require.InDelta(t, 2.1, l.ShareRate, 0.2)
 	require.Equal(t, Limit{Rate: 1, ShareRate: 1, IsCold: true}, l.Lower(1))
 }
+
+// Guards against shares that hosts save up, so that a burst at all of them uses them at once, and
+// against hosts that use their shares at the same time.
+func TestShareOfColdUpstreamIsNotKept(t *testing.T) {
+	const hosts, now = 10, time.Minute
+	limit := ColdLimit(17, 30.5)
+	period := time.Duration(hosts / limit.ShareRate * float64(time.Second))
+	a := NewLimitedAllowance(limit)
+	a.AskFor(1, now)
+	a.Unanswered(hosts, 0.5, now)
+	first := now + period/2
+	require.False(t, a.CanSend(first-time.Millisecond))
+	require.InDelta(t, now+shareTime, a.NextAt(now), 0, "it may ask again before")
+	for _, at := range []time.Duration{first, first + coldTokenLifetime, first + 10*period} {
+		require.True(t, a.CanSend(at), at)
+	}
+	for _, at := range []time.Duration{first + 10*period + coldTokenLifetime + 1, first + 11*period - 1} {
+		require.False(t, a.CanSend(at), at)
+	}
+	until, ok := a.Take(first + 20*period)
+	require.True(t, ok)
+	require.InDelta(t, first+20*period+coldTokenLifetime, until, 100)
+	_, ok = a.Take(first + 20*period + 1)
+	require.False(t, ok, "one request in a period")
+	a.AskFor(1, first+20*period)
+	a.Granted(nil, 0, first+20*period)
+	a.AskFor(1, first+20*period)
+	a.Unanswered(hosts, 0, first+20*period)
+	require.False(t, a.CanSend(first+20*period+coldTokenLifetime), "a host can't use its share again by asking again")
+}
+
+// Guards against a token that is used long after its time because the answer took long to arrive,
+// and against an answer to a request from before the upstream became cold.
+func TestTokenOfColdUpstreamEndsByItsRequest(t *testing.T) {
+	a := NewLimitedAllowance(ColdLimit(17, 30.5))
+	a.Granted([]time.Duration{0}, 0, 0)
+	require.Zero(t, a.Outstanding(0), "it has asked for none")
+	a.AskFor(2, 0)
+	require.Equal(t, 2, a.Outstanding(0))
+	const transit = 150 * time.Millisecond
+	a.Granted([]time.Duration{0, 100 * time.Millisecond}, 0, transit)
+	until, ok := a.Take(transit)
+	require.True(t, ok)
+	require.Equal(t, coldTokenLifetime, until)
+	require.False(t, a.CanSend(transit+99*time.Millisecond))
+	require.True(t, a.CanSend(transit+100*time.Millisecond))
+	require.False(t, a.CanSend(coldTokenLifetime+100*time.Millisecond+1))
+	a.AskFor(1, time.Second)
+	a.Granted([]time.Duration{0}, 0, time.Second+coldTokenLifetime+1)
+	require.False(t, a.CanSend(time.Second+coldTokenLifetime+1))
+}
--- a/internal/backpressure/coldsharing_test.go
+++ b/internal/backpressure/coldsharing_test.go
@@ -41,6 +41,9 @@
 	cutPart float64
 	// killsLeader ends the leader at coldFaultBegins, and leaves none until coldElection is over.
 	killsLeader bool
+	// movesLeader moves the leadership to another control host every 200 ms for two seconds from
+	// coldFaultBegins on.
+	movesLeader bool
 	// restartEvery makes a host restart so often; 0 for never.
 	restartEvery time.Duration
 	// turnsCold makes the upstream cold at coldFaultBegins, of which each host hears up to 100 ms
@@ -100,6 +103,10 @@
 		p.dispenser, p.term = NewDispenser(), p.term+1
 		p.dispenser.BeginTerm(p.term, now)
 	}
+	if after := now - coldFaultBegins; p.movesLeader && after >= 0 && after < 2*time.Second && after%(200*time.Millisecond) == 0 {
+		p.dispenser, p.term = NewDispenser(), p.term+1
+		p.dispenser.BeginTerm(p.term, now)
+	}
 	if p.restartEvery > 0 && now%p.restartEvery == 0 {
 		h := p.hosts[p.random.IntN(len(p.hosts))]
 		*h = coldHost{allowance: NewLimitedAllowance(p.limit), coldFrom: h.coldFrom}
@@ -217,6 +224,7 @@
 	"the leader is killed":           {callers: 120, killsLeader: true},
 	"leader killed in a burst":       {callers: 60, burst: 20, killsLeader: true},
 	"killed, a third cut off, slow":  {callers: 120, burst: 5, cutPart: 1.0 / 3, killsLeader: true, hasSlowLinks: true},
+	"leadership moves in a burst":    {callers: 300, burst: 5, movesLeader: true},
 	"hosts restart":                  {callers: 120, restartEvery: 300 * time.Millisecond},
 	"hosts restart while cut off":    {callers: 120, restartEvery: 300 * time.Millisecond, cutPart: 1},
 	"it turns cold under load":       {callers: 300, turnsCold: true},
--- a/internal/control/ratelimit.go
+++ b/internal/control/ratelimit.go
@@ -71,15 +71,15 @@
 		return nil, err
 	}
 	if m.ColdRate > 0 {
-		return h.handOutCold(s, m)
+		return h.handleColdTokenRequest(s, m)
 	}
 	return h.fleet.handOut(s, m), nil
 }
 
-// handOutCold hands out tokens of a cold upstream. The rate comes with the request, since control
+// handleColdTokenRequest hands out tokens of a cold upstream. The rate comes with the request, since control
 // hosts know neither the configuration's services nor which upstreams are cold. All hosts compute
 // it from the same configuration and settings.
-func (h *Host) handOutCold(s *peer.Session, m *wire.TokenRequest) (wire.Message, error) {
+func (h *Host) handleColdTokenRequest(s *peer.Session, m *wire.TokenRequest) (wire.Message, error) {
 	if math.IsInf(m.ColdRate, 0) {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the rate of a cold upstream is not finite")
 	}
@@ -87,7 +87,12 @@
 	if !isLeader {
 		return nil, h.requireLeader()
 	}
-	f := h.fleet
+	return h.fleet.handOutCold(s, m, term), nil
+}
+
+// handOutCold hands out tokens of a cold upstream in the given term. If the upstream also states a
+// rate limit, the lower one holds.
+func (f *fleet) handOutCold(s *peer.Session, m *wire.TokenRequest, term uint64) *wire.Tokens {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, i := f.now(), m.Notice.Incarnation
@@ -97,9 +102,9 @@
 		rate = min(rate, stated*f.reachable)
 	}
 	waits, again := f.dispenser.HandCold(i, s.Remote().Host, rate, m.Count, rand.Float64(), term, now)
-	metrics.GetOrRegisterCounter("control.cold.tokens.asked", h.cfg.Metrics).Inc(int64(max(m.Count, 0)))
-	metrics.GetOrRegisterCounter("control.cold.tokens.granted", h.cfg.Metrics).Inc(int64(len(waits)))
-	return newTokens(waits, again), nil
+	metrics.GetOrRegisterCounter("control.cold.tokens.asked", f.h.cfg.Metrics).Inc(int64(max(m.Count, 0)))
+	metrics.GetOrRegisterCounter("control.cold.tokens.granted", f.h.cfg.Metrics).Inc(int64(len(waits)))
+	return newTokens(waits, again)
 }
 
 // newTokens returns the message that hands out tokens.
--- a/internal/control/ratelimit_test.go
+++ b/internal/control/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
@@ -73,3 +74,21 @@
 	// The sessions are those of this end, so that the other end is the control host.
 	require.InDelta(t, 1.0/4, f.countReachable(now), 0.001, "c1 of c1, e1, e2 and e4")
 }
+
+// Guards against a leader that needs to know an upstream's cold time or the configuration to hand
+// out its tokens, that lifts a lower stated limit, or that hands out tokens at the begin of its term
+// while those of the leader before may still be used.
+func TestTokensOfColdUpstream(t *testing.T) {
+	s := startTestHost(t, "e1", nil).attachEntry(t, startTestHost(t, "c1", newControlHost(nil)))
+	f := newFleet(&Host{cfg: Config{Metrics: metrics.NewRegistry()}})
+	request := &wire.TokenRequest{Notice: limitNotice(0), Count: 5, ColdRate: 50}
+	first := f.handOutCold(s, request, 1)
+	require.Empty(t, first.WaitsMS, "the term has just begun")
+	require.Positive(t, first.AgainMS)
+	require.Eventually(t, func() bool { return len(f.handOutCold(s, request, 1).WaitsMS) > 0 }, propagationTimeout, 10*time.Millisecond)
+	require.Positive(t, metrics.GetOrRegisterCounter("control.cold.tokens.granted", f.h.cfg.Metrics).Count())
+	request.Notice = limitNotice(0.5)
+	request.Count = 100
+	require.LessOrEqual(t, len(f.handOutCold(s, request, 1).WaitsMS), 1, "the stated limit is lower")
+	require.Empty(t, f.handOutCold(s, request, 2).WaitsMS, "a new term")
+}
