Tell callers when queued requests for cold upstreams are served

Cause: callers refused behind a queue for tokens were told to return before it was served. After a restart of all control hosts, entry hosts took all upstreams for cold for the whole cold duration, though their announcements said otherwise. Change: Retry-After counts the requests that wait; where the settings bound cold upstreams, control hosts forward the first announcement after a restart.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -76,6 +76,7 @@
 		Voters: n.settings.voters(), ReplicaSilenceTimeout: replicaSilenceLimit, ElectionTicks: electionTicks, SnapshotEntries: snapshotEntries,
 		Registry: registry.Limits{
 			SilenceTimeout: time.Duration(silenceIntervals * float64(n.settings.AnnounceInterval)), ForgetTimeout: forgetTimeout,
+			ForwardsKnownColdTimes: n.settings.ColdBound != backpressure.ColdBound{},
 		},
 		RestartCache: control.NewRestartCache(journal.OS{}, set.DataFolder+restartCacheSuffix),
 		Log:          n.log, Metrics: n.metrics,
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -87,7 +87,10 @@
 // merge applies an announcement. One of a later incarnation replaces everything, and one of an
 // earlier incarnation is ignored. It reports whether anything changed that matters for
 // sending requests to the upstream.
-func (u *Upstream) merge(next Upstream, now time.Duration) bool {
+//
+// forwardsKnown tells that it matters whether an upstream is cold, so that the first announcement
+// that tells it is a change.
+func (u *Upstream) merge(next Upstream, forwardsKnown bool, now time.Duration) bool {
 	if next.StartedAt != u.StartedAt {
 		if next.StartedAt > u.StartedAt {
 			*u = next
@@ -100,7 +103,8 @@
 	hasColdTimeChanged := false
 	if next.Sequence > u.Sequence {
 		u.Sequence = next.Sequence
-		hasColdTimeChanged = u.mergeColdTime(&next, now)
+		hasKnown := u.IsColdUnknown && !next.IsColdUnknown && forwardsKnown
+		hasColdTimeChanged = u.mergeColdTime(&next, now) || hasKnown
 		u.Slots = next.Slots
 		u.Service = cmp.Or(next.Service, u.Service)
 		u.Address = cmp.Or(next.Address, u.Address)
@@ -118,6 +122,9 @@
 	// It must be longer than the delay of any announcement in transit, or a delayed
 	// announcement would bring back an upstream that is gone.
 	ForgetTimeout time.Duration
+	// ForwardsKnownColdTimes makes the first announcement that tells whether an upstream is cold,
+	// after a restart of this control host, one of which other hosts must be notified.
+	ForwardsKnownColdTimes bool
 }
 
 // entry is an upstream with the time of its last accepted announcement.
@@ -172,7 +179,7 @@
 	if u.StartedAt > e.StartedAt {
 		e.replace(now)
 	}
-	changed := e.merge(u, now)
+	changed := e.merge(u, r.limits.ForwardsKnownColdTimes, now)
 	e.IsSilent = false
 	return []Upstream{e.at(now)}, changed || wasSilent, nil
 }
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -63,7 +63,7 @@
 			changed = true
 		} else {
 			born := s.StartedAt
-			changed = s.merge(u, now) || changed
+			changed = s.merge(u, true, now) || changed
 			if s.StartedAt != born {
 				s.replace(now)
 				v.resetIncarnation(s)
--- a/internal/schedule/cold.go
+++ b/internal/schedule/cold.go
@@ -267,6 +267,13 @@
 	return slices.ContainsFunc(sv.active, func(u *upstream) bool { return u.isCold() && u.statedRate == 0 && u.coldUntil <= until })
 }
 
+// coldQueueEnd returns when the requests of this host that wait for a service with cold upstreams are
+// served, at its share of the rates, or when the first of the upstreams is no longer cold.
+func (s *Scheduler) coldQueueEnd(sv *service, now time.Duration) time.Duration {
+	waiting := float64(len(sv.waiters) + len(sv.plainWaiters))
+	return min(now+time.Duration(waiting/s.ownRate(sv)*float64(time.Second)), s.nextColdEnd)
+}
+
 // reconsiderAll decides on the queued requests of all services.
 func (s *Scheduler) reconsiderAll(now time.Duration) []Result {
 	var out []Result
--- a/internal/schedule/restriction.go
+++ b/internal/schedule/restriction.go
@@ -257,6 +257,9 @@
 }
 
 func (s *Scheduler) restrictedRetryAfter(sv *service, next, now time.Duration) time.Duration {
+	if sv.coldCount > 0 {
+		next = max(next, s.coldQueueEnd(sv, now))
+	}
 	spread := time.Duration(float64(time.Second) / s.ownRate(sv))
 	spread = min(max(spread, minSpread), maxSpread)
 	return max(next-now, 0) + time.Duration(s.cfg.Random.Float64()*float64(spread))
