Play the simulation of cold upstreams in steps of 5 ms

Cause: the tests of internal/backpressure took 84 s with the race detector on a busy machine. Change: steps of 5 ms instead of 2 ms, as in the simulation of stated limits. Without a new leader's wait, and without random phases of shares, the test still fails.

--- a/internal/backpressure/coldsharing_test.go
+++ b/internal/backpressure/coldsharing_test.go
@@ -17,7 +17,7 @@
 const (
 	coldTolerated   = 17.0
 	coldPlayed      = 15 * time.Second
-	coldStep        = 2 * time.Millisecond
+	coldStep        = 5 * time.Millisecond
 	coldCallerWait  = 450 * time.Millisecond
 	coldAskTimeout  = 400 * time.Millisecond
 	coldElection    = 1200 * time.Millisecond
