--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -34,6 +34,11 @@
 	}
 	g.cfg.Log.Warn("evacuations in force", "evacuated", m.DataCentres, "before", g.evacuations.dataCentres,
 		"index", m.Index, "from", source)
+	for _, before := range g.evacuations.dataCentres {
+		if !slices.Contains(m.DataCentres, before) {
+			g.scheduler.MarkPossiblyCold(before, g.now())
+		}
+	}
 	g.evacuations.index, g.evacuations.dataCentres = m.Index, m.DataCentres
 	g.counts.increment("evacuations.changed")
 	metrics.GetOrRegisterGauge("gateway.evacuations.data-centres", g.cfg.Metrics).Update(int64(len(m.DataCentres)))
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -78,6 +78,7 @@
 		Voters: n.settings.voters(), ReplicaSilenceTimeout: replicaSilenceLimit, ElectionTicks: electionTicks, SnapshotEntries: snapshotEntries,
 		Registry: registry.Limits{
 			SilenceTimeout: time.Duration(silenceIntervals * float64(n.settings.AnnounceInterval)), ForgetTimeout: forgetTimeout,
+			ForwardsKnownColdTimes: n.settings.ColdBound != backpressure.ColdBound{},
 		},
 		DataCentres:  slices.Sorted(maps.Keys(n.settings.Regions)),
 		RestartCache: control.NewRestartCache(journal.OS{}, set.DataFolder+restartCacheSuffix),
