--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,7 +28,7 @@
 
 // testEnv is a gateway in front of test upstreams.
 type testEnv struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	front   *httptest.Server
 	// clockAhead is how far the gateway's clock is ahead of the real one, in nanoseconds.
@@ -40,14 +40,14 @@
 }
 
 // newTestEnv returns a testEnv whose start-up phase is over.
-func newTestEnv(t *testing.T) *testEnv {
+func newTestEnv(t testing.TB) *testEnv {
 	env := newStartingTestEnv(t)
 	env.clockAhead.Store(int64(time.Hour))
 	return env
 }
 
 // newStartingTestEnv returns a testEnv that has just started.
-func newStartingTestEnv(t *testing.T) *testEnv {
+func newStartingTestEnv(t testing.TB) *testEnv {
 	env := &testEnv{t: t, addresses: map[string]string{}}
 	began := time.Now()
 	d := Dialect{
