Read on while the caller of a stream is slow, within a memory budget

A stream was forwarded event by event in one goroutine, so a caller that did not read stopped the reading from the upstream, which cuts off a response that is left unread for some seconds. Bodies and buffered responses were read whole without a limit over all requests.

If a write to the caller of a stream takes more than about 100 ms, another goroutine now goes on reading from the upstream, and resumes the stream if need be, while the caller's goroutine writes what waits in a backlog. Bodies, buffered responses and backlogs count towards a budget of 30% of the host's memory, half of it for one connection. If it is exhausted, the connection is shed whose caller lets the host wait and that has the largest product of bytes held and time without progress; a body that still does not fit is refused with 503 before it is read. A shed connection is aborted, so that a stream never looks complete. Large bodies are no longer copied to be sent.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -148,7 +149,7 @@
 	}
 	conn.requests++
 	sentAt := c.now()
-	if n, err := conn.Write(encodeRequest(t, r, c.headerNames)); err != nil {
+	if n, err := writeRequest(conn, t, r, c.headerNames); err != nil {
 		if n == 0 {
 			return nil, newError(verdict.NotRun, verdict.CodeUpstreamFailed, "nothing was sent", err)
 		}
@@ -255,10 +256,26 @@
 	return e
 }
 
-// encodeRequest returns the request in HTTP/1.1 wire format.
-func encodeRequest(t Target, r *Request, names HeaderNames) []byte {
+// maxCopiedBody is the size up to which a body is copied behind its header, to be sent with it in one
+// call. Larger ones are not copied, since memory is scarce.
+const maxCopiedBody = 16 << 10
+
+// writeRequest writes the request in HTTP/1.1 wire format and returns how many bytes were sent.
+func writeRequest(conn *conn, t Target, r *Request, names HeaderNames) (int64, error) {
+	header := encodeHeader(t, r, names)
+	if len(r.Body) > maxCopiedBody {
+		parts := net.Buffers{header.Bytes(), r.Body}
+		return parts.WriteTo(conn.Conn)
+	}
+	header.Write(r.Body)
+	n, err := conn.Write(header.Bytes())
+	return int64(n), err
+}
+
+// encodeHeader returns the request line and the header in HTTP/1.1 wire format.
+func encodeHeader(t Target, r *Request, names HeaderNames) *bytes.Buffer {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(len(r.Body), maxCopiedBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.Write(&b)
 	if names.Instance != "" {
@@ -268,8 +285,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	return &b
 }
 
 // Read reads the body. An error other than io.EOF means that the response is incomplete.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
@@ -213,12 +214,22 @@
 // forwardBuffered reads the response to its end and then forwards it. It reports whether the
 // caller has its response.
 func (c *call) forwardBuffered(ctx context.Context, resp *dispatch.Response, reserved *reservation) bool {
-	body, err := resp.ReadAll(maxResponseBytes)
+	length := resp.Length
+	if !bodyAllowed(resp.Status) || c.r.Method == http.MethodHead {
+		length = 0
+	}
+	body, err := c.readWhole(ctx, memory.Response, resp, length, maxResponseBytes, nil)
 	resp.Close()
 	if err != nil {
 		c.last = incompleteResponse(ctx, err)
-		reserved.release(outcomeOfError(ctx, c.last))
 		c.warn("answer broke off", "send", c.attempts, "error", err.Error())
+		if isMemoryError(err) {
+			// The upstream is not at fault, and another attempt would need the same memory.
+			reserved.release(outcomeNeutral)
+			c.isFinal = true
+			return false
+		}
+		reserved.release(outcomeOfError(ctx, c.last))
 		c.probeAfterFailure(ctx, reserved, c.last)
 		return false
 	}
@@ -288,11 +299,20 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.w.WriteHeader(resp.Status)
-	_, _ = c.w.Write(body)
+	if err := c.writeWhole(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		c.abandonReply(err)
+	}
 	c.g.counts.recordResponse(resp.Status, time.Since(c.began))
 	c.log("request answered", "status", resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds())
 }
 
+// abandonReply ends a buffered response that the caller has not read to its end.
+func (c *call) abandonReply(err error) {
+	c.g.counts.callersGone.Inc(1)
+	c.log("caller disconnected", "send", c.attempts, "error", err.Error())
+	panic(http.ErrAbortHandler)
+}
+
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,8 @@
 //
 // Gateway.mu guards the view of upstreams, their statements and the scheduler. It is never held
 // during I/O; messages to other hosts are only queued. The quarantine's lock may be taken while mu
-// is held, not the other way round. The configuration is published as an immutable value.
+// is held, not the other way round. The locks of the memory budget, of a stream's backlog and of the
+// watch over writes are taken while no other lock is held. The configuration is published as an immutable value.
 package gateway
 
 import (
@@ -21,6 +22,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
@@ -61,6 +63,9 @@
 	Quarantine *quarantine.Keeper
 	// Backpressure connects the host with the others that send requests to the same upstreams.
 	Backpressure Backpressure
+	// MemoryMB is the memory of the host in megabytes, from which the limits of what it holds for
+	// callers follow; 0 means no limits.
+	MemoryMB int
 	// Now returns the time since the host's start; nil means the system's monotonic clock.
 	Now     func() time.Duration
 	Log     *slog.Logger
@@ -72,6 +77,10 @@
 	cfg    Config
 	counts counters
 	table  atomic.Pointer[routetable.Table]
+	// memory counts the bytes that the host holds for callers.
+	memory *memory.Budget
+	// writes finds the streams whose callers are slow.
+	writes *writeWatch
 	// tableKnown is closed when the first configuration is set.
 	tableKnown chan struct{}
 	// draining is set once the host no longer wants new connections.
@@ -107,13 +116,14 @@
 	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
-		view: registry.NewView(), statements: backpressure.NewTable(),
+		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(), view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
 			DataCentre: cfg.DataCentre, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			StartupUntil: startupWait,
 		}),
 		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{}, cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
+	metrics.NewRegisteredFunctionalGauge("gateway.memory.held-bytes", cfg.Metrics, func() int64 { return g.memory.Held() })
 	cfg.Client.OnResponse(g.observe)
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -440,8 +440,8 @@
 		r := httptest.NewRequest(http.MethodPost, "/stream/", nil)
 		r.Host = "127.0.0.1"
 		r.Header.Set("X-K", key)
-		c := &call{g: env.gateway, r: r, began: time.Now()}
-		require.NoError(t, c.prepare())
+		c, ctx := env.gateway.newCall(httptest.NewRecorder(), r)
+		require.NoError(t, c.prepare(ctx))
 		require.Equal(t, want, c.priority, key)
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -64,6 +65,14 @@
 	isFinal bool
 	// last is the error of the last attempt.
 	last error
+	// control sets the deadlines of the caller's connection.
+	control *http.ResponseController
+	// memory counts the bytes held for the request.
+	memory *memory.Connection
+	// hasBody is set once the body was read.
+	hasBody atomic.Bool
+	// stop cancels the request for the given reason.
+	stop context.CancelCauseFunc
 }
 
 // ServeHTTP implements http.Handler.
@@ -71,19 +80,37 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{g: g, w: w, r: r, began: time.Now(), attemptID: r.Header.Get(g.cfg.Dialect.UpstreamHeaders.Attempt)}
-	if err := c.prepare(); err != nil {
+	c, ctx := g.newCall(w, r)
+	defer c.close()
+	if err := c.prepare(ctx); err != nil {
 		c.fail(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.serve(ctx)
 }
 
+// newCall returns the state of a request and the context that c.stop cancels. It must be closed.
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) (*call, context.Context) {
+	c := &call{
+		g: g, w: w, r: r, began: time.Now(), attemptID: r.Header.Get(g.cfg.Dialect.UpstreamHeaders.Attempt),
+		control: http.NewResponseController(w),
+	}
+	ctx, stop := context.WithCancelCause(r.Context())
+	c.stop, c.memory = stop, g.memory.Open(c.abort)
+	return c, ctx
+}
+
+// close releases what the request holds.
+func (c *call) close() {
+	c.memory.Close()
+	c.stop(nil)
+}
+
 // prepare finds the route, workspace and service of the request and checks whether it is
 // allowed. Errors are *verdict.Error.
-func (c *call) prepare() error {
+func (c *call) prepare(ctx context.Context) error {
 	g := c.g
 	if c.table = c.awaitTable(); c.table == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "no configuration is known yet").WithRetryAfter(startupRetryAfter)
@@ -103,7 +130,7 @@
 			c.priority = w.Priority
 		}
 	}
-	if err := c.readBody(); err != nil {
+	if err := c.readBody(ctx); err != nil {
 		return err
 	}
 	c.fingerprint = c.computeFingerprint()
@@ -152,20 +179,26 @@
 	return p
 }
 
-// readBody reads the body up to the configured limit.
-func (c *call) readBody() error {
+// readBody reads the body up to the configured limit. If the host has no memory left for it, the
+// request is refused; if its length is known, nothing of it is read.
+func (c *call) readBody(ctx context.Context) error {
 	limit := c.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	c.memory.Progress(c.g.now())
+	body, err := c.readWhole(ctx, memory.Body, http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, func() { c.memory.Progress(c.g.now()) })
+	c.memory.StopWaiting()
+	c.hasBody.Store(true)
 	c.body = body
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, errTooLong), errors.As(err, &tooLarge):
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is too large")
+	case isMemoryError(err), c.memory.IsShed():
+		return c.memoryError()
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body did not come whole")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,18 +22,40 @@
 
 // relay forwards the events of a stream to the caller, from one upstream after the other if the
 // stream is resumed.
+//
+// One goroutine reads from upstreams and produces the events. At first that is the caller's
+// goroutine, which also writes them, so that nothing is passed on between goroutines. If the caller
+// is so slow that a write takes more than a tenth of a second, another goroutine takes over the producing
+// while the first one is still writing. From then on events go through a backlog, and the caller's
+// goroutine only writes. All fields belong to the producing goroutine, except where stated
+// otherwise.
 type relay struct {
 	c *call
-	// reserved is the reservation of the attempt whose events are forwarded.
+	// resp is the response whose events are forwarded, reserved the reservation of its attempt.
+	resp     *dispatch.Response
 	reserved *reservation
-	// last is the id of the last event that the caller has received; 0 means none. Ids increase
-	// by 1.
+	// events splits the response into events. readErr is the reason for reading no further, nil
+	// before the end of the response.
+	events  sse.Splitter
+	readErr error
+	// last is the id of the last event that the caller has received or will receive from the
+	// backlog; 0 means none. Ids increase by 1.
 	last uint64
 	// hasID reports that last is known.
 	hasID bool
 	// isHeaderSent is set once the response header was sent to the caller.
 	isHeaderSent bool
-	buffer       []byte
+	// buffer receives what is read, and batch the events that are delivered together.
+	buffer, batch []byte
+	// watched finds out if a write to the caller takes too long.
+	watched *watchedWriter
+	// backlog holds the events that wait for the caller; nil as long as the caller keeps up. It is
+	// started once, by whichever goroutine needs it first.
+	backlog   *backlog
+	startOnce sync.Once
+	// writeErr is the error of the write during which another goroutine took over. It belongs to
+	// the caller's goroutine.
+	writeErr error
 	// firstEventDelay is the time from the start of the request to its first event, and eventGap
 	// the longest gap between events after that. lastEventAt is when the last event was forwarded.
 	firstEventDelay, eventGap time.Duration
@@ -52,67 +76,97 @@
 // errOutOfOrder reports that the events of an upstream do not follow the caller's last event.
 var errOutOfOrder = errors.New("event ids are out of order")
 
+// streamEnd is how a stream has ended.
+type streamEnd uint8
+
+const (
+	// isUnanswered means that nothing was sent to the caller, so that another attempt may be made.
+	isUnanswered streamEnd = iota
+	// isComplete means that the caller gets the whole stream.
+	isComplete
+	// isBroken means that the stream has ended early. The caller's connection must be aborted, so
+	// that the caller does not take the truncated stream for a complete one.
+	isBroken
+	// isTakenOver means that another goroutine produces the events now.
+	isTakenOver
+)
+
 // stream forwards a stream. It returns false if nothing was sent to the caller and another
 // attempt may be made. Otherwise the caller has the whole response, or the connection is
 // aborted.
 func (c *call) stream(ctx context.Context, resp *dispatch.Response, reserved *reservation) bool {
-	r := &relay{c: c, buffer: make([]byte, streamBufferBytes)}
+	r := &relay{c: c, resp: resp, reserved: reserved, buffer: make([]byte, streamBufferBytes)}
 	if id, err := strconv.ParseUint(c.r.Header.Get(c.g.cfg.Dialect.ResumeHeader), 10, 64); err == nil {
 		r.last, r.hasID = id, true
 	}
+	r.watched = c.g.writes.add(func() { r.takeOver(ctx) })
+	defer c.g.writes.remove(r.watched)
+	end := r.produce(ctx)
+	if end == isTakenOver {
+		end = r.drainBacklog()
+	}
+	if end == isBroken {
+		panic(http.ErrAbortHandler)
+	}
+	return end == isComplete
+}
+
+// produce delivers the events of one upstream after the other until the stream has ended or another
+// goroutine has taken over.
+func (r *relay) produce(ctx context.Context) streamEnd {
+	c := r.c
 	for {
-		r.reserved = reserved
-		err := r.copyEvents(resp)
-		resp.Close()
+		err := r.copyEvents(ctx)
+		if errors.Is(err, errTakenOver) {
+			return isTakenOver
+		}
+		r.resp.Close()
 		if err == nil {
-			reserved.release(outcomeGood)
+			r.reserved.release(outcomeGood)
 			c.g.cfg.Quarantine.Answered(c.fingerprint)
-			c.g.counts.recordResponse(resp.Status, time.Since(c.began))
-			c.log("request answered", "status", resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
+			c.g.counts.recordResponse(r.resp.Status, time.Since(c.began))
+			c.log("request answered", "status", r.resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
 				"event", r.last, "first_ms", r.firstEventDelay.Milliseconds(), "gap_ms", r.eventGap.Milliseconds())
-			return true
+			return isComplete
+		}
+		if r.backlog != nil {
+			// If the caller has left, the reading was cancelled because of that.
+			err = cmp.Or(r.backlog.callerFailure(), err)
 		}
 		c.last = incompleteResponse(ctx, err)
 		var callerErr *callerError
 		if errors.As(err, &callerErr) {
-			c.abandon(reserved, r.last, err)
+			// This says nothing about the upstream.
+			r.reserved.release(outcomeNeutral)
+			c.g.counts.callersGone.Inc(1)
+			c.log("caller disconnected", "send", c.attempts, "event", r.last, "error", err.Error())
+			return isBroken
 		}
-		if reserved.isMoved() {
+		if r.reserved.isMoved() {
 			c.hasRetry = true
-			reserved.release(outcomeNeutral)
-			c.log("stream leaves a slow engine", "upstream", reserved.ID(), "event", r.last)
+			r.reserved.release(outcomeNeutral)
+			c.log("stream leaves a slow engine", "upstream", r.reserved.ID(), "event", r.last)
 		} else {
-			reserved.release(outcomeOfError(ctx, c.last))
+			r.reserved.release(outcomeOfError(ctx, c.last))
 			c.warn("stream broke off", "send", c.attempts, "event", r.last, "error", err.Error())
-			c.probeAfterFailure(ctx, reserved, c.last)
+			c.probeAfterFailure(ctx, r.reserved, c.last)
 		}
 		if !r.isHeaderSent {
-			return false
+			return isUnanswered
 		}
-		var ok bool
-		if resp, reserved, ok = r.resume(ctx); !ok {
-			// The connection is aborted so that the caller does not take a truncated stream for
-			// a complete one.
+		if !r.resume(ctx) {
 			c.g.counts.streamsInterrupted.Inc(1)
 			c.warn("stream cut", "send", c.attempts, "event", r.last, "reason", c.last.Error())
-			panic(http.ErrAbortHandler)
+			return isBroken
 		}
 		c.g.counts.streamsResumed.Inc(1)
 		c.log("stream resumed", "send", c.attempts, "event", r.last)
 	}
 }
 
-// abandon ends a stream whose caller no longer reads it. This says nothing about the upstream.
-func (c *call) abandon(reserved *reservation, event uint64, err error) {
-	reserved.release(outcomeNeutral)
-	c.g.counts.callersGone.Inc(1)
-	c.log("caller disconnected", "send", c.attempts, "event", event, "error", err.Error())
-	panic(http.ErrAbortHandler)
-}
-
-// resume continues the stream at another upstream after the last event that the caller has
-// received.
-func (r *relay) resume(ctx context.Context) (*dispatch.Response, *reservation, bool) {
+// resume continues the stream at another upstream after the last event that was delivered. It
+// returns false if that is not possible.
+func (r *relay) resume(ctx context.Context) bool {
 	c := r.c
 	for c.route.IsResumable && r.hasID && c.mayRetry(ctx) {
 		resp, reserved, ok := c.send(ctx, strconv.FormatUint(r.last, 10))
@@ -120,66 +174,87 @@
 			continue
 		}
 		if resp.Status/100 == 2 {
-			return resp, reserved, true
+			r.resp, r.reserved, r.events, r.readErr = resp, reserved, sse.Splitter{}, nil
+			return true
 		}
 		resp.Close()
 		reserved.release(outcomeBad)
 		c.last = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "upstream answered "+strconv.Itoa(resp.Status))
 	}
-	return nil, nil, false
+	return false
 }
 
-// copyEvents forwards the events of one upstream until its stream ends. It returns nil if the
-// stream ended properly.
-func (r *relay) copyEvents(resp *dispatch.Response) error {
-	var events sse.Splitter
+// copyEvents delivers the events of one upstream until its stream ends. It returns nil if the
+// stream ended properly, and errTakenOver if another goroutine continues.
+func (r *relay) copyEvents(ctx context.Context) error {
 	for {
-		n, err := resp.Read(r.buffer)
-		events.Write(r.buffer[:n])
-		if n > 0 {
-			if writeErr := r.forward(resp, &events); writeErr != nil {
-				return writeErr
+		if r.readErr == nil {
+			var n int
+			n, r.readErr = r.resp.Read(r.buffer)
+			r.events.Write(r.buffer[:n])
+		}
+		if r.nextBatch(); len(r.batch) > 0 {
+			if err := r.deliver(ctx); err != nil {
+				return err
 			}
 		}
 		switch {
-		case err == io.EOF && len(events.Incomplete()) == 0:
-			r.sendHeader(resp)
-			return nil
-		case err == io.EOF:
+		case r.readErr == nil:
+		case r.readErr != io.EOF:
+			return r.readErr
+		case len(r.events.Incomplete()) > 0:
 			return errors.New("the stream ended within an event")
-		case err != nil:
-			return err
+		default:
+			r.sendHeader()
+			return nil
 		}
 	}
 }
 
-// forward sends the buffered complete events to the caller and flushes them together.
-func (r *relay) forward(resp *dispatch.Response, events *sse.Splitter) error {
-	sent := false
-	for event := events.Next(); event != nil; event = events.Next() {
+// nextBatch collects the complete events that have been read and are to be delivered. If their
+// order is wrong, it sets readErr.
+func (r *relay) nextBatch() {
+	r.batch = r.batch[:0]
+	for event := r.events.Next(); event != nil; event = r.events.Next() {
 		ok, err := r.isNextEvent(event)
 		if err != nil {
-			return err
-		}
-		if !ok {
-			continue
+			r.readErr = err
+			return
 		}
-		r.sendHeader(resp)
-		if _, err := r.c.w.Write(event); err != nil {
-			return &callerError{err}
+		if ok {
+			r.batch = append(r.batch, event...)
 		}
-		sent = true
-	}
-	if !sent {
-		return nil
 	}
+}
+
+// deliver writes the batch to the caller and flushes it, or adds it to the backlog.
+func (r *relay) deliver(ctx context.Context) error {
 	r.recordTiming(time.Now())
-	if err := http.NewResponseController(r.c.w).Flush(); err != nil {
+	if r.backlog != nil {
+		return r.addToBacklog(ctx)
+	}
+	r.sendHeader()
+	batch := r.batch
+	r.watched.begin()
+	err := r.write(batch)
+	if !r.watched.end() {
+		r.writeErr = err
+		return errTakenOver
+	}
+	if err != nil {
 		return &callerError{err}
 	}
 	return nil
 }
 
+// write writes events to the caller and flushes them.
+func (r *relay) write(events []byte) error {
+	if _, err := r.c.w.Write(events); err != nil {
+		return err
+	}
+	return r.c.control.Flush()
+}
+
 // callerError reports that writing to the caller failed.
 type callerError struct{ error }
 
@@ -225,12 +300,12 @@
 }
 
 // sendHeader sends the response header of the first upstream, once per stream.
-func (r *relay) sendHeader(resp *dispatch.Response) {
+func (r *relay) sendHeader() {
 	if r.isHeaderSent {
 		return
 	}
 	r.isHeaderSent = true
-	r.c.copyHeader(resp)
-	r.c.w.WriteHeader(resp.Status)
+	r.c.copyHeader(r.resp)
+	r.c.w.WriteHeader(r.resp.Status)
 	r.c.g.counts.firstEvent.AddSince(r.c.began)
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -9,7 +9,7 @@
 // # Locks
 //
 // Budget.mu guards the Budget and the counts of its connections. Connection.abortMu guards only the
-// abort function. Neither is taken while the other is held.
+// abort function. Budget.mu may be taken while abortMu is held, not the other way round.
 package memory
 
 import (
@@ -26,6 +26,10 @@
 	// connectionFraction is the fraction of the budget that one connection may hold. On the smallest
 	// hosts, of 136 MB, it leaves room for the largest response, of 16 MB, and a body of 4 MB.
 	connectionFraction = 0.5
+	// responseFraction is the fraction of the budget that responses may use. The rest is kept for the
+	// bodies of new requests, so that these are not refused before the callers that let the host wait
+	// have stalled for minStall.
+	responseFraction = 0.75
 	// minStall is the time without progress from which a connection may be shed. It is longer than
 	// the retransmission of a lost packet takes.
 	minStall = 300 * time.Millisecond
@@ -80,7 +84,7 @@
 }
 
 // Open returns the account of a new connection. abort is called by Abort, at most once and not after
-// Close; it must not block or use the connection's account.
+// Close. It must neither block nor call Abort or Close.
 func (b *Budget) Open(abort func()) *Connection {
 	c := &Connection{budget: b, abort: abort}
 	b.mu.Lock()
@@ -96,6 +100,13 @@
 	return b.held
 }
 
+// Connections returns the number of connections that are not closed.
+func (b *Budget) Connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.connections)
+}
+
 // Released returns a channel that is closed when bytes are released.
 func (b *Budget) Released() <-chan struct{} {
 	b.mu.Lock()
@@ -120,11 +131,30 @@
 	IsShed
 )
 
+// Use is what bytes are held for.
+type Use uint8
+
+const (
+	// Body is the body of a request.
+	Body Use = iota
+	// Response is a response or a part of one.
+	Response
+)
+
+// limitFor returns how many bytes may be held in all if more are taken for the given use.
+func (b *Budget) limitFor(use Use) int64 {
+	if use == Response {
+		return int64(responseFraction * float64(b.limits.Total))
+	}
+	return b.limits.Total
+}
+
 // Take counts n more bytes for the connection, if they fit. If the host's limit is in the way and
 // shedding a connection helps, it returns that connection, whose Abort the caller must call; its
 // bytes are free once it is closed. The victim may be the connection itself.
-func (c *Connection) Take(n int64, now time.Duration) (outcome Outcome, victim *Connection) {
+func (c *Connection) Take(use Use, n int64, now time.Duration) (outcome Outcome, victim *Connection) {
 	b := c.budget
+	limit := b.limitFor(use)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
@@ -132,11 +162,11 @@
 		return IsShed, nil
 	case c.held+n > b.limits.Connection:
 		return ConnectionFull, nil
-	case b.held+n <= b.limits.Total:
+	case b.held+n <= limit:
 		c.held += n
 		b.held += n
 		return Taken, nil
-	case b.held+n-b.leaving <= b.limits.Total:
+	case b.held+n-b.leaving <= limit:
 		return HostFull, nil
 	}
 	if victim = b.victim(now); victim != nil {
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -9,7 +9,7 @@
 )
 
 func take(t require.TestingT, c *Connection, n int64, now time.Duration) {
-	outcome, victim := c.Take(n, now)
+	outcome, victim := c.Take(Body, n, now)
 	require.Equal(t, Taken, outcome)
 	require.Nil(t, victim)
 }
@@ -25,10 +25,10 @@
 	large.Progress(4 * time.Second)
 	take(t, moving, 59, 0)
 	moving.Progress(6 * time.Second)
-	outcome, victim := other.Take(10, 6*time.Second+minStall/2)
+	outcome, victim := other.Take(Body, 10, 6*time.Second+minStall/2)
 	require.Equal(t, HostFull, outcome)
 	require.Same(t, large, victim)
-	outcome, victim = other.Take(10, 6*time.Second)
+	outcome, victim = other.Take(Body, 10, 6*time.Second)
 	require.Equal(t, HostFull, outcome)
 	require.Nil(t, victim, "the bytes of the connection that was shed suffice")
 	large.Close()
@@ -42,7 +42,7 @@
 	running.Progress(0)
 	take(t, running, 100, 0)
 	running.StopWaiting()
-	outcome, victim := other.Take(1, time.Hour)
+	outcome, victim := other.Take(Body, 1, time.Hour)
 	require.Equal(t, HostFull, outcome)
 	require.Nil(t, victim)
 }
@@ -53,10 +53,10 @@
 	c := b.Open(nil)
 	take(t, c, 100, 0)
 	c.Progress(0)
-	outcome, victim := c.Take(1, time.Hour)
+	outcome, victim := c.Take(Body, 1, time.Hour)
 	require.Equal(t, IsShed, outcome)
 	require.Same(t, c, victim)
-	outcome, _ = c.Take(0, time.Hour)
+	outcome, _ = c.Take(Body, 0, time.Hour)
 	require.Equal(t, IsShed, outcome)
 }
 
@@ -74,6 +74,17 @@
 	require.Equal(t, 1, aborted)
 }
 
+// Guards against responses to slow callers taking the memory that new requests need.
+func TestResponsesLeaveMemoryForBodies(t *testing.T) {
+	b := NewBudget(Limits{Total: 100, Connection: 100})
+	slow, other := b.Open(nil), b.Open(nil)
+	outcome, _ := slow.Take(Response, 76, 0)
+	require.Equal(t, HostFull, outcome)
+	outcome, _ = slow.Take(Response, 75, 0)
+	require.Equal(t, Taken, outcome)
+	take(t, other, 25, 0)
+}
+
 func TestLimitsFollowFromMemory(t *testing.T) {
 	l := LimitsFor(136)
 	require.InDelta(t, 40.8*(1<<20), float64(l.Total), 1)
@@ -96,7 +107,7 @@
 			c := open[i]
 			switch rapid.IntRange(0, 4).Draw(rt, "operation") {
 			case 0, 1:
-				_, victim := c.Take(int64(rapid.IntRange(0, 50).Draw(rt, "bytes")), now)
+				_, victim := c.Take(Use(rapid.IntRange(0, 1).Draw(rt, "use")), int64(rapid.IntRange(0, 50).Draw(rt, "bytes")), now)
 				require.True(rt, victim == nil || victim.isShed && now-victim.stalledSince >= minStall)
 			case 2:
 				c.Release(int64(rapid.IntRange(0, int(c.Held())).Draw(rt, "released")))
