Keep requests within the regions that their route and workspace list

Routes and workspaces may list regions. Which upstreams a request may be sent to is one predicate, Constraints.allow, for first attempts, retries, queued, moved and resumed requests, at engines and plain services. A request whose regions have no upstream is refused at once with 503, Retry-After and the reason 'region'; one whose regions' groups don't serve is treated as in an outage. A queued request of a full region does not hold up others, and a stream is moved only if another allowed engine has a free slot. Capacity and waits are still estimated over all regions of a service.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/schedule"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
@@ -164,7 +165,7 @@
 	if c.service.Engine != nil {
 		return c.reserveSlot(ctx, c.service.Engine, isResumed)
 	}
-	return c.g.reservePlain(ctx, c.service.Name, c.tried)
+	return c.g.reservePlain(ctx, c.service.Name, &schedule.Constraints{Tried: c.tried, Regions: c.regions})
 }
 
 // outcomeOfError returns what the failure of an attempt says about its upstream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	Client  *dispatch.Client
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// DataCentreRegions holds the region of each data centre.
+	DataCentreRegions map[string]string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Fingerprints computes request fingerprints that are the same on all hosts.
@@ -118,7 +120,7 @@
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
 		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(), view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
-			DataCentre: cfg.DataCentre, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			StartupUntil: startupWait,
 		}),
 		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{}, cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,8 +75,9 @@
 			Limits: quarantine.DefaultLimits, Now: now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		}),
 		Dialect: d, Client: dispatch.New(dispatch.Config{HeaderNames: d.UpstreamHeaders, DialTimeout: 5 * time.Second}),
-		RetryBudget: retrybudget.Params{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
-		Now:         now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		DataCentreRegions: map[string]string{"n": "north", "s": "south"},
+		RetryBudget:       retrybudget.Params{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
+		Now:               now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
 	env.gateway, env.front = g, httptest.NewServer(g)
 	t.Cleanup(env.front.Close)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -35,7 +35,9 @@
 	workspace string
 	// priority is the priority of the workspace, or of the route if the workspace has none; 0
 	// is the most urgent.
-	priority  int
+	priority int
+	// regions are the regions in which the request may run.
+	regions   routetable.Regions
 	service   *routetable.Service
 	attemptID string
 	body      []byte
@@ -119,13 +121,13 @@
 	if c.route == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for this host and path")
 	}
-	c.priority = c.route.Priority
+	c.priority, c.regions = c.route.Priority, c.route.AllowedRegions
 	if c.table.NeedsKey(c.route) {
 		w := c.table.WorkspaceByKey(c.r.Header.Get(g.cfg.Dialect.KeyHeader))
 		if w == nil {
 			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
 		}
-		c.workspace = w.Name
+		c.workspace, c.regions = w.Name, c.regions.Intersect(w.AllowedRegions)
 		if w.HasPriority {
 			c.priority = w.Priority
 		}
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -36,7 +36,7 @@
 	g := c.g
 	request := &schedule.Request{
 		Service: c.service.Name, Engine: e, MaxEventGap: c.route.MaxEventGap, OnTimeUntil: g.clockTime(c.onTimeUntil()),
-		Priority: c.priority, Tried: c.tried, TimeLeft: time.Until(c.deadline), CanRetry: c.callerCanRetry(), IsResumed: isResumed,
+		Priority: c.priority, Tried: c.tried, Regions: c.regions, TimeLeft: time.Until(c.deadline), CanRetry: c.callerCanRetry(), IsResumed: isResumed,
 	}
 	g.mu.Lock()
 	d := g.scheduler.Admit(request, g.now())
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -27,23 +27,28 @@
 // limit or rests, if there is no other. It is longer than tokens take to come.
 const maxTokenWait = 450 * time.Millisecond
 
-// reservePlain reserves an upstream of a plain service, which is one without engines, that was
-// not tried yet. If the host has just started, it waits until the upstreams are known. If all
+// reservePlain reserves an upstream of a plain service, which is one without engines, that the
+// request may be sent to. If the host has just started, it waits until the upstreams are known. If all
 // upstreams have rate limits or rest, it waits up to maxTokenWait for one. Errors are *verdict.Error
 // and always NotRun.
-func (g *Gateway) reservePlain(ctx context.Context, name string, tried []string) (registry.Upstream, *reservation, error) {
+func (g *Gateway) reservePlain(ctx context.Context, name string, allowed *schedule.Constraints) (registry.Upstream, *reservation, error) {
 	waitsUntil := g.now() + maxTokenWait
 	for {
 		g.mu.Lock()
 		now := g.now()
-		u, t, ok := g.scheduler.ReserveLeastLoaded(name, tried, now)
-		next, isRestricted := g.scheduler.AcceptsAt(name, tried, now)
+		u, t, ok := g.scheduler.ReserveLeastLoaded(name, allowed, now)
+		next, isRestricted := g.scheduler.AcceptsAt(name, allowed, now)
+		hasNoRegion := g.scheduler.HasNoRegion(name, allowed, now)
 		changed := g.upstreamsChanged
 		g.requestTokens()
 		g.mu.Unlock()
 		if ok {
 			return u, &reservation{Ticket: t, g: g}, nil
 		}
+		if hasNoRegion {
+			g.counts.increment("refused." + schedule.NoRegion.Name())
+			return u, nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, schedule.NoRegion.String())
+		}
 		if isRestricted && (next > waitsUntil || now >= waitsUntil) {
 			return u, nil, g.refuseRestricted(name, next)
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -55,7 +55,7 @@
 	f := newFollower(n, "entry")
 	client := dispatch.New(dispatch.Config{HeaderNames: n.platform.Dialect.UpstreamHeaders, DialTimeout: upstreamDialTimeout})
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
-		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre,
+		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre, DataCentreRegions: n.settings.DataCentreRegions,
 		RetryBudget: n.settings.RetryBudget, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper, MemoryMB: n.settings.MemoryMB, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
 			Publish: n.sendNotices, RequestTokens: control.NewClientWithAddressBook(n.pool, f.controlHosts).RequestTokens,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,7 +13,9 @@
 type Settings struct {
 	// Host is the name of this host, DataCentre the data centre that it is in.
 	Host, DataCentre string
-	IP               netip.Addr
+	// DataCentreRegions holds the region of each data centre, nil if the settings name none.
+	DataCentreRegions map[string]string
+	IP                netip.Addr
 	// PeerPort is the port for sessions of other hosts, MetricsPort the port for metrics. Both are
 	// the same on all hosts.
 	PeerPort, MetricsPort uint16
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -56,6 +56,8 @@
 	// ServiceWeights splits the requests over services. The sum of the weights must be
 	// positive.
 	ServiceWeights []ServiceWeight
+	// AllowedRegions are the regions in which upstreams may run the requests.
+	AllowedRegions Regions
 }
 
 // ServiceWeight is the weight of one service in a route's traffic split.
@@ -137,6 +139,8 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions in which upstreams may run the requests.
+	AllowedRegions Regions
 }
 
 // Limits restricts what a caller may send. Zero means no limit.
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -39,6 +39,8 @@
 	Priority int
 	// Tried lists the ids of the upstreams that earlier attempts of the request were sent to.
 	Tried []string
+	// Regions are the regions in which the request may run.
+	Regions routetable.Regions
 	// TimeLeft is the time until the caller's deadline, 0 if unknown.
 	TimeLeft time.Duration
 	// CanRetry reports whether the caller has enough time left to try again later.
@@ -50,7 +52,8 @@
 // Waiter is a request in the queue for a slot.
 type Waiter struct {
 	service *service
-	tried   []string
+	// constraints state where the request may be sent.
+	constraints Constraints
 	// latestStart is the latest time at which the request can start and still send its first
 	// event on time.
 	latestStart time.Duration
@@ -82,6 +85,8 @@
 	// Restricted means that all upstreams have rate limits or rest, and none accepts a request in
 	// time.
 	Restricted
+	// NoRegion means that no upstream is in a region in which the request may run.
+	NoRegion
 )
 
 // String returns the reason as a sentence for callers and logs.
@@ -91,6 +96,8 @@
 		return "the group does not serve"
 	case Restricted:
 		return "all upstreams limit the rate of requests or rest"
+	case NoRegion:
+		return "no upstream is in an allowed region"
 	}
 	return "no place became free in time"
 }
@@ -102,6 +109,8 @@
 		return "outage"
 	case Restricted:
 		return "restricted"
+	case NoRegion:
+		return "region"
 	}
 	return "full"
 }
@@ -125,7 +134,10 @@
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
 	}
-	if sv.isDown(now) || s.awaitsFirstReports(sv, now) {
+	if s.hasNoRegion(sv, &w.constraints, now) {
+		return s.refuse(NoRegion, w, now)
+	}
+	if sv.isDownFor(&w.constraints, now) || s.awaitsFirstReports(sv, now) {
 		if (r.CanRetry || len(sv.active) == 0 || sv.isDownForLong(now)) && now >= s.cfg.StartupUntil && !sv.isBrieflyStalled(now) {
 			return s.refuse(Outage, w, now)
 		}
@@ -149,7 +161,7 @@
 // now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
-		service: sv, tried: r.Tried, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
+		service: sv, constraints: Constraints{Tried: r.Tried, Regions: r.Regions}, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
 		latestStart: r.OnTimeUntil - sv.timeToFirstEvent(), giveUpAt: now + MaxQueueWait, canRetry: r.CanRetry,
 	}
 	if r.TimeLeft > 0 {
@@ -179,13 +191,13 @@
 
 // admitNow reserves a slot for a new request, unless a queued request goes first.
 func (s *Scheduler) admitNow(sv *service, w *Waiter, now time.Duration) (*Ticket, bool) {
-	if len(sv.waiters) > 0 && !w.precedes(sv.waiters[sv.nextWaiter(now)], now) {
+	if sv.isAhead(w, now) {
 		return nil, false
 	}
 	if !s.mayAdmitLate(sv, w, now) {
 		return nil, false
 	}
-	u, ok := s.pickEngine(sv, w.tried, now)
+	u, ok := s.pickEngine(sv, &w.constraints, now)
 	if !ok {
 		return nil, false
 	}
@@ -201,10 +213,10 @@
 func (s *Scheduler) refuse(reason Reason, w *Waiter, now time.Duration) Decision {
 	latest := maxRetryAfterFor(w, now)
 	switch reason {
-	case Outage:
+	case Outage, NoRegion:
 		return Decision{Reason: reason, RetryAfter: latest}
 	case Restricted:
-		next, _ := s.acceptsAt(w.service, w.tried, now)
+		next, _ := s.acceptsAt(w.service, &w.constraints, now)
 		return Decision{Reason: reason, RetryAfter: s.restrictedRetryAfter(w.service, next, now)}
 	}
 	fraction := minRetryAfterFraction + (1-minRetryAfterFraction)*s.cfg.Random.Float64()
@@ -229,6 +241,7 @@
 // reserveFor reserves a slot for a request and records the admission.
 func (s *Scheduler) reserveFor(sv *service, u *upstream, w *Waiter, now time.Duration) *Ticket {
 	t := s.reserve(u, now)
+	t.constraints = w.constraints
 	sv.demand.admissions.add(now)
 	if t.isLate = !w.canBeOnTime(now); t.isLate {
 		sv.late++
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -32,7 +32,7 @@
 	minRatio := sv.minStepTimeRatio(now)
 	var moves []*Ticket
 	for t, until := range sv.movable {
-		if now < until && sv.mustBeVacated(t.upstream, minRatio, now) {
+		if now < until && sv.mustBeVacated(t.upstream, minRatio, now) && s.hasOtherEngine(t, minRatio, now) {
 			moves = append(moves, t)
 		}
 	}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -17,20 +17,28 @@
 
 // admitWaiters admits up to n requests from the queue, those that can still be on time first.
 func (s *Scheduler) admitWaiters(out []Result, sv *service, n int, now time.Duration) []Result {
+	var passedOver []*Waiter
 	for ; n > 0 && len(sv.waiters) > 0; n-- {
 		i := sv.nextWaiter(now)
 		w := sv.waiters[i]
 		if !s.mayAdmitLate(sv, w, now) {
 			break
 		}
-		u, ok := s.pickEngine(sv, w.tried, now)
-		if !ok {
+		u, ok := s.pickEngine(sv, &w.constraints, now)
+		if !ok && !w.constraints.limitsRegions() {
 			break
 		}
 		sv.waiters = slices.Delete(sv.waiters, i, i+1)
+		if !ok {
+			// Others may get slots that this request must not use.
+			passedOver = append(passedOver, w)
+			n++
+			continue
+		}
 		t := s.reserveFor(sv, u, w, now)
 		out = append(out, Result{Waiter: w, Decision: Decision{Upstream: u.Upstream, Ticket: t}})
 	}
+	sv.waiters = append(sv.waiters, passedOver...)
 	return out
 }
 
@@ -47,6 +55,7 @@
 		}
 		return s.refuseWhere(out, sv, Outage, now, func(w *Waiter) bool { return w.canRetry || sv.isDownForLong(now) })
 	}
+	out = s.refuseWhere(out, sv, NoRegion, now, func(w *Waiter) bool { return s.hasNoRegion(sv, &w.constraints, now) })
 	out = s.refuseWhere(out, sv, Restricted, now, func(w *Waiter) bool {
 		return s.isWhollyRestricted(sv, w, now) && s.isRefusedByRestriction(sv, w, now)
 	})
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/registry"
@@ -41,6 +40,8 @@
 	began         time.Duration
 	isLate        bool
 	isReleased    bool
+	// constraints are those of the request, for its next attempt.
+	constraints Constraints
 	// hasToken is set if a token of the upstream's rate limit was taken for the attempt.
 	hasToken bool
 }
@@ -54,13 +55,13 @@
 // Address returns the address of the upstream when the attempt began, as "ip:port".
 func (t *Ticket) Address() string { return t.address }
 
-// ReserveLeastLoaded reserves the least loaded upstream of a plain service that was not tried
-// yet. Upstreams suspected of failure are used only if there is no other. It returns false if
+// ReserveLeastLoaded reserves the least loaded upstream of a plain service that the request may be
+// sent to. Upstreams suspected of failure are used only if there is no other. It returns false if
 // none is left, or none that accepts a request now.
-func (s *Scheduler) ReserveLeastLoaded(name string, tried []string, now time.Duration) (registry.Upstream, *Ticket, bool) {
+func (s *Scheduler) ReserveLeastLoaded(name string, c *Constraints, now time.Duration) (registry.Upstream, *Ticket, bool) {
 	sv := s.service(name)
 	for _, mayBeSuspect := range []bool{false, true} {
-		if u := s.leastLoaded(sv, tried, mayBeSuspect, now); u != nil {
+		if u := s.leastLoaded(sv, c, mayBeSuspect, now); u != nil {
 			return u.Upstream, s.reserve(u, now), true
 		}
 	}
@@ -69,11 +70,11 @@
 
 // leastLoaded returns the upstream with the smallest fraction of its slots in use, chosen at
 // random among equals, or nil if there is none.
-func (s *Scheduler) leastLoaded(sv *service, tried []string, mayBeSuspect bool, now time.Duration) *upstream {
+func (s *Scheduler) leastLoaded(sv *service, c *Constraints, mayBeSuspect bool, now time.Duration) *upstream {
 	var best *upstream
 	lowest, ties := 0.0, 0
 	for _, u := range sv.active {
-		if slices.Contains(tried, u.ID) || !mayBeSuspect && u.isSuspect(now) {
+		if !c.allow(u) || !mayBeSuspect && u.isSuspect(now) {
 			continue
 		}
 		if !u.accepts(now) {
@@ -112,14 +113,14 @@
 	load     float64
 }
 
-// pickEngine chooses an engine that was not tried yet and has a free slot. Suspect engines are
+// pickEngine chooses an engine that the request may be sent to and that has a free slot. Suspect engines are
 // used only if no other engine serves, not if all others are merely full.
-func (s *Scheduler) pickEngine(sv *service, tried []string, now time.Duration) (*upstream, bool) {
+func (s *Scheduler) pickEngine(sv *service, c *Constraints, now time.Duration) (*upstream, bool) {
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
 	s.trustedCandidates, s.suspectCandidates = s.trustedCandidates[:0], s.suspectCandidates[:0]
 	hasTrusted := false
 	for _, u := range sv.active {
-		if !sv.serves(u, now) || slices.Contains(tried, u.ID) {
+		if !sv.serves(u, now) || !c.allow(u) {
 			continue
 		}
 		isTrusted := !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
--- a/internal/schedule/restriction.go
+++ b/internal/schedule/restriction.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
@@ -171,7 +170,7 @@
 	}
 	hasUpstream := false
 	for _, u := range sv.active {
-		if slices.Contains(w.tried, u.ID) || sv.engineSpec != nil && !sv.serves(u, now) {
+		if !w.constraints.allow(u) || sv.engineSpec != nil && !sv.serves(u, now) {
 			continue
 		}
 		if !u.isRestricted(now) {
@@ -186,7 +185,7 @@
 // would wait in vain: none of them accepts a request of this host in time, or as many requests
 // wait as this host may send in that time.
 func (s *Scheduler) isRefusedByRestriction(sv *service, w *Waiter, now time.Duration) bool {
-	next, _ := s.acceptsAt(sv, w.tried, now)
+	next, _ := s.acceptsAt(sv, &w.constraints, now)
 	ahead := sv.queuePosition(w, now) - 1
 	return next > w.giveUpAt || ahead > 1+s.ownRate(sv)*MaxQueueWait.Seconds()
 }
@@ -204,20 +203,20 @@
 	return total / float64(s.hosts)
 }
 
-// AcceptsAt returns when the first upstream of a service that was not tried yet accepts a request
+// AcceptsAt returns when the first upstream of a service that the request may be sent to accepts one
 // of this host, as far as it is known. It returns false if there is none, or if no upstream has a
 // rate limit or rests.
-func (s *Scheduler) AcceptsAt(name string, tried []string, now time.Duration) (time.Duration, bool) {
-	return s.acceptsAt(s.service(name), tried, now)
+func (s *Scheduler) AcceptsAt(name string, c *Constraints, now time.Duration) (time.Duration, bool) {
+	return s.acceptsAt(s.service(name), c, now)
 }
 
-func (s *Scheduler) acceptsAt(sv *service, tried []string, now time.Duration) (time.Duration, bool) {
+func (s *Scheduler) acceptsAt(sv *service, c *Constraints, now time.Duration) (time.Duration, bool) {
 	if len(s.restricted) == 0 {
 		return now, false
 	}
 	first, ok := now, false
 	for _, u := range sv.active {
-		if slices.Contains(tried, u.ID) || sv.engineSpec != nil && !sv.serves(u, now) {
+		if !c.allow(u) || sv.engineSpec != nil && !sv.serves(u, now) {
 			continue
 		}
 		if next := u.acceptsAt(now); !ok || next < first {
--- a/internal/schedule/restriction_test.go
+++ b/internal/schedule/restriction_test.go
@@ -166,7 +166,7 @@
 	l := newTestCluster(1, 2, 2)
 	l.reportLoads(0)
 	reserve := func() *Ticket {
-		_, ticket, ok := l.ReserveLeastLoaded("s", []string{"0/1"}, l.now)
+		_, ticket, ok := l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/1"}}, l.now)
 		require.True(t, ok)
 		return ticket
 	}
@@ -224,7 +224,7 @@
 		require.True(t, ok)
 		require.Equal(t, "0/1", ticket.ID())
 	}
-	u, _, _ := l.ReserveLeastLoaded("s", []string{"0/1"}, l.now)
+	u, _, _ := l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/1"}}, l.now)
 	require.Equal(t, "0/0", u.ID, "no other is left")
 	require.False(t, l.upstreams["0/0"].isSuspect(l.now+maxAvoidance))
 	l.SetRest(incarnation("0/1"), l.now+time.Hour, l.now)
@@ -312,7 +312,7 @@
 	sent := 0
 	for range 2400 {
 		l.now += 25 * time.Millisecond
-		if u, ticket, ok := l.ReserveLeastLoaded("s", []string{"0/1"}, l.now); ok {
+		if u, ticket, ok := l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/1"}}, l.now); ok {
 			require.Equal(t, "0/0", u.ID)
 			l.Release(ticket, Success, l.now)
 			sent++
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// DataCentreRegions holds the region of each data centre.
+	DataCentreRegions map[string]string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Random is the source of all random choices.
@@ -69,7 +71,9 @@
 type upstream struct {
 	registry.Upstream
 	service *service
-	group   *group
+	// region is the region of the upstream's data centre, empty if unknown.
+	region string
+	group  *group
 	// inflight is the number of this host's attempts in flight at the upstream.
 	inflight int
 	// consecutiveFailures is the number of attempts that failed since the last success.
@@ -198,7 +202,7 @@
 		u.consecutiveFailures, u.suspectUntil, u.load = 0, 0, load{}
 		u.allowance, u.restUntil, u.avoidUntil = nil, 0, 0
 	}
-	u.Upstream = announced
+	u.Upstream, u.region = announced, s.cfg.DataCentreRegions[announced.DataCentre]
 	return u
 }
 
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -134,9 +134,9 @@
 		tickets = append(tickets, ticket)
 	}
 	require.Equal(t, map[string]int{"0/0": 3, "0/1": 3, "0/2": 3}, counts)
-	u, _, _ := l.ReserveLeastLoaded("s", []string{"0/0", "0/1"}, l.now)
+	u, _, _ := l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/0", "0/1"}}, l.now)
 	require.Equal(t, "0/2", u.ID)
-	_, _, ok := l.ReserveLeastLoaded("s", l.ids, l.now)
+	_, _, ok := l.ReserveLeastLoaded("s", &Constraints{Tried: l.ids}, l.now)
 	require.False(t, ok, "all were tried")
 	for _, ticket := range tickets {
 		if ticket.ID() == "0/0" {
@@ -148,9 +148,9 @@
 		require.NotEqual(t, "0/0", u.ID, "it is suspected")
 		l.Release(ticket, Neutral, l.now)
 	}
-	u, _, _ = l.ReserveLeastLoaded("s", []string{"0/1", "0/2"}, l.now)
+	u, _, _ = l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/1", "0/2"}}, l.now)
 	require.Equal(t, "0/0", u.ID, "a suspect is better than none")
-	u, _, _ = l.ReserveLeastLoaded("s", []string{"0/1", "0/2"}, l.now+suspectDuration)
+	u, _, _ = l.ReserveLeastLoaded("s", &Constraints{Tried: []string{"0/1", "0/2"}}, l.now+suspectDuration)
 	require.Equal(t, "0/0", u.ID)
 }
 
