Admit no more tokens to an engine than its KV cache holds

An engine crashes if the requests that it holds exceed its memory; admission counted slots only. It now also counts the prompt tokens and the maximum number of output tokens that callers state, for this host's requests at the engine, and the mean of the configuration for each request without counts and for each one of other hosts. A request that no engine has room for waits, without holding up smaller ones; one that exceeds the whole cache is refused at once, with 413, the verdict not run and the reason 'kv-cache'. Without counts or without a configured size nothing changes.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -56,7 +56,7 @@
 	if ctx.Err() != nil && e.Verdict == verdict.MayHaveRun {
 		e = verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "no answer in time")
 	}
-	if e.Verdict == verdict.NotRun && e.RetryAfter == 0 && e.Code != verdict.CodeQuarantined {
+	if e.Verdict == verdict.NotRun && e.RetryAfter == 0 && e.Code != verdict.CodeQuarantined && e.Code != verdict.CodeTooLarge {
 		e = e.WithRetryAfter(refusedRetryAfter)
 	}
 	c.fail(e)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	ResumeHeader string
 	// Deadline returns how long the caller waits, and false if the caller does not say so.
 	Deadline func(http.Header) (time.Duration, bool)
+	// TokenCounts returns the number of prompt tokens and the maximum number of output tokens of a
+	// request, and false if the caller does not state them. It may be nil.
+	TokenCounts func(http.Header) (prompt, output int, ok bool)
 	// Statement returns what an upstream states about itself in a response, without the times. The
 	// error names a field that can't be read; the statement holds the other ones.
 	Statement func(status int, h http.Header) (backpressure.Statement, error)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,6 +57,10 @@
 			ms, err := strconv.Atoi(h.Get("X-D"))
 			return time.Duration(ms) * time.Millisecond, err == nil
 		},
+		TokenCounts: func(h http.Header) (prompt, output int, ok bool) {
+			n, err := fmt.Sscanf(h.Get("X-T"), "%d,%d", &prompt, &output)
+			return prompt, output, n == 2 && err == nil
+		},
 		Statement: func(status int, h http.Header) (s backpressure.Statement, err error) {
 			if text := h.Get("X-Limit"); text != "" {
 				s.Rate, err = strconv.ParseFloat(text, 64)
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -36,7 +36,7 @@
 	g := c.g
 	request := &schedule.Request{
 		Service: c.service.Name, Engine: e, MaxEventGap: c.route.MaxEventGap, OnTimeUntil: g.clockTime(c.onTimeUntil()),
-		Priority: c.priority, Tried: c.tried, Regions: c.regions, TimeLeft: time.Until(c.deadline), CanRetry: c.callerCanRetry(), IsResumed: isResumed,
+		Priority: c.priority, Tried: c.tried, Regions: c.regions, Tokens: c.tokens(), TimeLeft: time.Until(c.deadline), CanRetry: c.callerCanRetry(), IsResumed: isResumed,
 	}
 	g.mu.Lock()
 	d := g.scheduler.Admit(request, g.now())
@@ -57,6 +57,16 @@
 	return d.Upstream, &reservation{Ticket: d.Ticket, g: g}, nil
 }
 
+// tokens returns the number of prompt tokens and the maximum number of output tokens together, 0 if
+// the caller does not state them.
+func (c *call) tokens() int {
+	if c.g.cfg.Dialect.TokenCounts == nil {
+		return 0
+	}
+	prompt, output, _ := c.g.cfg.Dialect.TokenCounts(c.r.Header)
+	return prompt + output
+}
+
 // onTimeUntil returns the latest time for the first event to count as on time. A retry by the
 // caller is late already, because its time started with the first try.
 func (c *call) onTimeUntil() time.Time {
@@ -79,6 +89,9 @@
 }
 
 func overloadError(d schedule.Decision) error {
+	if d.Reason == schedule.ExceedsCache {
+		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, d.Reason.String())
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, d.Reason.String()).WithRetryAfter(d.RetryAfter)
 }
 
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -41,6 +41,9 @@
 	Tried []string
 	// Regions are the regions in which the request may run.
 	Regions routetable.Regions
+	// Tokens is the number of prompt tokens and the maximum number of output tokens together, 0 if
+	// unknown.
+	Tokens int
 	// TimeLeft is the time until the caller's deadline, 0 if unknown.
 	TimeLeft time.Duration
 	// CanRetry reports whether the caller has enough time left to try again later.
@@ -87,6 +90,8 @@
 	Restricted
 	// NoRegion means that no upstream is in a region in which the request may run.
 	NoRegion
+	// ExceedsCache means that the request needs more tokens than the KV cache of an engine has.
+	ExceedsCache
 )
 
 // String returns the reason as a sentence for callers and logs.
@@ -98,6 +103,8 @@
 		return "all upstreams limit the rate of requests or rest"
 	case NoRegion:
 		return "no upstream is in an allowed region"
+	case ExceedsCache:
+		return "the prompt and the maximum output exceed the engine's KV cache"
 	}
 	return "no place became free in time"
 }
@@ -111,13 +118,15 @@
 		return "restricted"
 	case NoRegion:
 		return "region"
+	case ExceedsCache:
+		return "kv-cache"
 	}
 	return "full"
 }
 
 // Decision is the outcome for a request. Either it holds Ticket for a slot at Upstream, or it
 // is queued as Waiter, or it is refused for Reason and the caller is told to retry after
-// RetryAfter.
+// RetryAfter, which is 0 if that does not help.
 type Decision struct {
 	Upstream   registry.Upstream
 	Ticket     *Ticket
@@ -134,6 +143,9 @@
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
 	}
+	if sv.exceedsCache(&w.constraints) {
+		return Decision{Reason: ExceedsCache}
+	}
 	if s.hasNoRegion(sv, &w.constraints, now) {
 		return s.refuse(NoRegion, w, now)
 	}
@@ -161,7 +173,7 @@
 // now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
-		service: sv, constraints: Constraints{Tried: r.Tried, Regions: r.Regions}, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
+		service: sv, constraints: Constraints{Tried: r.Tried, Regions: r.Regions, Tokens: r.Tokens}, effectiveArrival: now + delayPerPriority*time.Duration(r.Priority),
 		latestStart: r.OnTimeUntil - sv.timeToFirstEvent(), giveUpAt: now + MaxQueueWait, canRetry: r.CanRetry,
 	}
 	if r.TimeLeft > 0 {
@@ -241,7 +253,8 @@
 // reserveFor reserves a slot for a request and records the admission.
 func (s *Scheduler) reserveFor(sv *service, u *upstream, w *Waiter, now time.Duration) *Ticket {
 	t := s.reserve(u, now)
-	t.constraints = w.constraints
+	t.constraints = &w.constraints
+	t.countTokens()
 	sv.demand.admissions.add(now)
 	if t.isLate = !w.canBeOnTime(now); t.isLate {
 		sv.late++
--- a/internal/schedule/constraints.go
+++ b/internal/schedule/constraints.go
@@ -13,11 +13,20 @@
 	Tried []string
 	// Regions are the regions in which the request may run.
 	Regions routetable.Regions
+	// Tokens is the number of prompt tokens and the maximum number of output tokens together, 0 if
+	// unknown.
+	Tokens int
 }
 
-// allow reports whether the request may be sent to the upstream, whatever its load.
+// allow reports whether the request may be sent to the upstream, whatever its load. It is asked for
+// each upstream in each decision, so the usual case is kept short enough to be inlined.
 func (c *Constraints) allow(u *upstream) bool {
-	return c == nil || c.allowRegion(u) && !slices.Contains(c.Tried, u.ID)
+	return c == nil || c.Regions == nil && len(c.Tried) == 0 || c.allowListed(u)
+}
+
+// allowListed is allow for a request that has lists.
+func (c *Constraints) allowListed(u *upstream) bool {
+	return c.allowRegion(u) && !slices.Contains(c.Tried, u.ID)
 }
 
 // allowRegion reports whether the request may run in the region of the upstream.
@@ -60,13 +69,13 @@
 }
 
 // hasOtherEngine reports whether an attempt's stream could be continued at another engine. It is
-// true without a look if the request may run anywhere.
+// true without a look if any engine with a free slot would do.
 func (s *Scheduler) hasOtherEngine(t *Ticket, minRatio float64, now time.Duration) bool {
-	if !t.constraints.limitsRegions() {
+	if !t.constraints.limitsRegions() && !t.service.limitsTokens(t.constraints) {
 		return true
 	}
 	return slices.ContainsFunc(t.service.active, func(u *upstream) bool {
-		return u != t.upstream && t.constraints.allow(u) && t.service.serves(u, now) &&
+		return u != t.upstream && t.constraints.allow(u) && t.service.serves(u, now) && s.fitsCache(u, t.constraints, now) &&
 			s.estimatedLoad(u, now) < float64(t.service.limitOf(u, minRatio, now))
 	})
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -25,12 +25,12 @@
 			break
 		}
 		u, ok := s.pickEngine(sv, &w.constraints, now)
-		if !ok && !w.constraints.limitsRegions() {
+		if !ok && !w.constraints.limitsRegions() && !s.lacksCache {
 			break
 		}
 		sv.waiters = slices.Delete(sv.waiters, i, i+1)
 		if !ok {
-			// Others may get slots that this request must not use.
+			// Others may get slots that this request can't use.
 			passedOver = append(passedOver, w)
 			n++
 			continue
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -40,8 +40,10 @@
 	began         time.Duration
 	isLate        bool
 	isReleased    bool
-	// constraints are those of the request, for its next attempt.
-	constraints Constraints
+	// constraints are those of the request, for its next attempt; nil for plain services.
+	constraints *Constraints
+	// tokens is how many tokens the attempt needs in the KV cache of its engine.
+	tokens int
 	// hasToken is set if a token of the upstream's rate limit was taken for the attempt.
 	hasToken bool
 }
@@ -117,8 +119,8 @@
 // used only if no other engine serves, not if all others are merely full.
 func (s *Scheduler) pickEngine(sv *service, c *Constraints, now time.Duration) (*upstream, bool) {
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
-	s.trustedCandidates, s.suspectCandidates = s.trustedCandidates[:0], s.suspectCandidates[:0]
-	hasTrusted := false
+	s.trustedCandidates, s.suspectCandidates, s.lacksCache = s.trustedCandidates[:0], s.suspectCandidates[:0], false
+	hasTrusted, limitsTokens := false, sv.limitsTokens(c)
 	for _, u := range sv.active {
 		if !sv.serves(u, now) || !c.allow(u) {
 			continue
@@ -127,6 +129,10 @@
 		hasTrusted = hasTrusted || isTrusted
 		load := s.estimatedLoad(u, now)
 		hasSlot := u.isWithinQuota(now) && load < float64(sv.limitOf(u, minRatio, now))
+		if hasSlot && limitsTokens && !s.fitsCache(u, c, now) {
+			s.lacksCache = true
+			continue
+		}
 		if hasSlot && !u.accepts(now) {
 			u.passOver(now)
 			continue
@@ -254,6 +260,7 @@
 	delete(sv.awaitingHeader, t)
 	delete(sv.movable, t)
 	u.inflight--
+	u.tokens -= t.tokens
 	sv.inflight--
 	// This host may reuse the released slot at once, unless the engine still has at least as
 	// many requests as its concurrency limit.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -57,6 +57,9 @@
 	// trustedCandidates and suspectCandidates are buffers of pickEngine, kept to avoid an
 	// allocation for each decision.
 	trustedCandidates, suspectCandidates []candidate
+	// lacksCache is set if the last call of pickEngine passed over an engine with a free slot because
+	// of its KV cache.
+	lacksCache bool
 }
 
 // New returns an empty Scheduler that assumes no other hosts.
@@ -76,6 +79,8 @@
 	group  *group
 	// inflight is the number of this host's attempts in flight at the upstream.
 	inflight int
+	// tokens is how many tokens these attempts need together.
+	tokens int
 	// consecutiveFailures is the number of attempts that failed since the last success.
 	consecutiveFailures int
 	suspectUntil        time.Duration
