--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,10 @@
 // # Locks
 //
 // Gateway.mu guards the view of upstreams, their statements, the evacuations and the scheduler. It is
-// never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken while mu
-// is held, not the other way round. The configuration is published as an immutable value.
+// never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken
+// while mu is held, not the other way round. The locks of the memory budget, of a stream's backlog and
+// of the watch over writes are taken while no other lock is held. The configuration is published as an
+// immutable value.
 package gateway
 
 import (
@@ -21,6 +23,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
@@ -46,6 +49,9 @@
 	PriorityHeader string
 	// Deadline returns how long the caller waits, and false if the caller does not say so.
 	Deadline func(http.Header) (time.Duration, bool)
+	// TokenCounts returns the number of prompt tokens and the maximum number of output tokens of a
+	// request, and false if the caller does not state them. It may be nil.
+	TokenCounts func(http.Header) (prompt, output int, ok bool)
 	// Statement returns what an upstream states about itself in a response, without the times. The
 	// error names a field that can't be read; the statement holds the other ones.
 	Statement func(status int, h http.Header) (backpressure.Statement, error)
@@ -57,6 +63,8 @@
 	Client  *dispatch.Client
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// DataCentreRegions holds the region of each data centre.
+	DataCentreRegions map[string]string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Fingerprints computes request fingerprints that are the same on all hosts.
@@ -67,6 +75,9 @@
 	Backpressure Backpressure
 	// ColdBound limits what a cold upstream gets from all hosts together in any second.
 	ColdBound backpressure.ColdBound
+	// MemoryMB is the memory of the host in megabytes, from which the limits of what it holds for
+	// callers follow; 0 means no limits.
+	MemoryMB int
 	// Now returns the time since the host's start; nil means the system's monotonic clock.
 	Now     func() time.Duration
 	Log     *slog.Logger
@@ -78,6 +89,10 @@
 	cfg    Config
 	counts counters
 	table  atomic.Pointer[routetable.Table]
+	// memory counts the bytes that the host holds for callers.
+	memory *memory.Budget
+	// writes finds the streams whose callers are slow.
+	writes *writeWatch
 	// tableKnown is closed when the first configuration is set.
 	tableKnown chan struct{}
 	// draining is set once the host no longer wants new connections.
@@ -118,13 +133,14 @@
 	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
-		view: registry.NewView(), statements: backpressure.NewTable(),
+		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(), view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
-			DataCentre: cfg.DataCentre, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			StartupUntil: startupWait,
 		}),
 		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{}, cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
+	metrics.NewRegisteredFunctionalGauge("gateway.memory.held-bytes", cfg.Metrics, func() int64 { return g.memory.Held() })
 	cfg.Client.OnResponse(g.observe)
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,7 @@
 
 // testEnv is a gateway in front of test upstreams.
 type testEnv struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	front   *httptest.Server
 	// clockAhead is how far the gateway's clock is ahead of the real one, in nanoseconds.
@@ -43,14 +43,14 @@
 }
 
 // newTestEnv returns a testEnv whose start-up phase is over.
-func newTestEnv(t *testing.T) *testEnv {
+func newTestEnv(t testing.TB) *testEnv {
 	env := newStartingTestEnv(t)
 	env.clockAhead.Store(int64(time.Hour))
 	return env
 }
 
 // newStartingTestEnv returns a testEnv that has just started.
-func newStartingTestEnv(t *testing.T) *testEnv {
+func newStartingTestEnv(t testing.TB) *testEnv {
 	env := &testEnv{t: t, addresses: map[string]string{}}
 	began := time.Now()
 	d := Dialect{
@@ -60,6 +60,10 @@
 			ms, err := strconv.Atoi(h.Get("X-D"))
 			return time.Duration(ms) * time.Millisecond, err == nil
 		},
+		TokenCounts: func(h http.Header) (prompt, output int, ok bool) {
+			n, err := fmt.Sscanf(h.Get("X-T"), "%d,%d", &prompt, &output)
+			return prompt, output, n == 2 && err == nil
+		},
 		Statement: func(status int, h http.Header) (s backpressure.Statement, err error) {
 			if text := h.Get("X-Limit"); text != "" {
 				s.Rate, err = strconv.ParseFloat(text, 64)
@@ -78,8 +82,9 @@
 			Limits: quarantine.DefaultLimits, Now: now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 		}),
 		Dialect: d, Client: dispatch.New(dispatch.Config{HeaderNames: d.UpstreamHeaders, DialTimeout: 5 * time.Second}),
-		RetryBudget: retrybudget.Params{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
-		Now:         now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		DataCentreRegions: map[string]string{"n": "north", "s": "south"},
+		RetryBudget:       retrybudget.Params{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
+		Now:               now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
 	env.gateway, env.front = g, httptest.NewServer(g)
 	t.Cleanup(env.front.Close)
@@ -475,8 +480,8 @@
 		r := httptest.NewRequest(http.MethodPost, "/stream/", nil)
 		r.Host = "127.0.0.1"
 		r.Header.Set("X-K", key)
-		c := &call{g: env.gateway, r: r, began: time.Now()}
-		require.NoError(t, c.prepare())
+		c, ctx := env.gateway.newCall(httptest.NewRecorder(), r)
+		require.NoError(t, c.prepare(ctx))
 		require.Equal(t, want, c.priority, key)
 	}
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -27,20 +27,21 @@
 // limit or rests, if there is no other. It is longer than tokens take to come.
 const maxTokenWait = 450 * time.Millisecond
 
-// reservePlain reserves an upstream of a plain service, which is one without engines, that was
-// not tried yet. If the host has just started, it waits until the upstreams are known. If all
+// reservePlain reserves an upstream of a plain service, which is one without engines, that the
+// request may be sent to. If the host has just started, it waits until the upstreams are known. If all
 // upstreams have rate limits or rest, it waits up to maxTokenWait for one. If all are in evacuated
 // data centres, it does not wait. Errors are *verdict.Error and always NotRun.
-func (g *Gateway) reservePlain(ctx context.Context, name string, tried []string) (registry.Upstream, *reservation, error) {
+func (g *Gateway) reservePlain(ctx context.Context, name string, allowed *schedule.Constraints) (registry.Upstream, *reservation, error) {
 	waitsUntil := g.now() + maxTokenWait
 	var waiter *schedule.PlainWaiter
 	defer func() { g.stopWaiting(waiter) }()
 	for {
 		g.mu.Lock()
 		now := g.now()
-		u, t, ok := g.scheduler.ReserveLeastLoaded(name, tried, now)
-		waiter = g.waitForToken(waiter, name, tried, !ok)
-		next, isRestricted := g.scheduler.AcceptsAt(name, tried, now)
+		u, t, ok := g.scheduler.ReserveLeastLoaded(name, allowed, now)
+		waiter = g.waitForToken(waiter, name, allowed, !ok)
+		next, isRestricted := g.scheduler.AcceptsAt(name, allowed, now)
+		hasNoRegion := g.scheduler.HasNoRegion(name, allowed, now)
 		changed, isClosed := g.upstreamsChanged, g.evacuations.closedServices[name]
 		g.requestTokens()
 		g.mu.Unlock()
@@ -50,6 +51,10 @@
 		if isClosed {
 			return u, nil, g.refuseEvacuated(ctx)
 		}
+		if hasNoRegion {
+			g.counts.increment("refused." + schedule.NoRegion.Name())
+			return u, nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, schedule.NoRegion.String())
+		}
 		if isRestricted && (next > waitsUntil || now >= waitsUntil) {
 			return u, nil, g.refuseRestricted(name, next)
 		}
@@ -69,10 +74,10 @@
 
 // waitForToken tells the scheduler whether a request to a plain service waits for a token of a cold
 // upstream. It returns the request's entry there, nil if it does not wait. The caller holds mu.
-func (g *Gateway) waitForToken(w *schedule.PlainWaiter, name string, tried []string, waits bool) *schedule.PlainWaiter {
+func (g *Gateway) waitForToken(w *schedule.PlainWaiter, name string, allowed *schedule.Constraints, waits bool) *schedule.PlainWaiter {
 	switch {
 	case waits && w == nil && g.scheduler.HasCold(name, g.now()):
-		return g.scheduler.AddPlainWaiter(name, tried)
+		return g.scheduler.AddPlainWaiter(name, allowed)
 	case !waits && w != nil:
 		g.scheduler.RemovePlainWaiter(w)
 		return nil
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -38,6 +38,11 @@
 	Workspace string
 	// Tried lists the ids of the upstreams that earlier attempts of the request were sent to.
 	Tried []string
+	// Regions are the regions in which the request may run.
+	Regions routetable.Regions
+	// Tokens is the number of prompt tokens and the maximum number of output tokens together, 0 if
+	// unknown.
+	Tokens int
 	// TimeLeft is the time until the caller's deadline, 0 if unknown.
 	TimeLeft time.Duration
 	// CanRetry reports whether the caller has enough time left to try again later.
@@ -49,8 +54,9 @@
 // Waiter is a request in the queue for a slot.
 type Waiter struct {
 	service *service
-	tried   []string
-	class   *class
+	// constraints state where the request may be sent.
+	constraints Constraints
+	class       *class
 	// workspace is the workspace of the caller.
 	workspace string
 	// latestStart is the latest time at which the request can start and still send its first
@@ -87,6 +93,10 @@
 	Restricted
 	// Evacuated means that all upstreams are in data centres that are evacuated.
 	Evacuated
+	// NoRegion means that no upstream is in a region in which the request may run.
+	NoRegion
+	// ExceedsCache means that the request needs more tokens than the KV cache of an engine has.
+	ExceedsCache
 )
 
 // String returns the reason as a sentence for callers and logs.
@@ -98,6 +108,10 @@
 		return "all upstreams limit the rate of requests or rest"
 	case Evacuated:
 		return "all upstreams are in evacuated data centres"
+	case NoRegion:
+		return "no upstream is in an allowed region"
+	case ExceedsCache:
+		return "the prompt and the maximum output exceed the engine's KV cache"
 	}
 	return "no place became free in time"
 }
@@ -111,13 +125,17 @@
 		return "restricted"
 	case Evacuated:
 		return "evacuated"
+	case NoRegion:
+		return "region"
+	case ExceedsCache:
+		return "kv-cache"
 	}
 	return "full"
 }
 
 // Decision is the outcome for a request. Either it holds Ticket for a slot at Upstream, or it
 // is queued as Waiter, or it is refused for Reason and the caller is told to retry after
-// RetryAfter.
+// RetryAfter, which is 0 if that does not help.
 type Decision struct {
 	Upstream   registry.Upstream
 	Ticket     *Ticket
@@ -137,7 +155,13 @@
 		w.class.onTimeArrivals.add(now)
 	}
 	w.class.arrivals.add(now)
-	if sv.isDown(now) || s.awaitsFirstReports(sv, now) {
+	if sv.exceedsCache(&w.constraints) {
+		return Decision{Reason: ExceedsCache}
+	}
+	if s.hasNoRegion(sv, &w.constraints, now) {
+		return s.refuse(NoRegion, w, now)
+	}
+	if sv.isDownFor(&w.constraints, now) || s.awaitsFirstReports(sv, now) {
 		if (r.CanRetry || len(sv.active) == 0 || sv.isDownForLong(now)) && now >= s.cfg.StartupUntil && !sv.isBrieflyStalled(now) {
 			return s.refuse(Outage, w, now)
 		}
@@ -161,7 +185,8 @@
 // now and has to wait can still be served.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
-		service: sv, tried: r.Tried, class: sv.class(r.Priority), workspace: r.Workspace, arrival: now, isResumed: r.IsResumed,
+		service: sv, constraints: Constraints{Tried: r.Tried, Regions: r.Regions, Tokens: r.Tokens},
+		class: sv.class(r.Priority), workspace: r.Workspace, arrival: now, isResumed: r.IsResumed,
 		latestStart: r.OnTimeUntil - sv.timeToFirstEvent(), giveUpAt: now + MaxQueueWait, canRetry: r.CanRetry,
 	}
 	if r.TimeLeft > 0 {
@@ -192,13 +217,13 @@
 // admitNow reserves a slot for a new request, unless a queued request goes first.
 func (s *Scheduler) admitNow(sv *service, w *Waiter, now time.Duration) (*Ticket, bool) {
 	s.updateClasses(sv, now)
-	if i := s.nextAdmissible(sv, now); i >= 0 && !w.precedes(sv.waiters[i], now) {
+	if s.isAhead(w, now) {
 		return nil, false
 	}
 	if !s.mayAdmit(sv, w, now) {
 		return nil, false
 	}
-	u, ok := s.pickEngine(sv, w.tried, w.class.isPreferred, now)
+	u, ok := s.pickEngine(sv, &w.constraints, w.class.isPreferred, now)
 	if !ok {
 		return nil, false
 	}
@@ -214,10 +239,10 @@
 func (s *Scheduler) refuse(reason Reason, w *Waiter, now time.Duration) Decision {
 	latest := maxRetryAfterFor(w, now)
 	switch reason {
-	case Outage, Evacuated:
+	case Outage, Evacuated, NoRegion:
 		return Decision{Reason: reason, RetryAfter: latest}
 	case Restricted:
-		next, _ := s.acceptsAt(w.service, w.tried, now)
+		next, _ := s.acceptsAt(w.service, &w.constraints, now)
 		return Decision{Reason: reason, RetryAfter: s.restrictedRetryAfter(w.service, next, now)}
 	}
 	fraction := minRetryAfterFraction + (1-minRetryAfterFraction)*s.cfg.Random.Float64()
@@ -246,6 +271,8 @@
 	t.workspace = w.workspace
 	w.class.begin(w.workspace)
 	w.class.admissions.add(now)
+	t.constraints = &w.constraints
+	t.countTokens()
 	sv.demand.admissions.add(now)
 	if t.isLate = !w.canBeOnTime(now); t.isLate {
 		sv.late++
--- a/internal/schedule/cold.go
+++ b/internal/schedule/cold.go
@@ -157,14 +157,14 @@
 
 // PlainWaiter is a request to a plain service that waits for a token.
 type PlainWaiter struct {
-	service *service
-	tried   []string
+	service     *service
+	constraints *Constraints
 }
 
 // AddPlainWaiter records that a request to a plain service waits until an upstream accepts it. The
 // caller removes it.
-func (s *Scheduler) AddPlainWaiter(name string, tried []string) *PlainWaiter {
-	w := &PlainWaiter{service: s.service(name), tried: tried}
+func (s *Scheduler) AddPlainWaiter(name string, c *Constraints) *PlainWaiter {
+	w := &PlainWaiter{service: s.service(name), constraints: c}
 	w.service.plainWaiters = append(w.service.plainWaiters, w)
 	return w
 }
@@ -197,18 +197,18 @@
 			outstanding += u.allowance.Outstanding(now)
 		}
 	}
-	ask := func(tried []string) {
+	ask := func(c *Constraints) {
 		if outstanding > 0 {
 			outstanding--
-		} else if u := s.nextCold(sv, tried, counts, now); u != nil {
+		} else if u := s.nextCold(sv, c, counts, now); u != nil {
 			counts[u]++
 		}
 	}
 	for _, w := range sv.waiters {
-		ask(w.tried)
+		ask(&w.constraints)
 	}
 	for _, w := range sv.plainWaiters {
-		ask(w.tried)
+		ask(w.constraints)
 	}
 	if sv.overflowed {
 		ask(nil)
@@ -229,12 +229,12 @@
 // nextCold returns the cold upstream to which a waiting request would be sent next, of those that
 // a token can be asked for now: the least loaded one, chosen at random among equals. counts holds
 // how many tokens are about to be asked for. The result is nil if there is none.
-func (s *Scheduler) nextCold(sv *service, tried []string, counts map[*upstream]int, now time.Duration) *upstream {
+func (s *Scheduler) nextCold(sv *service, c *Constraints, counts map[*upstream]int, now time.Duration) *upstream {
 	var best *upstream
 	lowest, ties := 0.0, 0
 	minRatio := sv.minStepTimeRatio(now)
 	for _, u := range s.restricted {
-		if u.service != sv || !u.isCold() || now < u.restUntil || !u.allowance.MayAsk(now) || counts[u] >= maxColdTokens || slices.Contains(tried, u.ID) {
+		if u.service != sv || !u.isCold() || now < u.restUntil || !u.allowance.MayAsk(now) || counts[u] >= maxColdTokens || !c.allow(u) {
 			continue
 		}
 		load := s.estimatedLoad(u, now) + float64(counts[u]+u.allowance.Outstanding(now))
--- a/internal/schedule/cold_test.go
+++ b/internal/schedule/cold_test.go
@@ -122,7 +122,7 @@
 	_, _, ok := l.ReserveLeastLoaded("s", nil, l.now)
 	require.False(t, ok)
 	require.Empty(t, l.coldTokenRequest(), "the request does not wait")
-	w := l.AddPlainWaiter("s", []string{"0/0", "0/1"})
+	w := l.AddPlainWaiter("s", &Constraints{Tried: []string{"0/0", "0/1"}})
 	require.Equal(t, map[string]int{"0/2": 1}, l.coldTokenRequest())
 	l.AddTokens(incarnation("0/2"), []time.Duration{0}, time.Second, l.now)
 	u, _, ok := l.ReserveLeastLoaded("s", nil, l.now)
@@ -130,7 +130,7 @@
 	require.Equal(t, "0/2", u.ID)
 	l.RemovePlainWaiter(w)
 	require.Empty(t, l.coldTokenRequest())
-	next, isRestricted := l.AcceptsAt("s", []string{"0/0", "0/1"}, l.now)
+	next, isRestricted := l.AcceptsAt("s", &Constraints{Tried: []string{"0/0", "0/1"}}, l.now)
 	require.True(t, isRestricted)
 	require.Equal(t, l.now+time.Second, next)
 }
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -46,6 +46,10 @@
 	began         time.Duration
 	isLate        bool
 	isReleased    bool
+	// constraints are those of the request, for its next attempt; nil for plain services.
+	constraints *Constraints
+	// tokens is how many tokens the attempt needs in the KV cache of its engine.
+	tokens int
 	// hasToken is set if a token of the upstream's rate limit was taken for the attempt. allowance is
 	// where it was taken from, and sendBy until when it lasts.
 	hasToken  bool
@@ -68,14 +72,14 @@
 // Address returns the address of the upstream when the attempt began, as "ip:port".
 func (t *Ticket) Address() string { return t.address }
 
-// ReserveLeastLoaded reserves the least loaded upstream of a plain service that was not tried
-// yet. Upstreams suspected of failure are used only if there is no other. It returns false if
+// ReserveLeastLoaded reserves the least loaded upstream of a plain service that the request may be
+// sent to. Upstreams suspected of failure are used only if there is no other. It returns false if
 // none is left, or none that accepts a request now.
-func (s *Scheduler) ReserveLeastLoaded(name string, tried []string, now time.Duration) (registry.Upstream, *Ticket, bool) {
+func (s *Scheduler) ReserveLeastLoaded(name string, c *Constraints, now time.Duration) (registry.Upstream, *Ticket, bool) {
 	s.expireCold(now)
 	sv := s.service(name)
 	for _, mayBeSuspect := range []bool{false, true} {
-		if u := s.leastLoaded(sv, tried, mayBeSuspect, now); u != nil {
+		if u := s.leastLoaded(sv, c, mayBeSuspect, now); u != nil {
 			return u.Upstream, s.reserve(u, now), true
 		}
 	}
@@ -84,12 +88,12 @@
 
 // leastLoaded returns the upstream with the smallest fraction of its slots in use, chosen at
 // random among equals, or nil if there is none.
-func (s *Scheduler) leastLoaded(sv *service, tried []string, mayBeSuspect bool, now time.Duration) *upstream {
+func (s *Scheduler) leastLoaded(sv *service, c *Constraints, mayBeSuspect bool, now time.Duration) *upstream {
 	var best *upstream
 	lowest, ties := 0.0, 0
 	lowestCold := math.Inf(1)
 	for _, u := range sv.active {
-		if slices.Contains(tried, u.ID) || !mayBeSuspect && u.isSuspect(now) {
+		if !c.allow(u) || !mayBeSuspect && u.isSuspect(now) {
 			continue
 		}
 		if !u.accepts(now) {
@@ -135,16 +139,16 @@
 	load     float64
 }
 
-// pickEngine chooses an engine that was not tried yet and has a free slot. Suspect engines are
-// used only if no other engine serves, not if all others are merely full. A preferred request needs
-// no quota and finds a slot just beyond the concurrency limit too.
-func (s *Scheduler) pickEngine(sv *service, tried []string, isPreferred bool, now time.Duration) (*upstream, bool) {
+// pickEngine chooses an engine that the request may be sent to and that has a free slot. Suspect
+// engines are used only if no other engine serves, not if all others are merely full. A preferred
+// request needs no quota and finds a slot just beyond the concurrency limit too.
+func (s *Scheduler) pickEngine(sv *service, c *Constraints, isPreferred bool, now time.Duration) (*upstream, bool) {
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
-	s.trustedCandidates, s.suspectCandidates = s.trustedCandidates[:0], s.suspectCandidates[:0]
-	hasTrusted := false
+	s.trustedCandidates, s.suspectCandidates, s.lacksCache = s.trustedCandidates[:0], s.suspectCandidates[:0], false
+	hasTrusted, limitsTokens := false, sv.limitsTokens(c)
 	lowestCold := math.Inf(1)
 	for _, u := range sv.active {
-		if !sv.serves(u, now) || slices.Contains(tried, u.ID) {
+		if !sv.serves(u, now) || !c.allow(u) {
 			continue
 		}
 		isTrusted := !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
@@ -155,6 +159,10 @@
 			limit = min(limit+urgentHeadroom, max(limit, sv.engineSpec.Slots))
 		}
 		hasSlot := (isPreferred || u.isWithinQuota(now)) && load < float64(limit)
+		if hasSlot && limitsTokens && !s.fitsCache(u, c, now) {
+			s.lacksCache = true
+			continue
+		}
 		if hasSlot && !u.accepts(now) {
 			u.passOver(now)
 			if u.isCold() {
@@ -300,6 +308,7 @@
 	delete(sv.awaitingHeader, t)
 	delete(sv.movable, t)
 	u.inflight--
+	u.tokens -= t.tokens
 	sv.inflight--
 	if t.class != nil {
 		t.class.end(t.workspace)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// DataCentreRegions holds the region of each data centre.
+	DataCentreRegions map[string]string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
 	// Random is the source of all random choices.
@@ -63,6 +65,9 @@
 	// trustedCandidates and suspectCandidates are buffers of pickEngine, kept to avoid an
 	// allocation for each decision.
 	trustedCandidates, suspectCandidates []candidate
+	// lacksCache is set if the last call of pickEngine passed over an engine with a free slot because
+	// of its KV cache.
+	lacksCache bool
 }
 
 // New returns an empty Scheduler that assumes no other hosts.
@@ -77,9 +82,13 @@
 type upstream struct {
 	registry.Upstream
 	service *service
-	group   *group
+	// region is the region of the upstream's data centre, empty if unknown.
+	region string
+	group  *group
 	// inflight is the number of this host's attempts in flight at the upstream.
 	inflight int
+	// tokens is how many tokens these attempts need together.
+	tokens int
 	// consecutiveFailures is the number of attempts that failed since the last success.
 	consecutiveFailures int
 	suspectUntil        time.Duration
@@ -220,7 +229,7 @@
 		u.allowance, u.restUntil, u.avoidUntil = nil, 0, 0
 		u.statedRate, u.observedColdUntil = 0, 0
 	}
-	u.Upstream = announced
+	u.Upstream, u.region = announced, s.cfg.DataCentreRegions[announced.DataCentre]
 	return u
 }
 
