emulate: periodic arrivals, bursts and priority classes, outcomes by phase

The emulator knew one steady class of callers, so it could not judge a change for periodic load or for callers that return at the Retry-After.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -10,7 +10,7 @@
 // The simulation is deterministic: the same configuration and seed always give the same report.
 // It starts no goroutine, reads no clock and does no I/O.
 //
-// Not modelled: plain services, workspaces and priorities, links and data centres, streams that
+// Not modelled: plain services, workspaces, links and data centres, streams that
 // are resumed at another upstream, requests that are withdrawn from a stalled group, and the
 // way the expert map follows expert popularity (the skew of a group is an input).
 package emulator
@@ -60,6 +60,20 @@
 	RetryBudget retrybudget.Params
 	// Outages lists the times at which groups are down.
 	Outages []Outage
+	// Classes are the priority classes of callers. If there are none, all callers have priority 0,
+	// Target and ArrivalRate.
+	Classes []Class
+	// Phase names the phase of the load at a given time, such as "peak". Callers are counted by
+	// the phase in which they first try. Nil means that there are no phases.
+	Phase func(at time.Duration) string
+}
+
+// Class describes the callers of one priority. Its fields have the same meaning as those of
+// Config.
+type Class struct {
+	Priority    int
+	Target      time.Duration
+	ArrivalRate func(at time.Duration) float64
 }
 
 // Outage is a period in which a group accepts no requests. The requests that it had at the
@@ -80,7 +94,7 @@
 // check returns an error if the configuration is invalid.
 func (c *Config) check() error {
 	switch {
-	case c.ArrivalPeriod <= 0 || c.ArrivalRate == nil:
+	case c.ArrivalPeriod <= 0 || c.ArrivalRate == nil && len(c.Classes) == 0:
 		return errors.New("emulator: ArrivalPeriod must be positive and ArrivalRate must be set")
 	case c.Hosts <= 0 || c.Groups <= 0 || c.Ranks <= 0:
 		return errors.New("emulator: Hosts, Groups and Ranks must be positive")
@@ -89,6 +103,11 @@
 	case c.Target <= 0 || c.CallerTimeout < c.Target:
 		return errors.New("emulator: Target must be positive and CallerTimeout must not be shorter than Target")
 	}
+	for _, class := range c.Classes {
+		if class.ArrivalRate == nil || class.Target <= 0 || c.CallerTimeout < class.Target {
+			return errors.Errorf("emulator: invalid class of priority %d", class.Priority)
+		}
+	}
 	for _, o := range c.Outages {
 		if o.Group < 0 || o.Group >= c.Groups || o.To <= o.From {
 			return errors.Errorf("emulator: invalid outage of group %d from %s to %s", o.Group, o.From, o.To)
@@ -137,10 +156,15 @@
 	if cfg.ReportDelay <= 0 {
 		cfg.ReportDelay = DefaultReportDelay
 	}
+	if len(cfg.Classes) == 0 {
+		cfg.Classes = []Class{{Target: cfg.Target, ArrivalRate: cfg.ArrivalRate}}
+	}
 	s := &simulation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), engines: make(map[string]*engine)}
 	s.build()
 	s.clock.at(0, s.publishLoads)
-	s.clock.at(0, s.scheduleArrivals)
+	for i := range cfg.Classes {
+		s.clock.at(0, func() { s.scheduleArrivals(&cfg.Classes[i]) })
+	}
 	for _, o := range cfg.Outages {
 		s.clock.at(o.From, s.groups[o.Group].fail)
 		s.clock.at(o.To, s.groups[o.Group].reform)
@@ -195,20 +219,21 @@
 	s.clock.after(reportInterval, s.publishLoads)
 }
 
-// scheduleArrivals starts the request of a caller and schedules the arrival of the next one.
-// The time between two arrivals is distributed exponentially.
-func (s *simulation) scheduleArrivals() {
+// scheduleArrivals starts the request of a caller of a class and schedules the arrival of the
+// next one. The time between two arrivals is distributed exponentially.
+func (s *simulation) scheduleArrivals(class *Class) {
 	now := s.clock.now
 	if now >= s.cfg.ArrivalPeriod {
 		return
 	}
-	rate := s.cfg.ArrivalRate(now)
+	next := func() { s.scheduleArrivals(class) }
+	rate := class.ArrivalRate(now)
 	if rate <= 0 {
-		s.clock.after(reportInterval, s.scheduleArrivals)
+		s.clock.after(reportInterval, next)
 		return
 	}
 	if now > 0 {
-		s.startCall()
+		s.startCall(class)
 	}
-	s.clock.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.scheduleArrivals)
+	s.clock.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), next)
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -189,3 +189,27 @@
 		mustRun(b, cfg)
 	}
 }
+
+// Guards against callers that are missing from the counts of their phase and class, or counted in
+// those of another.
+func TestPhasesAndClassesAddUpToTheReport(t *testing.T) {
+	cfg := baseConfig(1, 0)
+	rate := func(time.Duration) float64 { return capacity }
+	cfg.Classes = []Class{{Target: cfg.Target, ArrivalRate: rate}, {Priority: 2, Target: time.Second, ArrivalRate: rate}}
+	cfg.Phase = func(at time.Duration) string {
+		if at < 5*time.Second {
+			return "first"
+		}
+		return "second"
+	}
+	r := mustRun(t, cfg)
+	require.Len(t, r.Phases, 4)
+	var sum Counts
+	for key, c := range r.Phases {
+		require.Positive(t, c.Callers, key)
+		sum.Callers, sum.OnTime, sum.Late = sum.Callers+c.Callers, sum.OnTime+c.OnTime, sum.Late+c.Late
+		sum.Refused, sum.RefusedAgain = sum.Refused+c.Refused, sum.RefusedAgain+c.RefusedAgain
+	}
+	require.Equal(t, Counts{Callers: r.Callers, OnTime: r.OnTime, Late: r.Late, Refused: r.Retried, RefusedAgain: r.Refused}, sum)
+	require.Less(t, r.Phases[PhaseKey{"first", 0}].Callers, r.Phases[PhaseKey{"second", 0}].Callers)
+}
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -42,7 +42,7 @@
 	now := h.sim.clock.now
 	d := h.scheduler.Admit(&schedule.Request{
 		Service: serviceName, Engine: &h.sim.cfg.Engine, MaxEventGap: h.sim.cfg.MaxEventGap, OnTimeUntil: c.onTimeUntil(), Tried: c.triedUpstreams,
-		TimeLeft: c.deadline() - now, CanRetry: float64(c.deadline()-now) > minReturnShare*float64(h.sim.cfg.CallerTimeout),
+		Priority: c.class.Priority, TimeLeft: c.deadline() - now, CanRetry: float64(c.deadline()-now) > minReturnShare*float64(h.sim.cfg.CallerTimeout),
 	}, now)
 	if d.Waiter == nil {
 		c.onDecision(d)
@@ -73,8 +73,11 @@
 // call is the request of one caller. A caller tries at most twice, at a host each. Within one
 // try, the host may attempt several engines.
 type call struct {
-	sim  *simulation
-	host *host
+	sim   *simulation
+	class *Class
+	host  *host
+	// counts are the counters of the caller's class and phase.
+	counts *Counts
 	// firstTry and lastTry are the times of the caller's first and last try.
 	firstTry, lastTry time.Duration
 	tries             int
@@ -91,10 +94,11 @@
 }
 
 // startCall starts the request of a new caller.
-func (s *simulation) startCall() {
+func (s *simulation) startCall(class *Class) {
 	s.activeCallers++
 	s.report.Callers++
-	c := &call{sim: s, firstTry: s.clock.now}
+	c := &call{sim: s, class: class, firstTry: s.clock.now, counts: s.report.countsOf(s.cfg.phase(s.clock.now), class.Priority)}
+	c.counts.Callers++
 	c.try()
 }
 
@@ -106,7 +110,7 @@
 	if c.tries > 1 {
 		return c.firstTry
 	}
-	return c.firstTry + c.sim.cfg.Target
+	return c.firstTry + c.class.Target
 }
 
 // try sends the request to a random host.
@@ -148,7 +152,7 @@
 		c.ticket = nil
 	}
 	if c.tries > 1 || c.eventCount > 0 {
-		c.end(&c.sim.report.Abandoned)
+		c.end(&c.sim.report.Abandoned, &c.counts.Abandoned)
 		return
 	}
 	c.try()
@@ -196,10 +200,11 @@
 	c.sim.report.onRefusal(c.lastTry, now-c.lastTry)
 	wait := min(retryAfter, schedule.MaxRetryAfter(c.deadline()-now))
 	if c.tries > 1 {
-		c.end(&c.sim.report.Refused)
+		c.end(&c.sim.report.Refused, &c.counts.RefusedAgain)
 		return
 	}
 	c.sim.report.Retried++
+	c.counts.Refused++
 	c.sim.clock.after(wait, c.try)
 }
 
@@ -210,7 +215,7 @@
 	}
 	c.startSilenceTimeout()
 	now := c.sim.clock.now
-	isLate := now > c.firstTry+c.sim.cfg.Target
+	isLate := now > c.firstTry+c.class.Target
 	if c.eventCount > 0 {
 		c.host.scheduler.RecordEventGap(c.ticket, now-c.lastEvent, now)
 		isLate = c.sim.cfg.MaxEventGap > 0 && now-c.lastEvent > c.sim.cfg.MaxEventGap
@@ -227,10 +232,10 @@
 	}
 	c.host.endAttempt(c.ticket, schedule.Success)
 	if c.lateEvents > 0 {
-		c.end(&c.sim.report.Late)
+		c.end(&c.sim.report.Late, &c.counts.Late)
 		return
 	}
-	c.end(&c.sim.report.OnTime)
+	c.end(&c.sim.report.OnTime, &c.counts.OnTime)
 }
 
 // onGroupFailure handles the failure of the group that runs the call. If no event has arrived
@@ -241,12 +246,14 @@
 		return
 	}
 	c.host.endAttempt(c.ticket, schedule.Failure)
-	c.end(&c.sim.report.Interrupted)
+	c.end(&c.sim.report.Interrupted, &c.counts.Interrupted)
 }
 
-// end ends the call and adds it to one of the report's counters.
-func (c *call) end(counter *int) {
+// end ends the call and adds it to one of the report's counters and to the same counter of its
+// class and phase.
+func (c *call) end(total, ofPhase *int) {
 	c.hasEnded = true
-	*counter++
+	*total++
+	*ofPhase++
 	c.sim.activeCallers--
 }
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -28,6 +28,41 @@
 	MaxMeanLoad float64
 	// Ended is the time at which the last caller left.
 	Ended time.Duration
+	// Phases holds the counts of each phase and class in which callers have arrived.
+	Phases map[PhaseKey]*Counts
+}
+
+// PhaseKey names the callers of one priority that first tried in one phase.
+type PhaseKey struct {
+	Phase    string
+	Priority int
+}
+
+// Counts counts the outcomes of a part of the callers, as Report does for all. Refused counts
+// those that were refused once and told to return, and RefusedAgain those that were refused
+// again when they returned.
+type Counts struct {
+	Callers, OnTime, Late, Refused, RefusedAgain, Interrupted, Abandoned int
+}
+
+// phase returns the name of the phase at a given time.
+func (c *Config) phase(at time.Duration) string {
+	if c.Phase == nil {
+		return ""
+	}
+	return c.Phase(at)
+}
+
+// countsOf returns the counts of a phase and class, which are created when needed.
+func (r *Report) countsOf(phase string, priority int) *Counts {
+	key := PhaseKey{Phase: phase, Priority: priority}
+	if r.Phases == nil {
+		r.Phases = make(map[PhaseKey]*Counts)
+	}
+	if r.Phases[key] == nil {
+		r.Phases[key] = &Counts{}
+	}
+	return r.Phases[key]
 }
 
 // Fraction returns n divided by the number of callers.
--- a/test/cmd/emulate/main.go
+++ b/test/cmd/emulate/main.go
@@ -44,6 +44,7 @@
 	reportDelay                 time.Duration
 	engine                      engineOptions
 	outages, skewPeriods        []string
+	load                        loadOptions
 	seed                        uint64
 	seeds, jobs                 int
 	output, baselineFile        string
@@ -108,6 +109,7 @@
 	fs.Float64Var(&o.skew, "skew", 1, "load of the most loaded rank over the mean one")
 	fs.DurationVar(&o.length, "for", 20*time.Second, "for how long callers come")
 	fs.StringArrayVar(&o.outages, "outage", nil, "GROUP:FROM-TO, such as 0:5s-7s; may be given again")
+	o.load.addFlags(fs)
 	fs.Uint64Var(&o.seed, "seed", 1, "the first seed")
 	fs.IntVar(&o.seeds, "seeds", 20, "how many seeds")
 	fs.IntVar(&o.jobs, "jobs", runtime.NumCPU(), "seeds that are played at once")
@@ -196,7 +198,6 @@
 	if o.rate > 0 {
 		rate = o.rate
 	}
-	cfg.ArrivalRate = func(time.Duration) float64 { return rate }
 	for _, text := range o.outages {
 		outage, err := parseOutage(text)
 		if err != nil {
@@ -211,7 +212,7 @@
 		}
 		cfg.SkewPeriods = append(cfg.SkewPeriods, period)
 	}
-	return cfg, nil
+	return cfg, o.load.apply(&cfg, rate)
 }
 
 // parseSkewPeriod parses a period of the form FROM-TO=SKEW.
--- a/test/cmd/emulate/main_test.go
+++ b/test/cmd/emulate/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"math"
 	"os"
 	"path/filepath"
@@ -43,7 +44,8 @@
 func TestInvalidFlagsAreRejected(t *testing.T) {
 	for _, args := range [][]string{
 		{"--outage", "1"}, {"--outage", "x:1s-2s"}, {"--outage", "7:1s-2s"}, {"--outage", "0:2s-1s"}, {"-o", "xml"},
-		{"--hosts", "0"}, {"--against", "no such file"}, {"--patience", "1ms"}, {"--jobs", "0"}, {"--callers", "-1"},
+		{"--swing", "0.5"}, {"--swing", "2", "--period", "13s"}, {"--class", "1:1s"}, {"--class", "0:9s=1"},
+		{"--burst", "0:1s-2s"}, {"--burst", "0:2s-1s=2"}, {"--hosts", "0"}, {"--against", "no such file"}, {"--patience", "1ms"}, {"--jobs", "0"}, {"--callers", "-1"},
 	} {
 		_, err := runCommand(t, args...)
 		require.Error(t, err, args)
@@ -60,3 +62,16 @@
 	// the standard deviation of the values.
 	require.InDelta(t, 2.776*1.5811/math.Sqrt(5), i.halfWidth, 1e-3)
 }
+
+// A load that does not swing, or a phase that is named wrongly, would judge a change by another
+// load than the one named.
+func TestPeriodicLoadIsReportedByPhase(t *testing.T) {
+	text, err := runCommand(t, "--rate", "200", "--swing", "0.9", "--period", "1s", "-o", "json", "--class", "0:400ms=0.5", "--class", "2:1s=0.5", "--burst", "2:1s-1500ms=3")
+	require.NoError(t, err)
+	var all []outcome
+	require.NoError(t, json.Unmarshal([]byte(text), &all))
+	for _, o := range all {
+		require.Greater(t, o.Phases["peak p0"].Callers, 2*o.Phases["trough p0"].Callers)
+		require.Greater(t, o.Phases["burst p2"].Callers, 2*o.Phases["burst p0"].Callers)
+	}
+}
