Leave a slot of each engine free where quotas apply

With a concurrency limit of all slots, hosts, which admit by load reports of up to 150 ms, give some ranks more requests than they have slots: the emulator shows a mean of 10.7 requests at engines of 10 slots under overload. What an engine queues has a late first event. With schedule.Config.PlanReturns the limit of a group is at most one request per rank below the slots. Without the switch nothing changes.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -58,6 +58,8 @@
 	ReportDelay time.Duration
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
+	// PlanReturns is schedule.Config.PlanReturns of all hosts.
+	PlanReturns bool
 	// Outages lists the times at which groups are down.
 	Outages []Outage
 	// Classes are the priority classes of callers. If there are none, all callers have priority 0,
@@ -187,7 +189,7 @@
 		}
 	}
 	for range s.cfg.Hosts {
-		h := &host{sim: s, scheduler: schedule.New(schedule.Config{RetryBudget: s.cfg.RetryBudget, Random: s.rng}), waiting: make(map[*schedule.Waiter]*call)}
+		h := &host{sim: s, scheduler: schedule.New(schedule.Config{RetryBudget: s.cfg.RetryBudget, Random: s.rng, PlanReturns: s.cfg.PlanReturns}), waiting: make(map[*schedule.Waiter]*call)}
 		h.scheduler.SetHostCount(s.cfg.Hosts, 0)
 		h.scheduler.SetUpstreams(map[string][]registry.Upstream{serviceName: all}, 0)
 		s.hosts = append(s.hosts, h)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	DataCentre string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
+	// PlanReturns enables the rules for periodic load and returning callers.
+	PlanReturns bool
 	// Fingerprints computes request fingerprints that are the same on all hosts.
 	Fingerprints quarantine.Hasher
 	// Quarantine tracks the requests during which upstreams ended.
@@ -110,7 +112,7 @@
 		view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
 			DataCentre: cfg.DataCentre, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			StartupUntil: startupWait,
+			StartupUntil: startupWait, PlanReturns: cfg.PlanReturns,
 		}),
 		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{}, cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
--- a/internal/schedule/passtimes.go
+++ b/internal/schedule/passtimes.go
@@ -108,7 +108,7 @@
 		return
 	}
 	for _, g := range sv.groups {
-		g.limit = g.passTimes.limit(sv.engineSpec, sv.maxEventGap, now)
+		g.limit = sv.withHeadroom(g.passTimes.limit(sv.engineSpec, sv.maxEventGap, now))
 	}
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -34,6 +34,9 @@
 	// incomplete and groups that failed together with the host are forming again. Requests wait
 	// for that instead of being refused, because most of their callers have one retry left.
 	StartupUntil time.Duration
+	// PlanReturns enables the rules for periodic load and returning callers: the concurrency
+	// limit of withHeadroom.
+	PlanReturns bool
 }
 
 // Scheduler holds the state of all services as seen by one host.
@@ -111,6 +114,8 @@
 	engineSpec  *routetable.Engine
 	maxEventGap time.Duration
 	limit       int
+	// hasHeadroom is set if the limits of groups leave a slot free; see withHeadroom.
+	hasHeadroom bool
 	// quota is how many free slots this host may take; see updateQuotas. hasQuota is set while
 	// quotas apply. They can't be computed before a request has supplied the engines'
 	// performance parameters.
@@ -205,7 +210,7 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, groups: map[string]*group{}, awaitingHeader: map[*Ticket]headerWait{}, movable: map[*Ticket]time.Duration{}}
+		sv = &service{name: name, hasHeadroom: s.cfg.PlanReturns, groups: map[string]*group{}, awaitingHeader: map[*Ticket]headerWait{}, movable: map[*Ticket]time.Duration{}}
 		s.services[name] = sv
 	}
 	return sv
--- a/test/cmd/emulate/load.go
+++ b/test/cmd/emulate/load.go
@@ -17,10 +17,12 @@
 	swing           float64
 	period          time.Duration
 	classes, bursts []string
+	planReturns     bool
 }
 
 func (o *loadOptions) addFlags(fs *pflag.FlagSet) {
 	fs.Float64Var(&o.swing, "swing", 0, "amplitude of periodic arrivals, as a part of their mean rate")
+	fs.BoolVar(&o.planReturns, "plan-returns", false, "hosts plan the returns of refused callers")
 	fs.DurationVar(&o.period, "period", 0, "period of periodic arrivals; 0 means a steady rate")
 	fs.StringArrayVar(&o.classes, "class", nil, "PRIORITY:TARGET=SHARE, such as 2:1s=0.3, SHARE of all arrivals; may be given again")
 	fs.StringArrayVar(&o.bursts, "burst", nil, "PRIORITY:FROM-TO=FACTOR, such as 2:5s-11s=2.4; may be given again")
@@ -43,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.PlanReturns = o.planReturns
 	cfg.ArrivalRate = o.arrivals(rate, 0, bursts)
 	for _, text := range o.classes {
 		class, share, err := parseClass(text)
