Plan when refused callers return

A caller that is refused for lack of capacity returns at a random time in the second half of what it accepts, whatever load is expected then, and is often refused again. With schedule.Config.PlanReturns a host fits a line to its own arrivals of the last six seconds and tells the caller the interval in which most slots are left after the expected arrivals and the returns that it has promised already. If none is left, it tells about the longest time: a later return is more likely to come after the peak. The period of the load need not be known. Refusals log the promised returns, and refused.again counts the callers that were refused after they had returned.

--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -110,11 +110,14 @@
 // logRefusal logs and counts why a request got no slot.
 func (c *call) logRefusal(reason schedule.Reason) {
 	c.g.counts.increment("refused." + reason.Name())
+	if c.isCallerRetry() {
+		c.g.counts.increment("refused.again")
+	}
 	c.g.mu.Lock()
 	s, hosts := c.g.scheduler.State(c.service.Name, c.g.now()), c.g.scheduler.HostCount()
 	c.g.mu.Unlock()
 	c.warn("no place", "reason", reason.Name(), "upstreams", s.Upstreams, "loads_heard", s.Reporting, "serving", s.Serving,
 		"groups", s.Groups, "groups_closed", s.ClosedGroups, "load_age_ms", s.OldestReport.Milliseconds(), "places", s.Capacity,
-		"taken", s.EstimatedLoad, "late", s.LateAttempts, "need", s.OnTimeDemand, "waiting", s.Waiting, "hosts", hosts,
+		"taken", s.EstimatedLoad, "late", s.LateAttempts, "need", s.OnTimeDemand, "waiting", s.Waiting, "hosts", hosts, "promised_returns", s.PromisedReturns,
 		"waited_ms", time.Since(c.began).Milliseconds())
 }
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -124,6 +124,7 @@
 	w := sv.newWaiter(r, now)
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
+		sv.returns.arrivals.add(now)
 	}
 	if sv.isDown(now) || s.awaitsFirstReports(sv, now) {
 		if (r.CanRetry || len(sv.active) == 0 || sv.isDownForLong(now)) && now >= s.cfg.StartupUntil && !sv.isBrieflyStalled(now) {
@@ -196,8 +197,8 @@
 // caller usually has one retry left. In an outage a later retry is more likely to find the
 // group serving again, as long as enough time remains for the answer, so the caller is told the
 // longest time that it accepts. Without free capacity callers are spread over the second half
-// of that time. If all upstreams have rate limits or rest, the caller is told when the first
-// accepts a request.
+// of that time; if Config.PlanReturns is set, they return as planReturn says. If all upstreams have
+// rate limits or rest, the caller is told when the first accepts a request.
 func (s *Scheduler) refuse(reason Reason, w *Waiter, now time.Duration) Decision {
 	latest := maxRetryAfterFor(w, now)
 	switch reason {
@@ -207,6 +208,9 @@
 		next, _ := s.acceptsAt(w.service, w.tried, now)
 		return Decision{Reason: reason, RetryAfter: s.restrictedRetryAfter(w.service, next, now)}
 	}
+	if s.cfg.PlanReturns {
+		return Decision{Reason: reason, RetryAfter: s.planReturn(w, latest, now)}
+	}
 	fraction := minRetryAfterFraction + (1-minRetryAfterFraction)*s.cfg.Random.Float64()
 	return Decision{Reason: reason, RetryAfter: time.Duration(fraction * float64(latest))}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -34,8 +34,8 @@
 	// incomplete and groups that failed together with the host are forming again. Requests wait
 	// for that instead of being refused, because most of their callers have one retry left.
 	StartupUntil time.Duration
-	// PlanReturns enables the rules for periodic load and returning callers: the concurrency
-	// limit of withHeadroom.
+	// PlanReturns enables the rules for periodic load and returning callers: the Retry-After of
+	// planReturn and the concurrency limit of withHeadroom.
 	PlanReturns bool
 }
 
@@ -131,6 +131,7 @@
 	quotaRate averageRate
 	waiters   []*Waiter
 	demand    demand
+	returns   returnPlan
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -19,6 +19,8 @@
 	// occupied by requests that can be on time.
 	Waiting, LateAttempts int
 	OnTimeDemand          float64
+	// PromisedReturns counts the returns to come that this host has planned.
+	PromisedReturns int
 }
 
 // State returns a summary of what is known of a service.
@@ -44,6 +46,7 @@
 	}
 	if sv.engineSpec != nil {
 		out.Capacity, _ = s.capacity(sv, now)
+		out.PromisedReturns = sv.returns.pending(now)
 		out.OnTimeDemand = sv.demand.slotsNeeded(sv.expectedServiceTime(), now)
 	}
 	return out
