--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -213,3 +214,37 @@
 	require.Equal(t, Counts{Callers: r.Callers, OnTime: r.OnTime, Late: r.Late, Refused: r.Retried, RefusedAgain: r.Refused}, sum)
 	require.Less(t, r.Phases[PhaseKey{"first", 0}].Callers, r.Phases[PhaseKey{"second", 0}].Callers)
 }
+
+// requireMoreOnTimeWithPlannedReturns checks that Config.PlanReturns serves more callers on time
+// in a load, over three seeds. In the deployment of the test quotas apply, and the passes allow all
+// slots to be used. It serves about 65 callers per second.
+func requireMoreOnTimeWithPlannedReturns(t *testing.T, length time.Duration, rate func(time.Duration) float64) {
+	t.Helper()
+	onTime := map[bool]float64{}
+	for seed := range uint64(3) {
+		for _, plansReturns := range []bool{false, true} {
+			cfg := baseConfig(seed, 0)
+			cfg.ArrivalRate, cfg.ArrivalPeriod, cfg.PlanReturns = rate, length, plansReturns
+			cfg.Hosts, cfg.Skew = 20, 1.3
+			cfg.Engine.Slots, cfg.Engine.StepTime, cfg.Engine.StepTimePerRequest, cfg.Engine.StepsPerPass = 10, 5850*time.Microsecond, time.Millisecond, 5
+			cfg.Target, cfg.MaxEventGap, cfg.CallerTimeout = 400*time.Millisecond, 120*time.Millisecond, 8*time.Second
+			r := mustRun(t, cfg)
+			onTime[plansReturns] += r.Fraction(r.OnTime)
+		}
+	}
+	require.Greater(t, onTime[true], onTime[false])
+}
+
+// Guards against first events that are late because engines queue what hosts admit beyond their
+// slots, under steady overload.
+func TestPlannedReturnsServeMoreOnTimeUnderSteadyOverload(t *testing.T) {
+	requireMoreOnTimeWithPlannedReturns(t, 20*time.Second, func(time.Duration) float64 { return 90 })
+}
+
+// Guards against callers that return while a peak lasts and displace others, in a load that
+// oscillates with a period that the hosts don't know.
+func TestPlannedReturnsServeMoreOnTimeUnderPeriodicLoad(t *testing.T) {
+	requireMoreOnTimeWithPlannedReturns(t, 39*time.Second, func(at time.Duration) float64 {
+		return 55 * (1 + 0.55*math.Sin(2*math.Pi*at.Seconds()/13))
+	})
+}
