--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,7 +56,7 @@
 	client := dispatch.New(dispatch.Config{HeaderNames: n.platform.Dialect.UpstreamHeaders, DialTimeout: upstreamDialTimeout})
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
 		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre,
-		RetryBudget: n.settings.RetryBudget, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper, Log: n.log, Metrics: n.metrics,
+		RetryBudget: n.settings.RetryBudget, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
 			Publish: n.sendNotices, RequestTokens: control.NewClientWithAddressBook(n.pool, f.controlHosts).RequestTokens,
 		},
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -34,6 +34,8 @@
 	MaxControlHostFailures int
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
+	// PlanReturns is gateway.Config.PlanReturns.
+	PlanReturns bool
 
 	Entry   *EntrySettings
 	Control *ControlSettings
