Log each crash of a stand-in engine

The soak counts how many upstreams a prompt has crashed, but no log said which request crashed which engine and when, so a crash that no entry host had attributed could not be told from one that an entry host had not heard of. The stand-in now logs the prompt, the request id, and whether its caller had left.

--- a/test/standin/engine.go
+++ b/test/standin/engine.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -188,7 +189,7 @@
 	e.cachePrefixes(q.text())
 	if strings.HasPrefix(q.Prompt, Poison) {
 		e.waitStep(r, failure)
-		e.crash(q.Prompt)
+		e.crash(r, q.Prompt)
 		panic(http.ErrAbortHandler)
 	}
 	if failure.Mode == Hang || !e.writeResponse(w, r, &q, failure) {
@@ -238,9 +239,11 @@
 	return true
 }
 
-// crash counts a crash caused by prompt and calls cfg.Crash, if set.
-func (e *Engine) crash(prompt string) {
+// crash counts and logs a crash caused by prompt, and calls cfg.Crash, if set. Whether the caller
+// had left tells an unreported crash from one that nobody was there to report.
+func (e *Engine) crash(r *http.Request, prompt string) {
 	if e.cfg.Crash != nil {
+		slog.Info("engine crashes by a prompt", "prompt", prompt, "request", r.Header.Get(agent.RequestIDHeader), "caller_left", r.Context().Err() != nil)
 		e.countCrash(prompt)
 		e.cfg.Crash()
 	}
