Pass suspicions on between entry hosts through the agents

Callers of an entry host that was cut off from the control hosts and from the other entry hosts, but not from the upstreams, could go on to crash upstreams with a request that every other host had in quarantine.

Cause: suspicions travelled only between entry hosts and control hosts. An agent has sessions with all entry hosts that use its upstream and passed nothing on. Besides, entry hosts recognized each other by the announced address, which behind a proxy is not the one in their settings, so that there they told only the control hosts.

An entry host now also tells the agents of the pool. An agent tells the entry hosts that send to it of each crash of its own upstream, and of everything it knows with the first dispatch of a session. It does not pass on crashes of other upstreams, so the messages after a crash grow with the number of entry hosts only. Entry hosts are recognized by name.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -31,6 +31,8 @@
 	orders    *agent.OrderPuller
 	// group is nil if the upstream does not belong to a group of ranks.
 	group *group.Runner
+	// suspicions passes on which requests ran on the upstream when it crashed.
+	suspicions *suspicionRelay
 	// upstreamAddress is the address at which the upstream accepts connections, "ip:port".
 	upstreamAddress string
 }
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream-url")
 	}
-	r := &agentRole{agent: a, upstreamAddress: base.Host}
+	r := &agentRole{agent: a, suspicions: newSuspicionRelay(d.set.Host.Name, d.now, d.metrics), upstreamAddress: base.Host}
 	var shape atomic.Pointer[wire.GroupShape]
 	if set.Group != "" {
 		r.group = d.newGroup(set, &shape)
@@ -104,6 +106,13 @@
 func (r *agentRole) onSessionUp(*peer.Session) {}
 
 func (r *agentRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	switch m := m.(type) {
+	case *wire.Suspicions:
+		r.suspicions.merge(m.All)
+		return true
+	case *wire.Dispatch:
+		r.suspicions.addEntryHost(s)
+	}
 	return r.agent.HandlePeer(s, call, m) || (r.group != nil && r.group.HandlePeer(s, call, m))
 }
 
@@ -116,6 +125,7 @@
 	}
 	go r.agent.Poll(ctx, pollInterval)
 	go r.awaitUpstream(ctx)
+	go r.suspicions.run(ctx)
 	r.announcer.Run(ctx)
 	return nil
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/catalog"
@@ -34,8 +33,8 @@
 	directory *directory.Service
 	follower  *catalog.Follower
 	admitter  *admitter
-	// quarantine tracks the requests during which upstreams crashed. entryPeers are the peer
-	// addresses of the other entry hosts of the data centre, which receive its suspicions.
+	// quarantine tracks the requests during which upstreams crashed. entryPeers are the names of
+	// the other entry hosts of the data centre, which receive its suspicions.
 	quarantine *quarantine.Keeper
 	entryPeers []string
 }
@@ -73,7 +72,11 @@
 		Metrics:      d.metrics,
 	})
 	r.admitter = d.newAdmitter(set, store, hosts, entries)
-	r.entryPeers = otherEntryHosts
+	for _, h := range hosts {
+		if h.Name != d.set.Host.Name {
+			r.entryPeers = append(r.entryPeers, h.Name)
+		}
+	}
 	r.quarantine = quarantine.NewKeeper(quarantine.Config{
 		Limits: quarantine.DefaultLimits, Now: d.now, Log: d.log, Metrics: d.metrics,
 		Publish: func(updates []quarantine.Suspicion) { r.sendSuspicions(d.pool.Sessions(), updates) },
@@ -114,28 +117,37 @@
 }
 
 // onSessionUp subscribes to the suspicions of a control host, and sends this host's suspicions to
-// control hosts and other entry hosts. A suspicion records a request during which upstreams crashed.
+// the other end of the session. A suspicion records a request during which upstreams crashed.
 func (r *entryRole) onSessionUp(s *peer.Session) {
 	if s.Remote().Replica != "" {
 		_ = s.Post(&wire.Attach{Role: "callers"})
 	}
-	if all := r.quarantine.All(); len(all) > 0 {
-		r.sendSuspicions([]*peer.Session{s}, all)
-	}
+	r.sendSuspicions([]*peer.Session{s}, r.quarantine.All())
 }
 
-// sendSuspicions sends suspicions to those sessions that lead to control hosts or other entry hosts.
+// sendSuspicions sends suspicions over those sessions whose other end needs them.
 func (r *entryRole) sendSuspicions(sessions []*peer.Session, suspicions []quarantine.Suspicion) {
-	m := &wire.Suspicions{All: suspicions}
+	if len(suspicions) == 0 {
+		return
+	}
+	receivers := r.suspicionReceivers()
 	for _, s := range sessions {
-		if s.Remote().Replica != "" || slices.Contains(r.entryPeers, s.Remote().Address) {
+		if all := receivers.choose(s.Remote(), suspicions); len(all) > 0 {
 			// An error is ignored: all suspicions are sent again when the next session
 			// with this host begins.
-			_ = s.Post(m)
+			_ = s.Post(&wire.Suspicions{All: all})
 		}
 	}
 }
 
+func (r *entryRole) suspicionReceivers() *suspicionReceivers {
+	receivers := &suspicionReceivers{entryPeers: r.entryPeers, pools: make(map[string]string)}
+	for _, e := range r.directory.Entries() {
+		receivers.pools[e.Upstream.Name] = e.Upstream.Pool
+	}
+	return receivers
+}
+
 func (r *entryRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
 	if all, ok := m.(*wire.Suspicions); ok {
 		r.quarantine.Merge(all.All)
--- /dev/null
+++ b/internal/daemon/suspicions.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafraspost/sassafraspost/internal/pause"
+	"github.com/sassafraspost/sassafraspost/internal/quarantine"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// suspicionReceivers selects the suspicions that an entry host sends to other hosts. entryPeers
+// are the names of the other entry hosts of the data centre, pools the pools of the known upstreams
+// by name.
+//
+// Hosts are recognized by name: the address by which a host is dialled can differ from the one that
+// it announces.
+type suspicionReceivers struct {
+	entryPeers []string
+	pools      map[string]string
+}
+
+// choose returns the suspicions that the host with this Hello needs: control hosts and entry hosts
+// need all, and the agent of an upstream needs those of its pool, since a request is sent to no
+// other pool.
+func (r *suspicionReceivers) choose(remote wire.Hello, all []quarantine.Suspicion) []quarantine.Suspicion {
+	if remote.Replica != "" || slices.Contains(r.entryPeers, remote.Host) {
+		return all
+	}
+	pool, isAgent := r.pools[remote.Host]
+	if !isAgent {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(s quarantine.Suspicion) bool { return s.Service != pool })
+}
+
+// entrySession is a session with an entry host, a *peer.Session.
+type entrySession interface {
+	Post(m wire.Message) error
+	Alive() bool
+}
+
+// suspicionRelay passes suspicions on between the entry hosts that send requests to one upstream.
+// An entry host that reaches the upstreams but no control host and no other entry host would
+// otherwise not learn which requests are in quarantine, and would go on to send them.
+//
+// The relay keeps all suspicions that it receives, and sends them to an entry host with the first
+// dispatch of a session. Later it sends only new suspicions about its own upstream. So the messages
+// that follow a crash are as many as the entry hosts, not as many as the entry hosts times the
+// upstreams.
+type suspicionRelay struct {
+	upstream string
+	keeper   *quarantine.Keeper
+
+	// mu guards entryHosts. It is not held while a method of keeper is called.
+	mu sync.Mutex
+	// entryHosts contains the sessions over which dispatches have arrived.
+	entryHosts map[entrySession]bool
+}
+
+// newSuspicionRelay returns the relay at the agent of the upstream with this name. now is a
+// monotonic clock.
+func newSuspicionRelay(upstream string, now func() time.Duration, registry metrics.Registry) *suspicionRelay {
+	r := &suspicionRelay{upstream: upstream, entryHosts: make(map[entrySession]bool)}
+	r.keeper = quarantine.NewKeeper(quarantine.Config{
+		Limits: quarantine.DefaultLimits, Now: now, Publish: r.publish, Relays: true, Metrics: registry,
+		// An agent refuses no request because of its suspicions, so it does not log verdicts.
+		Log: slog.New(slog.DiscardHandler),
+	})
+	return r
+}
+
+// run removes expired suspicions until ctx ends.
+func (r *suspicionRelay) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, sweepInterval)
+		r.keeper.Sweep()
+	}
+}
+
+// merge adds suspicions that an entry host has sent.
+func (r *suspicionRelay) merge(all []quarantine.Suspicion) { r.keeper.Merge(all) }
+
+// addEntryHost is called for each dispatch with the session over which it arrived.
+func (r *suspicionRelay) addEntryHost(s entrySession) {
+	r.mu.Lock()
+	isKnown := r.entryHosts[s]
+	if !isKnown {
+		for other := range r.entryHosts {
+			if !other.Alive() {
+				delete(r.entryHosts, other)
+			}
+		}
+		r.entryHosts[s] = true
+	}
+	r.mu.Unlock()
+	if isKnown {
+		return
+	}
+	if all := r.keeper.All(); len(all) > 0 {
+		_ = s.Post(&wire.Suspicions{All: all})
+	}
+}
+
+// publish sends those suspicions to the entry hosts that concern this agent's upstream. An error
+// of a session is ignored: the host gets all suspicions with its next session.
+func (r *suspicionRelay) publish(updates []quarantine.Suspicion) {
+	own := slices.DeleteFunc(slices.Clone(updates), func(s quarantine.Suspicion) bool { return s.Incarnation.Upstream != r.upstream })
+	if len(own) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.entryHosts {
+		if s.Alive() {
+			_ = s.Post(&wire.Suspicions{All: own})
+		}
+	}
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -126,8 +126,9 @@
 func (*Hosts) Kind() Kind { return KindHosts }
 
 // Suspicions reports requests during which upstreams crashed. Entry hosts and control hosts
-// send it to each other, and control hosts among themselves. Receivers must accept it in any
-// order and repeatedly.
+// send it to each other, and control hosts among themselves. Entry hosts and the agents of
+// upstreams that announce themselves to entry hosts send it to each other too. Receivers must
+// accept it in any order and repeatedly.
 type Suspicions struct {
 	All []quarantine.Suspicion `cbor:"1,keyasint"`
 }
