Attribute crashes to attempts whose entry host is gone

Cause: an entry host learns of the crash of an upstream by the end of its attempt. Where its session with the agent is lost, the caller leaves or the deadline passes, the agent cancels the attempt and looks no further, so a crash just after that is attributed to no request.

The agent now remembers such attempts for a second. If its upstream ends during one or within that time, it adds the suspicion itself and sends it to entry hosts and control hosts. It computes the same fingerprint as entry hosts, from the dispatch.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,7 +53,15 @@
 	// Recorder, if set, stores the outcomes of non-idempotent calls that could not be
 	// delivered to an entry host, so that a caller that resends the call gets the response.
 	Recorder answer.Recorder
-	Metrics  metrics.Registry
+	// OnAbandoned, if set, is called when an attempt that the upstream may still be executing ends
+	// because its session was lost, its caller left or its deadline passed. If the upstream
+	// crashes under it, the entry host is not told. ran is how long the attempt had been running.
+	OnAbandoned func(d *wire.Dispatch, ran time.Duration)
+	// OnUpstreamEnded, if set, is called when the upstream was found to have ended, unless the
+	// agent is draining. at is the time that responses report as UpstreamCrashedAt. It can be
+	// called repeatedly for one end.
+	OnUpstreamEnded func(at int64)
+	Metrics         metrics.Registry
 }
 
 // Agent forwards requests to one upstream.
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -18,6 +18,8 @@
 	cancel              context.CancelFunc
 	window              *creditWindow
 	stopWatchingContext func() bool
+	// began is when the attempt was sent to the upstream. Only run uses it.
+	began time.Time
 
 	started       bool
 	arrivalNumber uint64
--- a/internal/agent/engine_reports.go
+++ b/internal/agent/engine_reports.go
@@ -117,7 +117,7 @@
 	defer cancel()
 	var load LoadReport
 	if err := a.getJSON(ctx, loadPath, &load); err != nil {
-		a.monitor.probe(a.baseURL.Host)
+		a.probe()
 		return err
 	}
 	a.monitor.markConnected()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -59,6 +59,7 @@
 // run executes one attempt and sends its response, or the error, to the entry host.
 func (a *Agent) run(at *attempt) {
 	defer a.finish(at)
+	at.began = time.Now()
 	resp, err := a.roundTrip(at)
 	if err != nil {
 		a.reportFailure(at, verdict.FromError(err))
@@ -121,6 +122,9 @@
 			e.Cause = &answer.UpstreamEndedError{At: endedAt}
 		}
 	}
+	if connected.Load() {
+		a.noteIfAbandoned(at)
+	}
 	return nil, e
 }
 
@@ -175,8 +179,11 @@
 	if err == nil {
 		err = checkComplete(at.dispatch, resp, r.tail)
 	}
-	if err != nil && at.ctx.Err() == nil && !isClosed(at.session.Done()) {
-		r.end.UpstreamCrashedAt = a.probeEnd()
+	if err != nil {
+		if at.ctx.Err() == nil {
+			r.end.UpstreamCrashedAt = a.probeEnd()
+		}
+		a.noteIfAbandoned(at)
 	}
 	r.end.Digest = r.digest.Sum64()
 	if err != nil {
--- a/internal/agent/upstream_monitor.go
+++ b/internal/agent/upstream_monitor.go
@@ -30,21 +30,29 @@
 }
 
 // probe checks whether the upstream still accepts connections after a response was broken off
-// or a request to it failed. It returns when the upstream ended, 0 if it has not.
-func (p *upstreamMonitor) probe(address string) int64 {
+// or a request to it failed. It returns when the upstream ended, 0 if it has not. isNew is set if
+// this probe found it.
+func (p *upstreamMonitor) probe(address string) (endedAt int64, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.endedAt != 0 {
-		return p.endedAt
+		return p.endedAt, false
 	}
 	conn, err := net.DialTimeout("tcp", address, probeTimeout)
 	if err == nil {
 		_ = conn.Close()
-		return 0
+		return 0, false
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.endedAt = time.Now().UnixMilli()
 	}
+	return p.endedAt, p.endedAt != 0
+}
+
+// lastEnd returns when the upstream ended, 0 if it is running as far as is known.
+func (p *upstreamMonitor) lastEnd() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.endedAt
 }
 
@@ -69,19 +77,53 @@
 // ended, or 0 if it is still running. It also returns 0 while the agent is draining, because
 // the upstream is then shut down on purpose.
 func (a *Agent) probeEnd() int64 {
-	a.mu.Lock()
-	isDraining := a.state == wire.UpstreamDraining
-	a.mu.Unlock()
-	if isDraining {
+	if a.isDraining() {
 		return 0
 	}
-	endedAt := a.monitor.probe(a.baseURL.Host)
+	endedAt := a.probe()
 	if endedAt != 0 {
 		a.counters.upstreamEnds.Inc(1)
 	}
 	return endedAt
 }
 
+func (a *Agent) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state == wire.UpstreamDraining
+}
+
+// probe checks whether the upstream still accepts connections, and reports an end that it finds.
+// It returns when the upstream ended, 0 if it is still running.
+func (a *Agent) probe() int64 {
+	endedAt, isNew := a.monitor.probe(a.baseURL.Host)
+	if isNew {
+		a.reportEnd(endedAt)
+	}
+	return endedAt
+}
+
+// reportEnd calls Config.OnUpstreamEnded, unless the upstream is being shut down on purpose.
+func (a *Agent) reportEnd(at int64) {
+	if a.cfg.OnUpstreamEnded != nil && !a.isDraining() {
+		a.cfg.OnUpstreamEnded(at)
+	}
+}
+
+// noteIfAbandoned is called after an attempt failed that the upstream may have executed. If the
+// entry host can't be told, it reports the attempt to Config.OnAbandoned, and then the upstream's
+// end if that is known and came during the attempt.
+func (a *Agent) noteIfAbandoned(at *attempt) {
+	isReported := at.ctx.Err() == nil && !isClosed(at.session.Done())
+	if isReported || a.cfg.OnAbandoned == nil || a.isDraining() {
+		return
+	}
+	a.cfg.OnAbandoned(at.dispatch, time.Since(at.began))
+	if endedAt := a.monitor.lastEnd(); endedAt >= at.began.UnixMilli() {
+		a.reportEnd(endedAt)
+	}
+}
+
 // upstreamEndedAt returns when the upstream ended during the attempt that failed with e, 0 if it
 // did not end.
 func upstreamEndedAt(e *verdict.Error) int64 {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/directory"
 	"github.com/sassafraspost/sassafraspost/internal/group"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -39,6 +40,10 @@
 
 func (d *Daemon) buildAgent() (role, error) {
 	set := d.set.Agent
+	suspicions := newSuspicionRelay(relayConfig{
+		upstream: d.set.Host.Name, pool: set.Pool, fingerprints: quarantine.NewHasher(string(d.set.Peer.Secret)),
+		controlHosts: d.controlSessions, now: d.now, log: d.log, metrics: d.metrics,
+	})
 	a, err := agent.New(agent.Config{
 		Identity: wire.Upstream{
 			Name:        d.set.Host.Name,
@@ -55,6 +60,9 @@
 		Capacity: set.Capacity,
 		Recorder: control.NewClient(d.pool, addresses(set.ControlHosts)),
 		Metrics:  d.metrics,
+
+		OnAbandoned:     suspicions.attemptAbandoned,
+		OnUpstreamEnded: suspicions.upstreamEnded,
 	})
 	if err != nil {
 		return nil, err
@@ -63,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream-url")
 	}
-	r := &agentRole{agent: a, suspicions: newSuspicionRelay(d.set.Host.Name, d.now, d.metrics), upstreamAddress: base.Host}
+	r := &agentRole{agent: a, suspicions: suspicions, upstreamAddress: base.Host}
 	var shape atomic.Pointer[wire.GroupShape]
 	if set.Group != "" {
 		r.group = d.newGroup(set, &shape)
@@ -93,6 +101,17 @@
 	return r, nil
 }
 
+// controlSessions returns the live sessions with control hosts.
+func (d *Daemon) controlSessions() []hostSession {
+	var out []hostSession
+	for _, s := range d.pool.Sessions() {
+		if s.Remote().Replica != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // hostsByAddress returns the entry hosts with their addresses as names, because an agent's settings
 // contain only the addresses.
 func hostsByAddress(set settings.Agent) []directory.Host {
--- a/internal/daemon/suspicions.go
+++ b/internal/daemon/suspicions.go
@@ -39,13 +39,16 @@
 	return slices.DeleteFunc(slices.Clone(all), func(s quarantine.Suspicion) bool { return s.Service != pool })
 }
 
-// entrySession is a session with an entry host, a *peer.Session.
-type entrySession interface {
+// hostSession is a session with an entry host or a control host, a *peer.Session.
+type hostSession interface {
 	Post(m wire.Message) error
 	Alive() bool
 }
 
-// suspicionRelay passes suspicions on between the entry hosts that send requests to one upstream.
+// suspicionRelay passes suspicions on between the entry hosts that send requests to one upstream,
+// and adds those that only its agent can observe: an entry host that has lost its session with the
+// agent, or whose caller has left, does not learn that the upstream crashed under the request.
+//
 // An entry host that reaches the upstreams but no control host and no other entry host would
 // otherwise not learn which requests are in quarantine, and would go on to send them.
 //
@@ -54,27 +57,51 @@
 // that follow a crash are as many as the entry hosts, not as many as the entry hosts times the
 // upstreams.
 type suspicionRelay struct {
-	upstream string
-	keeper   *quarantine.Keeper
+	cfg    relayConfig
+	keeper *quarantine.Keeper
 
 	// mu guards entryHosts. It is not held while a method of keeper is called.
 	mu sync.Mutex
 	// entryHosts contains the sessions over which dispatches have arrived.
-	entryHosts map[entrySession]bool
+	entryHosts map[hostSession]bool
+}
+
+// relayConfig holds the dependencies of a suspicionRelay.
+type relayConfig struct {
+	// upstream is the name of the agent's upstream, and pool what it serves.
+	upstream, pool string
+	fingerprints   quarantine.Hasher
+	// controlHosts returns the live sessions with control hosts.
+	controlHosts func() []hostSession
+	// now is a monotonic clock.
+	now     func() time.Duration
+	log     *slog.Logger
+	metrics metrics.Registry
 }
 
-// newSuspicionRelay returns the relay at the agent of the upstream with this name. now is a
-// monotonic clock.
-func newSuspicionRelay(upstream string, now func() time.Duration, registry metrics.Registry) *suspicionRelay {
-	r := &suspicionRelay{upstream: upstream, entryHosts: make(map[entrySession]bool)}
+func newSuspicionRelay(cfg relayConfig) *suspicionRelay {
+	r := &suspicionRelay{cfg: cfg, entryHosts: make(map[hostSession]bool)}
 	r.keeper = quarantine.NewKeeper(quarantine.Config{
-		Limits: quarantine.DefaultLimits, Now: now, Publish: r.publish, Relays: true, Metrics: registry,
-		// An agent refuses no request because of its suspicions, so it does not log verdicts.
-		Log: slog.New(slog.DiscardHandler),
+		Limits: quarantine.DefaultLimits, Now: cfg.now, Publish: r.publish, Relays: true, Log: cfg.log, Metrics: cfg.metrics,
 	})
 	return r
 }
 
+// attemptAbandoned records an attempt that ended without a response to its entry host, in case the
+// upstream crashes under it.
+func (r *suspicionRelay) attemptAbandoned(d *wire.Dispatch, ran time.Duration) {
+	r.keeper.AttemptFailed(quarantine.Attempt{
+		Fingerprint: r.cfg.fingerprints.Of(&quarantine.Request{Workspace: d.Workspace, Method: d.Method, Target: d.Path, Body: d.Body}),
+		Workspace:   d.Workspace, Request: d.RequestID, Incarnation: quarantine.Incarnation{Upstream: r.cfg.upstream}, Service: r.cfg.pool, Ran: ran,
+	}, true)
+}
+
+// upstreamEnded records that the upstream crashed. The time identifies the crash, as in
+// wire.End.UpstreamCrashedAt.
+func (r *suspicionRelay) upstreamEnded(at int64) {
+	r.keeper.UpstreamEnded(quarantine.Incarnation{Upstream: r.cfg.upstream, StartedAt: at})
+}
+
 // run removes expired suspicions until ctx ends.
 func (r *suspicionRelay) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -87,7 +114,7 @@
 func (r *suspicionRelay) merge(all []quarantine.Suspicion) { r.keeper.Merge(all) }
 
 // addEntryHost is called for each dispatch with the session over which it arrived.
-func (r *suspicionRelay) addEntryHost(s entrySession) {
+func (r *suspicionRelay) addEntryHost(s hostSession) {
 	r.mu.Lock()
 	isKnown := r.entryHosts[s]
 	if !isKnown {
@@ -107,18 +134,26 @@
 	}
 }
 
-// publish sends those suspicions to the entry hosts that concern this agent's upstream. An error
-// of a session is ignored: the host gets all suspicions with its next session.
+// publish sends those suspicions to the entry hosts and control hosts that concern this agent's
+// upstream. An error of a session is ignored: the host gets all suspicions with its next session.
 func (r *suspicionRelay) publish(updates []quarantine.Suspicion) {
-	own := slices.DeleteFunc(slices.Clone(updates), func(s quarantine.Suspicion) bool { return s.Incarnation.Upstream != r.upstream })
+	own := slices.DeleteFunc(slices.Clone(updates), func(s quarantine.Suspicion) bool { return s.Incarnation.Upstream != r.cfg.upstream })
 	if len(own) == 0 {
 		return
 	}
+	for _, s := range append(r.cfg.controlHosts(), r.liveEntryHosts()...) {
+		_ = s.Post(&wire.Suspicions{All: own})
+	}
+}
+
+func (r *suspicionRelay) liveEntryHosts() []hostSession {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var out []hostSession
 	for s := range r.entryHosts {
 		if s.Alive() {
-			_ = s.Post(&wire.Suspicions{All: own})
+			out = append(out, s)
 		}
 	}
+	return out
 }
--- a/internal/daemon/suspicions_test.go
+++ b/internal/daemon/suspicions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -12,25 +13,28 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-// fakeEntrySession keeps the suspicions that were posted to it.
-type fakeEntrySession struct {
+// fakeSession keeps the suspicions that were posted to it.
+type fakeSession struct {
 	posted []quarantine.Suspicion
 	closed bool
 }
 
-func (s *fakeEntrySession) Post(m wire.Message) error {
+func (s *fakeSession) Post(m wire.Message) error {
 	s.posted = append(s.posted, m.(*wire.Suspicions).All...)
 	return nil
 }
 
-func (s *fakeEntrySession) Alive() bool { return !s.closed }
+func (s *fakeSession) Alive() bool { return !s.closed }
 
 func suspicionOf(n byte, upstream, pool string) quarantine.Suspicion {
 	return quarantine.Suspicion{Fingerprint: quarantine.Fingerprint{n}, Incarnation: quarantine.Incarnation{Upstream: upstream, StartedAt: 1}, Service: pool}
 }
 
 func newTestRelay(upstream string) *suspicionRelay {
-	return newSuspicionRelay(upstream, func() time.Duration { return time.Hour }, metrics.NewRegistry())
+	return newSuspicionRelay(relayConfig{
+		upstream: upstream, pool: "p", fingerprints: quarantine.NewHasher("secret"), controlHosts: func() []hostSession { return nil },
+		now: func() time.Duration { return time.Hour }, log: slog.New(slog.DiscardHandler), metrics: metrics.NewRegistry(),
+	})
 }
 
 // The agent must pass the crash of its upstream on to all entry hosts that use it. If it passed on
@@ -38,7 +42,7 @@
 // entry hosts.
 func TestAgentPassesOnSuspicionsOfItsUpstreamOnce(t *testing.T) {
 	r := newTestRelay("u1")
-	sessions := []*fakeEntrySession{{}, {}, {closed: true}}
+	sessions := []*fakeSession{{}, {}, {closed: true}}
 	for _, s := range sessions {
 		r.addEntryHost(s)
 	}
@@ -56,7 +60,7 @@
 func TestAgentSendsAllSuspicionsWithTheFirstDispatch(t *testing.T) {
 	r := newTestRelay("u1")
 	r.merge([]quarantine.Suspicion{suspicionOf(1, "u1", "p"), suspicionOf(1, "u2", "p")})
-	var s fakeEntrySession
+	var s fakeSession
 	for range 3 {
 		r.addEntryHost(&s)
 	}
@@ -68,7 +72,7 @@
 func TestAgentForgetsEndedSessions(t *testing.T) {
 	r := newTestRelay("u1")
 	for range 100 {
-		r.addEntryHost(&fakeEntrySession{closed: true})
+		r.addEntryHost(&fakeSession{closed: true})
 	}
 	require.LessOrEqual(t, len(r.entryHosts), 1)
 }
@@ -93,3 +97,33 @@
 	}
 	require.Len(t, all, 2)
 }
+
+// If an upstream crashes just after the session of a request was lost, only its agent can attribute
+// the crash to the request. A crash that the others see and that is attributed to none of its
+// candidates lets the request crash one more upstream.
+func TestAgentAttributesCrashToAbandonedAttempt(t *testing.T) {
+	now := time.Hour
+	var control, entryHost fakeSession
+	r := newSuspicionRelay(relayConfig{
+		upstream: "u1", pool: "p", fingerprints: quarantine.NewHasher("secret"), controlHosts: func() []hostSession { return []hostSession{&control} },
+		now: func() time.Duration { return now }, log: slog.New(slog.DiscardHandler), metrics: metrics.NewRegistry(),
+	})
+	r.addEntryHost(&entryHost)
+	d := &wire.Dispatch{Workspace: "w", RequestID: "r", Method: "POST", Path: "/v1/completions?a=b", Body: []byte("body")}
+	r.attemptAbandoned(d, 20*time.Millisecond)
+	now += 5 * time.Millisecond
+	for range 2 {
+		r.upstreamEnded(77)
+	}
+	want := []quarantine.Suspicion{{
+		Fingerprint: quarantine.NewHasher("secret").Of(&quarantine.Request{Workspace: "w", Method: "POST", Target: "/v1/completions?a=b", Body: []byte("body")}),
+		Workspace:   "w", Incarnation: quarantine.Incarnation{Upstream: "u1", StartedAt: 77}, Service: "p", Request: "r", AgeMS: 5, RanMS: 20,
+	}}
+	require.Equal(t, want, control.posted)
+	require.Equal(t, want, entryHost.posted)
+
+	r.attemptAbandoned(d, 20*time.Millisecond)
+	now += 2 * time.Second
+	r.upstreamEnded(78)
+	require.Len(t, control.posted, 1, "the upstream ended too long after the attempt")
+}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +18,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/entry"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 	"github.com/sassafraspost/sassafraspost/test/standin"
 )
 
@@ -132,3 +135,58 @@
 	require.Equal(t, http.StatusOK, r.status)
 	require.Empty(t, p.keeper.List())
 }
+
+// If the caller leaves just before the upstream crashes, the entry host does not learn of the crash.
+// The agent must report the attempt as well as the crash, whichever it notices first: otherwise a
+// request that crashes upstreams goes unsuspected.
+func TestAgentReportsCrashUnderAbandonedAttempt(t *testing.T) {
+	for name, crashesFirst := range map[string]bool{"the caller leaves first": false, "the upstream crashes first": true} {
+		t.Run(name, func(t *testing.T) {
+			p := startTestProxy(t, nil)
+			running, left := make(chan struct{}), make(chan struct{})
+			srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					// The server notices that its client has left only once the body is read.
+					_, _ = io.Copy(io.Discard, r.Body)
+					close(running)
+					<-r.Context().Done()
+					close(left)
+				}
+			}))
+			t.Cleanup(srv.Close)
+			abandoned, ends := make(chan string, 1), make(chan int64, 2)
+			a, _ := p.addUpstream("u1", http.NotFoundHandler(), func(c *agent.Config) {
+				c.URL, c.IsEngine = srv.URL, true
+				c.OnAbandoned = func(d *wire.Dispatch, _ time.Duration) { abandoned <- d.RequestID }
+				c.OnUpstreamEnded = func(at int64) { ends <- at }
+			})
+			crash := func() {
+				require.NoError(t, srv.Listener.Close())
+				// The agent has no connection left on which it could ask for the load.
+				require.Error(t, a.PollOnce(t.Context()))
+			}
+			ctx, leave := context.WithCancel(t.Context())
+			go func() {
+				<-running
+				if crashesFirst {
+					crash()
+				}
+				leave()
+			}()
+			resp, err := http.DefaultTransport.RoundTrip(p.newCompletion(ctx, "prompt", tokens, true))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			<-left
+			require.Equal(t, "prompt", <-abandoned)
+			if !crashesFirst {
+				crash()
+			}
+			at := <-ends
+			require.NotZero(t, at)
+			if crashesFirst {
+				require.Equal(t, at, <-ends, "the end must be reported again, after the attempt")
+			}
+		})
+	}
+}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -99,6 +99,18 @@
 	})
 }
 
+// UpstreamEnded records that an upstream crashed. Failed attempts on it that were recorded without
+// a start time are attributed to this incarnation.
+func (k *Keeper) UpstreamEnded(i Incarnation) {
+	k.update(func(now time.Duration) []Suspicion {
+		suspicions := k.failed.take(now, func(r *Attempt) bool { return r.Incarnation == Incarnation{Upstream: i.Upstream} })
+		for n := range suspicions {
+			suspicions[n].Incarnation = i
+		}
+		return k.addOwn(suspicions, now)
+	})
+}
+
 // addOwn adds suspicions that this host observed itself. The caller holds mu.
 func (k *Keeper) addOwn(all []Suspicion, now time.Duration) []Suspicion {
 	for i := range all {
--- a/test/integration/quarantine_test.go
+++ b/test/integration/quarantine_test.go
@@ -48,3 +48,26 @@
 	}
 	require.Equal(t, 2, crashes)
 }
+
+// If the session between an entry host and an agent breaks while the upstream executes a request, and
+// the upstream then crashes, the entry host does not learn of the crash. The agent must attribute it
+// to the request. Otherwise the crash counts as one with another cause, and the request crashes more
+// upstreams than the quarantine allows.
+func TestCrashAfterLostSessionIsAttributed(t *testing.T) {
+	t.Parallel()
+	s := start(t, local.Layout{Control: 1, Entries: 2, Engines: 1, HasProxies: true, EngineArgs: []string{"--step", "300ms", "--away", "3s"}})
+	engine := s.Agents[0]
+	before := s.executions()
+	go s.sendRequest(s.Entries[0], local.CompletionRequest(standin.Poison+" request", 4, true))
+	s.await("the start of the request", func() bool { return startedSince(before, s.executions()) > 0 })
+	for _, h := range []*local.Host{engine, s.Entries[0]} {
+		s.Cut(h)
+	}
+	s.Heal(engine)
+	n := 0
+	s.await("the suspicion at the other entry host", func() bool {
+		n++
+		s.sendRequest(s.Entries[1], local.CompletionRequest(fmt.Sprint("innocent ", n), 1, true))
+		return s.counter(s.Entries[1], "quarantine_told") > 0
+	})
+}
