Count only the peer's time against a handshake permit

Cause: a handshake gave its permit back 250 ms after it got it, since the host that dialled might be frozen. On a slow host its own part used up that time, so that more than eight handshakes ran at once and all of them took longer. Hosts gave up and dialled again, and the handshakes that they had left were done all the same. Control hosts need no permit, but wait behind all of these.

The 250 ms now begin when the host's own part is done, and a host that has gone by the time it gets its permit gets no handshake.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -22,8 +23,9 @@
 	// permit, so that each handshake that has begun finishes soon, and a host that gives up
 	// while it waits costs nothing.
 	maxConcurrentHandshakes = 8
-	// maxPermitTime is how long a handshake holds its permit at most, since the host may be
-	// frozen or disconnected by now.
+	// maxPermitTime is how long a handshake holds its permit at most while it waits for the host
+	// that dialled, since that host may be frozen or disconnected by now. The time that this host
+	// needs does not count: if it is slow, more handshakes at once only delay all of them.
 	maxPermitTime = 250 * time.Millisecond
 	// replicaHeader contains the replica ID of a control host that dials. Control hosts need
 	// no permit, because all other hosts depend on the leader that they elect.
@@ -57,26 +59,49 @@
 	}
 }
 
-// releasePermit lets the next waiting host begin its handshake.
-func (v *Server) releasePermit() { <-v.handshakePermits }
+// permit is the permission for one handshake. The zero permit is that of a control host, which
+// needs none.
+type permit struct {
+	server *Server
+	once   sync.Once
+}
 
-// handshake waits for a permit, upgrades the connection and exchanges Hello messages. It
-// returns nil if that fails.
-func (v *Server) handshake(w http.ResponseWriter, r *http.Request) *Session {
+// acquirePermit waits for a permit if the host needs one. It returns false if the host gave up.
+func (v *Server) acquirePermit(r *http.Request) (*permit, bool) {
+	p := &permit{}
 	if r.Header.Get(replicaHeader) == "" {
 		select {
 		case v.handshakePermits <- struct{}{}:
-			permitTimer := time.AfterFunc(maxPermitTime, v.releasePermit)
-			defer func() {
-				if permitTimer.Stop() {
-					v.releasePermit()
-				}
-			}()
+			p.server = v
 		case <-r.Context().Done():
-			v.pool.traffic.abandoned.Inc(1)
-			return nil
+			return nil, false
+		}
+	}
+	if r.Context().Err() != nil {
+		p.release()
+		return nil, false
+	}
+	return p, true
+}
+
+// release lets the next waiting host begin its handshake. It can be called repeatedly.
+func (p *permit) release() {
+	p.once.Do(func() {
+		if p.server != nil {
+			<-p.server.handshakePermits
 		}
+	})
+}
+
+// handshake waits for a permit, upgrades the connection and exchanges Hello messages. It
+// returns nil if that fails.
+func (v *Server) handshake(w http.ResponseWriter, r *http.Request) *Session {
+	permit, ok := v.acquirePermit(r)
+	if !ok {
+		v.pool.traffic.abandoned.Inc(1)
+		return nil
 	}
+	defer permit.release()
 	if v.pool.cfg.BeforeHandshake != nil {
 		v.pool.cfg.BeforeHandshake()
 	}
@@ -84,6 +109,7 @@
 	if err != nil {
 		return nil
 	}
+	defer time.AfterFunc(maxPermitTime, permit.release).Stop()
 	conn.SetReadLimit(wire.MaxMessageBytes)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), helloTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/peer/server_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// A host that is so slow that its part of a handshake takes longer than maxPermitTime must not begin
+// more handshakes at once. With each one that it begins, all of them take longer, until no host
+// waits long enough for its own, and control hosts wait behind all of them.
+func TestSlowHostLimitsConcurrentHandshakes(t *testing.T) {
+	const hosts = 3 * maxConcurrentHandshakes
+	var inProgress atomic.Int64
+	proceed := make(chan struct{})
+	letProceed := sync.OnceFunc(func() { close(proceed) })
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	discard := HandlerFunc(func(*Session, uint64, wire.Message) {})
+	slow := NewPool(Config{Hello: wire.Hello{Host: "slow"}, Secret: testSecret, Handler: discard, BeforeHandshake: func() {
+		inProgress.Add(1)
+		<-proceed
+	}})
+	t.Cleanup(slow.Close)
+	t.Cleanup(letProceed)
+	mux.Handle(Path, NewServer(slow))
+	address := strings.TrimPrefix(srv.URL, "http://")
+
+	var wg sync.WaitGroup
+	for range hosts {
+		pool := NewPool(Config{Hello: wire.Hello{Host: "host"}, Secret: testSecret, Handler: discard})
+		t.Cleanup(pool.Close)
+		wg.Go(func() {
+			for t.Context().Err() == nil {
+				if _, err := pool.Get(t.Context(), address); err == nil {
+					return
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return inProgress.Load() == maxConcurrentHandshakes }, 10*time.Second, time.Millisecond)
+	// Nothing must happen in this time, so there is no condition to wait for.
+	time.Sleep(2 * maxPermitTime)
+	require.EqualValues(t, maxConcurrentHandshakes, inProgress.Load())
+	letProceed()
+	wg.Wait()
+}
