Keep the earlier of two sessions when the later one ends

Two control hosts that had started together could lose sight of each other for as long as they had a session: the pool found none, and the consensus sent messages between them nowhere.

Cause: hosts that dial each other at the same time have two sessions. The pool and the transport kept only the later one by its address or replica. When that one ended, because its other end had given up the dial, the entry was removed. The host waits for the end of the earlier session before it dials again.

Both now keep all sessions of a host, and use the latest that is alive.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +44,10 @@
 	dropped metrics.Counter
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	sessions map[consensus.ReplicaID]*peer.Session
+	mu sync.Mutex
+	// sessions contains the sessions with each replica, the latest last. Two hosts that dial each
+	// other at the same time have two, and either can be the one that ends.
+	sessions map[consensus.ReplicaID][]*peer.Session
 	// sendingChunks holds the replicas to which a chunked message is being sent.
 	sendingChunks map[consensus.ReplicaID]bool
 	// lastMessage is the number of the last chunked message.
@@ -57,7 +60,7 @@
 func NewTransport(reg metrics.Registry) *Transport {
 	return &Transport{
 		dropped:       metrics.GetOrRegisterCounter("consensus.messages.dropped", reg),
-		sessions:      make(map[consensus.ReplicaID]*peer.Session),
+		sessions:      make(map[consensus.ReplicaID][]*peer.Session),
 		sendingChunks: make(map[consensus.ReplicaID]bool),
 		assemblies:    make(map[consensus.ReplicaID]*assembly),
 	}
@@ -71,16 +74,27 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sessions[id] = s
+	t.removeEnded(id)
+	t.sessions[id] = append(t.sessions[id], s)
 }
 
-// Sessions returns the live sessions with replicas.
+// removeEnded removes the sessions with a replica that have ended. The caller holds mu.
+func (t *Transport) removeEnded(id consensus.ReplicaID) {
+	live := slices.DeleteFunc(t.sessions[id], func(s *peer.Session) bool { return !s.Alive() })
+	if len(live) == 0 {
+		delete(t.sessions, id)
+		return
+	}
+	t.sessions[id] = live
+}
+
+// Sessions returns a live session with each replica that has one.
 func (t *Transport) Sessions() []*peer.Session {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*peer.Session
-	for _, s := range t.sessions {
-		if s.Alive() {
+	for id := range t.sessions {
+		if s := t.latest(id); s != nil {
 			out = append(out, s)
 		}
 	}
@@ -108,16 +122,20 @@
 	}
 }
 
-// session returns the live session with a replica, or nil.
+// session returns the latest live session with a replica, or nil.
 func (t *Transport) session(id consensus.ReplicaID) *peer.Session {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.sessions[id]
-	if s != nil && !s.Alive() {
-		delete(t.sessions, id)
-		return nil
+	return t.latest(id)
+}
+
+// latest is session for callers that hold mu.
+func (t *Transport) latest(id consensus.ReplicaID) *peer.Session {
+	t.removeEnded(id)
+	if live := t.sessions[id]; len(live) > 0 {
+		return live[len(live)-1]
 	}
-	return s
+	return nil
 }
 
 // address returns the peer address of a replica's host, or an empty string if there is no
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -73,10 +73,11 @@
 
 	// mu guards the fields below. It is not locked while dialling.
 	mu sync.Mutex
-	// allSessions contains every live session, sessionsByAddress the latest one of each
-	// address.
+	// allSessions contains every live session, sessionsByAddress those of each address, the
+	// latest last. Two hosts that dial each other at the same time have two sessions, and
+	// either can be the one that ends.
 	allSessions       map[*Session]bool
-	sessionsByAddress map[string]*Session
+	sessionsByAddress map[string][]*Session
 	dials             map[string]*dial
 	// handshakeTimeouts are the handshake timeouts of hosts, by address. A host that is not
 	// listed has minHandshakeTimeout.
@@ -119,7 +120,7 @@
 		client:            &http.Client{Transport: transport},
 		traffic:           newTraffic(cfg.Metrics),
 		allSessions:       make(map[*Session]bool),
-		sessionsByAddress: make(map[string]*Session),
+		sessionsByAddress: make(map[string][]*Session),
 		dials:             make(map[string]*dial),
 		handshakeTimeouts: make(map[string]time.Duration),
 	}
@@ -143,15 +144,16 @@
 	}
 }
 
-// LiveSession returns the live session with the host at address, or nil.
+// LiveSession returns the latest live session with the host at address, or nil.
 func (p *Pool) LiveSession(address string) *Session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.sessionsByAddress[address]
-	if s == nil || !s.Alive() {
-		return nil
+	for _, s := range slices.Backward(p.sessionsByAddress[address]) {
+		if s.Alive() {
+			return s
+		}
 	}
-	return s
+	return nil
 }
 
 // Sessions returns all live sessions.
@@ -282,7 +284,7 @@
 	}
 	p.allSessions[s] = true
 	if address != "" {
-		p.sessionsByAddress[address] = s
+		p.sessionsByAddress[address] = append(p.sessionsByAddress[address], s)
 	}
 	go p.removeWhenDone(address, s)
 }
@@ -292,9 +294,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.allSessions, s)
-	if p.sessionsByAddress[address] == s {
+	others := slices.DeleteFunc(p.sessionsByAddress[address], func(other *Session) bool { return other == s })
+	if len(others) == 0 {
 		delete(p.sessionsByAddress, address)
+		return
 	}
+	p.sessionsByAddress[address] = others
 }
 
 func (p *Pool) notify(s *Session) {
