--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/directory"
 	"github.com/sassafraspost/sassafraspost/internal/group"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -31,12 +32,18 @@
 	orders    *agent.OrderPuller
 	// group is nil if the upstream does not belong to a group of ranks.
 	group *group.Runner
+	// suspicions passes on which requests ran on the upstream when it crashed.
+	suspicions *suspicionRelay
 	// upstreamAddress is the address at which the upstream accepts connections, "ip:port".
 	upstreamAddress string
 }
 
 func (d *Daemon) buildAgent() (role, error) {
 	set := d.set.Agent
+	suspicions := newSuspicionRelay(relayConfig{
+		upstream: d.set.Host.Name, pool: set.Pool, fingerprints: quarantine.NewHasher(string(d.set.Peer.Secret)),
+		controlHosts: d.controlSessions, now: d.now, log: d.log, metrics: d.metrics,
+	})
 	a, err := agent.New(agent.Config{
 		Identity: wire.Upstream{
 			Name:        d.set.Host.Name,
@@ -53,6 +60,9 @@
 		Capacity: set.Capacity,
 		Recorder: control.NewClient(d.pool, addresses(set.ControlHosts)),
 		Metrics:  d.metrics,
+
+		OnAbandoned:     suspicions.attemptAbandoned,
+		OnUpstreamEnded: suspicions.upstreamEnded,
 	})
 	if err != nil {
 		return nil, err
@@ -61,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream-url")
 	}
-	r := &agentRole{agent: a, upstreamAddress: base.Host}
+	r := &agentRole{agent: a, suspicions: suspicions, upstreamAddress: base.Host}
 	var shape atomic.Pointer[wire.GroupShape]
 	if set.Group != "" {
 		r.group = d.newGroup(set, &shape)
@@ -91,6 +101,17 @@
 	return r, nil
 }
 
+// controlSessions returns the live sessions with control hosts.
+func (d *Daemon) controlSessions() []hostSession {
+	var out []hostSession
+	for _, s := range d.pool.Sessions() {
+		if s.Remote().Replica != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // hostsByAddress returns the entry hosts with their addresses as names, because an agent's settings
 // contain only the addresses.
 func hostsByAddress(set settings.Agent) []directory.Host {
@@ -104,6 +125,13 @@
 func (r *agentRole) onSessionUp(*peer.Session) {}
 
 func (r *agentRole) handlePeer(s *peer.Session, call uint64, m wire.Message) bool {
+	switch m := m.(type) {
+	case *wire.Suspicions:
+		r.suspicions.merge(m.All)
+		return true
+	case *wire.Dispatch:
+		r.suspicions.addEntryHost(s)
+	}
 	return r.agent.HandlePeer(s, call, m) || (r.group != nil && r.group.HandlePeer(s, call, m))
 }
 
@@ -116,6 +144,7 @@
 	}
 	go r.agent.Poll(ctx, pollInterval)
 	go r.awaitUpstream(ctx)
+	go r.suspicions.run(ctx)
 	r.announcer.Run(ctx)
 	return nil
 }
