--- a/internal/schedule/goodput.go
+++ b/internal/schedule/goodput.go
@@ -30,7 +30,8 @@
 // known yet and while the newest passes would be too long at any limit.
 //
 // If the requests have several priorities, what is served counts by its class: once the urgent
-// requests are served, more requests of less urgent classes don't make up for late urgent ones.
+// requests are served, more requests of less urgent classes don't make up for late urgent ones. The
+// limit then rises by at most limitStep in each bucket of the history.
 func (p *passHistory) limit(e *routetable.Engine, maxEventGap time.Duration, demand classDemand, now time.Duration) float64 {
 	minLimit := float64(ConcurrencyLimit(e, maxEventGap))
 	if maxEventGap <= 0 || e.StepsPerPass <= 0 || e.StepTimePerRequest <= 0 || !p.hasStarted || now-p.startedAt < minObservation {
@@ -39,6 +40,12 @@
 	if p.engineSpec == e && p.cachedBucket == p.bucket {
 		return p.cachedLimit
 	}
+	maxLimit := float64(e.Slots)
+	if demand != nil && p.cachedLimit > 0 {
+		// Passes may grow faster with the limit than the recorded slowdowns predict, which must show
+		// before the limit rises further and makes urgent answers late too.
+		maxLimit = min(maxLimit, max(p.cachedLimit, minLimit)+limitStep)
+	}
 	p.engineSpec, p.cachedBucket, p.cachedLimit = e, p.bucket, minLimit
 	maxPassTime := maxPassFraction * float64(maxEventGap)
 	maxSlowdown := maxPassTime / float64(balancedPassTime(e, minLimit))
@@ -47,7 +54,7 @@
 		return minLimit
 	}
 	bestGoodput := 0.0
-	for n := minLimit; n <= float64(e.Slots); n += limitStep {
+	for n := minLimit; n <= maxLimit; n += limitStep {
 		passTime := float64(balancedPassTime(e, n))
 		serviceTime := prefillTime(e).Seconds() + (e.MeanAnswerTokens/float64(e.StepsPerPass)+2)*meanSlowdown*passTime/float64(time.Second)
 		onTime := fractionOnTime(slowdowns, maxPassTime/passTime, int(serviceTime/bucketSpan.Seconds())+1)
