Clarify names and comments of scheduler, gateway and registry

Split long functions (prepare, produce, pickEngine), share the choice among equally loaded upstreams, and update doc comments that no longer fit the code. Behaviour is unchanged.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -35,7 +35,7 @@
 
 func newBacklog() *backlog { return &backlog{changed: make(chan struct{}, 1)} }
 
-// signal tells the goroutine that takes chunks to look again.
+// signal wakes the goroutine that takes chunks.
 func (b *backlog) signal() {
 	select {
 	case b.changed <- struct{}{}:
@@ -66,8 +66,8 @@
 	return p[n:]
 }
 
-// take returns the oldest chunk, or nil if there is none. isLast reports that no
-// other chunk is left; hasEnded reports the same and that none will be added, and end is then valid.
+// take removes and returns the oldest chunk, or returns nil if there is none. isLast reports that no
+// other chunk is left, and hasEnded that none will be added either; end is valid only then.
 func (b *backlog) take() (chunk []byte, isLast, hasEnded bool, end streamEnd) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -102,6 +102,19 @@
 	return b.callerErr
 }
 
+// awaitEnd waits until nothing more is added, drops what is left, and returns how the stream has ended.
+func (b *backlog) awaitEnd() streamEnd {
+	for {
+		chunk, _, hasEnded, end := b.take()
+		switch {
+		case hasEnded:
+			return end
+		case chunk == nil:
+			<-b.changed
+		}
+	}
+}
+
 // startBacklog returns the backlog, which both goroutines use once another one has taken over. From
 // its start on the host waits for the caller.
 func (r *relay) startBacklog() *backlog {
@@ -114,7 +127,7 @@
 
 // takeOver continues the stream in another goroutine than the caller's, which is blocked in a write.
 func (r *relay) takeOver(ctx context.Context) {
-	b, end := r.startBacklog(), isBroken
+	b, end := r.startBacklog(), streamBroken
 	defer func() {
 		if p := recover(); p != nil {
 			r.c.warn("panic in a stream", "panic", p, "stack", string(debug.Stack()))
@@ -180,11 +193,11 @@
 	}
 	b.fail(err)
 	c.stop(err)
-	if b.awaitEnd() == isComplete {
+	if b.awaitEnd() == streamComplete {
 		c.g.counts.callersGone.Inc(1)
 		c.log("caller disconnected", "send", c.attempts, "error", err.Error())
 	}
-	return isBroken
+	return streamBroken
 }
 
 // writeChunk writes a chunk of the backlog to the caller and gives back its memory. The last one is
@@ -200,16 +213,3 @@
 	}
 	return nil
 }
-
-// awaitEnd waits until nothing more is added, drops what is left, and returns how the stream has ended.
-func (b *backlog) awaitEnd() streamEnd {
-	for {
-		chunk, _, hasEnded, end := b.take()
-		switch {
-		case hasEnded:
-			return end
-		case chunk == nil:
-			<-b.changed
-		}
-	}
-}
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -39,7 +39,7 @@
 	g.apply(i, change, before, 0, "request", o.Attempt, "status", o.Status)
 	if statement.Cold > 0 {
 		g.scheduler.SetObservedCold(i, statement.ReadAt+statement.Cold, g.now())
-		g.noteCold()
+		g.updateColdState()
 	}
 	if statement.Rest > 0 {
 		g.deliver(g.scheduler.SetRest(i, statement.ReadAt+statement.Rest, g.now()))
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -20,12 +20,12 @@
 		}
 	}
 	g.deliver(g.scheduler.SetColdParams(params, g.now()))
-	g.noteCold()
+	g.updateColdState()
 }
 
-// noteCold logs which upstreams have become cold or are no longer, and sets the timer for the next
+// updateColdState logs which upstreams have become cold or are no longer, and sets the timer for the next
 // one that stops being cold. The caller holds mu.
-func (g *Gateway) noteCold() {
+func (g *Gateway) updateColdState() {
 	now := g.now()
 	all := g.scheduler.ColdUpstreams(now)
 	if len(all) == 0 && len(g.cold) == 0 {
@@ -35,6 +35,7 @@
 	for _, u := range all {
 		i := backpressure.Incarnation{Upstream: u.ID, StartedAt: u.StartedAt}
 		next[i] = u
+		// A cold time that now ends at a different time counts as another one.
 		if before, wasCold := g.cold[i]; !wasCold || (u.Until-before.Until).Abs() > time.Second {
 			g.counts.increment("cold.begun")
 			g.cfg.Log.Info("upstream is cold", "upstream", u.ID, "service", u.Service, "cold_ms", (u.Until - now).Milliseconds())
@@ -61,12 +62,12 @@
 	}
 }
 
-// endColdTimes lets the requests that wait use the upstreams that are no longer cold.
+// endColdTimes decides again on the requests that wait, after an upstream has stopped being cold.
 func (g *Gateway) endColdTimes() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reconsiderCold()
-	g.noteCold()
+	g.updateColdState()
 }
 
 // reconsiderCold decides again on the requests that wait. The caller holds mu.
@@ -76,8 +77,9 @@
 	g.upstreamsHaveChanged()
 }
 
-// useColdTokens asks for the tokens of the requests that wait on, and lets them use those that were
-// granted for later as soon as they may. tokens is nil if there was no answer. The caller holds mu.
+// useColdTokens asks for tokens for the requests that still wait, and decides on them again when the
+// tokens that were granted for later become usable. tokens is nil if there was no answer. The caller
+// holds mu.
 func (g *Gateway) useColdTokens(tokens *wire.Tokens) {
 	g.requestTokens()
 	if tokens == nil {
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -80,7 +80,8 @@
 	return schedule.Decision{Reason: schedule.Evacuated, RetryAfter: schedule.MaxRetryAfter(time.Until(deadline))}
 }
 
-// refuseEvacuated is evacuatedDecision as the error of a request to a plain service.
+// refuseEvacuated returns the error of a request to a plain service whose upstreams are all in
+// evacuated data centres.
 func (g *Gateway) refuseEvacuated(ctx context.Context) error {
 	g.counts.increment("refused." + schedule.Evacuated.Name())
 	deadline, hasDeadline := ctx.Deadline()
@@ -91,8 +92,8 @@
 }
 
 // runsInEvacuated reports whether an attempt runs at an upstream in an evacuated data centre and the
-// state of its group is not known any more. It is not cancelled for the sake of its group: requests
-// that run there may finish. The caller holds mu.
+// state of its group is not known any more. Such an attempt may finish and is not cancelled as one of
+// a group that does not serve. The caller holds mu.
 func (g *Gateway) runsInEvacuated(t *schedule.Ticket) bool {
 	return slices.Contains(g.evacuations.dataCentres, t.DataCentre()) && !t.IsGroupKnown()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,8 @@
 //
 // # Locks
 //
-// Gateway.mu guards the view of upstreams, their statements, the evacuations and the scheduler. It is
-// never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken
+// Gateway.mu guards the view of upstreams, their statements, the evacuations, the scheduler and what
+// is kept for its decisions: queued requests, cancel functions and cold upstreams. It is never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken
 // while mu is held, not the other way round. The locks of the memory budget, of a stream's backlog and
 // of the watch over writes are taken while no other lock is held. The configuration is published as an
 // immutable value.
@@ -33,8 +33,8 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-// Dialect holds the names of the header fields that callers and upstreams use, and how the
-// caller's deadline is read from them.
+// Dialect holds the names of the header fields that callers and upstreams use, and the functions that
+// read their values.
 type Dialect struct {
 	// UpstreamHeaders holds the names of the fields that upstreams understand.
 	UpstreamHeaders dispatch.HeaderNames
@@ -135,12 +135,14 @@
 	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
-		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(), view: registry.NewView(), statements: backpressure.NewTable(),
+		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(),
+		view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
-			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			StartupUntil: startupWait, PlanReturns: cfg.PlanReturns,
+			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), StartupUntil: startupWait, PlanReturns: cfg.PlanReturns,
 		}),
-		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{}, cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
+		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{},
+		cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
 	metrics.NewRegisteredFunctionalGauge("gateway.memory.held-bytes", cfg.Metrics, func() int64 { return g.memory.Held() })
 	cfg.Client.OnResponse(g.observe)
@@ -217,7 +219,7 @@
 		}
 	}
 	g.upstreamsHaveChanged()
-	g.noteCold()
+	g.updateColdState()
 }
 
 // randomFraction returns a random number in [0, 1).
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -62,7 +62,8 @@
 	hasRetry bool
 	// isFinal is set if no further attempt is to be made, so that the caller gets its response
 	// without delay: no upstream is left, the group of the last attempt does not serve, the
-	// request is quarantined, or the upstream has ended while it ran the request.
+	// request is quarantined, the upstream has ended while it ran the request, or there is no
+	// memory for the response.
 	isFinal bool
 	// last is the error of the last attempt.
 	last error
@@ -120,16 +121,8 @@
 	if c.route == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no route for this host and path")
 	}
-	c.priority, c.regions = combinedPriority(c.route.Priority, c.route.Priority), c.route.AllowedRegions
-	if c.table.NeedsKey(c.route) {
-		w := c.table.WorkspaceByKey(c.r.Header.Get(g.cfg.Dialect.KeyHeader))
-		if w == nil {
-			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
-		}
-		c.workspace, c.regions = w.Name, c.regions.Intersect(w.AllowedRegions)
-		if w.HasPriority {
-			c.priority = combinedPriority(w.Priority, c.route.Priority)
-		}
+	if err := c.authorize(); err != nil {
+		return err
 	}
 	if err := c.readBody(ctx); err != nil {
 		return err
@@ -149,6 +142,24 @@
 	return nil
 }
 
+// authorize finds the workspace of the caller, unless the route is public, and sets the priority and
+// the regions that follow from route and workspace.
+func (c *call) authorize() error {
+	c.priority, c.regions = combinedPriority(c.route.Priority, c.route.Priority), c.route.AllowedRegions
+	if !c.table.NeedsKey(c.route) {
+		return nil
+	}
+	w := c.table.WorkspaceByKey(c.r.Header.Get(c.g.cfg.Dialect.KeyHeader))
+	if w == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
+	}
+	c.workspace, c.regions = w.Name, c.regions.Intersect(w.AllowedRegions)
+	if w.HasPriority {
+		c.priority = combinedPriority(w.Priority, c.route.Priority)
+	}
+	return nil
+}
+
 // computeFingerprint computes the fingerprint from the workspace and the contents of the
 // request.
 func (c *call) computeFingerprint() quarantine.Fingerprint {
@@ -187,8 +198,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	c.memory.Progress(c.g.now())
-	body, err := c.readWhole(ctx, memory.Body, http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, func() { c.memory.Progress(c.g.now()) })
+	onRead := func() { c.memory.Progress(c.g.now()) }
+	onRead()
+	body, err := c.readWhole(ctx, memory.Body, http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, onRead)
 	c.memory.StopWaiting()
 	c.hasBody.Store(true)
 	c.body = body
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -57,7 +57,7 @@
 	return d.Upstream, &reservation{Ticket: d.Ticket, g: g}, nil
 }
 
-// admit decides on a request for a slot. The caller holds the gateway's lock.
+// admit decides on a request for a slot. The caller holds Gateway.mu.
 func (c *call) admit(r *schedule.Request) schedule.Decision {
 	g := c.g
 	if g.evacuations.closedServices[r.Service] {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,11 +24,10 @@
 // stream is resumed.
 //
 // One goroutine reads from upstreams and produces the events. At first that is the caller's
-// goroutine, which also writes them, so that nothing is passed on between goroutines. If the caller
-// is so slow that a write takes more than a tenth of a second, another goroutine takes over the producing
-// while the first one is still writing. From then on events go through a backlog, and the caller's
-// goroutine only writes. All fields belong to the producing goroutine, except where stated
-// otherwise.
+// goroutine, which also writes them, so that nothing is passed on between goroutines. If a write to
+// the caller takes too long, another goroutine takes over the producing while the first one is still
+// writing. From then on events go through a backlog, and the caller's goroutine only writes. All
+// fields belong to the producing goroutine, except where stated otherwise.
 type relay struct {
 	c *call
 	// resp is the response whose events are forwarded, reserved the reservation of its attempt.
@@ -80,15 +79,15 @@
 type streamEnd uint8
 
 const (
-	// isUnanswered means that nothing was sent to the caller, so that another attempt may be made.
-	isUnanswered streamEnd = iota
-	// isComplete means that the caller gets the whole stream.
-	isComplete
-	// isBroken means that the stream has ended early. The caller's connection must be aborted, so
+	// streamUnanswered means that nothing was sent to the caller, so that another attempt may be made.
+	streamUnanswered streamEnd = iota
+	// streamComplete means that the caller gets the whole stream.
+	streamComplete
+	// streamBroken means that the stream has ended early. The caller's connection must be aborted, so
 	// that the caller does not take the truncated stream for a complete one.
-	isBroken
-	// isTakenOver means that another goroutine produces the events now.
-	isTakenOver
+	streamBroken
+	// streamTakenOver means that another goroutine produces the events now.
+	streamTakenOver
 )
 
 // stream forwards a stream. It returns false if nothing was sent to the caller and another
@@ -102,13 +101,13 @@
 	r.watched = c.g.writes.add(func() { r.takeOver(ctx) })
 	defer c.g.writes.remove(r.watched)
 	end := r.produce(ctx)
-	if end == isTakenOver {
+	if end == streamTakenOver {
 		end = r.drainBacklog()
 	}
-	if end == isBroken {
+	if end == streamBroken {
 		panic(http.ErrAbortHandler)
 	}
-	return end == isComplete
+	return end == streamComplete
 }
 
 // produce delivers the events of one upstream after the other until the stream has ended or another
@@ -118,16 +117,12 @@
 	for {
 		err := r.copyEvents(ctx)
 		if errors.Is(err, errTakenOver) {
-			return isTakenOver
+			return streamTakenOver
 		}
 		r.resp.Close()
 		if err == nil {
-			r.reserved.release(outcomeGood)
-			c.g.cfg.Quarantine.Answered(c.fingerprint)
-			c.g.counts.recordResponse(r.resp.Status, time.Since(c.began))
-			c.log("request answered", "status", r.resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
-				"event", r.last, "first_ms", r.firstEventDelay.Milliseconds(), "gap_ms", r.eventGap.Milliseconds())
-			return isComplete
+			r.recordComplete()
+			return streamComplete
 		}
 		if r.backlog != nil {
 			// If the caller has left, the reading was cancelled because of that.
@@ -140,30 +135,47 @@
 			r.reserved.release(outcomeNeutral)
 			c.g.counts.callersGone.Inc(1)
 			c.log("caller disconnected", "send", c.attempts, "event", r.last, "error", err.Error())
-			return isBroken
-		}
-		if r.reserved.isMoved() {
-			c.hasRetry = true
-			r.reserved.release(outcomeNeutral)
-			c.log("stream leaves a slow engine", "upstream", r.reserved.ID(), "event", r.last)
-		} else {
-			r.reserved.release(outcomeOfError(ctx, c.last))
-			c.warn("stream broke off", "send", c.attempts, "event", r.last, "error", err.Error())
-			c.probeAfterFailure(ctx, r.reserved, c.last)
+			return streamBroken
 		}
+		r.recordIncomplete(ctx, err)
 		if !r.isHeaderSent {
-			return isUnanswered
+			return streamUnanswered
 		}
 		if !r.resume(ctx) {
 			c.g.counts.streamsInterrupted.Inc(1)
 			c.warn("stream cut", "send", c.attempts, "event", r.last, "reason", c.last.Error())
-			return isBroken
+			return streamBroken
 		}
 		c.g.counts.streamsResumed.Inc(1)
 		c.log("stream resumed", "send", c.attempts, "event", r.last)
 	}
 }
 
+// recordComplete ends the attempt of a stream that was read to its end.
+func (r *relay) recordComplete() {
+	c := r.c
+	r.reserved.release(outcomeGood)
+	c.g.cfg.Quarantine.Answered(c.fingerprint)
+	c.g.counts.recordResponse(r.resp.Status, time.Since(c.began))
+	c.log("request answered", "status", r.resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
+		"event", r.last, "first_ms", r.firstEventDelay.Milliseconds(), "gap_ms", r.eventGap.Milliseconds())
+}
+
+// recordIncomplete ends the attempt of a stream that broke off with the given error, or that is moved
+// to another engine. The caller of the request is still there.
+func (r *relay) recordIncomplete(ctx context.Context, err error) {
+	c := r.c
+	if r.reserved.isMoved() {
+		c.hasRetry = true
+		r.reserved.release(outcomeNeutral)
+		c.log("stream leaves a slow engine", "upstream", r.reserved.ID(), "event", r.last)
+		return
+	}
+	r.reserved.release(outcomeOfError(ctx, c.last))
+	c.warn("stream broke off", "send", c.attempts, "event", r.last, "error", err.Error())
+	c.probeAfterFailure(ctx, r.reserved, c.last)
+}
+
 // resume continues the stream at another upstream after the last event that was delivered. It
 // returns false if that is not possible.
 func (r *relay) resume(ctx context.Context) bool {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -30,7 +30,7 @@
 // reservePlain reserves an upstream of a plain service, which is one without engines, that the
 // request may be sent to. If the host has just started, it waits until the upstreams are known. If all
 // upstreams have rate limits or rest, it waits up to maxTokenWait for one. If all are in evacuated
-// data centres, it does not wait. Errors are *verdict.Error and always NotRun.
+// data centres or outside the allowed regions, it does not wait. Errors are *verdict.Error and always NotRun.
 func (g *Gateway) reservePlain(ctx context.Context, name string, allowed *schedule.Constraints) (registry.Upstream, *reservation, error) {
 	waitsUntil := g.now() + maxTokenWait
 	var waiter *schedule.PlainWaiter
--- a/internal/gateway/writewatch.go
+++ b/internal/gateway/writewatch.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// watchInterval is how often writes in progress are looked at.
+	// watchInterval is the time between two checks of the writes in progress.
 	watchInterval = 50 * time.Millisecond
-	// maxWriteTicks is how many intervals a write to the caller of a stream may last, the first one
-	// of which has begun before it, until another goroutine goes on reading from the upstream.
-	// Upstreams cut off a response that is left unread for some seconds.
+	// maxWriteTicks is the number of ticks after which a write to the caller of a stream has taken too
+	// long, so that another goroutine continues to read from the upstream. The first tick may come
+	// just after the write has begun. Upstreams cut off a response that is left unread for some
+	// seconds.
 	maxWriteTicks = 3
 )
 
@@ -34,7 +35,7 @@
 	return w
 }
 
-// watchedWriter is one that a writeWatch looks at.
+// watchedWriter records the write to one caller that is in progress.
 type watchedWriter struct {
 	watch *writeWatch
 	// since is the tick in which the write in progress has begun, 0 if there is none, or tooLong.
@@ -65,15 +66,15 @@
 	delete(w.watched, writer)
 }
 
-// run looks at the writers until there are none.
+// run checks the writers until there are none.
 func (w *writeWatch) run() {
-	for w.look() {
+	for w.check() {
 		time.Sleep(watchInterval)
 	}
 }
 
-// look calls onTooLong where a write takes too long. It returns false if there are no writers.
-func (w *writeWatch) look() bool {
+// check calls onTooLong where a write takes too long. It returns false if there are no writers.
+func (w *writeWatch) check() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.tick.Add(1)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -67,30 +67,33 @@
 // which incarnation of it.
 func (u *Upstream) isLeaveWithoutStart() bool { return u.State == Gone && u.StartedAt == 0 }
 
-// lineage tells to which incarnation an announcement without a start time belongs.
-type lineage struct {
+// replacement tells whether and when the known incarnation replaced an earlier one. Announcements
+// without a start time are ambiguous for some time after that.
+type replacement struct {
 	// replacedAt is when the known incarnation replaced an earlier one. It is only valid if
 	// hasPredecessor is set.
 	replacedAt     time.Duration
 	hasPredecessor bool
 }
 
-// replace records that the known incarnation has replaced an earlier one.
-func (l *lineage) replace(now time.Duration) { l.replacedAt, l.hasPredecessor = now, true }
+// recordReplacement records that the known incarnation has replaced an earlier one.
+func (r *replacement) recordReplacement(now time.Duration) {
+	r.replacedAt, r.hasPredecessor = now, true
+}
 
 // isAmbiguous reports whether an announcement without a start time may still come from an earlier
 // incarnation than the known one.
-func (l *lineage) isAmbiguous(now time.Duration) bool {
-	return l.hasPredecessor && now-l.replacedAt < maxTransit
+func (r *replacement) isAmbiguous(now time.Duration) bool {
+	return r.hasPredecessor && now-r.replacedAt < maxTransit
 }
 
 // merge applies an announcement. One of a later incarnation replaces everything, and one of an
 // earlier incarnation is ignored. It reports whether anything changed that matters for
 // sending requests to the upstream.
 //
-// forwardsKnown tells that it matters whether an upstream is cold, so that the first announcement
-// that tells it is a change.
-func (u *Upstream) merge(next Upstream, forwardsKnown bool, now time.Duration) bool {
+// If firstColdTimeCounts is set, the first announcement that tells whether the upstream is cold
+// counts as a change, even if it is not cold.
+func (u *Upstream) merge(next Upstream, firstColdTimeCounts bool, now time.Duration) bool {
 	if next.StartedAt != u.StartedAt {
 		if next.StartedAt > u.StartedAt {
 			*u = next
@@ -103,8 +106,8 @@
 	hasColdTimeChanged := false
 	if next.Sequence > u.Sequence {
 		u.Sequence = next.Sequence
-		hasKnown := u.IsColdUnknown && !next.IsColdUnknown && forwardsKnown
-		hasColdTimeChanged = u.mergeColdTime(&next, now) || hasKnown
+		isFirstColdTime := u.IsColdUnknown && !next.IsColdUnknown
+		hasColdTimeChanged = u.mergeColdTime(&next, now) || isFirstColdTime && firstColdTimeCounts
 		u.Slots = next.Slots
 		u.Service = cmp.Or(next.Service, u.Service)
 		u.Address = cmp.Or(next.Address, u.Address)
@@ -122,15 +125,15 @@
 	// It must be longer than the delay of any announcement in transit, or a delayed
 	// announcement would bring back an upstream that is gone.
 	ForgetTimeout time.Duration
-	// ForwardsKnownColdTimes makes the first announcement that tells whether an upstream is cold,
-	// after a restart of this control host, one of which other hosts must be notified.
+	// ForwardsKnownColdTimes is set if other hosts must be notified of the first announcement after
+	// a restart of this control host that tells whether an upstream is cold.
 	ForwardsKnownColdTimes bool
 }
 
 // entry is an upstream with the time of its last accepted announcement.
 type entry struct {
 	Upstream
-	lineage
+	replacement
 	heardAt time.Duration
 }
 
@@ -177,7 +180,7 @@
 	wasSilent := e.IsSilent
 	e.heardAt = now
 	if u.StartedAt > e.StartedAt {
-		e.replace(now)
+		e.recordReplacement(now)
 	}
 	changed := e.merge(u, r.limits.ForwardsKnownColdTimes, now)
 	e.IsSilent = false
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -26,7 +26,7 @@
 // viewEntry is the merged record of one upstream.
 type viewEntry struct {
 	Upstream
-	lineage
+	replacement
 	// silentBy holds, for each connected control host, whether it last reported the upstream
 	// as silent.
 	silentBy map[string]bool
@@ -65,7 +65,7 @@
 			born := s.StartedAt
 			changed = s.merge(u, true, now) || changed
 			if s.StartedAt != born {
-				s.replace(now)
+				s.recordReplacement(now)
 				v.resetIncarnation(s)
 			}
 		}
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -180,10 +180,9 @@
 }
 
 // newWaiter returns the queue entry for a request. Two kinds of requests count as on time for as
-// long as they may wait. The engines have already done part of a resumed answer, and the rest
-// holds a slot for less time than a whole one. Just after an outage, a caller without another
-// try was refused in the outage and is lost if it is refused again, whereas a caller that comes
-// now and has to wait can still be served.
+// long as they may wait: resumed ones, because the engines have already done part of the answer and
+// the rest holds a slot for less time than a whole one; and, just after an outage, those of callers
+// without another try, which were refused in the outage and don't return if they are refused again.
 func (sv *service) newWaiter(r *Request, now time.Duration) *Waiter {
 	w := &Waiter{
 		service: sv, constraints: Constraints{Tried: r.Tried, Regions: r.Regions, Tokens: r.Tokens},
@@ -218,7 +217,7 @@
 // admitNow reserves a slot for a new request, unless a queued request goes first.
 func (s *Scheduler) admitNow(sv *service, w *Waiter, now time.Duration) (*Ticket, bool) {
 	s.updateClasses(sv, now)
-	if s.isAhead(w, now) {
+	if s.hasRequestAhead(w, now) {
 		return nil, false
 	}
 	if !s.mayAdmit(sv, w, now) {
@@ -253,7 +252,8 @@
 	return Decision{Reason: reason, RetryAfter: time.Duration(fraction * float64(latest))}
 }
 
-// maxRetryAfterFor returns the longest Retry-After that the caller of a queued request accepts.
+// maxRetryAfterFor returns the longest Retry-After that the caller of a request accepts. w
+// is nil if its deadline is not known.
 func maxRetryAfterFor(w *Waiter, now time.Duration) time.Duration {
 	timeLeft := defaultTimeLeft
 	if w != nil && w.deadline > 0 {
@@ -263,7 +263,7 @@
 }
 
 // MaxRetryAfter returns the longest Retry-After that a caller with the given remaining time
-// accepts. It is what callers are told whose group has just failed.
+// accepts.
 func MaxRetryAfter(timeLeft time.Duration) time.Duration {
 	return time.Duration(maxRetryAfterFraction * float64(timeLeft))
 }
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -33,7 +33,8 @@
 	// class. It only prefers the higher one of two limits that serve all requests equally well.
 	spareValue = 0.05
 	// maxClasses is the largest number of classes of a service. Priorities come from the
-	// configuration; requests of a further one belong to the class with the nearest priority.
+	// configuration; requests of a further one belong to the next less urgent class, or to the least
+	// urgent one.
 	maxClasses = 16
 )
 
@@ -101,13 +102,13 @@
 // less urgent class may do so if enough slots are free for the requests that are expected of more
 // urgent classes, or if its class has less than its guaranteed share.
 func (s *Scheduler) updateClasses(sv *service, now time.Duration) {
-	has := s.supply(sv, now)
+	share := s.slotShare(sv, now)
 	for i, c := range sv.classes {
-		c.isGuaranteed = len(sv.classes) > 1 && float64(c.inflight) < sv.guaranteedSlots(c, has, now)
+		c.isGuaranteed = len(sv.classes) > 1 && float64(c.inflight) < sv.guaranteedSlots(c, share, now)
 		needed := sv.demand.slotsNeeded(sv.onTimeArrivalRate(c, now), sv.expectedServiceTime())
-		c.isPreferred = i < len(sv.classes)-1 && needed < has.own
-		c.mayAdmitOnTime = i == 0 || c.isGuaranteed || has.free > sv.urgentArrivalRate(c, now)*urgentReserve.Seconds()
-		c.mayAdmitLate = c.isGuaranteed || c.mayAdmitOnTime && sv.lateCapacity(c, has, now) > 0
+		c.isPreferred = i < len(sv.classes)-1 && needed < share.total
+		c.mayAdmitOnTime = i == 0 || c.isGuaranteed || share.free > sv.urgentArrivalRate(c, now)*urgentReserve.Seconds()
+		c.mayAdmitLate = c.isGuaranteed || c.mayAdmitOnTime && sv.lateCapacity(c, share, now) > 0
 	}
 }
 
@@ -120,7 +121,7 @@
 
 // guaranteedSlots returns how many of this host's slots a class keeps if all classes together
 // ask for more than there are.
-func (sv *service) guaranteedSlots(c *class, has supply, now time.Duration) float64 {
+func (sv *service) guaranteedSlots(c *class, share slotShare, now time.Duration) float64 {
 	total := 0.0
 	for _, o := range sv.classes {
 		total += o.arrivals.perSecond(now)
@@ -130,24 +131,24 @@
 	}
 	own := c.arrivals.perSecond(now)
 	// The slots that all requests of the class would occupy, or its part of those that there are.
-	slots := min(own*sv.meanServiceTime().Seconds(), own/total*has.own)
+	slots := min(own*sv.meanServiceTime().Seconds(), own/total*share.total)
 	return guaranteedFraction * slots
 }
 
 // classRate estimates how many requests of a class per second get a slot at this host while
 // requests are queued: those that did lately, or what more urgent requests leave of this host's
 // share of the slots, or the guaranteed share, whichever is most.
-func (sv *service) classRate(c *class, has supply, now time.Duration) float64 {
+func (sv *service) classRate(c *class, share slotShare, now time.Duration) float64 {
 	turnover := 1 / sv.meanServiceTime().Seconds()
 	if c.isPreferred {
 		// Less urgent requests leave it any slot that becomes free, also those that other hosts use.
-		return max(has.own, 1) * turnover * waitMargin * preferredRate
+		return max(share.total, 1) * turnover * waitMargin * preferredRate
 	}
-	left := has.own*turnover - sv.urgentArrivalRate(c, now)
-	return max(left, c.admissions.perSecond(now), sv.guaranteedSlots(c, has, now)*turnover)
+	left := share.total*turnover - sv.urgentArrivalRate(c, now)
+	return max(left, c.admissions.perSecond(now), sv.guaranteedSlots(c, share, now)*turnover)
 }
 
-// begin counts an attempt of a workspace, end takes it off again.
+// begin counts an attempt of a workspace in flight, and end records that it has ended.
 func (c *class) begin(workspace string) {
 	c.inflight++
 	c.inflightBy[workspace]++
@@ -160,10 +161,10 @@
 	}
 }
 
-// excessOf returns how many times its fair share of the slots a workspace uses, at least 1. The
+// fairShareRatio returns how many times its fair share of the slots a workspace uses, at least 1. The
 // slots that the class uses are shared equally by the workspaces that use any; what one of them
 // does not need is thereby left to the others.
-func (c *class) excessOf(workspace string) float64 {
+func (c *class) fairShareRatio(workspace string) float64 {
 	used := c.inflightBy[workspace]
 	if used == 0 {
 		return 1
--- a/internal/schedule/cold.go
+++ b/internal/schedule/cold.go
@@ -230,11 +230,13 @@
 // a token can be asked for now: the least loaded one, chosen at random among equals. counts holds
 // how many tokens are about to be asked for. The result is nil if there is none.
 func (s *Scheduler) nextCold(sv *service, c *Constraints, counts map[*upstream]int, now time.Duration) *upstream {
-	var best *upstream
-	lowest, ties := 0.0, 0
+	best := leastScore{random: s.cfg.Random}
 	minRatio := sv.minStepTimeRatio(now)
 	for _, u := range s.restricted {
-		if u.service != sv || !u.isCold() || now < u.restUntil || !u.allowance.MayAsk(now) || counts[u] >= maxColdTokens || !c.allow(u) {
+		if u.service != sv || !u.isCold() || now < u.restUntil || !c.allow(u) {
+			continue
+		}
+		if !u.allowance.MayAsk(now) || counts[u] >= maxColdTokens {
 			continue
 		}
 		load := s.estimatedLoad(u, now) + float64(counts[u]+u.allowance.Outstanding(now))
@@ -245,24 +247,16 @@
 		if u.isSuspect(now) {
 			score += suspectPenalty
 		}
-		switch {
-		case best == nil || score < lowest:
-			best, lowest, ties = u, score, 1
-		case score == lowest:
-			if ties++; s.cfg.Random.IntN(ties) == 0 {
-				best = u
-			}
-		}
+		best.add(u, score)
 	}
-	return best
+	return best.upstream
 }
 
 // suspectPenalty is more than any load, so that no token of a suspect upstream is asked for while
 // there is another one.
 const suspectPenalty = 1e6
 
-// coldEndsBy reports whether an upstream of the service is no longer limited by the given time,
-// because it is not cold by then.
+// coldEndsBy reports whether a cold upstream of the service has no limit any more at the given time.
 func (sv *service) coldEndsBy(until time.Duration) bool {
 	return slices.ContainsFunc(sv.active, func(u *upstream) bool { return u.isCold() && u.statedRate == 0 && u.coldUntil <= until })
 }
--- a/internal/schedule/constraints.go
+++ b/internal/schedule/constraints.go
@@ -32,12 +32,12 @@
 // allowRegion reports whether the request may run in the region of the upstream.
 func (c *Constraints) allowRegion(u *upstream) bool { return c == nil || c.Regions.Allow(u.region) }
 
-// limitsRegions reports whether the request may not run at all upstreams of its service.
+// limitsRegions reports whether the request may run in some regions only.
 func (c *Constraints) limitsRegions() bool { return c != nil && c.Regions != nil }
 
-// compete reports whether two requests wait for the same slots. One that may run in some regions
-// only must not hold up those that may run in others.
-func (c *Constraints) compete(o *Constraints) bool {
+// holdsUp reports whether a request with these constraints goes before a later one with the
+// constraints o. One that may run in some regions only must not hold up those that may run in others.
+func (c *Constraints) holdsUp(o *Constraints) bool {
 	return !c.limitsRegions() || slices.Equal(c.Regions, o.Regions)
 }
 
@@ -53,30 +53,10 @@
 	return s.hasNoRegion(s.service(name), c, now)
 }
 
-// isDownFor reports whether no upstream serves that is in a region which the request allows.
+// isDownFor reports whether no upstream in a region that the request allows serves.
 func (sv *service) isDownFor(c *Constraints, now time.Duration) bool {
 	if !c.limitsRegions() {
 		return sv.isDown(now)
 	}
 	return !slices.ContainsFunc(sv.active, func(u *upstream) bool { return c.allowRegion(u) && sv.serves(u, now) })
 }
-
-// isAhead reports whether a queued request that waits for the same slots and may take one goes
-// before w.
-func (s *Scheduler) isAhead(w *Waiter, now time.Duration) bool {
-	return slices.ContainsFunc(w.service.waiters, func(o *Waiter) bool {
-		return !w.precedes(o, now) && o.constraints.compete(&w.constraints) && s.mayAdmit(w.service, o, now)
-	})
-}
-
-// hasOtherEngine reports whether an attempt's stream could be continued at another engine. It is
-// true without a look if any engine with a free slot would do.
-func (s *Scheduler) hasOtherEngine(t *Ticket, minRatio float64, now time.Duration) bool {
-	if !t.constraints.limitsRegions() && !t.service.limitsTokens(t.constraints) {
-		return true
-	}
-	return slices.ContainsFunc(t.service.active, func(u *upstream) bool {
-		return u != t.upstream && t.constraints.allow(u) && t.service.serves(u, now) && s.fitsCache(u, t.constraints, now) &&
-			s.estimatedLoad(u, now) < float64(t.service.limitOf(u, minRatio, now))
-	})
-}
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -23,13 +23,13 @@
 	return sv.demand.serviceTime
 }
 
-// supply is this host's equal share of the usable slots of a service, and of those that are free.
-type supply struct{ own, free float64 }
+// slotShare is a host's equal share of the usable slots of a service: of all, and of the free ones.
+type slotShare struct{ total, free float64 }
 
-// supply returns what this host may use of a service's slots.
-func (s *Scheduler) supply(sv *service, now time.Duration) supply {
+// slotShare returns this host's share of the slots of a service.
+func (s *Scheduler) slotShare(sv *service, now time.Duration) slotShare {
 	total, free := s.capacity(sv, now)
-	return supply{own: total / float64(s.hosts), free: free / float64(s.hosts)}
+	return slotShare{total: total / float64(s.hosts), free: free / float64(s.hosts)}
 }
 
 // lateCapacity returns how many more requests that can no longer be on time this host may admit
@@ -38,15 +38,15 @@
 // others makes the next ones late too, for as long as the backlog of an outage lasts.
 //
 // Only requests on time of the same class and of more urgent ones count.
-func (sv *service) lateCapacity(c *class, has supply, now time.Duration) float64 {
-	spare := has.free - sv.onTimeArrivalRate(c, now)*onTimeReserve.Seconds()
-	return max(sv.capacityLeftForLate(c, has, now)-float64(sv.late), spare)
+func (sv *service) lateCapacity(c *class, share slotShare, now time.Duration) float64 {
+	spare := share.free - sv.onTimeArrivalRate(c, now)*onTimeReserve.Seconds()
+	return max(sv.capacityLeftForLate(c, share, now)-float64(sv.late), spare)
 }
 
 // capacityLeftForLate returns how many slots of this host's share are left over for a class by
 // requests that can be on time.
-func (sv *service) capacityLeftForLate(c *class, has supply, now time.Duration) float64 {
-	return has.own - sv.demand.slotsNeeded(sv.onTimeArrivalRate(c, now), sv.expectedServiceTime())
+func (sv *service) capacityLeftForLate(c *class, share slotShare, now time.Duration) float64 {
+	return share.total - sv.demand.slotsNeeded(sv.onTimeArrivalRate(c, now), sv.expectedServiceTime())
 }
 
 // cannotBeServedInTime reports whether a request would wait for a slot in vain, judging by the
@@ -55,15 +55,15 @@
 	if sv.demand.serviceTime == 0 {
 		return false
 	}
-	has := s.supply(sv, now)
-	if w.class.isGuaranteed || w.canBeOnTime(now) && sv.expectedOnTimeWait(w, has, now) < w.latestStart-now {
+	share := s.slotShare(sv, now)
+	if w.class.isGuaranteed || w.canBeOnTime(now) && sv.expectedOnTimeWait(w, share, now) < w.latestStart-now {
 		return false
 	}
-	available := sv.capacityLeftForLate(w.class, has, now)
+	available := sv.capacityLeftForLate(w.class, share, now)
 	if available <= 0 {
 		return true
 	}
-	return sv.expectedWait(w, available, now)-sv.timeToFree(sv.lateCapacity(w.class, has, now), available) > w.giveUpAt-now
+	return sv.expectedWait(w, available, now)-sv.timeToFree(sv.lateCapacity(w.class, share, now), available) > w.giveUpAt-now
 }
 
 // expectedWait estimates how long a request waits behind those ahead of it in the queue, if the
@@ -76,12 +76,12 @@
 // slot of this host's share as it becomes free, and also the quota of slots that are free
 // already. Hosts have unequal numbers of callers, so a host with more than its share of them
 // depends on the slots that other hosts leave free.
-func (sv *service) expectedOnTimeWait(w *Waiter, has supply, now time.Duration) time.Duration {
-	perSecond := has.own/sv.demand.serviceTime.Seconds() + sv.quotaRate.perSecond
+func (sv *service) expectedOnTimeWait(w *Waiter, share slotShare, now time.Duration) time.Duration {
+	perSecond := share.total/sv.demand.serviceTime.Seconds() + sv.quotaRate.perSecond
 	if len(sv.classes) > 1 {
 		// A workspace that uses more than its fair share is refused first, which leaves the queue to
 		// the others.
-		perSecond = sv.classRate(w.class, has, now) / (waitMargin * w.class.excessOf(w.workspace))
+		perSecond = sv.classRate(w.class, share, now) / (waitMargin * w.class.fairShareRatio(w.workspace))
 	}
 	if perSecond <= 0 {
 		return forever
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -56,3 +56,15 @@
 func (sv *service) mustBeVacated(u *upstream, minRatio float64, now time.Duration) bool {
 	return u.isServing && sv.serves(u, now) && u.load.isFresh(now) && sv.limitOf(u, minRatio, now) == 0
 }
+
+// hasOtherEngine reports whether an attempt's stream could be continued at another engine. For a
+// request that any engine with a free slot may run, it returns true without a check.
+func (s *Scheduler) hasOtherEngine(t *Ticket, minRatio float64, now time.Duration) bool {
+	if !t.constraints.limitsRegions() && !t.service.limitsTokens(t.constraints) {
+		return true
+	}
+	return slices.ContainsFunc(t.service.active, func(u *upstream) bool {
+		return u != t.upstream && t.constraints.allow(u) && t.service.serves(u, now) && s.fitsCache(u, t.constraints, now) &&
+			s.estimatedLoad(u, now) < float64(t.service.limitOf(u, minRatio, now))
+	})
+}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -91,6 +91,14 @@
 	return best
 }
 
+// hasRequestAhead reports whether a queued request that may take a free slot and could use the same
+// slots goes before w.
+func (s *Scheduler) hasRequestAhead(w *Waiter, now time.Duration) bool {
+	return slices.ContainsFunc(w.service.waiters, func(o *Waiter) bool {
+		return !w.precedes(o, now) && o.constraints.holdsUp(&w.constraints) && s.mayAdmit(w.service, o, now)
+	})
+}
+
 // canBeOnTime reports whether the request's first event can be on time if it gets a slot now.
 func (w *Waiter) canBeOnTime(now time.Duration) bool { return now < w.latestStart }
 
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -89,8 +90,7 @@
 // leastLoaded returns the upstream with the smallest fraction of its slots in use, chosen at
 // random among equals, or nil if there is none.
 func (s *Scheduler) leastLoaded(sv *service, c *Constraints, mayBeSuspect bool, now time.Duration) *upstream {
-	var best *upstream
-	lowest, ties := 0.0, 0
+	best := leastScore{random: s.cfg.Random}
 	lowestCold := math.Inf(1)
 	for _, u := range sv.active {
 		if !c.allow(u) || !mayBeSuspect && u.isSuspect(now) {
@@ -98,7 +98,7 @@
 		}
 		if !u.accepts(now) {
 			if u.isCold() && now >= u.restUntil {
-				lowestCold = min(lowestCold, s.estimatedLoad(u, now)/float64(max(u.Slots, 1)))
+				lowestCold = min(lowestCold, s.loadFraction(u, now))
 			}
 			// The second search, among suspect upstreams too, is for the same request.
 			if !mayBeSuspect {
@@ -106,25 +106,43 @@
 			}
 			continue
 		}
-		score := s.estimatedLoad(u, now) / float64(max(u.Slots, 1))
+		score := s.loadFraction(u, now)
 		if u.DataCentre == s.cfg.DataCentre {
 			score -= localBonus
 		}
-		switch {
-		case best == nil || score < lowest:
-			best, lowest, ties = u, score, 1
-		case score == lowest:
-			// Reservoir sampling: each of the tied upstreams is kept with the same probability.
-			if ties++; s.cfg.Random.IntN(ties) == 0 {
-				best = u
-			}
-		}
+		best.add(u, score)
 	}
-	if best != nil && lowestCold < lowest {
+	if best.upstream != nil && lowestCold < best.score {
 		s.coldPassedOver++
-		sv.overflowed = lowest >= 1 && lowestCold < 1
+		sv.overflowed = best.score >= 1 && lowestCold < 1
+	}
+	return best.upstream
+}
+
+// loadFraction returns the estimated fraction of the upstream's slots that is in use.
+func (s *Scheduler) loadFraction(u *upstream, now time.Duration) float64 {
+	return s.estimatedLoad(u, now) / float64(max(u.Slots, 1))
+}
+
+// leastScore finds the upstream with the lowest score, chosen at random among equals. upstream is
+// nil before the first one is added.
+type leastScore struct {
+	random   *rand.Rand
+	upstream *upstream
+	score    float64
+	ties     int
+}
+
+func (l *leastScore) add(u *upstream, score float64) {
+	switch {
+	case l.upstream == nil || score < l.score:
+		l.upstream, l.score, l.ties = u, score, 1
+	case score == l.score:
+		// Reservoir sampling: each of the tied upstreams is kept with the same probability.
+		if l.ties++; l.random.IntN(l.ties) == 0 {
+			l.upstream = u
+		}
 	}
-	return best
 }
 
 // isSuspect reports whether others are preferred to the upstream, because it is suspected of
@@ -151,14 +169,10 @@
 		if !sv.serves(u, now) || !c.allow(u) {
 			continue
 		}
-		isTrusted := !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
+		isTrusted := u.isTrusted(maxAge, now)
 		hasTrusted = hasTrusted || isTrusted
 		load := s.estimatedLoad(u, now)
-		limit := sv.limitOf(u, minRatio, now)
-		if isPreferred && !u.isSlow(minRatio, now) {
-			limit = min(limit+urgentHeadroom, max(limit, sv.engineSpec.Slots))
-		}
-		hasSlot := (isPreferred || u.isWithinQuota(now)) && load < float64(limit)
+		hasSlot := (isPreferred || u.isWithinQuota(now)) && load < float64(sv.admissionLimit(u, isPreferred, minRatio, now))
 		if hasSlot && limitsTokens && !s.fitsCache(u, c, now) {
 			s.lacksCache = true
 			continue
@@ -188,6 +202,22 @@
 	return u, ok
 }
 
+// isTrusted reports whether the engine is not suspect, does not rest, and has no load report that is
+// older than maxAge.
+func (u *upstream) isTrusted(maxAge, now time.Duration) bool {
+	return !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
+}
+
+// admissionLimit returns the concurrency limit of an engine for a request. For a preferred one it is
+// higher by urgentHeadroom if the engine has slots beyond it and is not slow.
+func (sv *service) admissionLimit(u *upstream, isPreferred bool, minRatio float64, now time.Duration) int {
+	limit := sv.limitOf(u, minRatio, now)
+	if !isPreferred || u.isSlow(minRatio, now) {
+		return limit
+	}
+	return min(limit+urgentHeadroom, max(limit, sv.engineSpec.Slots))
+}
+
 // isWithinQuota reports whether this host may take a free slot of the engine. Without a fresh
 // load report its free slots are unknown, and the quota does not apply. Neither does it apply to
 // an engine with a rate limit, for which a token is needed instead.
--- a/internal/schedule/returns.go
+++ b/internal/schedule/returns.go
@@ -79,7 +79,7 @@
 func (s *Scheduler) planReturn(w *Waiter, longest, now time.Duration) time.Duration {
 	spread := time.Duration(s.cfg.Random.Float64() * float64(min(returnSpan, longest)))
 	if serviceTime := w.service.meanServiceTime().Seconds(); serviceTime > 0 && !w.isReturn() {
-		slotsPerSecond := s.supply(w.service, now).own / serviceTime
+		slotsPerSecond := s.slotShare(w.service, now).total / serviceTime
 		if start, ok := w.service.returns.place(slotsPerSecond, now, now+longest); ok {
 			return start - now + spread
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -49,6 +49,11 @@
 	// that number was last valid.
 	recentHosts   int
 	recentHostsAt time.Duration
+	// upstreams holds, by id, the upstreams that serve and those that still have attempts of
+	// this host in flight. byAddress holds only the upstreams that serve.
+	upstreams map[string]*upstream
+	byAddress map[string]*upstream
+	services  map[string]*service
 	// restricted holds the upstreams that serve and have a rate limit or rest. The rest of some of
 	// them may be over.
 	restricted []*upstream
@@ -58,13 +63,9 @@
 	nextColdEnd            time.Duration
 	// evacuatedUntil holds when the last evacuation of each data centre ended.
 	evacuatedUntil map[string]time.Duration
-	// coldPassedOver counts requests that were sent elsewhere because an upstream is cold.
+	// coldPassedOver counts the requests since the last TakePassedOver that were sent elsewhere
+	// because an upstream is cold.
 	coldPassedOver int
-	// upstreams holds, by id, the upstreams that serve and those that still have attempts of
-	// this host in flight. byAddress holds only the upstreams that serve.
-	upstreams map[string]*upstream
-	byAddress map[string]*upstream
-	services  map[string]*service
 	// trustedCandidates and suspectCandidates are buffers of pickEngine, kept to avoid an
 	// allocation for each decision.
 	trustedCandidates, suspectCandidates []candidate
@@ -85,9 +86,9 @@
 type upstream struct {
 	registry.Upstream
 	service *service
+	group   *group
 	// region is the region of the upstream's data centre, empty if unknown.
 	region string
-	group  *group
 	// inflight is the number of this host's attempts in flight at the upstream.
 	inflight int
 	// tokens is how many tokens these attempts need together.
@@ -108,9 +109,10 @@
 	// allowance says when this host may send to an upstream that has a rate limit; nil for
 	// others.
 	allowance *backpressure.Allowance
-	// statedRate is the rate limit that the upstream states, 0 for none. coldUntil is until when it
-	// is cold, and observedColdUntil until when it is by its responses.
-	statedRate                   float64
+	// statedRate is the rate limit that the upstream states, 0 for none.
+	statedRate float64
+	// coldUntil is until when the upstream is cold by all that is known, and observedColdUntil until
+	// when it is by its responses alone.
 	coldUntil, observedColdUntil time.Duration
 }
 
@@ -154,14 +156,15 @@
 	// classes are the priority classes of the requests that have arrived, the most urgent first.
 	classes []*class
 	demand  demand
-	// cold holds the limits of cold upstreams, and coldCount is how many are cold. plainWaiters are
-	// the requests to a plain service that wait for a token. overflowed is set if a request was sent
-	// to a full upstream while a cold one has free slots.
-	cold         ColdParams
-	coldCount    int
+	// returns plans when refused callers return.
+	returns returnPlan
+	// cold holds the limits of cold upstreams, and coldCount is how many are cold.
+	cold      ColdParams
+	coldCount int
+	// plainWaiters are the requests to a plain service that wait for a token.
 	plainWaiters []*PlainWaiter
-	overflowed   bool
-	returns      returnPlan
+	// overflowed is set if a request was sent to a full upstream while a cold one has free slots.
+	overflowed bool
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
@@ -186,7 +189,7 @@
 
 // SetUpstreams replaces the upstreams that serve, given by service and ordered by id. The state
 // of upstreams that stay is kept, and that of others until their attempts have ended and their
-// rest is over, since they may be back by then; an upstream that was restarted begins with a
+// rest and the cold time that they stated are over, since they may be back by then; an upstream that was restarted begins with a
 // clean state. It returns the decisions on queued requests.
 func (s *Scheduler) SetUpstreams(serving map[string][]registry.Upstream, now time.Duration) []Result {
 	for _, u := range s.upstreams {
@@ -242,7 +245,10 @@
 func (s *Scheduler) service(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, hasHeadroom: s.cfg.PlanReturns, groups: map[string]*group{}, awaitingHeader: map[*Ticket]headerWait{}, movable: map[*Ticket]time.Duration{}}
+		sv = &service{
+			name: name, hasHeadroom: s.cfg.PlanReturns, groups: map[string]*group{},
+			awaitingHeader: map[*Ticket]headerWait{}, movable: map[*Ticket]time.Duration{},
+		}
 		s.services[name] = sv
 	}
 	return sv
--- a/internal/schedule/trend.go
+++ b/internal/schedule/trend.go
@@ -4,8 +4,7 @@
 
 const (
 	// trendSpan is the length of the buckets in which arrivals are counted, and trendBuckets the
-	// number of them. At a host that gets five requests per second, the slope over four seconds is
-	// mostly noise; six seconds gave more responses on time in a load with a period of 13 s.
+	// number of them. With few requests per second, the slope over less time is mostly noise.
 	trendSpan    = 250 * time.Millisecond
 	trendBuckets = 24
 	// minTrendBuckets is how many buckets are needed to estimate a slope.
