--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -145,7 +145,7 @@
 // authorize finds the workspace of the caller, unless the route is public, and sets the priority and
 // the regions that follow from route and workspace.
 func (c *call) authorize() error {
-	c.priority, c.regions = combinedPriority(c.route.Priority, c.route.Priority), c.route.AllowedRegions
+	c.priority, c.regions = combinedPriority(c.route.Priority, c.route.Priority), c.route.PermittedRegions
 	if !c.table.NeedsKey(c.route) {
 		return nil
 	}
@@ -153,7 +153,7 @@
 	if w == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown key")
 	}
-	c.workspace, c.regions = w.Name, c.regions.Intersect(w.AllowedRegions)
+	c.workspace, c.regions = w.Name, c.regions.Intersect(w.PermittedRegions)
 	if w.HasPriority {
 		c.priority = combinedPriority(w.Priority, c.route.Priority)
 	}
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -23,13 +23,13 @@
 			Number: 1,
 			Routes: []routetable.Route{{
 				Name: "safe", HostName: "127.0.0.1", Prefix: "/safe/", Kind: routetable.Safe, Timeout: 20 * time.Second, TargetLatency: 10 * time.Second,
-				AttemptLimit: 2, ServiceWeights: []routetable.ServiceWeight{{Service: "s", Weight: 1}}, AllowedRegions: routetable.Regions{"north", "west"},
+				AttemptLimit: 2, ServiceWeights: []routetable.ServiceWeight{{Service: "s", Weight: 1}}, PermittedRegions: routetable.Regions{"north", "west"},
 			}},
 			Services: []routetable.Service{{Name: "s", Engine: engine}},
 			Workspaces: []routetable.Workspace{
-				{Name: "any", Keys: []string{"any"}}, {Name: "north", Keys: []string{"north"}, AllowedRegions: routetable.Regions{"south", "north"}},
-				{Name: "south", Keys: []string{"south"}, AllowedRegions: routetable.Regions{"south"}},
-				{Name: "west", Keys: []string{"west"}, AllowedRegions: routetable.Regions{"west"}},
+				{Name: "any", Keys: []string{"any"}}, {Name: "north", Keys: []string{"north"}, PermittedRegions: routetable.Regions{"south", "north"}},
+				{Name: "south", Keys: []string{"south"}, PermittedRegions: routetable.Regions{"south"}},
+				{Name: "west", Keys: []string{"west"}, PermittedRegions: routetable.Regions{"west"}},
 			},
 		}
 		require.NoError(t, table.Build())
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -56,8 +56,8 @@
 	// ServiceWeights splits the requests over services. The sum of the weights must be
 	// positive.
 	ServiceWeights []ServiceWeight
-	// AllowedRegions are the regions in which upstreams may run the requests.
-	AllowedRegions Regions
+	// PermittedRegions are the regions in which upstreams may run the requests.
+	PermittedRegions Regions
 }
 
 // ServiceWeight is the weight of one service in a route's traffic split.
@@ -144,8 +144,8 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
-	// AllowedRegions are the regions in which upstreams may run the requests.
-	AllowedRegions Regions
+	// PermittedRegions are the regions in which upstreams may run the requests.
+	PermittedRegions Regions
 }
 
 // Limits restricts what a caller may send. Zero means no limit.
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -156,6 +156,7 @@
 		sv.returns.arrivals.add(now)
 	}
 	w.class.arrivals.add(now)
+	w.class.lastArrival = now
 	if sv.exceedsCache(&w.constraints) {
 		return Decision{Reason: ExceedsCache}
 	}
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -32,6 +32,9 @@
 	// spareValue is the value of capacity beyond the present demand, relative to the least urgent
 	// class. It only prefers the higher one of two limits that serve all requests equally well.
 	spareValue = 0.05
+	// classMemory is how long a class without requests counts as one of the service. Without it, one
+	// request of another priority would leave a service with several classes for good.
+	classMemory = time.Minute
 	// maxClasses is the largest number of classes of a service. Priorities come from the
 	// configuration; requests of a further one belong to the next less urgent class, or to the least
 	// urgent one.
@@ -46,6 +49,8 @@
 	// arrivals counts all arriving requests, onTimeArrivals those that could still be on time, and
 	// admissions those that got a slot.
 	arrivals, onTimeArrivals, admissions eventRate
+	// lastArrival is when the last request arrived.
+	lastArrival time.Duration
 	// inflight is the number of this host's attempts in flight, and inflightBy that of each
 	// workspace that has any.
 	inflight   int
@@ -102,6 +107,7 @@
 // less urgent class may do so if enough slots are free for the requests that are expected of more
 // urgent classes, or if its class has less than its guaranteed share.
 func (s *Scheduler) updateClasses(sv *service, now time.Duration) {
+	sv.classes = slices.DeleteFunc(sv.classes, func(c *class) bool { return c.inflight == 0 && now-c.lastArrival > classMemory })
 	share := s.slotShare(sv, now)
 	for i, c := range sv.classes {
 		c.isGuaranteed = len(sv.classes) > 1 && float64(c.inflight) < sv.guaranteedSlots(c, share, now)
--- a/internal/schedule/classes_test.go
+++ b/internal/schedule/classes_test.go
@@ -218,6 +218,27 @@
 	})
 }
 
+// Guards against a service that keeps several classes after a single request of another priority.
+func TestClassWithoutRequestsIsForgotten(t *testing.T) {
+	l := newTestCluster(1, 2, 1)
+	l.reportLoads(0)
+	admit := func(priority int) *Ticket {
+		r := l.onTimeRequest()
+		r.Priority = priority
+		return l.Admit(r, l.now).Ticket
+	}
+	once := admit(1)
+	admit(0)
+	require.Len(t, l.service("s").classes, 2)
+	l.now += classMemory + time.Second
+	l.reportLoads(0)
+	admit(0)
+	require.Len(t, l.service("s").classes, 2, "an attempt of it is still in flight")
+	l.Release(once, Success, l.now)
+	admit(0)
+	require.Len(t, l.service("s").classes, 1)
+}
+
 // Guards against an unbounded number of classes, since priorities come from the configuration.
 func TestClassesAreBounded(t *testing.T) {
 	sv := &service{}
