Log the shared parts of prompts with sends and with crashes of upstreams

Three hypotheses on the incident differ in what the requests of several crashes share. No log line named the parts of a prompt. No decision uses them yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,7 +85,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(reserved, resume), Body: c.body,
 		MaySend: func() error { return c.maySend(reserved) },
 	}
-	c.log("request sent", "fingerprint", c.fingerprint.String(), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
+	c.log("request sent", "fingerprint", c.fingerprint.String(), "parts", shortForms(c.parts), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
 		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds())
 	// The caller has received no event since this time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,9 @@
 	// TokenCounts returns the number of prompt tokens and the maximum number of output tokens of a
 	// request, and false if the caller does not state them. It may be nil.
 	TokenCounts func(http.Header) (prompt, output int, ok bool)
+	// SharedParts returns the ids of the parts of a request's prompt that other requests may have
+	// too. It may be nil.
+	SharedParts func(http.Header) []string
 	// Statement returns what an upstream states about itself in a response, without the times. The
 	// error names a field that can't be read; the statement holds the other ones.
 	Statement func(status int, h http.Header) (backpressure.Statement, error)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -42,6 +42,8 @@
 	body      []byte
 	// fingerprint identifies the request; a retry by the caller has the same one.
 	fingerprint quarantine.Fingerprint
+	// parts identify the parts of the prompt that other requests may have too.
+	parts []quarantine.Fingerprint
 	// quarantineVerdict is the verdict of the quarantine just before the last attempt.
 	quarantineVerdict quarantine.Verdict
 	began             time.Time
@@ -127,7 +129,7 @@
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
-	c.fingerprint = c.computeFingerprint()
+	c.fingerprint, c.parts = c.computeFingerprint(), c.computeParts()
 	if g.cfg.Quarantine.Verdict(c.fingerprint) == quarantine.Quarantined {
 		return c.refuseQuarantined()
 	}
@@ -168,6 +170,18 @@
 	})
 }
 
+// computeParts computes the fingerprints of the parts of the prompt that other requests may have too.
+func (c *call) computeParts() []quarantine.Fingerprint {
+	if c.g.cfg.Dialect.SharedParts == nil {
+		return nil
+	}
+	var parts []quarantine.Fingerprint
+	for _, id := range c.g.cfg.Dialect.SharedParts(c.r.Header) {
+		parts = append(parts, c.g.cfg.Fingerprints.OfPart(id))
+	}
+	return parts
+}
+
 // startupWait is how long after its start a host lets requests wait for its first
 // configuration, which is expected soon: control hosts that have just started too elect a
 // leader within half a second. Most callers have only one retry left.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -19,6 +19,15 @@
 	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "upstreams ended while they ran this request")
 }
 
+// shortForms returns the short forms of fingerprints, for log lines.
+func shortForms(all []quarantine.Fingerprint) []string {
+	out := make([]string, 0, len(all))
+	for _, f := range all {
+		out = append(out, f.Short())
+	}
+	return out
+}
+
 // probeAfterFailure finds out whether the upstream of a failed attempt has ended or only broke
 // off the response, if the attempt may have run. If the upstream has ended, the request is not
 // sent to another one, because it may be what crashed the upstream. If the caller retries, the
@@ -34,13 +43,15 @@
 	})
 	c.g.counts.increment("upstreams-looked-at." + result.String())
 	run := quarantine.Attempt{
-		Fingerprint: c.fingerprint, Workspace: c.workspace, Request: c.attemptID,
+		Fingerprint: c.fingerprint, Parts: c.parts, Workspace: c.workspace, Request: c.attemptID,
 		Incarnation: quarantine.Incarnation{Upstream: reserved.ID(), StartedAt: reserved.StartedAt()}, Service: c.service.Name, Address: reserved.Address(), Ran: time.Since(c.sentAt),
 	}
 	if result != dispatch.UpstreamCrashed {
 		c.g.cfg.Quarantine.AttemptFailed(run, result == dispatch.Alive)
 		return
 	}
+	c.warn("upstream ended during the attempt", "upstream", reserved.ID(), "fingerprint", c.fingerprint.String(), "parts", shortForms(c.parts),
+		"ran_ms", run.Ran.Milliseconds())
 	c.g.cfg.Quarantine.UpstreamCrashed(run)
 	c.isFinal = true
 	if c.service.Engine != nil {
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -29,7 +29,9 @@
 // no complete answer.
 type Attempt struct {
 	Fingerprint Fingerprint
-	Workspace   string
+	// Parts identify the parts of the request's prompt that other requests may have too.
+	Parts     []Fingerprint
+	Workspace string
 	// Request is the id of the request on that upstream.
 	Request string
 	// Incarnation identifies the upstream, Service is what the upstream served, and Address is
