--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -2014,6 +2014,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes SuspectRequestKind as json.
+func (o OptSuspectRequestKind) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Str(string(o.Value))
+}
+
+// Decode decodes SuspectRequestKind from json.
+func (o *OptSuspectRequestKind) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptSuspectRequestKind to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptSuspectRequestKind) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptSuspectRequestKind) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes uint64 as json.
 func (o OptUint64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -2909,6 +2942,12 @@
 		e.FieldStart("fingerprint")
 		e.Str(s.Fingerprint)
 	}
+	{
+		if s.Kind.Set {
+			e.FieldStart("kind")
+			s.Kind.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("workspace")
 		e.Str(s.Workspace)
@@ -2931,12 +2970,13 @@
 	}
 }
 
-var jsonFieldsNameOfSuspectRequest = [5]string{
+var jsonFieldsNameOfSuspectRequest = [6]string{
 	0: "fingerprint",
-	1: "workspace",
-	2: "verdict",
-	3: "forSeconds",
-	4: "ends",
+	1: "kind",
+	2: "workspace",
+	3: "verdict",
+	4: "forSeconds",
+	5: "ends",
 }
 
 // Decode decodes SuspectRequest from json.
@@ -2960,8 +3000,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"fingerprint\"")
 			}
+		case "kind":
+			if err := func() error {
+				s.Kind.Reset()
+				if err := s.Kind.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
 		case "workspace":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Str()
 				s.Workspace = string(v)
@@ -2973,7 +3023,7 @@
 				return errors.Wrap(err, "decode field \"workspace\"")
 			}
 		case "verdict":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				if err := s.Verdict.Decode(d); err != nil {
 					return err
@@ -2983,7 +3033,7 @@
 				return errors.Wrap(err, "decode field \"verdict\"")
 			}
 		case "forSeconds":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Int64()
 				s.ForSeconds = int64(v)
@@ -2995,7 +3045,7 @@
 				return errors.Wrap(err, "decode field \"forSeconds\"")
 			}
 		case "ends":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Ends = make([]UpstreamEnd, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3022,7 +3072,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00111101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -3068,6 +3118,46 @@
 	return s.Decode(d)
 }
 
+// Encode encodes SuspectRequestKind as json.
+func (s SuspectRequestKind) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes SuspectRequestKind from json.
+func (s *SuspectRequestKind) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode SuspectRequestKind to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch SuspectRequestKind(v) {
+	case SuspectRequestKindRequest:
+		*s = SuspectRequestKindRequest
+	case SuspectRequestKindPart:
+		*s = SuspectRequestKindPart
+	default:
+		*s = SuspectRequestKind(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s SuspectRequestKind) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *SuspectRequestKind) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes SuspectRequestVerdict as json.
 func (s SuspectRequestVerdict) Encode(e *jx.Encoder) {
 	e.Str(string(s))
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -842,6 +842,52 @@
 	return d
 }
 
+// NewOptSuspectRequestKind returns new OptSuspectRequestKind with value set to v.
+func NewOptSuspectRequestKind(v SuspectRequestKind) OptSuspectRequestKind {
+	return OptSuspectRequestKind{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptSuspectRequestKind is optional SuspectRequestKind.
+type OptSuspectRequestKind struct {
+	Value SuspectRequestKind
+	Set   bool
+}
+
+// IsSet returns true if OptSuspectRequestKind was set.
+func (o OptSuspectRequestKind) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptSuspectRequestKind) Reset() {
+	var v SuspectRequestKind
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptSuspectRequestKind) SetTo(v SuspectRequestKind) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptSuspectRequestKind) Get() (v SuspectRequestKind, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptSuspectRequestKind) Or(d SuspectRequestKind) SuspectRequestKind {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptUint64 returns new OptUint64 with value set to v.
 func NewOptUint64(v uint64) OptUint64 {
 	return OptUint64{
@@ -1259,9 +1305,12 @@
 
 // Ref: #/components/schemas/SuspectRequest
 type SuspectRequest struct {
-	Fingerprint string                `json:"fingerprint"`
-	Workspace   string                `json:"workspace"`
-	Verdict     SuspectRequestVerdict `json:"verdict"`
+	Fingerprint string `json:"fingerprint"`
+	// A whole request.
+	Kind OptSuspectRequestKind `json:"kind"`
+	// Empty for a part.
+	Workspace string                `json:"workspace"`
+	Verdict   SuspectRequestVerdict `json:"verdict"`
 	// How much longer it is held.
 	ForSeconds int64         `json:"forSeconds"`
 	Ends       []UpstreamEnd `json:"ends"`
@@ -1272,6 +1321,11 @@
 	return s.Fingerprint
 }
 
+// GetKind returns the value of Kind.
+func (s *SuspectRequest) GetKind() OptSuspectRequestKind {
+	return s.Kind
+}
+
 // GetWorkspace returns the value of Workspace.
 func (s *SuspectRequest) GetWorkspace() string {
 	return s.Workspace
@@ -1297,6 +1351,11 @@
 	s.Fingerprint = val
 }
 
+// SetKind sets the value of Kind.
+func (s *SuspectRequest) SetKind(val OptSuspectRequestKind) {
+	s.Kind = val
+}
+
 // SetWorkspace sets the value of Workspace.
 func (s *SuspectRequest) SetWorkspace(val string) {
 	s.Workspace = val
@@ -1317,6 +1376,48 @@
 	s.Ends = val
 }
 
+// A whole request.
+type SuspectRequestKind string
+
+const (
+	SuspectRequestKindRequest SuspectRequestKind = "request"
+	SuspectRequestKindPart    SuspectRequestKind = "part"
+)
+
+// AllValues returns all SuspectRequestKind values.
+func (SuspectRequestKind) AllValues() []SuspectRequestKind {
+	return []SuspectRequestKind{
+		SuspectRequestKindRequest,
+		SuspectRequestKindPart,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s SuspectRequestKind) MarshalText() ([]byte, error) {
+	switch s {
+	case SuspectRequestKindRequest:
+		return []byte(s), nil
+	case SuspectRequestKindPart:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *SuspectRequestKind) UnmarshalText(data []byte) error {
+	switch SuspectRequestKind(data) {
+	case SuspectRequestKindRequest:
+		*s = SuspectRequestKindRequest
+		return nil
+	case SuspectRequestKindPart:
+		*s = SuspectRequestKindPart
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 type SuspectRequestVerdict string
 
 const (
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -240,6 +240,24 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Kind.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "kind",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if err := s.Verdict.Validate(); err != nil {
 			return err
@@ -268,6 +286,17 @@
 	return nil
 }
 
+func (s SuspectRequestKind) Validate() error {
+	switch s {
+	case "request":
+		return nil
+	case "part":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s SuspectRequestVerdict) Validate() error {
 	switch s {
 	case "suspect":
--- a/internal/adminapi/quarantine.go
+++ b/internal/adminapi/quarantine.go
@@ -27,6 +27,7 @@
 func toSuspectRequest(e quarantine.Entry) oas.SuspectRequest {
 	out := oas.SuspectRequest{
 		Fingerprint: e.Fingerprint.String(),
+		Kind:        oas.NewOptSuspectRequestKind(oas.SuspectRequestKind(e.Kind())),
 		Workspace:   e.Workspace,
 		Verdict:     oas.SuspectRequestVerdict(e.Verdict.String()),
 		ForSeconds:  int64(e.Remaining.Seconds()),
--- a/internal/adminapi/quarantine_test.go
+++ b/internal/adminapi/quarantine_test.go
@@ -21,7 +21,7 @@
 	url := serve(t, f, nil) + "/v1/quarantine"
 	require.Equal(t, string(verdict.CodeForbidden), get(t, url, "team").problem.Code)
 	a := get(t, url, "admin")
-	require.JSONEq(t, `{"requests":[{"fingerprint":"01000000000000000000000000000000","workspace":"clubs","verdict":"suspect",
+	require.JSONEq(t, `{"requests":[{"fingerprint":"01000000000000000000000000000000","kind":"request","workspace":"clubs","verdict":"suspect",
 		"forSeconds":0,"ends":[{"upstream":"u","request":"r","ageSeconds":3}]}]}`, a.body)
 	release := func(fingerprint, token string) response {
 		req, err := http.NewRequest(http.MethodDelete, url+"/"+fingerprint, nil)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -239,8 +239,8 @@
 		{"evacuate end a", ExitOK, "no data centre is evacuated\n", ""},
 		{"evacuate list", ExitOK, "data centre a is evacuated\ndata centre b is evacuated\n", ""},
 		{"evacuate start", ExitUsage, "", "arg"},
-		{"quarantine list", ExitOK, "FINGERPRINT                       VERDICT  WORKSPACE  FOR S  UPSTREAMS THAT ENDED\n" +
-			"ab000000000000000000000000000000  held     clubs      60     engine-1 2s ago as r7\n", ""},
+		{"quarantine list", ExitOK, "FINGERPRINT                       VERDICT  KIND     WORKSPACE  FOR S  UPSTREAMS THAT ENDED\n" +
+			"ab000000000000000000000000000000  held     request  clubs      60     engine-1 2s ago as r7\n", ""},
 		{"quarantine release " + quarantinedFingerprint.String(), ExitOK, quarantinedFingerprint.String() + " is released\n", ""},
 		{"quarantine release 00" + quarantinedFingerprint.String()[2:], ExitOK, "nothing was held against 00", ""},
 		{"quarantine release ab", ExitUsage, "", "not a fingerprint"},
@@ -363,7 +363,7 @@
 	address := startServer(t, quarantine.Handler(k))
 	got := runCommand("quarantine", "list", "--metrics", address)
 	require.Equal(t, ExitOK, got.code, got.stderr)
-	require.Contains(t, got.stdout, "held     clubs      599    a 9s ago as r7, b 1s ago as r7")
+	require.Contains(t, got.stdout, "held     request  clubs      599    a 9s ago as r7, b 1s ago as r7")
 	got = runCommand("quarantine", "list", "--metrics", address, "-o", "json")
 	require.Contains(t, got.stdout, `"verdict":"held"`)
 	got = runCommand("quarantine", "release", quarantinedFingerprint.String(), "--metrics", address)
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -100,9 +100,9 @@
 		for _, crash := range r.Ends {
 			crashes = append(crashes, fmt.Sprintf("%s %ds ago as %s", crash.Upstream, crash.AgeSeconds, crash.Request))
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%s", r.Fingerprint, r.Verdict, r.Workspace, r.ForSeconds, strings.Join(crashes, ", ")))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s", r.Fingerprint, r.Verdict, r.Kind.Or(oas.SuspectRequestKindRequest), r.Workspace, r.ForSeconds, strings.Join(crashes, ", ")))
 	}
-	table(w, "FINGERPRINT\tVERDICT\tWORKSPACE\tFOR S\tUPSTREAMS THAT ENDED", rows)
+	table(w, "FINGERPRINT\tVERDICT\tKIND\tWORKSPACE\tFOR S\tUPSTREAMS THAT ENDED", rows)
 }
 
 func printReleased(w io.Writer, r *oas.Released) {
--- a/internal/control/suspicions_test.go
+++ b/internal/control/suspicions_test.go
@@ -112,7 +112,7 @@
 
 // holdsRequest reports whether the request is in quarantine on a host.
 func (th *testHost) holdsRequest() bool {
-	return th.keeper.Verdict(quarantine.Fingerprint{1}) == quarantine.Quarantined
+	return th.keeper.Verdict(quarantine.Content{Request: quarantine.Fingerprint{1}}) == quarantine.Quarantined
 }
 
 // propagationTimeout bounds the wait for messages. It is reached only in tests that fail.
@@ -128,8 +128,10 @@
 	a, b := startTestHost(t, "e1", nil), startTestHost(t, "e2", nil)
 	a.attach(t, one)
 	b.attach(t, two)
-	a.keeper.UpstreamCrashed(quarantine.Attempt{Fingerprint: quarantine.Fingerprint{1}, Incarnation: quarantine.Incarnation{Upstream: "u1"}})
-	require.Eventually(t, func() bool { return b.keeper.Verdict(quarantine.Fingerprint{1}) == quarantine.Suspect }, propagationTimeout, time.Millisecond)
+	a.keeper.UpstreamCrashed(quarantine.Attempt{Content: quarantine.Content{Request: quarantine.Fingerprint{1}}, Incarnation: quarantine.Incarnation{Upstream: "u1"}})
+	require.Eventually(t, func() bool {
+		return b.keeper.Verdict(quarantine.Content{Request: quarantine.Fingerprint{1}}) == quarantine.Suspect
+	}, propagationTimeout, time.Millisecond)
 	two.keeper.Merge([]quarantine.Suspicion{newSuspicion("u0", time.Minute)})
 	for _, th := range []*testHost{a, b, one, two} {
 		require.Eventually(t, th.holdsRequest, propagationTimeout, time.Millisecond)
@@ -173,7 +175,7 @@
 	before.Quarantine().Merge([]quarantine.Suspicion{newSuspicion("u1", time.Minute), newSuspicion("u2", time.Second)})
 	require.NoError(t, cache.SaveSuspicions(before.Quarantine().All()))
 	after := newControlHost(cache)(&testHost{})
-	require.Equal(t, quarantine.Quarantined, after.Quarantine().Verdict(quarantine.Fingerprint{1}))
+	require.Equal(t, quarantine.Quarantined, after.Quarantine().Verdict(quarantine.Content{Request: quarantine.Fingerprint{1}}))
 }
 
 // Agents must not receive suspicions, and entry hosts that attach for suspicions only must
--- a/internal/daemon/suspicions.go
+++ b/internal/daemon/suspicions.go
@@ -91,8 +91,10 @@
 // upstream crashes under it.
 func (r *suspicionRelay) attemptAbandoned(d *wire.Dispatch, ran time.Duration) {
 	r.keeper.AttemptFailed(quarantine.Attempt{
-		Fingerprint: r.cfg.fingerprints.Of(&quarantine.Request{Workspace: d.Workspace, Method: d.Method, Target: d.Path, Body: d.Body}),
-		Workspace:   d.Workspace, Request: d.RequestID, Incarnation: quarantine.Incarnation{Upstream: r.cfg.upstream}, Service: r.cfg.pool, Ran: ran,
+		Content: quarantine.Content{
+			Request: r.cfg.fingerprints.Of(&quarantine.Request{Workspace: d.Workspace, Method: d.Method, Target: d.Path, Body: d.Body}),
+		},
+		Workspace: d.Workspace, RequestID: d.RequestID, Incarnation: quarantine.Incarnation{Upstream: r.cfg.upstream}, Service: r.cfg.pool, Ran: ran,
 	}, true)
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -28,8 +28,8 @@
 	hasBodyReadBegun bool
 	reservation      byteReservation
 	out              *output
-	// fingerprint identifies the request by its content; a repetition of it has the same one.
-	fingerprint quarantine.Fingerprint
+	// content identifies the request; a repetition of it has the same one.
+	content quarantine.Content
 }
 
 func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
@@ -88,7 +88,7 @@
 		req.urgency = c.plan.Urgency
 	}
 	c.out = newOutput(c)
-	c.fingerprint = c.s.cfg.Fingerprints.Of(&quarantine.Request{
+	c.content.Request = c.s.cfg.Fingerprints.Of(&quarantine.Request{
 		Workspace: c.plan.Workspace, Method: req.method, Target: req.target(), Body: req.body,
 	})
 	return nil
@@ -290,7 +290,7 @@
 	if name == "" || ctx.Err() != nil || attempts >= c.s.cfg.MaxAttempts || !c.out.canContinue() {
 		return false
 	}
-	if hasUpstreamCrashed(err) || c.s.cfg.Quarantine.Verdict(c.fingerprint) != quarantine.Free && verdict.FromError(err).Verdict != verdict.NotRun {
+	if hasUpstreamCrashed(err) || c.s.cfg.Quarantine.Verdict(c.content) != quarantine.Free && verdict.FromError(err).Verdict != verdict.NotRun {
 		return false
 	}
 	return verdict.FromError(err).Verdict == verdict.NotRun || c.s.mayRetry()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -141,21 +141,21 @@
 // Quarantine keeps track of requests that were running on upstreams when these crashed.
 // quarantine.Keeper implements it.
 type Quarantine interface {
-	Verdict(f quarantine.Fingerprint) quarantine.Verdict
+	Verdict(c quarantine.Content) quarantine.Verdict
 	// The following methods report, in this order: a crash of an upstream during an attempt; a
 	// request with a complete response; a request refused because it is in quarantine.
 	UpstreamCrashed(r quarantine.Attempt)
-	Answered(f quarantine.Fingerprint)
+	Answered(c quarantine.Content)
 	CountRefusal()
 }
 
 // noQuarantine suspects no request.
 type noQuarantine struct{}
 
-func (noQuarantine) Verdict(quarantine.Fingerprint) quarantine.Verdict { return quarantine.Free }
-func (noQuarantine) UpstreamCrashed(quarantine.Attempt)                {}
-func (noQuarantine) Answered(quarantine.Fingerprint)                   {}
-func (noQuarantine) CountRefusal()                                     {}
+func (noQuarantine) Verdict(quarantine.Content) quarantine.Verdict { return quarantine.Free }
+func (noQuarantine) UpstreamCrashed(quarantine.Attempt)            {}
+func (noQuarantine) Answered(quarantine.Content)                   {}
+func (noQuarantine) CountRefusal()                                 {}
 
 // Sessions returns the peer session with the agent at an address and connects if there is none.
 // peer.Pool implements it.
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -13,7 +13,7 @@
 // checkQuarantine returns an error if the request is in quarantine and must not be sent to any
 // upstream. The error has no RetryAfter, since a retry would be refused too.
 func (c *call) checkQuarantine() error {
-	if c.s.cfg.Quarantine.Verdict(c.fingerprint) != quarantine.Quarantined {
+	if c.s.cfg.Quarantine.Verdict(c.content) != quarantine.Quarantined {
 		return nil
 	}
 	c.s.cfg.Quarantine.CountRefusal()
@@ -44,10 +44,10 @@
 	var ended *answer.UpstreamEndedError
 	switch {
 	case err == nil:
-		c.s.cfg.Quarantine.Answered(c.fingerprint)
+		c.s.cfg.Quarantine.Answered(c.content)
 	case errors.As(err, &ended):
 		c.s.cfg.Quarantine.UpstreamCrashed(quarantine.Attempt{
-			Fingerprint: c.fingerprint, Workspace: c.plan.Workspace, Request: c.req.id,
+			Content: c.content, Workspace: c.plan.Workspace, RequestID: c.req.id,
 			Incarnation: quarantine.Incarnation{Upstream: a.upstream.Name, StartedAt: ended.At}, Service: c.plan.Pool, Ran: time.Since(a.began),
 		})
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,7 +71,7 @@
 		c.last, c.isFinal = err, true
 		return nil, nil, false
 	}
-	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.fingerprint); c.quarantineVerdict == quarantine.Quarantined {
+	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.content); c.quarantineVerdict == quarantine.Quarantined {
 		// The request was quarantined while it waited for a slot.
 		reserved.release(outcomeNeutral)
 		c.last, c.isFinal = c.refuseQuarantined(), true
@@ -85,7 +85,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(reserved, resume), Body: c.body,
 		MaySend: func() error { return c.maySend(reserved) },
 	}
-	c.log("request sent", "fingerprint", c.fingerprint.String(), "parts", shortForms(c.parts), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
+	c.log("request sent", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
 		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds())
 	// The caller has received no event since this time.
@@ -119,7 +119,7 @@
 
 // maySend is asked just before the first byte of an attempt is sent.
 func (c *call) maySend(reserved *reservation) error {
-	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.fingerprint); c.quarantineVerdict == quarantine.Quarantined {
+	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.content); c.quarantineVerdict == quarantine.Quarantined {
 		return errQuarantinedMeanwhile
 	}
 	return reserved.maySend()
@@ -234,7 +234,7 @@
 		c.probeAfterFailure(ctx, reserved, c.last)
 		return false
 	}
-	c.g.cfg.Quarantine.Answered(c.fingerprint)
+	c.recordAnswered(resp.Status)
 	isFailure := resp.Status >= http.StatusInternalServerError
 	if isFailure {
 		reserved.release(outcomeBad)
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -451,7 +451,7 @@
 	other := env.addLimitedUpstream("u2", textValue(""))
 	env.gateway.cfg.Log = slog.New(&afterChoice{hook: func(string) {
 		env.gateway.cfg.Quarantine.UpstreamCrashed(quarantine.Attempt{
-			Fingerprint: fingerprint, Workspace: "w", Request: "another", Incarnation: quarantine.Incarnation{Upstream: "u3"}, Service: "s",
+			Content: quarantine.Content{Request: fingerprint}, Workspace: "w", RequestID: "another", Incarnation: quarantine.Incarnation{Upstream: "u3"}, Service: "s",
 		})
 	}})
 	resp, _ := env.post("/safe/poison", nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,6 +64,7 @@
 			n, err := fmt.Sscanf(h.Get("X-T"), "%d,%d", &prompt, &output)
 			return prompt, output, n == 2 && err == nil
 		},
+		SharedParts: func(h http.Header) []string { return strings.Fields(h.Get("X-Parts")) },
 		Statement: func(status int, h http.Header) (s backpressure.Statement, err error) {
 			if text := h.Get("X-Limit"); text != "" {
 				s.Rate, err = strconv.ParseFloat(text, 64)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -40,10 +40,9 @@
 	service   *routetable.Service
 	attemptID string
 	body      []byte
-	// fingerprint identifies the request; a retry by the caller has the same one.
-	fingerprint quarantine.Fingerprint
-	// parts identify the parts of the prompt that other requests may have too.
-	parts []quarantine.Fingerprint
+	// content identifies the request and the shared parts of its prompt; a retry by the caller has the
+	// same.
+	content quarantine.Content
 	// quarantineVerdict is the verdict of the quarantine just before the last attempt.
 	quarantineVerdict quarantine.Verdict
 	began             time.Time
@@ -129,8 +128,8 @@
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
-	c.fingerprint, c.parts = c.computeFingerprint(), c.computeParts()
-	if g.cfg.Quarantine.Verdict(c.fingerprint) == quarantine.Quarantined {
+	c.content = quarantine.Content{Request: c.computeFingerprint(), Parts: c.computeParts()}
+	if g.cfg.Quarantine.Verdict(c.content) == quarantine.Quarantined {
 		return c.refuseQuarantined()
 	}
 	wait := c.route.Timeout
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,8 +15,18 @@
 // caller is not meant to send the request again.
 func (c *call) refuseQuarantined() error {
 	c.g.cfg.Quarantine.CountRefusal()
-	c.warn("request refused: it is held", "fingerprint", c.fingerprint.String(), "workspace", c.workspace)
-	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "upstreams ended while they ran this request")
+	c.warn("request refused: it is held", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts), "workspace", c.workspace)
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "upstreams ended while they ran this request, or others with a part of its prompt")
+}
+
+// recordAnswered reports a complete response of an upstream to the quarantine. One that reports a
+// failure says nothing about the parts of the prompt.
+func (c *call) recordAnswered(status int) {
+	content := c.content
+	if status/100 != 2 {
+		content.Parts = nil
+	}
+	c.g.cfg.Quarantine.Answered(content)
 }
 
 // shortForms returns the short forms of fingerprints, for log lines.
@@ -43,14 +53,14 @@
 	})
 	c.g.counts.increment("upstreams-looked-at." + result.String())
 	run := quarantine.Attempt{
-		Fingerprint: c.fingerprint, Parts: c.parts, Workspace: c.workspace, Request: c.attemptID,
+		Content: c.content, Workspace: c.workspace, RequestID: c.attemptID,
 		Incarnation: quarantine.Incarnation{Upstream: reserved.ID(), StartedAt: reserved.StartedAt()}, Service: c.service.Name, Address: reserved.Address(), Ran: time.Since(c.sentAt),
 	}
 	if result != dispatch.UpstreamCrashed {
 		c.g.cfg.Quarantine.AttemptFailed(run, result == dispatch.Alive)
 		return
 	}
-	c.warn("upstream ended during the attempt", "upstream", reserved.ID(), "fingerprint", c.fingerprint.String(), "parts", shortForms(c.parts),
+	c.warn("upstream ended during the attempt", "upstream", reserved.ID(), "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts),
 		"ran_ms", run.Ran.Milliseconds())
 	c.g.cfg.Quarantine.UpstreamCrashed(run)
 	c.isFinal = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,6 +59,8 @@
 	// the longest gap between events after that. lastEventAt is when the last event was forwarded.
 	firstEventDelay, eventGap time.Duration
 	lastEventAt               time.Time
+	// batches is the number of batches of events that the present upstream has delivered.
+	batches int
 }
 
 // minTimeForMove is the least time before the deadline in which a stream is moved away from a
@@ -155,7 +157,7 @@
 func (r *relay) recordComplete() {
 	c := r.c
 	r.reserved.release(outcomeGood)
-	c.g.cfg.Quarantine.Answered(c.fingerprint)
+	c.recordAnswered(r.resp.Status)
 	c.g.counts.recordResponse(r.resp.Status, time.Since(c.began))
 	c.log("request answered", "status", r.resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
 		"event", r.last, "first_ms", r.firstEventDelay.Milliseconds(), "gap_ms", r.eventGap.Milliseconds())
@@ -186,7 +188,7 @@
 			continue
 		}
 		if resp.Status/100 == 2 {
-			r.resp, r.reserved, r.events, r.readErr = resp, reserved, sse.Splitter{}, nil
+			r.resp, r.reserved, r.events, r.readErr, r.batches = resp, reserved, sse.Splitter{}, nil, 0
 			return true
 		}
 		resp.Close()
@@ -242,6 +244,7 @@
 // deliver writes the batch to the caller and flushes it, or adds it to the backlog.
 func (r *relay) deliver(ctx context.Context) error {
 	r.recordTiming(time.Now())
+	r.countBatch()
 	if r.backlog != nil {
 		return r.addToBacklog(ctx)
 	}
@@ -290,6 +293,14 @@
 	r.lastEventAt = now
 }
 
+// countBatch counts a batch of the present upstream. The second one shows that the upstream has begun to
+// write on the prompt and has gone on with it.
+func (r *relay) countBatch() {
+	if r.batches++; r.batches == 2 {
+		r.c.g.cfg.Quarantine.AnswerBegan(r.c.content.Parts)
+	}
+}
+
 // isNextEvent reports whether an event is to be forwarded. Events that the caller already has
 // are skipped, and a gap in the ids is an error.
 func (r *relay) isNextEvent(event []byte) (bool, error) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,6 +24,9 @@
 	// sweepInterval is how often idle connections to upstreams and old quarantine records are
 	// removed.
 	sweepInterval = time.Second
+	// maxTrialDelay is the time over which the hosts spread the end of a quarantine. It is long
+	// compared with the time in which they tell each other of a crash.
+	maxTrialDelay = time.Minute
 	// idleTimeout is how long a connection of a caller may be idle. It is longer than any
 	// configuration allows callers to keep one, so the host never closes a connection on which a
 	// request is arriving.
@@ -49,7 +53,7 @@
 	started := time.Now()
 	keeper := quarantine.NewKeeper(quarantine.Config{
 		Limits: quarantine.DefaultLimits, Now: func() time.Duration { return time.Since(started) }, Publish: n.sendSuspicions,
-		Log: n.log, Metrics: n.metrics,
+		TrialDelay: rand.N(maxTrialDelay), Log: n.log, Metrics: n.metrics,
 	})
 	n.openPool("")
 	f := newFollower(n, "entry")
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -28,12 +28,10 @@
 // Attempt is an attempt to run a request on an upstream that may have executed it and returned
 // no complete answer.
 type Attempt struct {
-	Fingerprint Fingerprint
-	// Parts identify the parts of the request's prompt that other requests may have too.
-	Parts     []Fingerprint
+	Content   Content
 	Workspace string
-	// Request is the id of the request on that upstream.
-	Request string
+	// RequestID is the id of the request on that upstream.
+	RequestID string
 	// Incarnation identifies the upstream, Service is what the upstream served, and Address is
 	// its network address.
 	Incarnation      Incarnation
@@ -43,13 +41,20 @@
 	Ran time.Duration
 }
 
-// suspicion returns the suspicion that follows from a crash of the attempt's upstream. Age is
-// the time since the answer broke off.
-func (r *Attempt) suspicion(age time.Duration) Suspicion {
-	return Suspicion{
-		Fingerprint: r.Fingerprint, Workspace: r.Workspace, Incarnation: r.Incarnation, Service: r.Service, Request: r.Request[:min(len(r.Request), maxRequestIDBytes)],
-		AgeMS: age.Milliseconds(), RanMS: r.Ran.Milliseconds(),
+// suspicions returns the suspicions that follow from a crash of the attempt's upstream, that of the
+// request first, then those of its parts. Age is the time since the answer broke off.
+func (r *Attempt) suspicions(age time.Duration) []Suspicion {
+	whole := Suspicion{
+		Fingerprint: r.Content.Request, Workspace: r.Workspace, Incarnation: r.Incarnation, Service: r.Service,
+		Request: r.RequestID[:min(len(r.RequestID), maxRequestIDBytes)], AgeMS: age.Milliseconds(), RanMS: r.Ran.Milliseconds(),
 	}
+	all := []Suspicion{whole}
+	for _, part := range r.Content.Parts {
+		s := whole
+		s.Fingerprint, s.Workspace, s.Carrier = part, "", r.Content.Request
+		all = append(all, s)
+	}
+	return all
 }
 
 // failedAttempt is an attempt whose answer broke off at a time, and whose upstream may turn
@@ -69,7 +74,7 @@
 	b.all = append(b.all, failedAttempt{Attempt: r, at: at, until: until})
 }
 
-// take removes the attempts whose upstream has crashed, and returns a suspicion for each. It
+// take removes the attempts whose upstream has crashed, and returns the suspicions of each. It
 // also removes outdated attempts.
 func (b *failedAttempts) take(now time.Duration, hasCrashed func(*Attempt) bool) []Suspicion {
 	var out []Suspicion
@@ -78,7 +83,7 @@
 			return true
 		}
 		if hasCrashed(&r.Attempt) {
-			out = append(out, r.suspicion(now-r.at))
+			out = append(out, r.suspicions(now-r.at)...)
 			return true
 		}
 		return false
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -9,11 +9,13 @@
 	"github.com/pkg/errors"
 )
 
-// Entry describes a suspected or quarantined request.
+// Entry describes a suspected or quarantined request, or a part of prompts.
 type Entry struct {
 	Fingerprint Fingerprint
-	Workspace   string
-	Verdict     Verdict
+	// IsPart is set for a part of prompts. Workspace is empty then.
+	IsPart    bool
+	Workspace string
+	Verdict   Verdict
 	// Remaining is how much longer the request stays in quarantine.
 	Remaining time.Duration
 	// Ends are the uncleared crashes under the request, the oldest first.
@@ -28,6 +30,14 @@
 	Age     time.Duration
 }
 
+// Kind returns what the entry describes, as used in the administration API.
+func (e *Entry) Kind() string {
+	if e.IsPart {
+		return "part"
+	}
+	return "request"
+}
+
 func (e *Entry) requests() []string {
 	var out []string
 	for _, c := range e.Ends {
@@ -50,7 +60,7 @@
 	if r == nil {
 		return Entry{Fingerprint: f}
 	}
-	e := Entry{Fingerprint: f, Workspace: r.workspace, Verdict: t.Verdict(f, now)}
+	e := Entry{Fingerprint: f, IsPart: r.quota.isOfParts, Workspace: r.quota.workspace, Verdict: t.Verdict(f, now)}
 	if e.Verdict == Quarantined {
 		e.Remaining = r.until - now
 	}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,5 +1,6 @@
-// Package quarantine finds requests that crash the upstreams that run them, and decides which
-// of them are no longer sent to any upstream.
+// Package quarantine finds requests that crash the upstreams that run them, and parts of prompts that
+// crash the upstreams that write an answer on them. It decides which requests are no longer sent to any
+// upstream.
 //
 // A crash is an unannounced end of an upstream's process, whether a request caused it or
 // something outside. Hosts exchange what they observe.
@@ -26,6 +27,13 @@
 // Short returns the beginning of the fingerprint in hexadecimal, for log lines with many of them.
 func (f Fingerprint) Short() string { return hex.EncodeToString(f[:shortBytes]) }
 
+// Content identifies what may be harmful in a request: the request as a whole, and the parts of its
+// prompt that other requests may have too.
+type Content struct {
+	Request Fingerprint
+	Parts   []Fingerprint
+}
+
 // Request is what a fingerprint is computed from. Header fields are left out, since ids and
 // deadlines differ between two attempts of one request.
 type Request struct {
--- a/internal/quarantine/handler.go
+++ b/internal/quarantine/handler.go
@@ -12,6 +12,7 @@
 
 type listEntry struct {
 	Fingerprint string      `json:"fingerprint"`
+	Kind        string      `json:"kind"`
 	Workspace   string      `json:"workspace"`
 	Verdict     string      `json:"verdict"`
 	ForSeconds  int64       `json:"forSeconds"`
@@ -55,7 +56,7 @@
 	out := quarantineList{Requests: []listEntry{}}
 	for _, e := range all {
 		p := listEntry{
-			Fingerprint: e.Fingerprint.String(), Workspace: e.Workspace, Verdict: e.Verdict.String(), ForSeconds: int64(e.Remaining.Seconds()),
+			Fingerprint: e.Fingerprint.String(), Kind: e.Kind(), Workspace: e.Workspace, Verdict: e.Verdict.String(), ForSeconds: int64(e.Remaining.Seconds()),
 			Ends: []listCrash{},
 		}
 		for _, c := range e.Ends {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -18,9 +18,12 @@
 	// and must not block.
 	Publish func([]Suspicion)
 	// Relays makes the Keeper also publish what it receives from other hosts.
-	Relays  bool
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	Relays bool
+	// TrialDelay is how much longer than its time a part stays in quarantine at this host. It differs
+	// between hosts, so that one of them tries the part before the others do.
+	TrialDelay time.Duration
+	Log        *slog.Logger
+	Metrics    metrics.Registry
 }
 
 // Keeper keeps the suspicions of one host: those that it observed and those that it received
@@ -31,10 +34,11 @@
 	quarantined                            metrics.Gauge
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	table    *Table
-	failed   failedAttempts
-	answered recentAnswers
+	mu            sync.Mutex
+	table         *Table
+	failed        failedAttempts
+	answered      recentAnswers
+	answeredParts answeredParts
 	// lastQuarantined are the requests that were in quarantine at the last update, to log
 	// changes.
 	lastQuarantined []Fingerprint
@@ -51,11 +55,17 @@
 	}
 }
 
-// Verdict returns the verdict on a request.
-func (k *Keeper) Verdict(f Fingerprint) Verdict {
+// Verdict returns the verdict on a request. A request is in quarantine if a part of its prompt is.
+func (k *Keeper) Verdict(c Content) Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Verdict(f, k.cfg.Now())
+	now := k.cfg.Now()
+	for _, part := range c.Parts {
+		if k.table.Verdict(part, now-k.cfg.TrialDelay) == Quarantined {
+			return Quarantined
+		}
+	}
+	return k.table.Verdict(c.Request, now)
 }
 
 // CountRefusal counts a request that was refused because it is in quarantine.
@@ -66,7 +76,7 @@
 func (k *Keeper) UpstreamCrashed(r Attempt) {
 	k.update(func(now time.Duration) []Suspicion {
 		suspicions := k.failed.take(now, func(a *Attempt) bool { return a.Incarnation == r.Incarnation })
-		return k.addOwn(append(suspicions, r.suspicion(0)), now)
+		return k.addOwn(append(suspicions, r.suspicions(0)...), now)
 	})
 }
 
@@ -113,27 +123,58 @@
 
 // addOwn adds suspicions that this host observed itself. The caller holds mu.
 func (k *Keeper) addOwn(all []Suspicion, now time.Duration) []Suspicion {
+	all = slices.DeleteFunc(all, func(s Suspicion) bool {
+		return s.isOfPart() && (k.answeredParts.isEmpty() || k.answeredParts.isTrusted(s.Fingerprint))
+	})
 	for i := range all {
 		all[i].IsCleared = k.answered.isTrusted(all[i].Fingerprint, now)
 	}
 	updates := k.table.Add(all, now)
 	for _, s := range updates {
 		k.suspicions.Inc(1)
-		k.cfg.Log.Warn("request suspected: its upstream ended under it", "request", s.Request, "fingerprint", s.Fingerprint.String(),
+		k.cfg.Log.Warn("request suspected: its upstream ended under it", "request", s.Request, "fingerprint", s.Fingerprint.String(), "is_part", s.isOfPart(), "carrier", s.Carrier.Short(),
 			"workspace", s.Workspace, "upstream", s.Incarnation.Upstream, "born", s.Incarnation.StartedAt, "cleared", s.IsCleared)
 	}
 	return updates
 }
 
-// Answered records that a request got a complete answer. That clears the suspicions of it.
-func (k *Keeper) Answered(f Fingerprint) {
+// Answered records that a request got a complete answer. That clears the suspicions of it and of its
+// parts. An answer that reports a failure must have no parts, since nothing was written on them.
+func (k *Keeper) Answered(c Content) {
+	k.mu.Lock()
+	k.answered.add(c.Request, k.cfg.Now())
+	k.mu.Unlock()
+	k.clearKnown(c.Request)
+	k.AnswerBegan(c.Parts)
+}
+
+// AnswerBegan records that an upstream has begun to write an answer on the parts of a prompt and has
+// gone on with it. That clears the suspicions of the parts.
+func (k *Keeper) AnswerBegan(parts []Fingerprint) {
+	if len(parts) == 0 {
+		return
+	}
+	k.mu.Lock()
+	k.answeredParts.add(parts, k.cfg.Now())
+	k.mu.Unlock()
+	k.clearKnown(parts...)
+}
+
+// clearKnown clears the suspicions of requests or parts, if there are any.
+func (k *Keeper) clearKnown(all ...Fingerprint) {
 	k.mu.Lock()
-	k.answered.add(f, k.cfg.Now())
-	isKnown := k.table.Contains(f)
+	isKnown := slices.ContainsFunc(all, k.table.Contains)
 	k.mu.Unlock()
-	if isKnown {
-		k.update(func(now time.Duration) []Suspicion { return k.clear(f, now) })
+	if !isKnown {
+		return
 	}
+	k.update(func(now time.Duration) []Suspicion {
+		var updates []Suspicion
+		for _, f := range all {
+			updates = append(updates, k.clear(f, now)...)
+		}
+		return updates
+	})
 }
 
 // Release clears the suspicions of a request on behalf of an operator. It reports whether
@@ -155,7 +196,7 @@
 	return updates
 }
 
-// Merge adds suspicions from another host. Those of requests that this host recently saw
+// Merge adds suspicions from another host. Those of requests and parts that this host recently saw
 // answered are cleared.
 func (k *Keeper) Merge(all []Suspicion) {
 	k.received.Inc(int64(len(all)))
@@ -163,7 +204,7 @@
 		updates := k.table.Add(all, now)
 		var cleared []Suspicion
 		for _, s := range updates {
-			if !s.IsCleared && k.answered.isTrusted(s.Fingerprint, now) {
+			if !s.IsCleared && k.isTrusted(&s, now) {
 				cleared = append(cleared, k.clear(s.Fingerprint, now)...)
 			}
 		}
@@ -174,6 +215,15 @@
 	})
 }
 
+// isTrusted reports whether this host recently saw the request or part of a suspicion answered. The
+// caller holds mu.
+func (k *Keeper) isTrusted(s *Suspicion, now time.Duration) bool {
+	if s.isOfPart() {
+		return k.answeredParts.isTrusted(s.Fingerprint)
+	}
+	return k.answered.isTrusted(s.Fingerprint, now)
+}
+
 // update applies a change to the table, logs requests that entered or left quarantine, and
 // publishes the updates that the change returns.
 func (k *Keeper) update(change func(now time.Duration) []Suspicion) {
@@ -195,7 +245,7 @@
 	for _, f := range quarantined {
 		if !slices.Contains(k.lastQuarantined, f) {
 			e := k.table.Entry(f, now)
-			k.cfg.Log.Warn("request held: upstreams ended under it", "fingerprint", f.String(), "workspace", e.Workspace,
+			k.cfg.Log.Warn("request held: upstreams ended under it", "fingerprint", f.String(), "kind", e.Kind(), "workspace", e.Workspace,
 				"ends", len(e.Ends), "requests", e.requests(), "upstreams", e.upstreams(), "for_s", int64(e.Remaining.Seconds()))
 		}
 	}
--- a/internal/quarantine/merge_test.go
+++ b/internal/quarantine/merge_test.go
@@ -10,8 +10,11 @@
 	"pgregory.net/rapid"
 )
 
-// drawSuspicions draws suspicions as hosts may report them: each crash has one time and one or
-// more requests, and some suspicions are cleared.
+// drawnParts is the number of the first of the parts that drawSuspicions may draw.
+const drawnParts = 20
+
+// drawSuspicions draws suspicions as hosts may report them: each crash has one time, one or more
+// requests, and parts that several requests have, and some suspicions are cleared.
 func drawSuspicions(t *rapid.T) []Suspicion {
 	var all []Suspicion
 	for n := range rapid.IntRange(1, 8).Draw(t, "ends") {
@@ -22,6 +25,14 @@
 				RanMS: rapid.Int64Range(0, 500).Draw(t, "ran"), IsCleared: rapid.IntRange(0, 5).Draw(t, "cleared") == 0,
 			})
 		}
+		for _, f := range rapid.SliceOfN(rapid.IntRange(drawnParts, drawnParts+3), 0, 3).Draw(t, "parts") {
+			for _, carrier := range rapid.SliceOfN(rapid.IntRange(1, 12), 1, maxCarriers+2).Draw(t, "carriers") {
+				all = append(all, Suspicion{
+					Fingerprint: print(f), Carrier: print(carrier), Incarnation: Incarnation{Upstream: string(rune('a' + n))}, AgeMS: age,
+					RanMS: rapid.Int64Range(0, 500).Draw(t, "ran"), IsCleared: rapid.IntRange(0, 9).Draw(t, "cleared") == 0,
+				})
+			}
+		}
 	}
 	return all
 }
@@ -29,7 +40,7 @@
 // verdicts returns the verdicts on all requests that drawSuspicions may draw.
 func verdicts(table *Table, now time.Duration) []Verdict {
 	var out []Verdict
-	for f := range 8 {
+	for f := range drawnParts + 4 {
 		out = append(out, table.Verdict(print(f), now))
 	}
 	return out
@@ -135,7 +146,7 @@
 		}
 	}
 	require.True(t, table.Contains(print(9000)))
-	require.Equal(t, 20, table.perWorkspace["w"])
+	require.Equal(t, 20, table.perQuota[quota{workspace: "w"}])
 	require.LessOrEqual(t, len(table.records), 50)
 	for n := range 5 {
 		require.True(t, table.Contains(print(2*n)), "request %d has two crashes", 2*n)
@@ -165,6 +176,6 @@
 		change(&s[0])
 		require.Empty(t, table.Add(s, 0))
 	}
-	attempt := Attempt{Fingerprint: print(1), Request: long, Incarnation: Incarnation{Upstream: "a"}}
-	require.Len(t, table.Add([]Suspicion{attempt.suspicion(0)}, 0), 1)
+	attempt := Attempt{Content: Content{Request: print(1)}, RequestID: long, Incarnation: Incarnation{Upstream: "a"}}
+	require.Len(t, table.Add(attempt.suspicions(0), 0), 1)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -30,6 +30,12 @@
 	// recentWindow is how long after a crash with an outside cause the next crash is also more
 	// likely to have one.
 	recentWindow = time.Minute
+	// minConcurrentPartCrashes is the number of crashes under one execution after which a part of
+	// prompts is quarantined. It is higher than for requests: many requests have the same part, so
+	// that an outside cause, such as a loss of power, may hit several of them.
+	minConcurrentPartCrashes = 4
+	// maxCarriers bounds the requests that are kept of those that had a part at one crash.
+	maxCarriers = 8
 	// maxCrashesPerRequest bounds the crashes that are kept for one request. The latest are
 	// kept.
 	maxCrashesPerRequest = 16
@@ -40,7 +46,7 @@
 // Limits bound the number of records in a Table.
 type Limits struct {
 	// PerWorkspace is how many requests of one workspace are kept, Total how many of all
-	// workspaces together. A full workspace evicts one of its own records; a full table evicts
+	// workspaces together. The parts of prompts of all workspaces count as one more workspace. A full workspace evicts one of its own records; a full table evicts
 	// one of the workspace that has the most records. The record with the oldest last crash
 	// goes: among those with one crash while they are at least half of the workspace's
 	// records, else among those with several crashes. So no workspace can evict the records of
@@ -61,12 +67,16 @@
 	StartedAt int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Suspicion states that a request was running on an upstream when the upstream crashed. Hosts
+// Suspicion states that a request, or a request with a part of a prompt, was running on an upstream
+// when the upstream crashed. Hosts
 // exchange suspicions. Merging them is commutative and idempotent: neither their order nor
 // repeated delivery changes the result.
 type Suspicion struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	Workspace   string      `cbor:"2,keyasint,omitempty"`
+	// Workspace is that of the request, empty for a part.
+	Workspace string `cbor:"2,keyasint,omitempty"`
+	// Carrier is the request that had the part; zero for the suspicion of a request.
+	Carrier     Fingerprint `cbor:"9,keyasint,omitzero"`
 	Incarnation Incarnation `cbor:"3,keyasint"`
 	// Service is what the upstream served.
 	Service string `cbor:"8,keyasint,omitempty"`
@@ -81,6 +91,28 @@
 	IsCleared bool `cbor:"6,keyasint,omitempty"`
 }
 
+// isOfPart reports whether the suspicion is of a part of a prompt.
+func (s *Suspicion) isOfPart() bool { return s.Carrier != Fingerprint{} }
+
+// quota returns whose limit the record of the suspicion counts towards.
+func (s *Suspicion) quota() quota { return quota{workspace: s.Workspace, isOfParts: s.isOfPart()} }
+
+// quota identifies a set of records with a common limit: the requests of a workspace, or all parts.
+type quota struct {
+	workspace string
+	isOfParts bool
+}
+
+func (q quota) compare(o quota) int {
+	switch {
+	case q.isOfParts == o.isOfParts:
+		return strings.Compare(q.workspace, o.workspace)
+	case q.isOfParts:
+		return 1
+	}
+	return -1
+}
+
 // Verdict tells how a request may be sent to upstreams.
 type Verdict uint8
 
@@ -103,13 +135,27 @@
 	// at is the time of the crash, ran how long the request had been on the upstream.
 	at, ran          time.Duration
 	service, request string
-	isCleared        bool
+	// carriers are the requests that had the part, in ascending order; none for the observation of a
+	// request. The lowest ones are kept.
+	carriers  []Fingerprint
+	isCleared bool
+}
+
+// addCarrier adds a request that had the part. It reports whether it was new and is kept.
+func (o *observation) addCarrier(f Fingerprint) bool {
+	i, isKnown := slices.BinarySearchFunc(o.carriers, f, Fingerprint.compare)
+	if isKnown || i >= maxCarriers || f == (Fingerprint{}) {
+		return false
+	}
+	o.carriers = slices.Insert(o.carriers, i, f)
+	o.carriers = o.carriers[:min(len(o.carriers), maxCarriers)]
+	return true
 }
 
-// record holds the crashes under one request and the verdict that follows from them.
+// record holds the crashes under one request or part and the verdict that follows from them.
 type record struct {
-	workspace string
-	crashes   map[Incarnation]*observation
+	quota   quota
+	crashes map[Incarnation]*observation
 	// isSuspect is set while a crash is attributed to the request. isQuarantined is set once
 	// the request is quarantined, and until is the time at which the quarantine expires.
 	isSuspect, isQuarantined bool
@@ -119,14 +165,14 @@
 // Table holds the requests under which upstreams crashed. It reads no clock: callers pass the
 // time of a monotonic clock. It is not safe for concurrent use.
 type Table struct {
-	limits       Limits
-	records      map[Fingerprint]*record
-	perWorkspace map[string]int
+	limits   Limits
+	records  map[Fingerprint]*record
+	perQuota map[quota]int
 }
 
 // NewTable returns an empty Table.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l, records: make(map[Fingerprint]*record), perWorkspace: make(map[string]int)}
+	return &Table{limits: l, records: make(map[Fingerprint]*record), perQuota: make(map[quota]int)}
 }
 
 // Verdict returns the verdict on a request.
@@ -174,10 +220,10 @@
 	}
 	r := t.records[s.Fingerprint]
 	if r == nil {
-		t.makeRoom(s.Workspace)
-		r = &record{workspace: s.Workspace, crashes: make(map[Incarnation]*observation)}
+		t.makeRoom(s.quota())
+		r = &record{quota: s.quota(), crashes: make(map[Incarnation]*observation)}
 		t.records[s.Fingerprint] = r
-		t.perWorkspace[s.Workspace]++
+		t.perQuota[r.quota]++
 	}
 	known := r.crashes[s.Incarnation]
 	if known == nil {
@@ -189,6 +235,7 @@
 	known.at, known.ran = min(known.at, at), max(known.ran, s.ran())
 	isUpdate = s.IsCleared && !known.isCleared
 	known.isCleared = known.isCleared || s.IsCleared
+	isUpdate = known.addCarrier(s.Carrier) || isUpdate
 	return isUpdate, isCloserEstimate
 }
 
@@ -202,7 +249,9 @@
 		}
 		delete(r.crashes, oldest)
 	}
-	r.crashes[s.Incarnation] = &observation{at: at, ran: s.ran(), service: s.Service, request: s.Request, isCleared: s.IsCleared}
+	o := &observation{at: at, ran: s.ran(), service: s.Service, request: s.Request, isCleared: s.IsCleared}
+	o.addCarrier(s.Carrier)
+	r.crashes[s.Incarnation] = o
 	return true
 }
 
@@ -252,40 +301,41 @@
 	return n
 }
 
-// makeRoom evicts a record if a limit would be exceeded by a new record of the workspace.
-func (t *Table) makeRoom(workspace string) {
+// makeRoom evicts a record if a limit would be exceeded by a new record that counts towards q.
+func (t *Table) makeRoom(q quota) {
 	switch {
-	case t.perWorkspace[workspace] >= t.limits.PerWorkspace:
-		t.evict(workspace)
+	case t.perQuota[q] >= t.limits.PerWorkspace:
+		t.evict(q)
 	case len(t.records) >= t.limits.Total:
-		t.evict(t.largestWorkspace())
+		t.evict(t.largestQuota())
 	}
 }
 
-// largestWorkspace returns the workspace with the most records.
-func (t *Table) largestWorkspace() string {
-	name, most := "", 0
-	for w, n := range t.perWorkspace {
-		if n > most || n == most && w < name {
-			name, most = w, n
+// largestQuota returns the quota with the most records.
+func (t *Table) largestQuota() quota {
+	var largest quota
+	most := 0
+	for q, n := range t.perQuota {
+		if n > most || n == most && q.compare(largest) < 0 {
+			largest, most = q, n
 		}
 	}
-	return name
+	return largest
 }
 
-// evict removes the least important record of a workspace, as Limits describes.
-func (t *Table) evict(workspace string) {
+// evict removes the least important record of a quota, as Limits describes.
+func (t *Table) evict(q quota) {
 	withOneCrash := 0
 	for _, r := range t.records {
-		if r.workspace == workspace && r.countUncleared() <= 1 {
+		if r.quota == q && r.countUncleared() <= 1 {
 			withOneCrash++
 		}
 	}
-	evictOneCrash := 2*withOneCrash >= t.perWorkspace[workspace]
+	evictOneCrash := 2*withOneCrash >= t.perQuota[q]
 	var least Fingerprint
 	var lowest *record
 	for f, r := range t.records {
-		if r.workspace != workspace || (r.countUncleared() <= 1) != evictOneCrash {
+		if r.quota != q || (r.countUncleared() <= 1) != evictOneCrash {
 			continue
 		}
 		if lowest == nil || r.lastCrash() < lowest.lastCrash() {
@@ -305,8 +355,8 @@
 func (t *Table) remove(f Fingerprint) {
 	r := t.records[f]
 	delete(t.records, f)
-	if t.perWorkspace[r.workspace]--; t.perWorkspace[r.workspace] <= 0 {
-		delete(t.perWorkspace, r.workspace)
+	if t.perQuota[r.quota]--; t.perQuota[r.quota] <= 0 {
+		delete(t.perQuota, r.quota)
 	}
 }
 
@@ -331,7 +381,7 @@
 	for incarnation, s := range r.crashes {
 		if !s.isCleared {
 			s.isCleared = true
-			updates = append(updates, r.suspicion(f, incarnation, now))
+			updates = append(updates, r.suspicions(f, incarnation, now)...)
 		}
 	}
 	if len(updates) > 0 {
@@ -340,12 +390,23 @@
 	return updates
 }
 
-func (r *record) suspicion(f Fingerprint, incarnation Incarnation, now time.Duration) Suspicion {
-	s := r.crashes[incarnation]
-	return Suspicion{
-		Fingerprint: f, Workspace: r.workspace, Incarnation: incarnation, Service: s.service, Request: s.request,
-		AgeMS: (now - s.at).Milliseconds(), RanMS: s.ran.Milliseconds(), IsCleared: s.isCleared,
+// suspicions returns what is known of one crash: one suspicion of a request, or one for each request
+// that had a part.
+func (r *record) suspicions(f Fingerprint, incarnation Incarnation, now time.Duration) []Suspicion {
+	o := r.crashes[incarnation]
+	s := Suspicion{
+		Fingerprint: f, Workspace: r.quota.workspace, Incarnation: incarnation, Service: o.service, Request: o.request,
+		AgeMS: (now - o.at).Milliseconds(), RanMS: o.ran.Milliseconds(), IsCleared: o.isCleared,
+	}
+	if !r.quota.isOfParts {
+		return []Suspicion{s}
+	}
+	var all []Suspicion
+	for _, carrier := range o.carriers {
+		s.Carrier = carrier
+		all = append(all, s)
 	}
+	return all
 }
 
 // Sweep removes expired records.
@@ -357,16 +418,16 @@
 	}
 }
 
-// All returns all suspicions, sorted by fingerprint and incarnation.
+// All returns all suspicions, sorted by fingerprint, incarnation and carrier.
 func (t *Table) All(now time.Duration) []Suspicion {
 	var out []Suspicion
 	for f, r := range t.records {
 		for incarnation := range r.crashes {
-			out = append(out, r.suspicion(f, incarnation, now))
+			out = append(out, r.suspicions(f, incarnation, now)...)
 		}
 	}
 	slices.SortFunc(out, func(a, b Suspicion) int {
-		return cmp.Or(a.Fingerprint.compare(b.Fingerprint), a.Incarnation.compare(b.Incarnation))
+		return cmp.Or(a.Fingerprint.compare(b.Fingerprint), a.Incarnation.compare(b.Incarnation), a.Carrier.compare(b.Carrier))
 	})
 	return out
 }
