Treat an unframed stream without an event as broken off

Callers saw: an empty stream with status 200 that looked complete, where an upstream had sent its header and ended before the first event. A response with neither a length nor chunks ends with its connection, and so does that of an upstream that crashes.

Cause: the end of the connection counted as the end of the stream, unless it lay inside an event.

TestStreamThatEndsWithItsConnection/before_the_first_event failed before. Its other cases, and the two other tests of bodies that end with their connection, passed before.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -56,6 +56,8 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if the upstream does not state it.
 	Length int64
+	// EndsByClose is set if nothing but the close of the connection marks the end of the body.
+	EndsByClose bool
 
 	client     *Client
 	conn       *conn
@@ -168,6 +170,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		EndsByClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		client: c, conn: conn, resp: resp,
 	}, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,7 @@
 	// the longest gap between events after that. lastEventAt is when the last event was forwarded.
 	firstEventDelay, eventGap time.Duration
 	lastEventAt               time.Time
-	// batches is the number of batches of events that the present upstream has delivered.
+	// batches is the number of batches of new events that the present upstream has delivered.
 	batches int
 }
 
@@ -218,6 +218,9 @@
 			return r.readErr
 		case len(r.events.Incomplete()) > 0:
 			return errors.New("the stream ended within an event")
+		case r.resp.EndsByClose && r.batches == 0:
+			// The connection of an upstream that crashes before it writes anything ends in the same way.
+			return errors.New("the stream ended without an event")
 		default:
 			r.sendHeader()
 			return nil
