Wait for separate events in the test of streams that go on

The test sent the second event at once. If the gateway read both events together they counted as one, and the test hung until its timeout: seen once. Format internal/dispatch/client.go.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -171,7 +171,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		EndsByClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-		client: c, conn: conn, resp: resp,
+		client:      c, conn: conn, resp: resp,
 	}, nil
 }
 
--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -102,14 +103,18 @@
 func TestStreamThatGoesOnClearsItsParts(t *testing.T) {
 	env := newTestEnv(t)
 	env.setTable(nil)
-	goOn, finish := make(chan struct{}), make(chan struct{})
+	ctx, finish := context.WithCancel(t.Context())
+	defer finish()
+	goOn := make(chan struct{}, 1)
 	env.addUpstream("u1", func(w http.ResponseWriter, _ *http.Request) {
-		for id := 1; id <= 2; id++ {
+		for id := 1; ctx.Err() == nil; id++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
 			_ = http.NewResponseController(w).Flush()
-			<-goOn
+			select {
+			case <-goOn:
+			case <-ctx.Done():
+			}
 		}
-		<-finish
 	})
 	part := env.gateway.cfg.Fingerprints.OfPart("good")
 	env.gateway.cfg.Quarantine.Merge([]quarantine.Suspicion{{
@@ -129,10 +134,15 @@
 		return false
 	}
 	require.True(t, isSuspect())
-	goOn <- struct{}{}
-	require.Eventually(t, func() bool { return !isSuspect() }, testTimeout, time.Millisecond)
-	close(goOn)
-	close(finish)
+	require.Eventually(t, func() bool {
+		// Events that are read together count as one.
+		select {
+		case goOn <- struct{}{}:
+		default:
+		}
+		return !isSuspect()
+	}, testTimeout, time.Millisecond)
+	finish()
 	<-done
 }
 
