Share slots of engines among entry hosts by demand

While the balancer hands most new connections to one entry host, its callers were refused although slots were free: every host had an equal share of them.

Cause: quotas, queue estimates and refusals divided slots by the number of hosts. The slots that the others left were used only as far as they piled up.

Change: entry hosts report the requests on time a second for each service with engines to the control hosts, in an additional field of Hosts that older builds ignore. Control hosts send the sum back every second.

Reports every half second: no better.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -71,6 +71,8 @@
 	upstreamList *peer.Prepared
 	// isUpstreamListCold tells that the encoded list has remaining cold times, which decrease.
 	isUpstreamListCold bool
+	// demands holds the demand at each attached entry host.
+	demands map[*peer.Session]hostDemand
 	// pendingSuspicions are the suspicions that sendSuspicions will send.
 	pendingSuspicions []quarantine.Suspicion
 	// statements holds what upstreams have stated about themselves, and dispenser the tokens of
@@ -87,6 +89,7 @@
 	f := &fleet{
 		h: h, started: time.Now(), saveRequested: make(chan struct{}, 1), registry: registry.New(h.cfg.Registry),
 		attached: make(map[*peer.Session]string), needAllLoads: make(map[*peer.Session]bool),
+		demands:    make(map[*peer.Session]hostDemand),
 		statements: backpressure.NewTable(), dispenser: backpressure.NewDispenser(), entryHosts: make(map[string]time.Duration), reachable: 1,
 	}
 	f.quarantine = quarantine.NewKeeper(quarantine.Config{
@@ -284,6 +287,7 @@
 		f.dispenser.BeginTerm(term, f.now())
 	}
 	f.sweepRateLimits()
+	f.sendDemands()
 	if all := f.registry.Tick(f.now()); len(all) > 0 {
 		f.upstreamList = nil
 		f.broadcast(&wire.Upstreams{All: all})
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -28,6 +28,9 @@
 		}
 	case *wire.Hosts:
 		h.AddControlHosts(m.ControlHosts...)
+		if len(m.Demands) > 0 {
+			h.fleet.setDemand(s, m.Demands)
+		}
 	case *wire.Attach:
 		h.fleet.attach(s, m)
 	case *wire.Suspicions:
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -25,6 +25,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
 // Config describes one simulation.
@@ -60,6 +61,8 @@
 	RetryBudget retrybudget.Params
 	// PlanReturns is schedule.Config.PlanReturns of all hosts.
 	PlanReturns bool
+	// Crowds are periods in which the balancer sends most new callers to one host.
+	Crowds []Crowd
 	// Outages lists the times at which groups are down.
 	Outages []Outage
 	// Classes are the priority classes of callers. If there are none, all callers have priority 0,
@@ -78,6 +81,14 @@
 	ArrivalRate func(at time.Duration) float64
 }
 
+// Crowd is a period in which a share of the first tries of callers goes to one host. The others, and
+// the second tries, go to any host.
+type Crowd struct {
+	Host     int
+	From, To time.Duration
+	Share    float64
+}
+
 // Outage is a period in which a group accepts no requests. The requests that it had at the
 // start of the outage are lost.
 type Outage struct {
@@ -115,6 +126,11 @@
 			return errors.Errorf("emulator: invalid outage of group %d from %s to %s", o.Group, o.From, o.To)
 		}
 	}
+	for _, p := range c.Crowds {
+		if p.Host < 0 || p.Host >= c.Hosts || p.To <= p.From || p.Share < 0 || p.Share > 1 {
+			return errors.Errorf("emulator: invalid crowd of %g at host %d from %s to %s", p.Share, p.Host, p.From, p.To)
+		}
+	}
 	for _, p := range c.SkewPeriods {
 		if p.Skew < 1 || p.To <= p.From {
 			return errors.Errorf("emulator: invalid skew of %g from %s to %s", p.Skew, p.From, p.To)
@@ -130,6 +146,10 @@
 	reportInterval = 100 * time.Millisecond
 	// DefaultReportDelay is the default of Config.ReportDelay.
 	DefaultReportDelay = 50 * time.Millisecond
+	// demandInterval is the time between two reports of demand, and demandDelay how old the sum of
+	// them is when it reaches the hosts.
+	demandInterval = time.Second
+	demandDelay    = 500 * time.Millisecond
 	// serviceName is the name of the simulated service.
 	serviceName = "model"
 )
@@ -164,6 +184,7 @@
 	s := &simulation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), engines: make(map[string]*engine)}
 	s.build()
 	s.clock.at(0, s.publishLoads)
+	s.clock.at(0, s.publishDemands)
 	for i := range cfg.Classes {
 		s.clock.at(0, func() { s.scheduleArrivals(&cfg.Classes[i]) })
 	}
@@ -221,6 +242,23 @@
 	s.clock.after(reportInterval, s.publishLoads)
 }
 
+// publishDemands sends the sum of the demands at all hosts to each of them, and repeats that every
+// demandInterval.
+func (s *simulation) publishDemands() {
+	total := 0.0
+	for _, h := range s.hosts {
+		for _, d := range h.scheduler.Demands(s.clock.now) {
+			total += d.PerSecond
+		}
+	}
+	s.clock.after(demandDelay, func() {
+		for _, h := range s.hosts {
+			h.scheduler.SetTotalDemands([]wire.ServiceDemand{{Service: serviceName, PerSecond: total}}, s.clock.now)
+		}
+	})
+	s.clock.after(demandInterval, s.publishDemands)
+}
+
 // scheduleArrivals starts the request of a caller of a class and schedules the arrival of the
 // next one. The time between two arrivals is distributed exponentially.
 func (s *simulation) scheduleArrivals(class *Class) {
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -113,11 +113,22 @@
 	return c.firstTry + c.class.Target
 }
 
-// try sends the request to a random host.
+// pickHost returns the host of the caller's present try.
+func (c *call) pickHost() *host {
+	s := c.sim
+	for _, p := range s.cfg.Crowds {
+		if c.tries == 1 && p.From <= s.clock.now && s.clock.now < p.To && s.rng.Float64() < p.Share {
+			return s.hosts[p.Host]
+		}
+	}
+	return s.hosts[s.rng.IntN(len(s.hosts))]
+}
+
+// try sends the request to a host.
 func (c *call) try() {
 	c.tries++
 	c.lastTry, c.triedUpstreams = c.sim.clock.now, nil
-	c.host = c.sim.hosts[c.sim.rng.IntN(len(c.sim.hosts))]
+	c.host = c.pickHost()
 	c.host.scheduler.CountRequest(serviceName, c.lastTry)
 	c.startSilenceTimeout()
 	c.host.admit(c)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -199,6 +199,20 @@
 	g.scheduler.SetHostCount(n, g.now())
 }
 
+// Demands returns the demand at this host for each service with engines.
+func (g *Gateway) Demands() []wire.ServiceDemand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Demands(g.now())
+}
+
+// SetTotalDemands applies the demand at all entry hosts together.
+func (g *Gateway) SetTotalDemands(all []wire.ServiceDemand) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.SetTotalDemands(all, g.now())
+}
+
 // SetLoads applies load reports of engines.
 func (g *Gateway) SetLoads(all []wire.EngineLoad) {
 	g.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -16,13 +16,14 @@
 	"github.com/sassafraspost/sassafraspost/internal/gateway"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
 const (
 	// upstreamDialTimeout bounds the time to open a connection to an upstream.
 	upstreamDialTimeout = 500 * time.Millisecond
 	// sweepInterval is how often idle connections to upstreams and old quarantine records are
-	// removed.
+	// removed, and the control hosts are told of the demand at this host.
 	sweepInterval = time.Second
 	// maxTrialDelay is the time over which the hosts spread the end of a quarantine. It is long
 	// compared with the time in which they tell each other of a crash.
@@ -69,7 +70,7 @@
 	f.mergeUpstreams, f.dropSource, f.setEntryHostCount, f.applyTable = e.gateway.Merge, e.gateway.DropSource, e.gateway.SetHostCount, e.gateway.SetTable
 	f.setLoads, f.quarantine = e.gateway.SetLoads, keeper
 	f.mergeNotices, f.notices = e.gateway.MergeNotices, e.gateway.Notices
-	f.setEvacuations = e.gateway.SetEvacuations
+	f.setEvacuations, f.setTotalDemands = e.gateway.SetEvacuations, e.gateway.SetTotalDemands
 	e.follower = f
 	callers, err := net.Listen("tcp", n.settings.Entry.Listen.String())
 	if err != nil {
@@ -103,6 +104,9 @@
 			pause.For(ctx, sweepInterval)
 			e.client.Sweep()
 			e.follower.quarantine.Sweep()
+			if demands := e.gateway.Demands(); len(demands) > 0 {
+				e.n.postToControlHosts(&wire.Hosts{Demands: demands})
+			}
 		}
 	}()
 	e.follower.run(ctx)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -53,6 +53,8 @@
 	dropSource        func(source string)
 	setEntryHostCount func(entries int)
 	applyTable        func(t *routetable.Table) bool
+	// setTotalDemands receives the demand at all entry hosts together; nil if the role doesn't use it.
+	setTotalDemands func(all []wire.ServiceDemand)
 	// setEvacuations puts a list of evacuated data centres into force; nil if the role doesn't send
 	// requests to upstreams.
 	setEvacuations func(source string, m *wire.Evacuations)
@@ -155,6 +157,9 @@
 		if f.setEntryHostCount != nil {
 			f.setEntryHostCount(m.EntryHosts)
 		}
+		if f.setTotalDemands != nil {
+			f.setTotalDemands(m.Demands)
+		}
 	case *wire.EngineLoads:
 		if f.setLoads != nil {
 			f.setLoads(f.decodeLoads(s, m))
--- a/internal/schedule/admit.go
+++ b/internal/schedule/admit.go
@@ -148,7 +148,7 @@
 func (s *Scheduler) Admit(r *Request, now time.Duration) Decision {
 	s.expireCold(now)
 	sv := s.service(r.Service)
-	sv.setEngine(r.Engine, r.MaxEventGap, s.hosts, now)
+	sv.setEngine(r.Engine, r.MaxEventGap, s.shareOf(sv, now), now)
 	w := sv.newWaiter(r, now)
 	if w.canBeOnTime(now) && !r.IsResumed {
 		sv.demand.onTimeArrivals.add(now)
--- a/internal/schedule/classes.go
+++ b/internal/schedule/classes.go
@@ -195,9 +195,9 @@
 // class first. It is nil for a service with one class.
 type classDemand []float64
 
-// classDemand returns the demand at a rank, assuming that the other hosts get as many requests as
-// this one.
-func (sv *service) classDemand(hosts int, now time.Duration) classDemand {
+// classDemand returns the demand at a rank, from the requests that this host gets and its
+// share of the slots.
+func (sv *service) classDemand(share float64, now time.Duration) classDemand {
 	ranks := 0
 	for _, g := range sv.groups {
 		if !g.isClosed {
@@ -209,7 +209,7 @@
 	}
 	demand := make(classDemand, len(sv.classes))
 	for i, c := range sv.classes {
-		demand[i] = c.arrivals.perSecond(now) * float64(hosts) / float64(ranks)
+		demand[i] = c.arrivals.perSecond(now) / share / float64(ranks)
 	}
 	return demand
 }
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -23,13 +23,14 @@
 	return sv.demand.serviceTime
 }
 
-// slotShare is a host's equal share of the usable slots of a service: of all, and of the free ones.
+// slotShare is a host's share of the usable slots of a service: of all, and of the free ones.
 type slotShare struct{ total, free float64 }
 
 // slotShare returns this host's share of the slots of a service.
 func (s *Scheduler) slotShare(sv *service, now time.Duration) slotShare {
 	total, free := s.capacity(sv, now)
-	return slotShare{total: total / float64(s.hosts), free: free / float64(s.hosts)}
+	share := s.shareOf(sv, now)
+	return slotShare{total: total * share, free: free * share}
 }
 
 // lateCapacity returns how many more requests that can no longer be on time this host may admit
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -83,7 +83,7 @@
 	for _, sv := range s.services {
 		sv.updateGroups()
 		sv.updateMeanLoads()
-		sv.updateLimits(s.hosts, now)
+		sv.updateLimits(s.shareOf(sv, now), now)
 		sv.updateOutage(now)
 	}
 	s.updateQuotas(all, now)
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -41,7 +41,7 @@
 	}
 	_, free := s.capacity(sv, now)
 	slices.SortFunc(moves, func(a, b *Ticket) int { return int(a.began - b.began) })
-	for _, t := range moves[:min(len(moves), int(free)/s.hosts)] {
+	for _, t := range moves[:min(len(moves), int(free*s.shareOf(sv, now)))] {
 		if !s.TakeRetry(sv.name, now) {
 			break
 		}
--- a/internal/schedule/passtimes.go
+++ b/internal/schedule/passtimes.go
@@ -94,20 +94,21 @@
 
 // setEngine sets the performance parameters of a service's engines and the longest gap between
 // events that counts as on time, and recomputes the concurrency limits.
-func (sv *service) setEngine(e *routetable.Engine, gap time.Duration, hosts int, now time.Duration) {
+func (sv *service) setEngine(e *routetable.Engine, gap time.Duration, share float64, now time.Duration) {
 	if sv.engineSpec == e && sv.maxEventGap == gap {
 		return
 	}
 	sv.engineSpec, sv.maxEventGap, sv.limit = e, gap, ConcurrencyLimit(e, gap)
-	sv.updateLimits(hosts, now)
+	sv.updateLimits(share, now)
 }
 
-// updateLimits sets the concurrency limit of each group from its history of pass times.
-func (sv *service) updateLimits(hosts int, now time.Duration) {
+// updateLimits sets the concurrency limit of each group from its history of pass times. Share is this
+// host's share of the slots.
+func (sv *service) updateLimits(share float64, now time.Duration) {
 	if sv.engineSpec == nil {
 		return
 	}
-	demand := sv.classDemand(hosts, now)
+	demand := sv.classDemand(share, now)
 	for _, g := range sv.groups {
 		g.limit = sv.withHeadroom(g.passTimes.limit(sv.engineSpec, sv.maxEventGap, demand, now))
 	}
--- a/internal/schedule/quota.go
+++ b/internal/schedule/quota.go
@@ -36,9 +36,9 @@
 			continue
 		}
 		free, unallocated := s.reportedFree(sv, reported, now)
-		share := free / float64(s.hosts)
+		share := free * s.shareOf(sv, now)
 		sv.quotaRate.add(share, now)
-		sv.hasQuota, sv.quota = true, min(sv.quota+s.ownShare(unallocated), max(1, int(math.Ceil(share))))
+		sv.hasQuota, sv.quota = true, min(sv.quota+s.ownShare(sv, unallocated, now), max(1, int(math.Ceil(share))))
 	}
 }
 
@@ -93,10 +93,10 @@
 	return n
 }
 
-// ownShare returns this host's equal share of a total for all hosts, rounded up or down at
-// random so that it is correct on average.
-func (s *Scheduler) ownShare(total float64) int {
-	share := total / float64(s.hosts)
+// ownShare returns this host's share of a number of slots of a service, rounded up or down at random
+// so that it is correct on average.
+func (s *Scheduler) ownShare(sv *service, total float64, now time.Duration) int {
+	share := total * s.shareOf(sv, now)
 	n := int(share)
 	if s.cfg.Random.Float64() < share-float64(n) {
 		n++
@@ -105,8 +105,8 @@
 }
 
 // ownFreeShare returns how many of a service's free slots this host may take at once. All hosts
-// see the same free slots and divide them equally.
+// see the same free slots and divide them as shareOf states.
 func (s *Scheduler) ownFreeShare(sv *service, now time.Duration) int {
 	_, free := s.capacity(sv, now)
-	return s.ownShare(free)
+	return s.ownShare(sv, free, now)
 }
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -269,13 +269,13 @@
 }
 
 // unreportedAdmissions estimates how many requests the other hosts have admitted since the load
-// reports were made, assuming that each admits as many per second as this host.
+// reports were made, from what this host admits and its share.
 func (s *Scheduler) unreportedAdmissions(sv *service, now time.Duration) float64 {
 	if !sv.hasRecentReports(now) {
 		return 0
 	}
 	age := (now - sv.lastReport + meanReportDelay).Seconds()
-	return sv.demand.admissions.perSecond(now) * age * float64(s.hosts-1)
+	return sv.demand.admissions.perSecond(now) * age * (1/s.shareOf(sv, now) - 1)
 }
 
 // reserve counts an attempt at an upstream and returns its reservation.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -150,6 +150,8 @@
 	recoveringUntil time.Duration
 	// scarceUntil is when the slots of the service no longer count as scarce.
 	scarceUntil time.Duration
+	// totalDemand is the demand at all hosts together.
+	totalDemand totalDemand
 	// quotaRate is this host's share of free slots per second.
 	quotaRate averageRate
 	waiters   []*Waiter
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -49,7 +49,7 @@
 	free := 0
 	if sv.engineSpec != nil {
 		_, freeSlots := s.capacity(sv, now)
-		free = int(freeSlots) / s.hosts
+		free = int(freeSlots * s.shareOf(sv, now))
 	}
 	for t := range sv.awaitingHeader {
 		if free > 0 && t.upstream.group != nil && t.upstream.group.isClosed {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -120,12 +120,22 @@
 // Kind implements Message.
 func (*EngineLoads) Kind() Kind { return KindEngineLoads }
 
-// Hosts announces the hosts of the system that the sender knows.
+// ServiceDemand is what callers ask of a service.
+type ServiceDemand struct {
+	Service string `cbor:"1,keyasint"`
+	// PerSecond is the number of arriving requests a second that can still be on time.
+	PerSecond float64 `cbor:"2,keyasint"`
+}
+
+// Hosts announces the hosts of the system that the sender knows, and the demand at entry hosts.
 type Hosts struct {
 	// ControlHosts contains the peer addresses of control hosts.
 	ControlHosts []string `cbor:"1,keyasint,omitempty"`
 	// EntryHosts is the number of entry hosts attached to the sender.
 	EntryHosts int `cbor:"2,keyasint,omitempty"`
+	// Demands is the demand at the sender, if it is an entry host, else the sum of the demands at the
+	// entry hosts that are attached to the sender.
+	Demands []ServiceDemand `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
