--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -53,3 +53,32 @@
 		fullTable()
 	}
 }
+
+// BenchmarkPartFingerprints measures what the parts of one prompt cost a request.
+func BenchmarkPartFingerprints(b *testing.B) {
+	h := NewHasher("secret")
+	for b.Loop() {
+		h.OfPart("5c1e07a2")
+	}
+}
+
+// BenchmarkAnsweredParts measures what the parts of one prompt cost an answer.
+func BenchmarkAnsweredParts(b *testing.B) {
+	var a answeredParts
+	n := 0
+	for b.Loop() {
+		n++
+		a.add([]Fingerprint{{1}, {2, byte(n >> 16), byte(n >> 8), byte(n)}}, time.Duration(n))
+	}
+}
+
+// BenchmarkFullPartMemory measures the memory of the remembered parts at their limit, as allocated bytes.
+func BenchmarkFullPartMemory(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		var a answeredParts
+		for n := range 2 * maxAnsweredParts {
+			a.add([]Fingerprint{{byte(n >> 8), byte(n)}}, 0)
+		}
+	}
+}
