--- a/internal/quarantine/evaluation.go
+++ b/internal/quarantine/evaluation.go
@@ -44,9 +44,10 @@
 // updateVerdicts derives all verdicts. They depend on the set of suspicions only, so hosts with
 // the same suspicions reach the same verdicts.
 //
-// What is said of requests here holds for parts too, each among its own kind. A crash is explained for a request if the request itself, or another candidate, is among the
-// requests to which the crash is attributed. A crash that is not explained hints at a cause
-// outside of the requests. A request is quarantined
+// What is said of requests here holds for parts too, each among its own kind. A crash is explained
+// for a request if the request itself, or another candidate, is among the requests to which the crash
+// is attributed. A crash that is not explained hints at a cause outside of the requests. A request is
+// quarantined
 //   - after crashes under two executions, if all crashes of the service about the time of
 //     each, and all in the last recentWindow, are explained;
 //   - after three crashes under one execution, four for a part, if all crashes of the service
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -132,8 +132,8 @@
 	updates := k.table.Add(all, now)
 	for _, s := range updates {
 		k.suspicions.Inc(1)
-		k.cfg.Log.Warn("request suspected: its upstream ended under it", "request", s.Request, "fingerprint", s.Fingerprint.String(), "is_part", s.isOfPart(), "carrier", s.Carrier.Short(),
-			"workspace", s.Workspace, "upstream", s.Incarnation.Upstream, "born", s.Incarnation.StartedAt, "cleared", s.IsCleared)
+		k.cfg.Log.Warn("request suspected: its upstream ended under it", "request", s.Request, "fingerprint", s.Fingerprint.String(),
+			"is_part", s.isOfPart(), "carrier", s.Carrier.Short(), "workspace", s.Workspace, "upstream", s.Incarnation.Upstream, "born", s.Incarnation.StartedAt, "cleared", s.IsCleared)
 	}
 	return updates
 }
