Keep the number of hosts where control hosts send demands

Control hosts send the sums of demands every second with the number of entry hosts that they reach. Where one reaches fewer than another, the number would change every second, and with it each host's part of the retry budget. Found by reading; the test failed before.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -153,13 +153,7 @@
 	case *wire.Upstreams:
 		f.replyMerged(s, call, f.mergeUpstreams(s.Remote().Host, m.All))
 	case *wire.Hosts:
-		f.controlHosts.Add(m.ControlHosts...)
-		if f.setEntryHostCount != nil {
-			f.setEntryHostCount(m.EntryHosts)
-		}
-		if f.setTotalDemands != nil {
-			f.setTotalDemands(m.Demands)
-		}
+		f.applyHosts(m)
 	case *wire.EngineLoads:
 		if f.setLoads != nil {
 			f.setLoads(f.decodeLoads(s, m))
@@ -182,6 +176,19 @@
 	}
 }
 
+// applyHosts applies what a control host tells of the other hosts. A message with demands comes every
+// second from each control host, also from those that reach only some of the entry hosts, so its number
+// of entry hosts is not used.
+func (f *follower) applyHosts(m *wire.Hosts) {
+	f.controlHosts.Add(m.ControlHosts...)
+	switch {
+	case len(m.Demands) > 0 && f.setTotalDemands != nil:
+		f.setTotalDemands(m.Demands)
+	case len(m.Demands) == 0 && f.setEntryHostCount != nil:
+		f.setEntryHostCount(m.EntryHosts)
+	}
+}
+
 // applyEvacuations puts a list of evacuated data centres into force, if the role obeys it.
 func (f *follower) applyEvacuations(s *peer.Session, m *wire.Evacuations) {
 	if f.setEvacuations != nil {
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -99,3 +100,21 @@
 	require.IsType(t, &wire.Ack{}, reply)
 	require.Equal(t, "west", <-inForce)
 }
+
+// Guards against a number of hosts that changes every second with the control host that sends demands,
+// and with it the host's part of the retry budget.
+func TestDemandsLeaveNumberOfHostsUnchanged(t *testing.T) {
+	var hosts int
+	var demands []wire.ServiceDemand
+	f := &follower{
+		controlHosts:      control.NewAddressBook(),
+		setEntryHostCount: func(n int) { hosts = n }, setTotalDemands: func(all []wire.ServiceDemand) { demands = all },
+	}
+	f.handleMessage(nil, 0, &wire.Hosts{EntryHosts: 9})
+	f.handleMessage(nil, 0, &wire.Hosts{EntryHosts: 5, Demands: []wire.ServiceDemand{{Service: "s", PerSecond: 3}}})
+	require.Equal(t, 9, hosts)
+	require.Len(t, demands, 1)
+	f.handleMessage(nil, 0, &wire.Hosts{EntryHosts: 8})
+	require.Equal(t, 8, hosts)
+	require.Len(t, demands, 1, "a message without demands says nothing of them")
+}
