Compute a host's part of the demand from what it has reported

Where demand rises at all hosts, each divided its present demand by an older total, so that the shares added up to more than 1 just then. Now a host's part of a total is what it had reported for it.

TestSharesAddUpToOne failed with arrivals since the report on the code before.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -247,7 +247,7 @@
 func (s *simulation) publishDemands() {
 	total := 0.0
 	for _, h := range s.hosts {
-		for _, d := range h.scheduler.Demands(s.clock.now) {
+		for _, d := range h.scheduler.ReportDemands(s.clock.now) {
 			total += d.PerSecond
 		}
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -199,11 +199,12 @@
 	g.scheduler.SetHostCount(n, g.now())
 }
 
-// Demands returns the demand at this host for each service with engines.
-func (g *Gateway) Demands() []wire.ServiceDemand {
+// ReportDemands returns the demand at this host for each service with engines, to be included in the
+// next totals.
+func (g *Gateway) ReportDemands() []wire.ServiceDemand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.scheduler.Demands(g.now())
+	return g.scheduler.ReportDemands(g.now())
 }
 
 // SetTotalDemands applies the demand at all entry hosts together.
--- a/internal/schedule/share.go
+++ b/internal/schedule/share.go
@@ -21,24 +21,33 @@
 
 // totalDemand is the demand for a service at all hosts together. The zero value means unknown.
 type totalDemand struct {
-	// perSecond is the highest total that was reported within demandHold before at.
-	perSecond float64
-	at        time.Duration
+	// own is the demand that this host has reported last.
+	own float64
+	// perSecond is the highest total that was reported within demandHold before at, and ownPart the part
+	// of it that comes from this host.
+	perSecond, ownPart float64
+	at                 time.Duration
 }
 
+// set records a total. The part of this host follows from what it has reported and not from its present
+// demand: where demand rises at all hosts, their parts of an older total would add up to more than 1.
 func (d *totalDemand) set(perSecond float64, now time.Duration) {
-	if perSecond >= d.perSecond || now-d.at > demandHold {
-		d.perSecond, d.at = perSecond, now
+	if perSecond > 0 && (perSecond >= d.perSecond || now-d.at > demandHold) {
+		d.perSecond, d.ownPart, d.at = perSecond, min(d.own/perSecond, 1), now
 	}
 }
 
-// Demands returns the demand at this host for each service with engines, sorted by name: the requests a
-// second that arrive and can still be on time.
-func (s *Scheduler) Demands(now time.Duration) []wire.ServiceDemand {
+// ReportDemands returns the demand at this host for each service with engines, sorted by name, to be
+// included in the next totals: the requests a second that arrive and can still be on time.
+func (s *Scheduler) ReportDemands(now time.Duration) []wire.ServiceDemand {
 	var out []wire.ServiceDemand
 	for _, sv := range s.services {
-		if perSecond := sv.demand.onTimeArrivals.perSecond(now); sv.engineSpec != nil && perSecond > 0 {
-			out = append(out, wire.ServiceDemand{Service: sv.name, PerSecond: perSecond})
+		if sv.engineSpec == nil {
+			continue
+		}
+		sv.totalDemand.own = sv.demand.onTimeArrivals.perSecond(now)
+		if sv.totalDemand.own > 0 {
+			out = append(out, wire.ServiceDemand{Service: sv.name, PerSecond: sv.totalDemand.own})
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.ServiceDemand) int { return cmp.Compare(a.Service, b.Service) })
@@ -57,12 +66,11 @@
 
 // shareOf returns the part of the slots of a service that this host may use. One part of the slots is
 // shared equally, the other by demand, so that a host to which most callers come uses what the others
-// don't need. The shares of all hosts add up to about 1. Without a recent total all hosts have the same.
+// don't need. The shares of all hosts add up to 1 as far as they have the same total. Without a recent total all hosts have the same.
 func (s *Scheduler) shareOf(sv *service, now time.Duration) float64 {
 	equal := 1 / float64(s.hosts)
 	if sv.totalDemand.perSecond <= 0 || now-sv.totalDemand.at > maxDemandAge {
 		return equal
 	}
-	ownPart := min(sv.demand.onTimeArrivals.perSecond(now)/sv.totalDemand.perSecond, 1)
-	return equalPart*equal + (1-equalPart)*ownPart
+	return equalPart*equal + (1-equalPart)*sv.totalDemand.ownPart
 }
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -35,13 +35,16 @@
 		rates := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 20).Draw(t, "rates")
 		for _, perSecond := range rates {
 			s, _ := newSharingScheduler(len(rates), perSecond, now)
-			for _, d := range s.Demands(now) {
+			for _, d := range s.ReportDemands(now) {
 				total += d.PerSecond
 			}
 			all = append(all, s)
 		}
 		sum := 0.0
 		for _, s := range all {
+			for range rapid.IntRange(0, 100).Draw(t, "arrivals since the report") {
+				s.service("s").demand.onTimeArrivals.add(now)
+			}
 			s.SetTotalDemands([]wire.ServiceDemand{{Service: "s", PerSecond: total}}, now)
 			share := s.shareOf(s.service("s"), now)
 			if share < equalPart/float64(len(rates))-1e-9 {
@@ -61,6 +64,7 @@
 	now := time.Minute - time.Millisecond // the end of a bucket of eventRate
 	s, sv := newSharingScheduler(10, 20, now)
 	require.InDelta(t, 0.1, s.shareOf(sv, now), 1e-9, "no total is known")
+	s.ReportDemands(now)
 	set := func(perSecond float64, at time.Duration) {
 		s.SetTotalDemands([]wire.ServiceDemand{{Service: "s", PerSecond: perSecond}, {Service: "other", PerSecond: 1}}, at)
 	}
