Share slots by demand in crowds only

Control hosts now tell the totals only while one host gets much more than its equal part, and for six seconds after. At other times shares are equal as before.

--- a/internal/control/demands.go
+++ b/internal/control/demands.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/peer"
@@ -28,31 +26,27 @@
 	}
 }
 
-// totalDemands returns the sums of the recent demands at the attached entry hosts by service, sorted by
-// name. It forgets outdated ones. The caller holds mu.
-func (f *fleet) totalDemands() []wire.ServiceDemand {
-	sums := make(map[string]float64)
+// recentDemands returns the recent demands at the attached entry hosts, and forgets outdated ones. A
+// host without demand counts as one that has none. The caller holds mu.
+func (f *fleet) recentDemands() [][]wire.ServiceDemand {
 	for s, d := range f.demands {
 		if !s.Alive() || f.now()-d.at > maxHostDemandAge {
 			delete(f.demands, s)
-			continue
-		}
-		for _, service := range d.all {
-			sums[service.Service] += service.PerSecond
 		}
 	}
-	out := make([]wire.ServiceDemand, 0, len(sums))
-	for name, perSecond := range sums {
-		out = append(out, wire.ServiceDemand{Service: name, PerSecond: perSecond})
+	var out [][]wire.ServiceDemand
+	for s, role := range f.attached {
+		if role == roleEntry && s.Alive() {
+			out = append(out, f.demands[s].all)
+		}
 	}
-	slices.SortFunc(out, func(a, b wire.ServiceDemand) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
-// sendDemands sends the total demands to the attached entry hosts, if there are any. The caller holds
-// mu.
+// sendDemands sends the total demands for services with a crowd to the attached entry hosts. The caller
+// holds mu.
 func (f *fleet) sendDemands() {
-	totals := f.totalDemands()
+	totals := f.crowdTotals.Sum(f.recentDemands(), f.now())
 	if len(totals) == 0 {
 		return
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/schedule"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -71,8 +72,9 @@
 	upstreamList *peer.Prepared
 	// isUpstreamListCold tells that the encoded list has remaining cold times, which decrease.
 	isUpstreamListCold bool
-	// demands holds the demand at each attached entry host.
-	demands map[*peer.Session]hostDemand
+	// demands holds the demand at each attached entry host, and crowdTotals which sums are told.
+	crowdTotals schedule.CrowdTotals
+	demands     map[*peer.Session]hostDemand
 	// pendingSuspicions are the suspicions that sendSuspicions will send.
 	pendingSuspicions []quarantine.Suspicion
 	// statements holds what upstreams have stated about themselves, and dispenser the tokens of
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -161,6 +161,8 @@
 	rng    *rand.Rand
 	hosts  []*host
 	groups []*group
+	// crowdTotals sums the demands of the hosts.
+	crowdTotals schedule.CrowdTotals
 	// engines maps the address of each rank to its engine.
 	engines       map[string]*engine
 	activeCallers int
@@ -245,15 +247,14 @@
 // publishDemands sends the sum of the demands at all hosts to each of them, and repeats that every
 // demandInterval.
 func (s *simulation) publishDemands() {
-	total := 0.0
+	var demands [][]wire.ServiceDemand
 	for _, h := range s.hosts {
-		for _, d := range h.scheduler.ReportDemands(s.clock.now) {
-			total += d.PerSecond
-		}
+		demands = append(demands, h.scheduler.ReportDemands(s.clock.now))
 	}
+	totals := s.crowdTotals.Sum(demands, s.clock.now)
 	s.clock.after(demandDelay, func() {
 		for _, h := range s.hosts {
-			h.scheduler.SetTotalDemands([]wire.ServiceDemand{{Service: serviceName, PerSecond: total}}, s.clock.now)
+			h.scheduler.SetTotalDemands(totals, s.clock.now)
 		}
 	})
 	s.clock.after(demandInterval, s.publishDemands)
