Count received messages by kind, and live sessions

Cause: what a host receives was counted in all, not by kind, and its sessions not at all, so that which message fills a link, a queue or a table could only be worked out.

A message costs one more read lock and two atomic additions.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -283,6 +283,7 @@
 		return
 	}
 	p.allSessions[s] = true
+	p.traffic.sessions.Update(int64(len(p.allSessions)))
 	if address != "" {
 		p.sessionsByAddress[address] = append(p.sessionsByAddress[address], s)
 	}
@@ -294,6 +295,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.allSessions, s)
+	p.traffic.sessions.Update(int64(len(p.allSessions)))
 	others := slices.DeleteFunc(p.sessionsByAddress[address], func(other *Session) bool { return other == s })
 	if len(others) == 0 {
 		delete(p.sessionsByAddress, address)
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -45,16 +45,44 @@
 	// accepted the sessions that other hosts dialled, and abandoned the hosts that
 	// disconnected while they waited for a handshake permit.
 	dials, lateHandshakes, accepted, abandoned metrics.Counter
+	// sessions is the number of live sessions.
+	sessions metrics.Gauge
 	// queueWait is how long messages wait until their session starts to write them.
 	queueWait *telemetry.Latency
 
+	// sent and received count the messages of each kind.
+	sent, received *countsByKind
+}
+
+// countsByKind counts the messages of each kind that go in one direction.
+type countsByKind struct {
 	registry metrics.Registry
+	// direction is the last part of the names of the counters.
+	direction string
 	// mu guards byKind.
-	mu sync.RWMutex
-	// byKind counts the sent messages of each kind.
+	mu     sync.RWMutex
 	byKind map[wire.Kind]counts
 }
 
+func newCountsByKind(reg metrics.Registry, direction string) *countsByKind {
+	return &countsByKind{registry: reg, direction: direction, byKind: make(map[wire.Kind]counts)}
+}
+
+// of returns the counters of a kind.
+func (c *countsByKind) of(k wire.Kind) counts {
+	c.mu.RLock()
+	counter, ok := c.byKind[k]
+	c.mu.RUnlock()
+	if ok {
+		return counter
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counter = newCounts(c.registry, "kind."+k.String()+"."+c.direction)
+	c.byKind[k] = counter
+	return counter
+}
+
 func newTraffic(reg metrics.Registry) *traffic {
 	return &traffic{
 		controlSent:     newCounts(reg, "control.sent"),
@@ -68,16 +96,17 @@
 		lateHandshakes:  metrics.GetOrRegisterCounter("peer.dials.late", reg),
 		accepted:        metrics.GetOrRegisterCounter("peer.accepted", reg),
 		abandoned:       metrics.GetOrRegisterCounter("peer.gave-up", reg),
+		sessions:        metrics.GetOrRegisterGauge("peer.sessions", reg),
 		queueWait:       telemetry.GetOrRegisterLatency("peer.queue-wait", reg),
-		registry:        reg,
-		byKind:          make(map[wire.Kind]counts),
+		sent:            newCountsByKind(reg, "sent"),
+		received:        newCountsByKind(reg, "received"),
 	}
 }
 
 // countSent counts a message that is about to be written, queued at the time since.
 func (t *traffic) countSent(k wire.Kind, size int, since time.Time) {
 	t.queueWait.AddSince(since)
-	t.countsOf(k).add(size)
+	t.sent.of(k).add(size)
 	if k.IsAttempt() {
 		t.attemptSent.add(size)
 		return
@@ -85,22 +114,8 @@
 	t.controlSent.add(size)
 }
 
-// countsOf returns the counters of the sent messages of a kind.
-func (t *traffic) countsOf(k wire.Kind) counts {
-	t.mu.RLock()
-	c, ok := t.byKind[k]
-	t.mu.RUnlock()
-	if ok {
-		return c
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c = newCounts(t.registry, "kind."+k.String()+".sent")
-	t.byKind[k] = c
-	return c
-}
-
 func (t *traffic) countReceived(k wire.Kind, size int) {
+	t.received.of(k).add(size)
 	if k.IsAttempt() {
 		t.attemptReceived.add(size)
 		return
