Tell shifts of popularity from chance when planning expert maps

Cause: in a group of more than 12 ranks 12 report in an interval. With few requests a rank, two such samples differ by more than the distance that counts as a shift, though popularity stays the same.

Change: the sampling error of an interval is estimated from its two halves. A shift is a distance above sqrt(0.13^2 + error^2), and the load averages as many intervals as an error of 0.03 needs. The log of a plan has the error, and a pass's time beside its limit. Under load the error is small, and both are as before.

A shift at full load is followed within 12 intervals at 12, 32, 72 and 129 ranks.

--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/placement"
@@ -54,6 +55,8 @@
 	})
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // currentMap returns the map that the ranks of this host use. It returns false if a change is
 // armed or the map's content is unknown.
 func (r *Runner) currentMap() (expertmap.Map, bool) {
@@ -75,13 +78,15 @@
 // planByExpertCounts plans the next map from the counts of how often requests chose each
 // expert. It starts a change if the expected gain is worth the cost.
 func (r *Runner) planByExpertCounts(ctx context.Context, shape *wire.GroupShape) {
-	next, base, forecast := r.planner.NextBySelections(shape, planner.GainFactor(r.stepTimer.mean(), r.maxStepTime()))
+	step, maxStep := r.stepTimer.mean(), r.maxStepTime()
+	next, base, forecast := r.planner.NextBySelections(shape, planner.GainFactor(step, maxStep))
 	if forecast.ImbalanceBefore == 0 {
 		// No requests were counted.
 		return
 	}
 	r.cfg.Log.Info("expert map planned", "group", r.cfg.Group, "base", base, "skew", forecast.ImbalanceBefore,
-		"skew_after", forecast.ImbalanceAfter, "copies", forecast.Copies, "worth_it", forecast.IsWorthwhile, "distance", forecast.Distance)
+		"skew_after", forecast.ImbalanceAfter, "copies", forecast.Copies, "worth_it", forecast.IsWorthwhile, "distance", forecast.Distance,
+		"sampling_error", forecast.SamplingError, "step_ms", milliseconds(step), "max_step_ms", milliseconds(maxStep))
 	if !forecast.IsWorthwhile {
 		return
 	}
--- /dev/null
+++ b/internal/planner/lowload_test.go
@@ -0,0 +1,66 @@
+package planner
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// modelSizes are groups of several sizes, with the number of requests that a rank serves at once.
+var modelSizes = []struct {
+	ranks, experts, slots int
+	full                  float64
+}{{12, 72, 8, 12}, {32, 128, 5, 8}, {72, 144, 4, 6}, {129, 258, 4, 6}}
+
+// modelSets is the number of layer sets in the models. More sets take longer and say the same.
+const modelSets = 4
+
+// While popularity stays the same, few experts may be copied, however few requests the reporting
+// ranks have. Guards against plans that follow the differences between samples: in large groups with
+// few requests, each plan copied an expert to nearly every rank.
+func TestFewRequestsCauseFewCopies(t *testing.T) {
+	// A rank may take one new expert in each set until its load is even.
+	const intervals, maxCopiesPerRank = 100, modelSets
+	for _, c := range modelSizes {
+		for _, load := range []float64{0.03, 0.1, 0.3, 1} {
+			for _, gainFactor := range []float64{1, maxGainFactor} {
+				g := newGroupModel(c.ranks, modelSets, c.experts, c.slots, c.full*load, 1)
+				r := g.run(New(nil), intervals, gainFactor)
+				t.Logf("%d ranks, load %.2f, gain factor %.0f: %d changes, %d copies, imbalance %.2f",
+					c.ranks, load, gainFactor, r.changes, r.copies, r.imbalance)
+				require.LessOrEqual(t, r.copies, maxCopiesPerRank*c.ranks, "%d ranks, load %.2f, gain factor %.0f", c.ranks, load, gainFactor)
+			}
+		}
+	}
+}
+
+// A shift of popularity must be followed at once where ranks have requests enough to tell it from
+// chance. Guards against an estimate of the sampling error that hides shifts.
+func TestShiftOfPopularityIsFollowed(t *testing.T) {
+	const settle, follow = 30, 12
+	for _, c := range modelSizes {
+		t.Run(strconv.Itoa(c.ranks), func(t *testing.T) {
+			g := newGroupModel(c.ranks, modelSets, c.experts, c.slots, c.full, 1)
+			p := New(nil)
+			g.run(p, settle, 1)
+			settled := g.imbalance()
+			g.shiftPopularity()
+			shifted := g.imbalance()
+			g.run(p, follow, 1)
+			followed := g.imbalance()
+			t.Logf("imbalance %.2f, after the shift %.2f, %d intervals later %.2f", settled, shifted, follow, followed)
+			require.Less(t, followed, settled+(shifted-settled)/2)
+		})
+	}
+}
+
+// The first intervals after a shift must all count, and later ones as much as their sampling error
+// allows.
+func TestWeightOfAnIntervalFallsWithItsSamplingError(t *testing.T) {
+	require.InDelta(t, selectionsWeight, weightOf(0, 1000), 0)
+	require.InDelta(t, selectionsWeight, weightOf(maxLoadError, 1000), 0)
+	require.InDelta(t, selectionsWeight, weightOf(1, 1), 0)
+	require.InDelta(t, 0.1, weightOf(1, 10), 0.001)
+	require.InDelta(t, 0.12, weightOf(4*maxLoadError, 1000), 0.01)
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -176,7 +176,7 @@
 				}
 				p.Add(&wire.ExpertLoad{FirstRank: uint32(r), Ranks: []wire.RankLoad{l}})
 			}
-			load := p.stats.takeMean(shape)
+			load := p.stats.takeSample(shape).mean
 			for b.Loop() {
 				p.load = load
 				p.NextBySelections(shape, 1)
--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -1,6 +1,10 @@
 package planner
 
 import (
+	"maps"
+	"math"
+	"slices"
+
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/placement"
 	"github.com/sassafraspost/sassafraspost/internal/rank"
@@ -137,23 +141,56 @@
 	return true
 }
 
-// takeMean returns the mean of the counts of the ranks that reported since the last call, and
-// starts a new interval.
-func (p *rankStats) takeMean(shape *wire.GroupShape) placement.Load {
-	mean := make(placement.Load, shape.Layers)
-	for set := range mean {
-		mean[set] = make([]float64, shape.Experts)
-	}
+// sample is what the ranks that reported in one interval have counted.
+type sample struct {
+	// mean is the mean of the ranks' counts.
+	mean placement.Load
+	// err is the sampling error: the expected distance (see placement.Load.Distance) between two
+	// such samples while popularity stays the same. It is 1 if it can't be estimated.
+	err float64
+}
+
+// takeSample returns the counts of the ranks that reported since the last call, and starts a new
+// interval.
+func (p *rankStats) takeSample(shape *wire.GroupShape) sample {
+	halves := [2]placement.Load{newLoad(shape), newLoad(shape)}
+	for i, number := range slices.Sorted(maps.Keys(p.reported)) {
+		addCounts(halves[i%2], p.ranks[number].counts)
+	}
+	s := sample{mean: newLoad(shape), err: samplingError(halves[0], halves[1])}
 	weight := 1 / float64(max(len(p.reported), 1))
-	for number := range p.reported {
-		for set, counts := range p.ranks[number].counts {
-			for e, n := range counts {
-				mean[set][e] += float64(n) * weight
-			}
+	for set := range s.mean {
+		for e := range s.mean[set] {
+			s.mean[set][e] = weight * (halves[0][set][e] + halves[1][set][e])
 		}
 	}
 	clear(p.reported)
-	return mean
+	return s
+}
+
+func newLoad(shape *wire.GroupShape) placement.Load {
+	l := make(placement.Load, shape.Layers)
+	for set := range l {
+		l[set] = make([]float64, shape.Experts)
+	}
+	return l
+}
+
+func addCounts(l placement.Load, counts [][]uint32) {
+	for set := range counts {
+		for e, n := range counts[set] {
+			l[set][e] += float64(n)
+		}
+	}
+}
+
+// samplingError returns the sampling error of a sample that consists of two halves. The distance
+// between samples is in inverse proportion to the square root of their size.
+func samplingError(a, b placement.Load) float64 {
+	if placement.Sum(a) == 0 || placement.Sum(b) == 0 {
+		return 1
+	}
+	return a.Distance(b) / math.Sqrt2
 }
 
 // expertsBySet returns the experts of the ranks, by set and rank, and the version of their map.
--- a/internal/planner/selections.go
+++ b/internal/planner/selections.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,9 +16,13 @@
 	// the popularity of experts only drifts.
 	selectionsWeight = 0.25
 	// shiftDistance is the distance of a new interval from the load (see
-	// placement.Load.Distance) above which popularity has changed abruptly. The load before is
-	// discarded then. Random differences between intervals of 0.1 s stay below it.
+	// placement.Load.Distance) above which popularity has changed abruptly, if the difference is
+	// not explained by the sampling error. The load before is discarded then.
 	shiftDistance = 0.13
+	// maxLoadError is the sampling error that the load may have. If that of one interval is so
+	// large that selectionsWeight exceeds it, more intervals are averaged. Otherwise plans copy
+	// experts that are popular in one sample of requests and not in the next.
+	maxLoadError = 0.03
 	// copyTimeLimit is how long a rank may copy experts in one change, over all sets. A rank
 	// copies them one after the other, and all ranks wait for the last. Several small changes
 	// in quick succession adapt to a popularity shift sooner than one large change.
@@ -61,6 +66,8 @@
 	// Distance is how far the last interval is from the load before (see
 	// placement.Load.Distance).
 	Distance float64
+	// SamplingError is the distance that two intervals have by chance, in [0, 1].
+	SamplingError float64
 	// Copies is the number of experts that have to be copied to a rank.
 	Copies int
 	// IsWorthwhile is set if the change is worth its cost.
@@ -72,10 +79,12 @@
 // IsComplete has returned true. The parameter gainFactor multiplies the least gain for which a
 // change is worthwhile.
 func (p *Planner) NextBySelections(shape *wire.GroupShape, gainFactor float64) (expertmap.Map, uint64, Forecast) {
-	distance := p.observe(p.stats.takeMean(shape))
+	sample := p.stats.takeSample(shape)
+	distance := p.observe(sample)
 	maxNew := maxNewExperts(shape)
 	params := placement.SetParams{
-		Slowdown: p.stats.slowdowns(), Slots: int(shape.SlotsPerRank), MaxNewPerSet: maxNew, MaxNewPerRank: maxNew, MinGain: minStepGain,
+		Slowdown: p.stats.slowdowns(), Slots: int(shape.SlotsPerRank), MaxNewPerSet: maxNew, MaxNewPerRank: maxNew,
+		MinGain: minStepGain,
 	}
 	if shape.MaxNewPerSet > 0 {
 		params.MaxNewPerSet = min(maxNew, int(shape.MaxNewPerSet))
@@ -83,7 +92,7 @@
 	current, base := p.stats.expertsBySet()
 	next := placement.BalanceSets(current, p.load, params)
 	m := expertmap.Map{SlotsPerRank: params.Slots}
-	f := Forecast{Distance: distance}
+	f := Forecast{Distance: distance, SamplingError: sample.err}
 	highest, highestAfter, mean := 0.0, 0.0, 0.0
 	for set := range next {
 		before := placement.SetTimes(current[set], p.load[set], params.Slowdown)
@@ -116,18 +125,31 @@
 
 // observe adds the counts of an interval to the load, and returns their distance from the load
 // before.
-func (p *Planner) observe(tokens placement.Load) float64 {
-	if placement.Sum(tokens) == 0 && p.load != nil {
+func (p *Planner) observe(s sample) float64 {
+	if placement.Sum(s.mean) == 0 && p.load != nil {
 		return 0
 	}
-	weight, distance := selectionsWeight, p.load.Distance(tokens)
-	if distance > shiftDistance {
-		weight = 1
+	distance := p.load.Distance(s.mean)
+	if distance > math.Hypot(shiftDistance, s.err) {
+		p.load, p.intervals = nil, 0
 	}
-	p.load = p.load.Observe(tokens, weight)
+	p.intervals++
+	p.load = p.load.Observe(s.mean, weightOf(s.err, p.intervals))
 	return distance
 }
 
+// weightOf returns the weight of the latest of a number of intervals in the moving average of the
+// load, given the sampling error of one interval. The first intervals have the same weight each.
+func weightOf(err float64, intervals int) float64 {
+	weight := selectionsWeight
+	if err > maxLoadError {
+		// The variance of a moving average is weight/(2-weight) of that of one interval.
+		ratio := maxLoadError / err
+		weight = min(weight, 2*ratio*ratio/(1+ratio*ratio))
+	}
+	return max(weight, min(selectionsWeight, 1/float64(intervals)))
+}
+
 // countNewExperts returns the number of experts that are new to a rank, over all ranks.
 func countNewExperts(before, after [][]uint16) int {
 	n := 0
