Encode engine loads that are as before as runs

Change: an engine whose load is the same as in the message before is part of a run of engine numbers, two bytes a run. Receivers still get a load of it, as they ignore engines that they hear nothing of. A run that claims more engines than the receiver knows is refused.

Measured: TestUnchangedLoadsTakeFewBytes passes: 1,000 engines of which 50 change take at most 440 bytes a message. Worked out, not run: 4,000 with four bytes each.

--- a/internal/engineload/decoder.go
+++ b/internal/engineload/decoder.go
@@ -8,7 +8,7 @@
 
 // Decoder decodes the messages of one sender. The zero value is ready to use.
 type Decoder struct {
-	// records are the latest full records by engine number.
+	// records are the latest loads, as full records, by engine number.
 	records map[uint64]wire.EngineLoad
 }
 
@@ -37,8 +37,20 @@
 			continue
 		}
 		l.Running, l.Waiting, l.Slowdown = running, waiting, ratio
+		v.records[number] = l
 		loads = append(loads, l)
 	}
+	err := decodeRuns(m.UnchangedLoads, len(v.records), func(number uint64) {
+		l, isKnown := v.records[number]
+		if !isKnown {
+			unread++
+			return
+		}
+		loads = append(loads, l)
+	})
+	if err != nil {
+		unread++
+	}
 	return loads, unread
 }
 
--- a/internal/engineload/engineload_test.go
+++ b/internal/engineload/engineload_test.go
@@ -37,6 +37,42 @@
 	require.Nil(t, table.Flush(0), "no load has arrived since the last message")
 }
 
+// A load that is as before must take next to nothing, and must still reach the receivers, which
+// ignore engines that they hear nothing of.
+func TestUnchangedLoadsTakeFewBytes(t *testing.T) {
+	const engines, changed = 1000, 50
+	var table Table
+	var decoder Decoder
+	for round := range 3 {
+		for n := range engines {
+			running := 0
+			if n%(engines/changed) == 0 {
+				running = round
+			}
+			table.Update(newLoad(n, running), "h", 0)
+		}
+		m := table.Flush(0)
+		all, unread := decoder.Decode(m)
+		require.Zero(t, unread)
+		require.Len(t, all, engines)
+		if round == 0 {
+			continue
+		}
+		data, err := wire.Encode(0, false, m)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), changed*8+40)
+	}
+}
+
+// A run may not claim more engines than are known.
+func TestRunsOfUnknownEnginesAreRefused(t *testing.T) {
+	var decoder Decoder
+	m := &wire.EngineLoads{FullRecords: []wire.EngineLoad{{Number: 1, Address: "a"}}, UnchangedLoads: []byte{1, 255, 255, 255, 255, 15}}
+	all, unread := decoder.Decode(m)
+	require.Len(t, all, 1)
+	require.Equal(t, 1, unread)
+}
+
 // For arbitrary loads in any order, a receiver that gets every message must have the latest
 // record of every engine. So must a receiver that attaches later and starts with FullRecords.
 func TestDecodersHaveTheLatestRecordOfEveryEngine(t *testing.T) {
@@ -90,6 +126,8 @@
 		var decoder Decoder
 		all, _ := decoder.Decode(&wire.EngineLoads{CompactLoads: rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")})
 		require.Empty(t, all)
+		all, _ = decoder.Decode(&wire.EngineLoads{UnchangedLoads: rapid.SliceOf(rapid.Byte()).Draw(t, "runs")})
+		require.Empty(t, all)
 	})
 	var decoder Decoder
 	all, unread := decoder.Decode(&wire.EngineLoads{FullRecords: []wire.EngineLoad{{Number: 1, Address: "a"}}, CompactLoads: []byte{1, 2, 3}})
--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -2,8 +2,8 @@
 // send them to entry hosts several times per second.
 //
 // A sender's [Table] gives each engine a number. It sends the full record of an engine only
-// when something other than its load has changed; otherwise an engine takes about four bytes.
-// A receiver's [Decoder] restores full records from that. Both are pure and are not safe for
+// when something other than its load has changed; otherwise an engine takes about four bytes,
+// and two for a run of engines whose load is as before. A receiver's [Decoder] restores full records from that. Both are pure and are not safe for
 // concurrent use.
 package engineload
 
@@ -41,6 +41,19 @@
 	// receivers may lack the engine's current record.
 	isUpdated, needsFullRecord bool
 	updatedAt                  time.Duration
+	// flushed is the load in the last message, if it is not the zero value.
+	flushed flushedLoad
+}
+
+// flushedLoad is a load as a compact load holds it.
+type flushedLoad struct {
+	isSet            bool
+	running, waiting int
+	ratio            byte
+}
+
+func newFlushedLoad(l wire.EngineLoad) flushedLoad {
+	return flushedLoad{isSet: true, running: max(l.Running, 0), waiting: max(l.Waiting, 0), ratio: encodeStepRatio(l.Slowdown)}
 }
 
 // Table holds the latest load of each engine at the sender. The zero value is ready to use.
@@ -78,26 +91,35 @@
 func (t *Table) Flush(now time.Duration) *wire.EngineLoads {
 	m := &wire.EngineLoads{}
 	previousNumber := uint64(0)
+	var unchanged runs
 	for _, e := range t.sortedByNumber() {
+		next := newFlushedLoad(e.load)
 		switch {
 		case e.isUpdated && e.needsFullRecord:
 			m.FullRecords = append(m.FullRecords, e.load)
+		case e.isUpdated && next == e.flushed:
+			unchanged.add(e.number)
 		case e.isUpdated:
-			m.CompactLoads = appendCompact(m.CompactLoads, e, previousNumber)
+			m.CompactLoads = appendCompact(m.CompactLoads, e.number-previousNumber, next)
 			previousNumber = e.number
 		case now-e.updatedAt > forgetTimeout:
 			delete(t.engines, e.load.Address)
 		}
+		if e.isUpdated {
+			e.flushed = next
+		}
 		e.isUpdated, e.needsFullRecord = false, false
 	}
-	if len(m.FullRecords) == 0 && len(m.CompactLoads) == 0 {
+	m.UnchangedLoads = unchanged.encode()
+	if len(m.FullRecords) == 0 && len(m.CompactLoads) == 0 && len(m.UnchangedLoads) == 0 {
 		return nil
 	}
 	return m
 }
 
 // FullRecords returns the full records of all engines with a load no older than maxSnapshotAge,
-// for a receiver that has just attached. It returns nil if there are none.
+// for a receiver that has just attached. It returns nil if there are none. It must be called
+// right after Flush: the next message refers to the loads of the one before.
 func (t *Table) FullRecords(now time.Duration) *wire.EngineLoads {
 	m := &wire.EngineLoads{}
 	for _, e := range t.sortedByNumber() {
@@ -137,11 +159,11 @@
 // appendCompact appends an engine's load to b: the difference between its number and that of
 // the previous engine in the message, its running and waiting requests, and its step-time
 // ratio.
-func appendCompact(b []byte, e *engine, previousNumber uint64) []byte {
-	b = binary.AppendUvarint(b, e.number-previousNumber)
-	b = binary.AppendUvarint(b, uint64(max(e.load.Running, 0)))
-	b = binary.AppendUvarint(b, uint64(max(e.load.Waiting, 0)))
-	return append(b, encodeStepRatio(e.load.Slowdown))
+func appendCompact(b []byte, difference uint64, l flushedLoad) []byte {
+	b = binary.AppendUvarint(b, difference)
+	b = binary.AppendUvarint(b, uint64(l.running))
+	b = binary.AppendUvarint(b, uint64(l.waiting))
+	return append(b, l.ratio)
 }
 
 // encodeStepRatio returns the one-byte code of a step-time ratio.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -109,12 +109,17 @@
 // Kind implements Message.
 func (*EngineLoad) Kind() Kind { return KindEngineLoad }
 
-// EngineLoads forwards the loads that arrived since the previous EngineLoads.
+// EngineLoads forwards the loads that arrived since the previous EngineLoads. A control host
+// sends it to entry hosts, and as a call to the control host that relays it to the entry hosts
+// of another data centre. That one replies with Ack, or with Failure if it lacks full records.
 type EngineLoads struct {
 	// FullRecords contains full records. CompactLoads contains the loads of engines whose full
 	// record the receiver already has, in the encoding of package engineload.
 	FullRecords  []EngineLoad `cbor:"1,keyasint,omitempty"`
 	CompactLoads []byte       `cbor:"2,keyasint,omitempty"`
+	// UnchangedLoads contains the engines whose load is the same as in the previous EngineLoads,
+	// in the encoding of package engineload.
+	UnchangedLoads []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
