Relay engine loads inside data centres

Cause: one control host sends the loads of all engines to all entry hosts, E (4 A + 100) bytes ten times a second.

Change: internal/spread, pure, decides through which hosts a message for all goes. With more than 64 entry hosts in other data centres, the control host sends the loads to those of its own data centre and to one control host in each other one, which relays them. Relays acknowledge; one that does not within 200 ms is replaced by the next of its data centre, or by the sender. A receiver that may have missed a message gets full records. Loads have a file and a type of their own, out of the fleet's.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
-	"github.com/sassafraspost/sassafraspost/internal/engineload"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
@@ -29,9 +28,6 @@
 	// quietTimeout is the silence after which an attached host is not waited for any more.
 	// Attached hosts probe their sessions several times within this timeout.
 	quietTimeout = 2 * time.Second
-	// loadInterval is how often engine loads are forwarded to entry hosts. It is much shorter
-	// than the time a request takes at an engine.
-	loadInterval = 100 * time.Millisecond
 	// tickInterval is how often the fleet checks for silent upstreams and hosts.
 	tickInterval = time.Second
 )
@@ -54,6 +50,8 @@
 	// quarantine keeps the suspicions: which requests ran on upstreams that crashed. It has
 	// its own lock, which it does not hold when it calls functions of the fleet.
 	quarantine *quarantine.Keeper
+	// loads forwards the loads of engines. Its lock may be taken while mu is held.
+	loads *loads
 
 	// mu guards the fields below. While it is held, messages are only queued, which does not
 	// block.
@@ -61,12 +59,6 @@
 	registry *registry.Registry
 	// attached holds the role of each host that has attached.
 	attached map[*peer.Session]string
-	// engines holds the latest load of each engine. needAllLoads are the entry hosts that must
-	// get the loads of all engines with the next message.
-	engines      engineload.Table
-	needAllLoads map[*peer.Session]bool
-	// isLoadTimerSet tells that a timer runs that calls sendLoads.
-	isLoadTimerSet bool
 	// upstreamList is the encoded list of all upstreams for hosts that attach; nil if the
 	// list has changed since it was encoded.
 	upstreamList *peer.Prepared
@@ -90,10 +82,10 @@
 func newFleet(h *Host) *fleet {
 	f := &fleet{
 		h: h, started: time.Now(), saveRequested: make(chan struct{}, 1), registry: registry.New(h.cfg.Registry),
-		attached: make(map[*peer.Session]string), needAllLoads: make(map[*peer.Session]bool),
-		demands:    make(map[*peer.Session]hostDemand),
+		attached: make(map[*peer.Session]string), demands: make(map[*peer.Session]hostDemand),
 		statements: backpressure.NewTable(), dispenser: backpressure.NewDispenser(), entryHosts: make(map[string]time.Duration), reachable: 1,
 	}
+	f.loads = newLoads(h, f.now, f.entrySessions)
 	f.quarantine = quarantine.NewKeeper(quarantine.Config{
 		Limits: quarantine.DefaultLimits, Now: f.now, Publish: f.queueSuspicions, Relays: true, Log: h.cfg.Log, Metrics: h.cfg.Metrics,
 	})
@@ -130,8 +122,7 @@
 	_ = s.Post(f.hostsMessage())
 	if m.Role == roleEntry {
 		_ = s.Post(&wire.Notices{All: f.statements.Notices(f.now())})
-		f.needAllLoads[s] = true
-		f.scheduleLoads()
+		f.loads.entryHostAttached()
 	}
 }
 
@@ -171,73 +162,9 @@
 	return m
 }
 
-// updateLoad stores the load of an engine, which is forwarded with those of others.
-func (f *fleet) updateLoad(s *peer.Session, m *wire.EngineLoad) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.engines.Update(*m, s.Remote().Address, f.now())
-	f.scheduleLoads()
-}
-
-// scheduleLoads makes sure that sendLoads is called within loadInterval. The caller holds
-// mu.
-func (f *fleet) scheduleLoads() {
-	if !f.isLoadTimerSet {
-		f.isLoadTimerSet = true
-		time.AfterFunc(loadInterval, f.sendLoads)
-	}
-}
-
-// sendLoads sends the engine loads that changed since its last call to the entry hosts. Hosts
-// in needAllLoads get all loads.
-func (f *fleet) sendLoads() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.isLoadTimerSet = false
-	next := f.prepareLoads(f.engines.Flush(f.now()))
-	var all *peer.Prepared
-	if len(f.needAllLoads) > 0 {
-		all = f.prepareLoads(f.engines.FullRecords(f.now()))
-	}
-	for s, role := range f.attached {
-		if role != roleEntry || !s.Alive() {
-			delete(f.needAllLoads, s)
-			continue
-		}
-		m := next
-		if f.needAllLoads[s] {
-			m = all
-		}
-		if m == nil {
-			continue
-		}
-		// A host whose queue is full has missed a record, and gets all of them the next time.
-		if s.PostPrepared(m) != nil {
-			f.needAllLoads[s] = true
-		} else {
-			delete(f.needAllLoads, s)
-		}
-	}
-}
-
-// prepareLoads encodes a message once for all receivers. It returns nil if m is nil.
-func (f *fleet) prepareLoads(m *wire.EngineLoads) *peer.Prepared {
-	if m == nil {
-		return nil
-	}
-	p, err := peer.Prepare(m)
-	if err != nil {
-		f.h.cfg.Log.Error("loads can't be encoded", "error", err.Error())
-		return nil
-	}
-	return p
-}
-
 // groupMembers returns the hosts of the ranks of a group, as their agents reported recently.
 func (f *fleet) groupMembers(m *wire.GroupQuery) *wire.GroupAnswer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	members := f.engines.Members(m.Group, m.Epoch, f.now())
+	members := f.loads.members(m.Group, m.Epoch)
 	if m.FirstRankOnly && len(members) > 0 {
 		members = members[:1]
 		if members[0].FirstRank != 0 {
@@ -247,6 +174,19 @@
 	return &wire.GroupAnswer{Members: members}
 }
 
+// entrySessions returns the sessions with the attached entry hosts.
+func (f *fleet) entrySessions() []*peer.Session {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*peer.Session
+	for s, role := range f.attached {
+		if role == roleEntry && s.Alive() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (f *fleet) now() time.Duration { return time.Since(f.started) }
 
 // run sends changes to the attached hosts until ctx ends.
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -45,6 +45,9 @@
 type Config struct {
 	// Name is the host's name.
 	Name string
+	// DataCentre is the data centre that the host is in; empty if none is named. Without it,
+	// the host forwards engine loads to all entry hosts itself.
+	DataCentre string
 	// Journal is the open data folder, Recovered what it contained.
 	Journal   *journal.Journal
 	Recovered journal.Recovered
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -40,7 +40,9 @@
 	case *wire.TokenRequest:
 		h.replyAsync(s, call, func(context.Context) (wire.Message, error) { return h.handleTokenRequest(s, m) })
 	case *wire.EngineLoad:
-		h.fleet.updateLoad(s, m)
+		h.fleet.loads.update(s, m)
+	case *wire.EngineLoads:
+		h.fleet.loads.relay(s, call, m)
 	case *wire.GroupQuery:
 		_ = s.Reply(call, h.fleet.groupMembers(m))
 	case *wire.ConfigurationQuery:
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -73,7 +73,7 @@
 	transport := control.NewTransport(n.metrics)
 	ownAddress := n.settings.peerAddress(n.settings.IP)
 	host, err := control.Open(control.Config{
-		Name: n.settings.Host, Journal: j, Recovered: recovered, Transport: transport, Pool: n.pool,
+		Name: n.settings.Host, DataCentre: n.settings.DataCentre, Journal: j, Recovered: recovered, Transport: transport, Pool: n.pool,
 		Peers: excluding(n.settings.seedPeers(), ownAddress), Address: ownAddress, InitialVoters: n.initialVoters(ownAddress),
 		Voters: n.settings.voters(), ReplicaSilenceTimeout: replicaSilenceLimit, ElectionTicks: electionTicks, SnapshotEntries: snapshotEntries,
 		Registry: registry.Limits{
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -255,14 +255,27 @@
 // Call sends m and waits for the reply. A reply of type wire.Failure also sets err to the
 // *verdict.Error that it represents. sent is set if the message may have been sent.
 func (s *Session) Call(ctx context.Context, m wire.Message) (reply wire.Message, sent bool, err error) {
+	await, err := s.BeginCall(m)
+	if err != nil {
+		return nil, false, err
+	}
+	return await(ctx)
+}
+
+// BeginCall is Call for callers that must not block: it queues m, so that calls are sent in the
+// order in which they were begun, and returns a function that waits for the reply. That function
+// must be called once.
+func (s *Session) BeginCall(m wire.Message) (await func(context.Context) (reply wire.Message, sent bool, err error), err error) {
 	id := s.lastCall.Add(1)
 	ch := make(chan wire.Message, 1)
 	it, err := s.enqueueCall(id, ch, m)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	defer s.removeCall(id)
-	return s.awaitReply(ctx, ch, it)
+	return func(ctx context.Context) (wire.Message, bool, error) {
+		defer s.removeCall(id)
+		return s.awaitReply(ctx, ch, it)
+	}, nil
 }
 
 // awaitReply waits for the reply to a call. A reply that has arrived counts even if the session
