Spread voters over data centres

Cause: control hosts become voters in the order in which they ask, so that where a data centre has three control hosts or more it can get three of five votes, and its loss costs the quorum. Found by reading the log of the whole fleet's start: the fourth and fifth votes went to whichever asked first.

Change: a replica whose data centre holds as many voters as the cluster can lose gets no vote while a reachable replica elsewhere could have it. Where no other can, it votes as before. Nothing changes where data centres are not named or have no more control hosts than the cluster can lose.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -108,7 +108,8 @@
 
 // addVoter makes a replica a voter. It replaces a voter that the same host had on another
 // disk, and removes learners that the same host had on other disks. If there are already
-// Config.Voters voters, the replica becomes a learner and replaces a voter that is silent.
+// Config.Voters voters, the replica becomes a learner and replaces a voter that is silent. It
+// remains a learner if its data centre has enough voters.
 func (h *Host) addVoter(ctx context.Context, id consensus.ReplicaID) error {
 	st := h.replica.Status()
 	if st.Membership.IsVoter(id) {
@@ -134,6 +135,9 @@
 	if h.cfg.Voters > 0 && len(st.Membership.Voters) >= h.cfg.Voters {
 		return h.replaceSilentVoter(ctx, id)
 	}
+	if !h.placeVoters(st, "").mayVote(id) {
+		return nil
+	}
 	return h.replica.PromoteLearner(ctx, id)
 }
 
@@ -148,7 +152,7 @@
 			silent = append(silent, v)
 		}
 	}
-	if len(silent) != 1 {
+	if len(silent) != 1 || !h.placeVoters(st, silent[0]).mayVote(id) {
 		return nil
 	}
 	h.cfg.Log.Info("voter is replaced", "silent", silent[0], "by", id)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -147,6 +147,24 @@
 	return ""
 }
 
+// dataCentre returns the data centre of a replica's host, or an empty string if there is no
+// session with it.
+func (t *Transport) dataCentre(id consensus.ReplicaID) string {
+	if s := t.session(id); s != nil {
+		return s.Remote().DataCentre
+	}
+	return ""
+}
+
+// replicas returns the replicas with a live session.
+func (t *Transport) replicas() []consensus.ReplicaID {
+	var out []consensus.ReplicaID
+	for _, s := range t.Sessions() {
+		out = append(out, consensus.ReplicaID(s.Remote().Replica))
+	}
+	return out
+}
+
 // KeepConnected maintains sessions between a control host and all other control hosts in the
 // address book until ctx ends.
 func KeepConnected(ctx context.Context, pool *peer.Pool, addressBook *AddressBook) {
--- /dev/null
+++ b/internal/control/voters.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+)
+
+// voterPlacement decides which replicas may vote, so that the loss of a data centre leaves a quorum
+// of the voters.
+type voterPlacement struct {
+	// maxVoters is Config.Voters; zero means that all replicas vote.
+	maxVoters int
+	voters    []consensus.ReplicaID
+	// reachable are the replicas that could become voters.
+	reachable []consensus.ReplicaID
+	// dataCentre returns the data centre of a replica, empty if it is not known.
+	dataCentre func(consensus.ReplicaID) string
+}
+
+// mayVote reports whether a replica may become a voter. A data centre that holds as many voters as
+// the cluster can lose gets no further one while there is a replica elsewhere that could vote
+// instead.
+func (p voterPlacement) mayVote(id consensus.ReplicaID) bool {
+	own := p.dataCentre(id)
+	if p.maxVoters == 0 || own == "" {
+		return true
+	}
+	limit := (p.maxVoters - 1) / 2
+	votersIn := make(map[string]int)
+	for _, v := range p.voters {
+		votersIn[p.dataCentre(v)]++
+	}
+	if votersIn[own] < limit {
+		return true
+	}
+	return !slices.ContainsFunc(p.reachable, func(other consensus.ReplicaID) bool {
+		dataCentre := p.dataCentre(other)
+		return !slices.Contains(p.voters, other) && dataCentre != "" && votersIn[dataCentre] < limit
+	})
+}
+
+// placeVoters returns the decision about voters other than the given one, which is to be replaced;
+// none is if it is empty.
+func (h *Host) placeVoters(st consensus.Status, replaced consensus.ReplicaID) voterPlacement {
+	voters := slices.DeleteFunc(slices.Clone(st.Membership.Voters), func(v consensus.ReplicaID) bool { return v == replaced })
+	return voterPlacement{
+		maxVoters: h.cfg.Voters, voters: voters, reachable: h.cfg.Transport.replicas(),
+		dataCentre: func(id consensus.ReplicaID) string {
+			if id == h.id {
+				return h.cfg.DataCentre
+			}
+			return h.cfg.Transport.dataCentre(id)
+		},
+	}
+}
