List the holders of each expert while balancing

Change: the few holders of each expert are kept in a list. Plans are the same.

TestFewRequestsCauseFewCopies counts the same copies and imbalance to the digit.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -43,6 +43,7 @@
 	for i := range expertsBySet {
 		sets[i] = newBalancer(expertsBySet[i], load[i], p)
 		sets[i].budget = budget
+		sets[i].listHolders()
 		sets[i].findMove()
 	}
 	for range maxMovesPerSet * len(sets) {
@@ -106,8 +107,9 @@
 	has [][]bool
 	// added counts the experts of each rank that it did not hold before the change.
 	added []int
-	// replicas counts the ranks that hold each expert.
+	// replicas counts the ranks that hold each expert, and holders lists them, in no order.
 	replicas []int
+	holders  [][]int
 	times    []float64
 	mean     float64
 	// budget limits the experts that are new to a rank, over all sets.
@@ -139,6 +141,19 @@
 	return b
 }
 
+// listHolders fills holders. The search for moves needs it.
+func (b *balancer) listHolders() {
+	b.holders = make([][]int, len(b.load))
+	for e, n := range b.replicas {
+		b.holders[e] = make([]int, 0, n+1)
+	}
+	for r, list := range b.expertsByRank {
+		for _, e := range list {
+			b.holders[e] = append(b.holders[e], r)
+		}
+	}
+}
+
 // updateTimes computes the ranks' times from the experts that they hold.
 func (b *balancer) updateTimes() {
 	for r, list := range b.expertsByRank {
@@ -272,8 +287,8 @@
 	}
 	extra, relief := b.shareAmong(e, n-1)-b.share(e), b.share(e)
 	top := b.times[hot] - relief*b.slowdown(hot)
-	for h := range b.expertsByRank {
-		if h != hot && b.has[h][e] {
+	for _, h := range b.holders[e] {
+		if h != hot {
 			top = max(top, b.times[h]+extra*b.slowdown(h))
 		}
 	}
@@ -289,8 +304,8 @@
 // holdersStayBelow reports whether the other ranks with a replica of f, which get extra tokens
 // each, stay below the time of hot after the move.
 func (b *balancer) holdersStayBelow(f uint16, r, hot int, extra, relief float64) bool {
-	for h := range b.expertsByRank {
-		if h != r && h != hot && b.has[h][f] && b.times[h]+extra*b.slowdown(h) > b.times[hot]-relief*b.slowdown(hot) {
+	for _, h := range b.holders[f] {
+		if h != r && h != hot && b.times[h]+extra*b.slowdown(h) > b.times[hot]-relief*b.slowdown(hot) {
 			return false
 		}
 	}
@@ -331,6 +346,7 @@
 	b.expertsByRank[r] = append(b.expertsByRank[r], e)
 	b.has[r][e] = true
 	b.replicas[e]++
+	b.holders[e] = append(b.holders[e], r)
 	if !b.initial[r][e] {
 		b.added[r]++
 		b.budget.added[r]++
@@ -342,6 +358,8 @@
 	b.expertsByRank[r] = slices.Delete(b.expertsByRank[r], i, i+1)
 	b.has[r][e] = false
 	b.replicas[e]--
+	h := slices.Index(b.holders[e], r)
+	b.holders[e] = slices.Delete(b.holders[e], h, h+1)
 	if !b.initial[r][e] {
 		b.added[r]--
 		b.budget.added[r]--
