Weigh each interval of expert counts by its sampling error

Cause: the mend of plans that follow chance added the sampling error to the distance that counts as a shift under any load, and gave each interval a quarter of the weight however few requests the load rested on.

Change: the planner keeps the sampling error of its load. An interval has the weight with the least error of both, and at least that of before. A shift is a distance above 0.13, as before, unless chance explains more. A change has to gain more than the load's error.

--- a/internal/planner/lowload_test.go
+++ b/internal/planner/lowload_test.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// The first intervals after a shift must all count, and later ones as much as their sampling error
-// allows.
-func TestWeightOfAnIntervalFallsWithItsSamplingError(t *testing.T) {
-	require.InDelta(t, selectionsWeight, weightOf(0, 1000), 0)
-	require.InDelta(t, selectionsWeight, weightOf(maxLoadError, 1000), 0)
-	require.InDelta(t, selectionsWeight, weightOf(1, 1), 0)
-	require.InDelta(t, 0.1, weightOf(1, 10), 0.001)
-	require.InDelta(t, 0.12, weightOf(4*maxLoadError, 1000), 0.01)
+// An interval must count the less the larger its sampling error is, and the more the larger that of
+// the load is. Guards against a load that keeps the first few requests after a time without any.
+func TestWeightOfAnIntervalFollowsTheSamplingErrors(t *testing.T) {
+	require.InDelta(t, selectionsWeight, weightOf(0, 0), 0)
+	require.InDelta(t, selectionsWeight, weightOf(0, maxLoadError), 0)
+	require.InDelta(t, 0.12, weightOf(0, 4*maxLoadError), 0.01)
+	require.InDelta(t, 0.5, weightOf(1, 1), 0)
+	require.Greater(t, weightOf(1, 0.2), 0.95)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,8 +22,8 @@
 	// byHost holds the last report of each host, by the host's first rank.
 	byHost map[uint32]*wire.ExpertLoad
 	load   placement.Load
-	// intervals is the number of intervals in load since it was last discarded.
-	intervals int
+	// loadError is the sampling error of load, see sample.
+	loadError float64
 	// stats is used if ranks count the experts that their own requests selected.
 	stats rankStats
 }
--- a/internal/planner/selections.go
+++ b/internal/planner/selections.go
@@ -16,8 +16,8 @@
 	// the popularity of experts only drifts.
 	selectionsWeight = 0.25
 	// shiftDistance is the distance of a new interval from the load (see
-	// placement.Load.Distance) above which popularity has changed abruptly, if the difference is
-	// not explained by the sampling error. The load before is discarded then.
+	// placement.Load.Distance) above which popularity has changed abruptly, if the sampling errors
+	// of both do not explain it. The load before is discarded then.
 	shiftDistance = 0.13
 	// maxLoadError is the sampling error that the load may have. If that of one interval is so
 	// large that selectionsWeight exceeds it, more intervals are averaged. Otherwise plans copy
@@ -105,7 +105,8 @@
 	if mean > 0 {
 		f.ImbalanceBefore, f.ImbalanceAfter = highest/mean, highestAfter/mean
 	}
-	f.IsWorthwhile = f.ImbalanceBefore-f.ImbalanceAfter > minChangeGain*gainFactor
+	// Part of the gain may come from the error of the load.
+	f.IsWorthwhile = f.ImbalanceBefore-f.ImbalanceAfter > math.Hypot(minChangeGain*gainFactor, p.loadError)
 	return m, base, f
 }
 
@@ -130,24 +131,27 @@
 		return 0
 	}
 	distance := p.load.Distance(s.mean)
-	if distance > math.Hypot(shiftDistance, s.err) {
-		p.load, p.intervals = nil, 0
+	if p.load == nil || distance > max(shiftDistance, math.Hypot(p.loadError, s.err)) {
+		p.load, p.loadError = p.load.Observe(s.mean, 1), s.err
+		return distance
 	}
-	p.intervals++
-	p.load = p.load.Observe(s.mean, weightOf(s.err, p.intervals))
+	weight := weightOf(p.loadError, s.err)
+	p.load = p.load.Observe(s.mean, weight)
+	p.loadError = math.Hypot((1-weight)*p.loadError, weight*s.err)
 	return distance
 }
 
-// weightOf returns the weight of the latest of a number of intervals in the moving average of the
-// load, given the sampling error of one interval. The first intervals have the same weight each.
-func weightOf(err float64, intervals int) float64 {
-	weight := selectionsWeight
-	if err > maxLoadError {
-		// The variance of a moving average is weight/(2-weight) of that of one interval.
-		ratio := maxLoadError / err
-		weight = min(weight, 2*ratio*ratio/(1+ratio*ratio))
+// weightOf returns the weight of a new interval in the moving average of the load, given the sampling
+// errors of both. It is the one with the least error, but at least the one that follows a drift of
+// popularity and keeps the error within maxLoadError.
+func weightOf(loadError, err float64) float64 {
+	if err <= 0 {
+		return selectionsWeight
 	}
-	return max(weight, min(selectionsWeight, 1/float64(intervals)))
+	least := loadError * loadError / (loadError*loadError + err*err)
+	// The variance of a moving average is weight/(2-weight) of that of one interval.
+	ratio := maxLoadError / err
+	return max(least, min(selectionsWeight, 2*ratio*ratio/(1+ratio*ratio)))
 }
 
 // countNewExperts returns the number of experts that are new to a rank, over all ranks.
