Log whose load reports are missing, standstills, and callers that leave

Cause: no log told a frozen agent host from an entry host that doesn't cancel: entry hosts ignored engines whose reports are missing without a word, no host said that it had stood still, and a caller that left before the response header left no line.

Change: 'reports of the engine are missing' and '... arrive again' with this host's attempts there, 'host stood still' at agents and entry hosts, 'caller disconnected' with the time it waited.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -51,6 +51,7 @@
 	}
 	if c.r.Context().Err() != nil {
 		c.g.counts.callersGone.Inc(1)
+		c.log("caller disconnected", "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(), "verdict", e.Verdict.String())
 		panic(http.ErrAbortHandler)
 	}
 	if ctx.Err() != nil && e.Verdict == verdict.MayHaveRun {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -221,6 +221,7 @@
 	results, stalled := g.scheduler.SetLoads(all, g.now())
 	g.deliver(results)
 	g.requestTokens()
+	g.logReportChanges()
 	for _, s := range stalled {
 		if cancel := g.cancels[s.Ticket]; cancel != nil && !g.runsInEvacuated(s.Ticket) {
 			cancel(&stalledError{hasOtherGroup: s.HasOtherGroup, retryAfter: s.RetryAfter})
@@ -229,6 +230,19 @@
 	g.moveStreams()
 }
 
+// logReportChanges logs whose load reports are missing and whose arrive again. The caller holds mu.
+func (g *Gateway) logReportChanges() {
+	for _, c := range g.scheduler.TakeReportChanges(g.now()) {
+		message := "reports of the engine arrive again"
+		if c.IsMissing {
+			message = "reports of the engine are missing"
+			g.counts.increment("engines.reports-missing")
+		}
+		g.cfg.Log.Warn(message, "upstream", c.Upstream, "load_age_ms", c.Age.Milliseconds(), "attempts", c.Attempts,
+			"awaiting_header", c.AwaitingHeader)
+	}
+}
+
 // errSlowEngine is the reason for cancelling an attempt whose stream is to be continued at
 // another engine.
 var errSlowEngine = errors.New("the engine is slow")
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,7 +101,7 @@
 func (e *entryRole) run(ctx context.Context) error {
 	go func() {
 		for ctx.Err() == nil {
-			pause.For(ctx, sweepInterval)
+			e.n.pauseFor(ctx, sweepInterval)
 			e.client.Sweep()
 			e.follower.quarantine.Sweep()
 			if demands := e.gateway.ReportDemands(); len(demands) > 0 {
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -205,7 +205,7 @@
 // isTrusted reports whether the engine is not suspect, does not rest, and has no load report that is
 // older than maxAge.
 func (u *upstream) isTrusted(maxAge, now time.Duration) bool {
-	return !u.isSuspect(now) && now >= u.restUntil && (!u.load.isKnown || now-u.load.receivedAt < maxAge)
+	return !u.isSuspect(now) && now >= u.restUntil && !u.lacksReport(maxAge, now)
 }
 
 // admissionLimit returns the concurrency limit of an engine for a request. For a preferred one it is
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -98,6 +98,8 @@
 	suspectUntil        time.Duration
 	load                load
 	isServing           bool
+	// isReportMissing is set if TakeReportChanges has returned last that the load reports are missing.
+	isReportMissing bool
 	// rounding is added to a fractional concurrency limit before it is rounded down, in [0, 1).
 	// It differs between upstreams, so that the rounded limits add up to the right total.
 	rounding float64
