Move requests away from an engine whose host gives no sign of life

What callers saw: requests at the engine of a frozen host stayed there, before and after their first event, until their callers left after two seconds without an event. At the end of the freeze the engine read the requests before it read that their connections were closed, and began or went on with them (GONE).

Cause: since 0.4 s of missing reports an entry host sends such an engine nothing new, but what was there was left to it, although nobody can take it back. Class: silence that is known is used for new work only.

Change: an engine whose reports are missing while most others arrive, and from which this host has received nothing for 0.3 s, is unresponsive. Attempts without a header are sent again, streams with events are continued at another engine, both for free slots, within the retry budget and the limit on attempts. What can't go elsewhere is ended with 502 and Retry-After 1.7 s after its caller came. Requests that must not run twice stay. An engine whose agent alone has ended keeps its requests, as it goes on sending events.

Ruled out: a group held by its change (0.0 s), a cancel that is late (the connection is closed at once).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,6 +100,10 @@
 	}
 	if err != nil {
 		c.last = err
+		if reserved.isUnresponsive() {
+			c.leaveUnresponsive(reserved)
+			return nil, nil, false
+		}
 		result := outcomeOfError(ctx, err)
 		if result == outcomeMisdirected {
 			c.misdirected++
@@ -113,6 +117,21 @@
 	return resp, reserved, true
 }
 
+// leaveUnresponsive ends an attempt that was cancelled because its engine is unresponsive. The engine is
+// not probed: the probe would not be answered either, and its host is known to be silent.
+func (c *call) leaveUnresponsive(reserved *reservation) {
+	reserved.release(outcomeNeutral)
+	c.g.counts.increment("attempts.left-unresponsive")
+	c.warn("request leaves an unresponsive engine", "upstream", reserved.ID(), "send", c.attempts, "is_resent", !c.isFinal,
+		"waited_ms", time.Since(c.began).Milliseconds())
+}
+
+// mayResend reports whether the request may be sent to another upstream while the last attempt may still
+// run.
+func (c *call) mayResend() bool {
+	return c.route.AllowsRetry() && c.attempts-c.misdirected < c.route.AttemptLimit && c.quarantineVerdict != quarantine.Suspect
+}
+
 // errQuarantinedMeanwhile is the reason for not sending a request that was quarantined after its
 // upstream was chosen.
 var errQuarantinedMeanwhile = errors.New("the request is in quarantine")
@@ -139,7 +158,8 @@
 }
 
 // sendCancellable sends an attempt and waits for the response header. If the request may be
-// retried, the attempt is cancelled when the engine's group does not serve.
+// retried, the attempt is cancelled when the engine's group does not serve or the engine is
+// unresponsive.
 func (c *call) sendCancellable(
 	ctx context.Context, reserved *reservation, since time.Time, t dispatch.Target, r *dispatch.Request,
 ) (*dispatch.Response, error) {
@@ -148,12 +168,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	reserved.cancel, reserved.cause = cancel, func() error { return context.Cause(ctx) }
-	stop := c.g.awaitHeader(reserved, c.g.clockTime(since), cancel)
+	stop := c.g.awaitHeader(reserved, c.g.clockTime(since), c.mayResend(), cancel)
 	defer stop()
 	resp, err := c.g.cfg.Client.Send(ctx, t, r)
 	var stalled *stalledError
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
-		c.isFinal = !stalled.hasOtherGroup
+		c.isFinal, c.hasRetry = !stalled.HasOtherEngine, stalled.HasRetry
 		return nil, stalled.verdict()
 	}
 	return resp, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 	// request.
 	upstreamsChanged chan struct{}
 	// cancels holds the cancel functions of the attempts that may be cancelled because their
-	// group does not serve.
+	// group does not serve or their engine is slow or unresponsive.
 	cancels map[*schedule.Ticket]context.CancelCauseFunc
 	// cold holds the upstreams that were cold when they were last logged. coldTimer calls
 	// endColdTimes when the first of them stops being cold; nil if none is cold.
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -14,20 +14,22 @@
 // be refused during an outage and told to retry. Callers with less time left wait in the queue.
 const callerRetryTimeFraction = 0.8
 
-// stalledError is the reason for cancelling an attempt in a group that does not serve.
-type stalledError struct {
-	// hasOtherGroup reports that another group serves.
-	hasOtherGroup bool
-	retryAfter    time.Duration
-}
+// stalledError is the reason for cancelling an attempt in a group that does not serve, or at an engine
+// that is unresponsive.
+type stalledError struct{ schedule.StalledAttempt }
 
 // Error implements error.
-func (*stalledError) Error() string { return schedule.Outage.String() }
+func (e *stalledError) Error() string {
+	if e.IsUnresponsive {
+		return errUnresponsiveEngine.Error()
+	}
+	return schedule.Outage.String()
+}
 
-// verdict returns the error for an attempt that was cancelled because of its group. The request
-// may still run there.
+// verdict returns the error for an attempt that was cancelled for this reason. The request may still
+// run there.
 func (e *stalledError) verdict() error {
-	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, e.Error()).WithRetryAfter(e.retryAfter)
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, e.Error()).WithRetryAfter(e.RetryAfter)
 }
 
 // reserveSlot reserves a slot at an engine, and waits for one if none is free. Errors are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
-	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/sse"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -70,8 +69,7 @@
 // canMove reports whether the stream can be resumed at another engine after its first event.
 func (r *relay) canMove() bool {
 	c := r.c
-	return c.route.IsResumable && r.hasID && c.route.AllowsRetry() && c.attempts-c.misdirected < c.route.AttemptLimit &&
-		c.quarantineVerdict != quarantine.Suspect
+	return c.route.IsResumable && r.hasID && c.mayResend()
 }
 
 // errOutOfOrder reports that the events of an upstream do not follow the caller's last event.
@@ -170,7 +168,7 @@
 	if r.reserved.isMoved() {
 		c.hasRetry = true
 		r.reserved.release(outcomeNeutral)
-		c.log("stream leaves a slow engine", "upstream", r.reserved.ID(), "event", r.last)
+		c.log("stream leaves its engine", "upstream", r.reserved.ID(), "event", r.last, "reason", r.reserved.cause().Error())
 		return
 	}
 	r.reserved.release(outcomeOfError(ctx, c.last))
--- a/internal/gateway/unresponsive_test.go
+++ b/internal/gateway/unresponsive_test.go
@@ -72,9 +72,17 @@
 // post sends a request in the background and returns the channel on which its response and body arrive.
 func (f *freezeTest) postInBackground(path string) <-chan outcomeOfPost {
 	out := make(chan outcomeOfPost, 1)
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.front.URL+path, nil)
+	require.NoError(f.t, err)
+	r.Header.Set("X-K", "key")
 	go func() {
-		resp, body := f.post(path, nil)
-		out <- outcomeOfPost{resp, body}
+		resp, err := f.front.Client().Do(r)
+		if err != nil {
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, _ := io.ReadAll(resp.Body)
+		out <- outcomeOfPost{resp, string(body)}
 	}()
 	return out
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -224,7 +224,7 @@
 	g.logReportChanges()
 	for _, s := range stalled {
 		if cancel := g.cancels[s.Ticket]; cancel != nil && !g.runsInEvacuated(s.Ticket) {
-			cancel(&stalledError{hasOtherGroup: s.HasOtherGroup, retryAfter: s.RetryAfter})
+			cancel(&stalledError{s})
 		}
 	}
 	g.moveStreams()
@@ -243,16 +243,22 @@
 	}
 }
 
-// errSlowEngine is the reason for cancelling an attempt whose stream is to be continued at
-// another engine.
-var errSlowEngine = errors.New("the engine is slow")
+// The reasons for cancelling an attempt whose stream is to be continued at another engine.
+var (
+	errSlowEngine         = errors.New("the engine is slow")
+	errUnresponsiveEngine = errors.New("the engine does not respond")
+)
 
 // moveStreams cancels the attempts whose streams are to be continued at other engines. The
 // caller holds mu.
 func (g *Gateway) moveStreams() {
-	for _, t := range g.scheduler.TakeMoves(g.now()) {
-		if cancel := g.cancels[t]; cancel != nil {
-			cancel(errSlowEngine)
+	for _, m := range g.scheduler.TakeMoves(g.now()) {
+		reason := errSlowEngine
+		if m.IsUnresponsive {
+			reason = errUnresponsiveEngine
+		}
+		if cancel := g.cancels[m.Ticket]; cancel != nil {
+			cancel(reason)
 		}
 	}
 }
@@ -268,8 +274,17 @@
 	g.scheduler.AllowMove(r.Ticket, g.clockTime(until))
 }
 
+// isUnresponsive reports whether the attempt was cancelled because its engine is unresponsive, before its
+// response began.
+func (r *reservation) isUnresponsive() bool {
+	var stalled *stalledError
+	return r.cause != nil && errors.As(r.cause(), &stalled) && stalled.IsUnresponsive
+}
+
 // isMoved reports whether the attempt was cancelled so that its stream is continued elsewhere.
-func (r *reservation) isMoved() bool { return r.cause != nil && errors.Is(r.cause(), errSlowEngine) }
+func (r *reservation) isMoved() bool {
+	return r.cause != nil && (errors.Is(r.cause(), errSlowEngine) || errors.Is(r.cause(), errUnresponsiveEngine))
+}
 
 // deliver sends queued requests the decisions about them. The caller holds mu.
 func (g *Gateway) deliver(results []schedule.Result) {
@@ -304,17 +319,18 @@
 	return max(s.MaxConnections/g.scheduler.HostCount(), 1)
 }
 
-// awaitHeader registers an attempt to be cancelled if its group does not serve. The caller
-// calls stop when the response header has arrived.
-func (g *Gateway) awaitHeader(r *reservation, since time.Duration, cancel context.CancelCauseFunc) (stop func()) {
+// awaitHeader registers an attempt to be cancelled if its group does not serve or its engine is
+// unresponsive. mayResend tells that the request may be sent to another upstream. The caller calls
+// stop when the response header has arrived.
+func (g *Gateway) awaitHeader(r *reservation, since time.Duration, mayResend bool, cancel context.CancelCauseFunc) (stop func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.cancels[r.Ticket] = cancel
-	g.scheduler.AwaitHeader(r.Ticket, since)
+	g.scheduler.AwaitHeader(r.Ticket, since, mayResend)
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.cancels, r.Ticket)
-		g.scheduler.HeaderReceived(r.Ticket)
+		g.scheduler.EndHeaderWait(r.Ticket)
 	}
 }
--- a/internal/schedule/capacity.go
+++ b/internal/schedule/capacity.go
@@ -39,9 +39,14 @@
 // how many of them are free. An engine with a rate limit has as many usable slots as the rate
 // keeps occupied, and a free one only if this host has a token. One that rests has none.
 func (s *Scheduler) capacity(sv *service, now time.Duration) (total, free float64) {
+	return s.capacityOf(sv, now, func(*upstream) bool { return true })
+}
+
+// capacityOf is capacity for the engines that are included.
+func (s *Scheduler) capacityOf(sv *service, now time.Duration, include func(*upstream) bool) (total, free float64) {
 	minRatio := sv.minStepTimeRatio(now)
 	for _, u := range sv.active {
-		if !sv.serves(u, now) || now < u.restUntil {
+		if !include(u) || !sv.serves(u, now) || now < u.restUntil {
 			continue
 		}
 		limit := float64(sv.limitOf(u, minRatio, now))
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -1,10 +1,19 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
+// Move is an attempt whose stream is to be continued at another engine.
+type Move struct {
+	*Ticket
+	// IsUnresponsive is set if the reason is that the attempt's engine is unresponsive, and not that it
+	// is slow.
+	IsUnresponsive bool
+}
+
 // AllowMove registers an attempt whose stream can be continued at another engine, until the
 // given time.
 func (s *Scheduler) AllowMove(t *Ticket, until time.Duration) {
@@ -14,39 +23,41 @@
 }
 
 // TakeMoves returns the attempts whose streams are to be continued at other engines, because
-// their own engine is too slow: see mustBeVacated. All streams of the group have to wait for
-// such an engine in every pass, so moving its few streams speeds up all others. There are no
+// their own engine is too slow (see mustBeVacated) or unresponsive. All streams of a group have to
+// wait for a slow engine in every pass, so moving its few streams speeds up all others. There are no
 // more moves than this host's share of the free slots. Each takes one retry from the budget, and
 // an attempt is returned once.
-func (s *Scheduler) TakeMoves(now time.Duration) []*Ticket {
-	var out []*Ticket
+func (s *Scheduler) TakeMoves(now time.Duration) []Move {
+	var out []Move
 	for _, sv := range s.services {
-		if len(sv.movable) > 0 && sv.hasGroups() {
+		if len(sv.movable) > 0 && sv.engineSpec != nil {
 			out = s.takeMoves(out, sv, now)
 		}
 	}
 	return out
 }
 
-func (s *Scheduler) takeMoves(out []*Ticket, sv *service, now time.Duration) []*Ticket {
-	minRatio := sv.minStepTimeRatio(now)
-	var moves []*Ticket
+func (s *Scheduler) takeMoves(out []Move, sv *service, now time.Duration) []Move {
+	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
+	var moves []Move
 	for t, until := range sv.movable {
-		if now < until && sv.mustBeVacated(t.upstream, minRatio, now) && s.hasOtherEngine(t, minRatio, now) {
-			moves = append(moves, t)
+		m := Move{Ticket: t, IsUnresponsive: t.isUnresponsive(maxAge, now)}
+		mustMove := m.IsUnresponsive || sv.hasGroups() && sv.mustBeVacated(t.upstream, minRatio, now)
+		if now < until && mustMove && s.hasOtherEngine(t, minRatio, now) {
+			moves = append(moves, m)
 		}
 	}
 	if len(moves) == 0 {
 		return out
 	}
-	_, free := s.capacity(sv, now)
-	slices.SortFunc(moves, func(a, b *Ticket) int { return int(a.began - b.began) })
-	for _, t := range moves[:min(len(moves), int(free*s.shareOf(sv, now)))] {
+	free := s.freeSlotsAtResponsive(sv, maxAge, now)
+	slices.SortFunc(moves, func(a, b Move) int { return cmp.Compare(a.began, b.began) })
+	for _, m := range moves[:min(len(moves), int(free*s.shareOf(sv, now)))] {
 		if !s.TakeRetry(sv.name, now) {
 			break
 		}
-		delete(sv.movable, t)
-		out = append(out, t)
+		delete(sv.movable, m.Ticket)
+		out = append(out, m)
 	}
 	return out
 }
--- a/internal/schedule/passtimes.go
+++ b/internal/schedule/passtimes.go
@@ -85,6 +85,7 @@
 
 // RecordEventGap records the gap between two events in the stream of an attempt.
 func (s *Scheduler) RecordEventGap(t *Ticket, gap, now time.Duration) {
+	t.hear(now)
 	sv, g := t.service, t.upstream.group
 	if g == nil || sv.engineSpec == nil || sv.maxEventGap <= 0 {
 		return
--- a/internal/schedule/reports.go
+++ b/internal/schedule/reports.go
@@ -39,12 +39,6 @@
 	return out
 }
 
-// lacksReport reports whether the engine's last load report is at least maxAge old; see
-// trustedAgeLimit.
-func (u *upstream) lacksReport(maxAge, now time.Duration) bool {
-	return u.load.isKnown && now-u.load.receivedAt >= maxAge
-}
-
 // awaitingHeaderAt counts the attempts at an upstream that have no response header and may be ended.
 func (sv *service) awaitingHeaderAt(u *upstream) int {
 	n := 0
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -312,6 +312,7 @@
 
 // RecordFirstEvent records that the first event of an attempt's answer has arrived.
 func (s *Scheduler) RecordFirstEvent(t *Ticket, now time.Duration) {
+	t.hear(now)
 	t.service.demand.began(now - t.began)
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -97,7 +97,9 @@
 	consecutiveFailures int
 	suspectUntil        time.Duration
 	load                load
-	isServing           bool
+	// heardAt is when this host last received something from the upstream.
+	heardAt   time.Duration
+	isServing bool
 	// isReportMissing is set if TakeReportChanges has returned last that the load reports are missing.
 	isReportMissing bool
 	// rounding is added to a fractional concurrency limit before it is rounded down, in [0, 1).
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -428,14 +428,14 @@
 	l := newTestCluster(1, 1, 1)
 	l.reportLoads(0)
 	d := l.Admit(l.onTimeRequest(), l.now)
-	l.AwaitHeader(d.Ticket, l.now)
+	l.AwaitHeader(d.Ticket, l.now, true)
 	_, stalled := l.report("0/0", func(load *wire.EngineLoad) { load.IsOpen = false })
 	require.Empty(t, stalled, "it has time left")
 	l.now += StalledAttemptTimeout
 	_, stalled = l.report("", nil)
 	require.Len(t, stalled, 1)
 	require.Equal(t, d.Ticket, stalled[0].Ticket)
-	l.HeaderReceived(d.Ticket)
+	l.EndHeaderWait(d.Ticket)
 	_, stalled = l.report("", nil)
 	require.Empty(t, stalled)
 }
@@ -448,7 +448,7 @@
 	broken := 0
 	for range 8 {
 		d := l.Admit(l.onTimeRequest(), l.now)
-		l.AwaitHeader(d.Ticket, l.now)
+		l.AwaitHeader(d.Ticket, l.now, true)
 		if d.Ticket.ID() == "0/0" {
 			broken++
 		}
@@ -465,7 +465,7 @@
 	l.report("1/0", func(load *wire.EngineLoad) { load.Running = 2 })
 	_, stalled = l.report("1/0", nil)
 	require.Len(t, stalled, 2)
-	require.True(t, stalled[0].HasOtherGroup)
+	require.True(t, stalled[0].HasOtherEngine)
 	require.Equal(t, "0/0", stalled[0].Ticket.ID())
 }
 
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -13,26 +13,34 @@
 	// silentSince is when the request arrived, or when its stream began to move to another
 	// upstream.
 	silentSince time.Duration
+	// mayResend is set if the request may be sent to another upstream.
+	mayResend bool
 }
 
-// StalledAttempt is an attempt to be ended because its group does not serve.
+// StalledAttempt is an attempt to be ended because its group does not serve or its engine is
+// unresponsive.
 type StalledAttempt struct {
 	Ticket *Ticket
-	// HasOtherGroup reports that another group serves, so that the request can be sent to that
-	// group at once. Otherwise the request is given up, and its caller is told to retry after
+	// HasOtherEngine reports that another engine serves, so that the request can be sent to that
+	// engine at once. Otherwise the request is given up, and its caller is told to retry after
 	// RetryAfter.
-	HasOtherGroup bool
-	RetryAfter    time.Duration
+	HasOtherEngine bool
+	RetryAfter     time.Duration
+	// HasRetry is set if a retry was taken from the budget for the next attempt.
+	HasRetry bool
+	// IsUnresponsive is set if the attempt is ended because its engine is unresponsive.
+	IsUnresponsive bool
 }
 
 // AwaitHeader registers an attempt that waits for its response header. It may be ended until
-// the header arrives. The caller has received no event since the given time.
-func (s *Scheduler) AwaitHeader(t *Ticket, since time.Duration) {
-	t.service.awaitingHeader[t] = headerWait{silentSince: since}
+// the header arrives. The caller has received no event since the given time. mayResend tells that
+// the request may be sent to another upstream.
+func (s *Scheduler) AwaitHeader(t *Ticket, since time.Duration, mayResend bool) {
+	t.service.awaitingHeader[t] = headerWait{silentSince: since, mayResend: mayResend}
 }
 
-// HeaderReceived records that the response header of an attempt has arrived.
-func (s *Scheduler) HeaderReceived(t *Ticket) { delete(t.service.awaitingHeader, t) }
+// EndHeaderWait records that an attempt waits for its response header no longer.
+func (s *Scheduler) EndHeaderWait(t *Ticket) { delete(t.service.awaitingHeader, t) }
 
 // stalledAttempts appends the attempts that wait in a group which does not serve. If no group
 // serves, they are ended after StalledAttemptTimeout. If another group has free slots, as many
@@ -46,6 +54,7 @@
 	if sv.isDown(now) {
 		return sv.timedOutAttempts(out, now)
 	}
+	out = s.unresponsiveAttempts(out, sv, now)
 	free := 0
 	if sv.engineSpec != nil {
 		_, freeSlots := s.capacity(sv, now)
@@ -53,7 +62,7 @@
 	}
 	for t := range sv.awaitingHeader {
 		if free > 0 && t.upstream.group != nil && t.upstream.group.isClosed {
-			out = append(out, StalledAttempt{Ticket: t, HasOtherGroup: true})
+			out = append(out, StalledAttempt{Ticket: t, HasOtherEngine: true})
 			free--
 		}
 	}
