Let requests leave a group that stays stalled while another one serves

What callers saw: where one of several groups stood, because one of its hosts was frozen in the middle of a change of map, the attempts in it stayed until their callers left after two seconds, and the engines, which drop nothing before the next pass, went on with them. Only where no group served at all were they ended in time.

Cause: a group that is only stalled was taken to continue before its callers give up.

Change: after 0.6 s of a stall (recovery takes 0.3 s) attempts without a header are sent again and streams are continued, as at an unresponsive engine: for free slots of the other group, within the budget; what can't go gets 502 with Retry-After 1.7 s after its caller came. One scan, leavingAttempts, now serves both, and attempts and streams share one count of free slots.

Groups are held as long as before (3.0 to 3.9 s): the map protocol is unchanged. TestAttemptsLeaveGroupThatStaysStalled, TestAttemptsInStalledGroupAreEndedInTime and TestNoMoreAttemptsLeaveThanThereAreSlots fail without it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,8 +100,8 @@
 	}
 	if err != nil {
 		c.last = err
-		if reserved.isUnresponsive() {
-			c.leaveUnresponsive(reserved)
+		if reserved.leaves() {
+			c.leave(reserved)
 			return nil, nil, false
 		}
 		result := outcomeOfError(ctx, err)
@@ -117,13 +117,13 @@
 	return resp, reserved, true
 }
 
-// leaveUnresponsive ends an attempt that was cancelled because its engine is unresponsive. The engine is
-// not probed: the probe would not be answered either, and its host is known to be silent.
-func (c *call) leaveUnresponsive(reserved *reservation) {
+// leave ends an attempt that leaves an engine which is unresponsive or whose group is stalled. The engine
+// is not probed: nothing suggests that it has ended.
+func (c *call) leave(reserved *reservation) {
 	reserved.release(outcomeNeutral)
-	c.g.counts.increment("attempts.left-unresponsive")
-	c.warn("request leaves an unresponsive engine", "upstream", reserved.ID(), "send", c.attempts, "is_resent", !c.isFinal,
-		"waited_ms", time.Since(c.began).Milliseconds())
+	c.g.counts.increment("attempts.left")
+	c.warn("request leaves its engine", "upstream", reserved.ID(), "send", c.attempts, "reason", reserved.cause().Error(),
+		"is_resent", !c.isFinal, "waited_ms", time.Since(c.began).Milliseconds())
 }
 
 // mayResend reports whether the request may be sent to another upstream while the last attempt may still
--- a/internal/gateway/slot.go
+++ b/internal/gateway/slot.go
@@ -14,17 +14,11 @@
 // be refused during an outage and told to retry. Callers with less time left wait in the queue.
 const callerRetryTimeFraction = 0.8
 
-// stalledError is the reason for cancelling an attempt in a group that does not serve, or at an engine
-// that is unresponsive.
+// stalledError is the reason for cancelling an attempt that has no response header.
 type stalledError struct{ schedule.StalledAttempt }
 
 // Error implements error.
-func (e *stalledError) Error() string {
-	if e.IsUnresponsive {
-		return errUnresponsiveEngine.Error()
-	}
-	return schedule.Outage.String()
-}
+func (e *stalledError) Error() string { return e.Reason.String() }
 
 // verdict returns the error for an attempt that was cancelled for this reason. The request may still
 // run there.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -243,22 +243,18 @@
 	}
 }
 
-// The reasons for cancelling an attempt whose stream is to be continued at another engine.
-var (
-	errSlowEngine         = errors.New("the engine is slow")
-	errUnresponsiveEngine = errors.New("the engine does not respond")
-)
+// moveError is the reason for cancelling an attempt whose stream is to be continued at another engine.
+type moveError struct{ reason schedule.LeaveReason }
+
+// Error implements error.
+func (e *moveError) Error() string { return e.reason.String() }
 
 // moveStreams cancels the attempts whose streams are to be continued at other engines. The
 // caller holds mu.
 func (g *Gateway) moveStreams() {
 	for _, m := range g.scheduler.TakeMoves(g.now()) {
-		reason := errSlowEngine
-		if m.IsUnresponsive {
-			reason = errUnresponsiveEngine
-		}
 		if cancel := g.cancels[m.Ticket]; cancel != nil {
-			cancel(reason)
+			cancel(&moveError{m.Reason})
 		}
 	}
 }
@@ -274,16 +270,17 @@
 	g.scheduler.AllowMove(r.Ticket, g.clockTime(until))
 }
 
-// isUnresponsive reports whether the attempt was cancelled because its engine is unresponsive, before its
-// response began.
-func (r *reservation) isUnresponsive() bool {
+// leaves reports whether the attempt was cancelled before its response began, because it is to leave an
+// engine that is unresponsive or whose group is stalled.
+func (r *reservation) leaves() bool {
 	var stalled *stalledError
-	return r.cause != nil && errors.As(r.cause(), &stalled) && stalled.IsUnresponsive
+	return r.cause != nil && errors.As(r.cause(), &stalled) && stalled.Reason != schedule.GroupClosed
 }
 
 // isMoved reports whether the attempt was cancelled so that its stream is continued elsewhere.
 func (r *reservation) isMoved() bool {
-	return r.cause != nil && (errors.Is(r.cause(), errSlowEngine) || errors.Is(r.cause(), errUnresponsiveEngine))
+	var moved *moveError
+	return r.cause != nil && errors.As(r.cause(), &moved)
 }
 
 // deliver sends queued requests the decisions about them. The caller holds mu.
--- a/internal/schedule/unresponsive_test.go
+++ b/internal/schedule/leave_test.go
@@ -63,7 +63,8 @@
 	left := f.passTime(reportInterval)
 	require.Len(t, left, 4)
 	for _, a := range left {
-		require.True(t, a.HasOtherEngine && a.HasRetry && a.IsUnresponsive)
+		require.True(t, a.HasOtherEngine && a.HasRetry)
+		require.Equal(t, EngineUnresponsive, a.Reason)
 	}
 	require.Empty(t, f.passTime(2*StalledAttemptTimeout), "an attempt leaves once")
 }
@@ -95,7 +96,7 @@
 	f.passTime(reportInterval)
 	moves := f.TakeMoves(f.now)
 	require.Len(t, moves, 3)
-	require.True(t, moves[0].IsUnresponsive)
+	require.Equal(t, EngineUnresponsive, moves[0].Reason)
 	require.Empty(t, f.TakeMoves(f.now), "a stream is moved once")
 }
 
@@ -138,3 +139,76 @@
 		})
 	}
 }
+
+// newTwoGroups returns a cluster of two groups of two ranks with ten slots each, and attempts without a
+// response at the ranks of the first group.
+func newTwoGroups(t *testing.T) (l *testCluster, at []*Ticket) {
+	l = newTestCluster(2, 2, 1)
+	l.engine.Slots, l.engine.StepTimePerRequest = 10, 500*time.Microsecond
+	l.slowDownAll(1)
+	for range 8 {
+		d := l.Admit(l.onTimeRequest(), l.now)
+		require.NotNil(t, d.Ticket)
+		if d.Ticket.upstream.group.name == "0" {
+			at = append(at, d.Ticket)
+		}
+	}
+	require.Len(t, at, 4, "requests are spread evenly")
+	return l, at
+}
+
+// stall makes the ranks of the first group report that it makes no progress.
+func stall(l *testCluster) *frozenCluster {
+	for _, id := range []string{"0/0", "0/1"} {
+		load := l.loads[id]
+		load.IsStalled = true
+		l.loads[id] = load
+	}
+	return &frozenCluster{testCluster: l}
+}
+
+// Guards against attempts that wait in a group which stands, because one of its hosts is frozen, while
+// another group has free slots.
+func TestAttemptsLeaveGroupThatStaysStalled(t *testing.T) {
+	l, at := newTwoGroups(t)
+	l.AwaitHeader(at[0], l.now, true)
+	l.AwaitHeader(at[1], l.now, true)
+	l.AllowMove(at[2], l.now+time.Minute)
+	l.AllowMove(at[3], l.now+time.Minute)
+	f := stall(l)
+	require.Empty(t, f.passTime(maxBriefStall), "the group may continue soon")
+	require.Empty(t, f.TakeMoves(f.now))
+	require.Len(t, f.passTime(reportInterval), 2)
+	require.Len(t, f.TakeMoves(f.now), 2)
+}
+
+// Guards against callers who wait in a group that stands until they leave by themselves, while another
+// group serves and is full.
+func TestAttemptsInStalledGroupAreEndedInTime(t *testing.T) {
+	l, at := newTwoGroups(t)
+	for _, id := range []string{"1/0", "1/1"} {
+		l.report(id, func(load *wire.EngineLoad) { load.Running = 10 })
+	}
+	l.AwaitHeader(at[0], l.now, true)
+	f := stall(l)
+	require.Empty(t, f.passTime(StalledAttemptTimeout-reportInterval))
+	left := f.passTime(reportInterval)
+	require.Len(t, left, 1)
+	require.False(t, left[0].HasOtherEngine)
+	require.Positive(t, left[0].RetryAfter)
+}
+
+// Guards against more attempts that leave at once than there are free slots: attempts without a response
+// and streams count together.
+func TestNoMoreAttemptsLeaveThanThereAreSlots(t *testing.T) {
+	l, at := newTwoGroups(t)
+	l.report("1/0", func(load *wire.EngineLoad) { load.Running = 9 })
+	l.report("1/1", func(load *wire.EngineLoad) { load.Running = 8 })
+	l.AwaitHeader(at[0], l.now, true)
+	l.AwaitHeader(at[1], l.now, true)
+	l.AllowMove(at[2], l.now+time.Minute)
+	l.AllowMove(at[3], l.now+time.Minute)
+	f := stall(l)
+	left := len(f.passTime(maxBriefStall + reportInterval))
+	require.Equal(t, 3, left+len(f.TakeMoves(f.now)))
+}
--- a/internal/schedule/loads.go
+++ b/internal/schedule/loads.go
@@ -81,6 +81,7 @@
 	var results []Result
 	var stalled []StalledAttempt
 	for _, sv := range s.services {
+		sv.left = 0
 		sv.updateGroups()
 		sv.updateMeanLoads()
 		sv.updateLimits(s.shareOf(sv, now), now)
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -9,9 +9,7 @@
 // Move is an attempt whose stream is to be continued at another engine.
 type Move struct {
 	*Ticket
-	// IsUnresponsive is set if the reason is that the attempt's engine is unresponsive, and not that it
-	// is slow.
-	IsUnresponsive bool
+	Reason LeaveReason
 }
 
 // AllowMove registers an attempt whose stream can be continued at another engine, until the
@@ -23,10 +21,10 @@
 }
 
 // TakeMoves returns the attempts whose streams are to be continued at other engines, because
-// their own engine is too slow (see mustBeVacated) or unresponsive. All streams of a group have to
-// wait for a slow engine in every pass, so moving its few streams speeds up all others. There are no
-// more moves than this host's share of the free slots. Each takes one retry from the budget, and
-// an attempt is returned once.
+// their own engine is too slow (see mustBeVacated), or because they get nothing from it (see
+// leaveReason). All streams of a group have to wait for a slow engine in every pass, so moving its few
+// streams speeds up all others. There are no more moves than this host's share of the free slots. Each
+// takes one retry from the budget, and an attempt is returned once.
 func (s *Scheduler) TakeMoves(now time.Duration) []Move {
 	var out []Move
 	for _, sv := range s.services {
@@ -41,21 +39,24 @@
 	minRatio, maxAge := sv.minStepTimeRatio(now), sv.trustedAgeLimit(now)
 	var moves []Move
 	for t, until := range sv.movable {
-		m := Move{Ticket: t, IsUnresponsive: t.isUnresponsive(maxAge, now)}
-		mustMove := m.IsUnresponsive || sv.hasGroups() && sv.mustBeVacated(t.upstream, minRatio, now)
-		if now < until && mustMove && s.hasOtherEngine(t, minRatio, now) {
-			moves = append(moves, m)
+		reason := t.leaveReason(maxAge, now)
+		if reason == 0 && sv.mustBeVacated(t.upstream, minRatio, now) {
+			reason = EngineSlow
+		}
+		if now < until && reason != 0 && s.hasOtherEngine(t, minRatio, now) {
+			moves = append(moves, Move{t, reason})
 		}
 	}
 	if len(moves) == 0 {
 		return out
 	}
-	free := s.freeSlotsAtResponsive(sv, maxAge, now)
+	free := max(s.slotsToLeaveFor(sv, maxAge, now)-sv.left, 0)
 	slices.SortFunc(moves, func(a, b Move) int { return cmp.Compare(a.began, b.began) })
-	for _, m := range moves[:min(len(moves), int(free*s.shareOf(sv, now)))] {
+	for _, m := range moves[:min(len(moves), free)] {
 		if !s.TakeRetry(sv.name, now) {
 			break
 		}
+		sv.left++
 		delete(sv.movable, m.Ticket)
 		out = append(out, m)
 	}
@@ -65,7 +66,7 @@
 // mustBeVacated reports whether an engine is so slow that its group is faster without any
 // request at it.
 func (sv *service) mustBeVacated(u *upstream, minRatio float64, now time.Duration) bool {
-	return u.isServing && sv.serves(u, now) && u.load.isFresh(now) && sv.limitOf(u, minRatio, now) == 0
+	return sv.hasGroups() && u.isServing && sv.serves(u, now) && u.load.isFresh(now) && sv.limitOf(u, minRatio, now) == 0
 }
 
 // hasOtherEngine reports whether an attempt's stream could be continued at another engine. For a
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -171,6 +171,8 @@
 	plainWaiters []*PlainWaiter
 	// overflowed is set if a request was sent to a full upstream while a cold one has free slots.
 	overflowed bool
+	// left counts the attempts that have left engines for free slots since the last load reports.
+	left int
 	// awaitingHeader holds the attempts that have not received a response header and may still
 	// be ended.
 	awaitingHeader map[*Ticket]headerWait
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -17,8 +17,7 @@
 	mayResend bool
 }
 
-// StalledAttempt is an attempt to be ended because its group does not serve or its engine is
-// unresponsive.
+// StalledAttempt is an attempt to be ended because its group or its engine does not serve.
 type StalledAttempt struct {
 	Ticket *Ticket
 	// HasOtherEngine reports that another engine serves, so that the request can be sent to that
@@ -28,8 +27,7 @@
 	RetryAfter     time.Duration
 	// HasRetry is set if a retry was taken from the budget for the next attempt.
 	HasRetry bool
-	// IsUnresponsive is set if the attempt is ended because its engine is unresponsive.
-	IsUnresponsive bool
+	Reason   LeaveReason
 }
 
 // AwaitHeader registers an attempt that waits for its response header. It may be ended until
@@ -54,7 +52,7 @@
 	if sv.isDown(now) {
 		return sv.timedOutAttempts(out, now)
 	}
-	out = s.unresponsiveAttempts(out, sv, now)
+	out = s.leavingAttempts(out, sv, now)
 	free := 0
 	if sv.engineSpec != nil {
 		_, freeSlots := s.capacity(sv, now)
@@ -62,7 +60,7 @@
 	}
 	for t := range sv.awaitingHeader {
 		if free > 0 && t.upstream.group != nil && t.upstream.group.isClosed {
-			out = append(out, StalledAttempt{Ticket: t, HasOtherEngine: true})
+			out = append(out, StalledAttempt{Ticket: t, HasOtherEngine: true, Reason: GroupClosed})
 			free--
 		}
 	}
@@ -73,7 +71,7 @@
 func (sv *service) timedOutAttempts(out []StalledAttempt, now time.Duration) []StalledAttempt {
 	for t, u := range sv.awaitingHeader {
 		if now-u.silentSince >= StalledAttemptTimeout {
-			out = append(out, StalledAttempt{Ticket: t, RetryAfter: maxRetryAfterFor(nil, now)})
+			out = append(out, StalledAttempt{Ticket: t, RetryAfter: maxRetryAfterFor(nil, now), Reason: GroupClosed})
 		}
 	}
 	return out
