--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -43,8 +43,7 @@
 // stalledAttempts appends the attempts that wait in a group which does not serve. If no group
 // serves, they are ended after StalledAttemptTimeout. If another group has free slots, as many
 // attempts as there are free slots leave a broken group at once, since its engines refuse much
-// later if they wait for a lost rank. If a group is only stalled, its attempts stay, since the
-// group may continue before their callers give up.
+// later if they wait for a lost rank. For groups that are only stalled, see leavingAttempts.
 func (s *Scheduler) stalledAttempts(out []StalledAttempt, sv *service, now time.Duration) []StalledAttempt {
 	if len(sv.awaitingHeader) == 0 {
 		return out
