Read on for a moment after a standstill before beginning anything

What callers saw: nothing; work ran for callers that had left. An agent that was frozen reads after the freeze the requests of the meantime, and behind them the messages that cancel them, and began with those it had read first. An entry host does the same with requests whose connections are closed behind them.

All roles log and count their standstills, which replaces the pauses that were timed for it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,7 +61,10 @@
 	// agent is draining. at is the time that responses report as UpstreamCrashedAt. It can be
 	// called repeatedly for one end.
 	OnUpstreamEnded func(at int64)
-	Metrics         metrics.Registry
+	// Settle, if set, blocks after a standstill of the process until it has had the time to read which
+	// attempts are cancelled; see [standstill.Watch].
+	Settle  func(context.Context)
+	Metrics metrics.Registry
 }
 
 // Agent forwards requests to one upstream.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -90,6 +90,9 @@
 // roundTrip sends the request to the upstream. The verdict of the error is NotRun only if no
 // connection was established, so that no byte can have been sent.
 func (a *Agent) roundTrip(at *attempt) (*http.Response, error) {
+	if a.cfg.Settle != nil {
+		a.cfg.Settle(at.ctx)
+	}
 	if at.ctx.Err() != nil {
 		return nil, notRun(verdict.CodeCancelled, "ended before it began")
 	}
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -60,6 +60,7 @@
 		Capacity: set.Capacity,
 		Recorder: control.NewClient(d.pool, addresses(set.ControlHosts)),
 		Metrics:  d.metrics,
+		Settle:   d.standstills.Settle,
 
 		OnAbandoned:     suspicions.attemptAbandoned,
 		OnUpstreamEnded: suspicions.upstreamEnded,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/journal"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/standstill"
 	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -49,6 +50,8 @@
 	incarnation uint64
 
 	pool *peer.Pool
+	// standstills finds out that the process was frozen.
+	standstills *standstill.Watch
 	// journal, recovered and transport are used by the control role only.
 	journal   *journal.Journal
 	recovered journal.Recovered
@@ -70,6 +73,10 @@
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 	d.unknownMessages = metrics.GetOrRegisterCounter("peer.messages.unknown", d.metrics)
+	d.standstills = standstill.NewWatch(func(span time.Duration) {
+		d.log.Warn("host stood still", "for_ms", span.Milliseconds())
+		metrics.GetOrRegisterCounter("host.standstills", d.metrics).Inc(1)
+	})
 	if err := d.build(); err != nil {
 		d.close()
 		return nil, err
@@ -188,6 +195,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
+	go d.standstills.Run(workCtx)
 	failed := make(chan error, len(d.roles)+len(d.servers))
 	for _, s := range d.servers {
 		go func() { failed <- s.run() }()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -100,6 +100,7 @@
 		Quarantine:   r.quarantine,
 		Fingerprints: quarantine.NewHasher(string(d.set.Peer.Secret)),
 		Metrics:      d.metrics,
+		Settle:       d.standstills.Settle,
 		MaxInFlight:  set.MaxSessions,
 		MaxBody:      int64(set.MaxBody),
 		MaxDeadline:  set.RequestTimeout,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -48,6 +48,9 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline())
 	defer cancel()
+	if c.s.cfg.Settle != nil {
+		c.s.cfg.Settle(ctx)
+	}
 	release, err := c.s.cfg.Admission.Admit(ctx, c.admitRequest())
 	if err != nil {
 		c.fail(err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,6 +192,9 @@
 	Quarantine   Quarantine
 	Fingerprints quarantine.Hasher
 	Metrics      metrics.Registry
+	// Settle, if set, blocks after a standstill of the process until it has had the time to read which
+	// callers have left; see [standstill.Watch].
+	Settle func(context.Context)
 
 	// MaxInFlight bounds the requests served at once.
 	MaxInFlight int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,9 @@
 	// MemoryMB is the memory of the host in megabytes, from which the limits of what it holds for
 	// callers follow; 0 means no limits.
 	MemoryMB int
+	// Settle, if set, blocks after a standstill of the host until it has had the time to read which
+	// callers have left; see [standstill.Watch].
+	Settle func(context.Context)
 	// Now returns the time since the host's start; nil means the system's monotonic clock.
 	Now     func() time.Duration
 	Log     *slog.Logger
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -91,6 +91,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	if g.cfg.Settle != nil {
+		g.cfg.Settle(ctx)
+	}
 	c.serve(ctx)
 }
 
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -11,6 +11,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/group"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/placement"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
@@ -139,7 +140,7 @@
 			a.serveEpoch(ctx, r, shape)
 			continue
 		}
-		a.n.pauseFor(ctx, pollInterval)
+		pause.For(ctx, pollInterval)
 	}
 	return nil
 }
@@ -213,7 +214,7 @@
 		a.expertLoad = runner.Load()
 	}()
 	for ctx.Err() == nil {
-		a.n.pauseFor(ctx, pollInterval)
+		pause.For(ctx, pollInterval)
 		latest, err := a.pollEngine(ctx)
 		if err == nil && (latest.Group != r.Group || latest.Epoch != r.Epoch || latest.Rank != r.Rank || latest.StartedAt != r.StartedAt || !latest.IsOpen) {
 			a.n.log.Info("group does not serve as it did", "group", name, "rank", r.Rank, "epoch_now", latest.Epoch,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -62,7 +62,7 @@
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
 		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre, DataCentreRegions: n.settings.DataCentreRegions,
 		RetryBudget: n.settings.RetryBudget, ColdBound: n.settings.ColdBound, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper,
-		MemoryMB: n.settings.MemoryMB, Log: n.log, Metrics: n.metrics,
+		MemoryMB: n.settings.MemoryMB, Settle: n.standstills.Settle, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
 			Publish: n.sendNotices, RequestTokens: control.NewClientWithAddressBook(n.pool, f.controlHosts).RequestTokens,
 		},
@@ -101,7 +101,7 @@
 func (e *entryRole) run(ctx context.Context) error {
 	go func() {
 		for ctx.Err() == nil {
-			e.n.pauseFor(ctx, sweepInterval)
+			pause.For(ctx, sweepInterval)
 			e.client.Sweep()
 			e.follower.quarantine.Sweep()
 			if demands := e.gateway.ReportDemands(); len(demands) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
+	"github.com/sassafraspost/sassafraspost/internal/standstill"
 	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/version"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -72,6 +73,8 @@
 	log      *slog.Logger
 	metrics  metrics.Registry
 	pool     *peer.Pool
+	// standstills finds out that the process was frozen.
+	standstills *standstill.Watch
 	// handleMessage is called for each message of a session, onSessionUp for each new session. The
 	// role sets both before any session begins.
 	handleMessage func(s *peer.Session, call uint64, m wire.Message)
@@ -98,6 +101,10 @@
 	debug.SetGCPercent(gcPercent)
 	log = log.With("host", settings.Host)
 	n := &Node{settings: settings, platform: p, log: log, metrics: metrics.NewRegistry()}
+	n.standstills = standstill.NewWatch(func(d time.Duration) {
+		n.log.Warn("host stood still", "for_ms", d.Milliseconds())
+		metrics.GetOrRegisterCounter("host.standstills", n.metrics).Inc(1)
+	})
 	r, err := n.build()
 	if err != nil {
 		return err
@@ -111,6 +118,7 @@
 	roleDone := make(chan error, 1)
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	go n.standstills.Run(workCtx)
 	go func() { roleDone <- r.run(workCtx) }()
 	select {
 	case err = <-roleDone:
