Serve only the gateway's requests at the upstreams of its tests

Cause: the test counts whatever reaches a port that the kernel picked. Its three requests have two attempts each, so at most six can come from the gateway. A test process that polls or dials a port that was its own before reaches the test's upstream when that gets the port. Reproduced: a process that had listened at 400 ports and polls them, beside the test on, gives the same failure ('Should be zero, but was 284', evacuation_test.go:78), and the same in TestLimitedUpstreamGetsNoRequestWithoutToken (402).

Change: upstreams of the gateway's tests answer 404 to a request that names no upstream, which each of the gateway's requests does, and count it nowhere. The checks and bounds are as they were.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -118,9 +118,14 @@
 	require.False(env.t, env.gateway.SetTable(t), "a table with the same number is not applied")
 }
 
-// addUpstream adds an upstream whose requests are served by h.
+// addUpstream adds an upstream whose requests are served by h. Other test processes may send to its
+// port, which they had used before: requests that do not name an upstream are not from the gateway.
 func (env *testEnv) addUpstream(id string, h http.HandlerFunc) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-I") == "" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
 		w.Header().Set("X-A", r.Header.Get("X-A"))
 		h(w, r)
 	}))
