Let attempts end at an engine that drains or is evacuated

Found by reading: the load reports of an engine that is not listed any more are not recorded, so it looked unresponsive, and attempts that were quiet for 0.3 s left it, each with a retry. TestAttemptsStayAtEngineThatIsNotListed fails without it.

--- a/internal/schedule/leave.go
+++ b/internal/schedule/leave.go
@@ -67,9 +67,11 @@
 func (t *Ticket) hear(now time.Duration) { t.upstream.heardAt = now }
 
 // leaveReason returns why an attempt is to leave its engine if it gets nothing from it, 0 if it is to
-// stay.
+// stay. Attempts may end at an engine that drains or is evacuated; its load reports are not recorded.
 func (t *Ticket) leaveReason(maxAge, now time.Duration) LeaveReason {
 	switch {
+	case !t.upstream.isServing:
+		return 0
 	case t.isUnresponsive(maxAge, now):
 		return EngineUnresponsive
 	case t.upstream.group.isLongStalled(now):
--- a/internal/schedule/leave_test.go
+++ b/internal/schedule/leave_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -100,6 +101,18 @@
 	require.Empty(t, f.TakeMoves(f.now), "a stream is moved once")
 }
 
+// Guards against attempts that leave an engine because it drains or is evacuated: they may end there.
+func TestAttemptsStayAtEngineThatIsNotListed(t *testing.T) {
+	l, at := newFreezeCluster(t, 2)
+	l.AwaitHeader(at[0], l.now, true)
+	l.AllowMove(at[1], l.now+time.Minute)
+	l.ids = slices.DeleteFunc(l.ids, func(id string) bool { return id == "0/1" })
+	l.announce(0)
+	f := freeze(l, "0/1")
+	require.Empty(t, f.passTime(StalledAttemptTimeout+time.Second))
+	require.Empty(t, f.TakeMoves(f.now))
+}
+
 // Guards against attempts that leave all engines at once when the reporting itself has failed.
 func TestAttemptsStayIfMostReportsAreMissing(t *testing.T) {
 	l, at := newFreezeCluster(t, 1)
