--- a/internal/standstill/standstill_test.go
+++ b/internal/standstill/standstill_test.go
@@ -49,3 +49,14 @@
 	w.Settle(ctx)
 	require.Error(t, ctx.Err())
 }
+
+// BenchmarkSettle measures what each request pays while the process has not stood still.
+func BenchmarkSettle(b *testing.B) {
+	w := NewWatch(nil)
+	w.began = time.Now().Add(-tickInterval)
+	w.tick(tickInterval)
+	for b.Loop() {
+		w.lastTick.Store(int64(time.Since(w.began)))
+		w.Settle(b.Context())
+	}
+}
