Tell what each host decides on retries, with the inputs of the decision

A line each second and service in which a retry was wanted (taken, refused, sent, requests and retries in the window, the number of hosts and its age), and counters of the same. The lines on single requests are limited in number and can't be added up.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,7 +141,11 @@
 	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.content); c.quarantineVerdict == quarantine.Quarantined {
 		return errQuarantinedMeanwhile
 	}
-	return reserved.maySend()
+	err := reserved.maySend()
+	if err == nil && c.attempts > 1 {
+		c.g.countRetrySent(c.service.Name)
+	}
+	return err
 }
 
 // withhold undoes an attempt of which nothing was sent. A request in quarantine is refused.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -177,21 +177,6 @@
 	return g.view.IsDraining(r.ID(), r.StartedAt())
 }
 
-// countRequest counts a caller's request to a service for its retry budget.
-func (g *Gateway) countRequest(name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.scheduler.CountRequest(name, g.now())
-}
-
-// takeRetry takes one retry from the service's budget, and reports whether the budget allows
-// it.
-func (g *Gateway) takeRetry(name string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.scheduler.TakeRetry(name, g.now())
-}
-
 // SetHostCount sets how many hosts share the budgets and limits.
 func (g *Gateway) SetHostCount(n int) {
 	g.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -104,6 +104,7 @@
 			pause.For(ctx, sweepInterval)
 			e.client.Sweep()
 			e.follower.quarantine.Sweep()
+			e.gateway.LogRetries()
 			if demands := e.gateway.ReportDemands(); len(demands) > 0 {
 				e.n.postToControlHosts(&wire.Hosts{Demands: demands})
 			}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -46,6 +46,11 @@
 	return true
 }
 
+// Usage returns the requests and the retries of the host in the window.
+func (b *Budget) Usage(p Params, now time.Duration) (requests, retries int) {
+	return b.requests.sum(p.Window, now), b.retries.sum(p.Window, now)
+}
+
 // slidingCounter counts events in a sliding window.
 type slidingCounter struct {
 	counts [bucketCount]int
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -49,6 +49,8 @@
 	// that number was last valid.
 	recentHosts   int
 	recentHostsAt time.Duration
+	// hostsSetAt is when the number of hosts was set last.
+	hostsSetAt time.Duration
 	// upstreams holds, by id, the upstreams that serve and those that still have attempts of
 	// this host in flight. byAddress holds only the upstreams that serve.
 	upstreams map[string]*upstream
@@ -127,6 +129,8 @@
 	active []*upstream
 	groups map[string]*group
 	budget retrybudget.Budget
+	// retries counts the decisions on retries since the last TakeRetryReports.
+	retries retryCounts
 	// inflight is the number of this host's attempts in flight at all upstreams. late is how
 	// many of them could no longer be on time when they got their slot.
 	inflight, late int
@@ -186,7 +190,7 @@
 	if s.hosts >= s.recentHosts {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
-	s.hosts = max(n, 1)
+	s.hosts, s.hostsSetAt = max(n, 1), now
 	if s.hosts >= s.recentHosts || now-s.recentHostsAt > hostMemory {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
@@ -261,14 +265,3 @@
 	}
 	return sv
 }
-
-// CountRequest counts a caller's request to a service for its retry budget.
-func (s *Scheduler) CountRequest(name string, now time.Duration) {
-	s.service(name).budget.AddRequest(s.cfg.RetryBudget, now)
-}
-
-// TakeRetry takes one retry from the service's budget, and reports whether the budget allows
-// it.
-func (s *Scheduler) TakeRetry(name string, now time.Duration) bool {
-	return s.service(name).budget.Take(s.cfg.RetryBudget, s.hosts, now)
-}
