Share the retry budget by request and by grant, not by the number of hosts

Cause: each host spent Extra divided by the number of hosts that it had heard of last, and began each process with an empty record. Processes that start spend a share that the ones before them have spent; hosts that can't be told of the others divide by another number than these; and the record of 20 buckets spans 9.5 to 10 s, so that bursts at both ends of a window were never counted together. The ratio had the same fault: a process that starts, or callers that change to another host, pay once more for the same window.

Change: no part of the budget belongs to a host. Each request gives its host credit for a fraction of a retry that lasts for a second and is used once. The extra is granted by the leading control host on demand, for retries that are sent within a second. It reserves them in the replicated log first, so that a leader that comes later counts them. What is taken is checked again when the first byte is sent, unused retries are given back, and a host that was suspended drops what it had. Cut off from the control hosts, a host has the credit of its own requests.

Tests changed: TestRetryBudgetIsNotSpentWithoutUpstream allowed one retry to be spent, now none; tests of the scheduler get the extra from the test in place of the control hosts.

--- a/internal/backpressure/dispenser.go
+++ b/internal/backpressure/dispenser.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/sassafraspost/sassafraspost/internal/contention"
 )
 
 const (
 	// maxAhead is how long in advance a token is reserved for a host. It is several round trips
 	// between data centres, so that the tokens of hosts far away are not lost on the way.
 	maxAhead = 500 * time.Millisecond
-	// askerMemory is how long a host counts as one that asks for tokens of an upstream.
-	askerMemory = 10 * time.Second
 	// askInterval is the time between two requests of any hosts for tokens of one upstream, at
 	// which tokens are claimed early enough. It bounds the messages to the control host, however
 	// many hosts ask.
@@ -32,8 +32,7 @@
 // bucket is the token bucket of one upstream.
 type bucket struct {
 	limiter *rate.Limiter
-	// askers holds when each host last asked.
-	askers map[string]time.Duration
+	askers  *contention.Askers
 }
 
 // NewDispenser returns a Dispenser that has handed out no tokens.
@@ -47,7 +46,7 @@
 func (d *Dispenser) Hand(i Incarnation, host string, perSecond float64, count int, random float64, now time.Duration) (waits []time.Duration, again time.Duration) {
 	b := bucketOf(d.buckets, i, perSecond, now)
 	waits, blocked := b.reserve(host, count, maxAhead, now)
-	return waits, max(blocked, b.contention(random))
+	return waits, max(blocked, b.askers.Pause(random))
 }
 
 // BeginTerm tells the term in which this control host leads. The leader of an earlier term may have
@@ -68,17 +67,17 @@
 	d.BeginTerm(term, now)
 	b := bucketOf(d.cold, i, perSecond, now)
 	if now < d.coldFrom {
-		b.record(host, now)
-		return nil, d.coldFrom - now + b.contention(random)
+		b.askers.Record(host, now)
+		return nil, d.coldFrom - now + b.askers.Pause(random)
 	}
 	waits, blocked := b.reserve(host, count, coldMaxAhead, now)
-	return waits, max(blocked, b.contention(random))
+	return waits, max(blocked, b.askers.Pause(random))
 }
 
 // reserve takes up to count tokens for a host that are usable at most ahead from now. It returns
 // the waits until they are, and after which time there may be another one.
 func (b *bucket) reserve(host string, count int, ahead, now time.Duration) (waits []time.Duration, blocked time.Duration) {
-	b.record(host, now)
+	b.askers.Record(host, now)
 	at := wallTime(now)
 	for range min(count, maxTokens) {
 		r := b.limiter.ReserveN(at, 1)
@@ -92,25 +91,13 @@
 	return waits, 0
 }
 
-// record records that a host has asked for tokens.
-func (b *bucket) record(host string, now time.Duration) {
-	b.askers[host] = now
-	b.forgetAskers(now)
-}
-
-// contention returns the time after which a host may ask again, so that all that ask keep
-// askInterval together.
-func (b *bucket) contention(random float64) time.Duration {
-	return time.Duration(float64(len(b.askers)) * (0.5 + random) * float64(askInterval))
-}
-
 // bucketOf returns the bucket of an upstream, with its present rate. A new one is empty, because
 // another control host may have handed out tokens before.
 func bucketOf(buckets map[Incarnation]*bucket, i Incarnation, perSecond float64, now time.Duration) *bucket {
 	at := wallTime(now)
 	b := buckets[i]
 	if b == nil {
-		b = &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), 1), askers: make(map[string]time.Duration)}
+		b = &bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), 1), askers: contention.NewAskers(askInterval)}
 		b.limiter.AllowN(at, 1)
 		buckets[i] = b
 	}
@@ -120,19 +107,11 @@
 	return b
 }
 
-func (b *bucket) forgetAskers(now time.Duration) {
-	for host, at := range b.askers {
-		if now-at > askerMemory {
-			delete(b.askers, host)
-		}
-	}
-}
-
 // Sweep removes the buckets of the upstreams for which no host has asked lately.
 func (d *Dispenser) Sweep(now time.Duration) {
 	for _, buckets := range []map[Incarnation]*bucket{d.buckets, d.cold} {
 		for i, b := range buckets {
-			if b.forgetAskers(now); len(b.askers) == 0 {
+			if b.askers.Sweep(now); b.askers.IsEmpty() {
 				delete(buckets, i)
 			}
 		}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -108,6 +108,12 @@
 	return ask[*wire.Tokens](ctx, c, m, sendOnce)
 }
 
+// RequestRetries asks the leader for retries of a service. It is sent to one host that may grant them at
+// most, since retries that were granted twice are lost.
+func (c *Client) RequestRetries(ctx context.Context, m *wire.RetryRequest) (*wire.Retries, error) {
+	return ask[*wire.Retries](ctx, c, m, sendOnce)
+}
+
 // Propose sends an encoded command to the leader. The command must be idempotent.
 func (c *Client) Propose(ctx context.Context, m *wire.Propose) (*wire.Proposed, error) {
 	return ask[*wire.Proposed](ctx, c, m, mayResend)
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -225,6 +225,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.quarantine.Sweep()
+	f.h.retries.observeAll()
 	if term, isLeader := f.h.replica.LeaderTerm(); isLeader {
 		f.dispenser.BeginTerm(term, f.now())
 	}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -23,6 +23,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/query"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/replica"
+	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/state"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -69,6 +70,8 @@
 	// Registry are the timeouts of upstreams' announcements; zero if upstreams do not
 	// announce themselves to control hosts.
 	Registry registry.Limits
+	// RetryBudget limits the retries of all entry hosts together.
+	RetryBudget retrybudget.Params
 	// DataCentres are the data centres that can be evacuated; any if empty.
 	DataCentres []string
 	// RestartCache saves the list of upstreams for a restart; nil if it is not saved.
@@ -100,6 +103,7 @@
 	joins       joinGate
 	addressBook *AddressBook
 	fleet       *fleet
+	retries     *retryGrantor
 }
 
 // ID returns the replica ID of a host. It contains the ID of the disk that holds the
@@ -133,6 +137,7 @@
 	}
 	h.client = NewClientWithAddressBook(cfg.Pool, h.addressBook)
 	h.fleet = newFleet(h)
+	h.retries = newRetryGrantor(h)
 	h.watchers = newWatchers(h.store, h.evacuationsMessage)
 	var err error
 	h.replica, err = replica.Open(replica.Options{
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -39,6 +39,8 @@
 		h.fleet.mergeNotices(s, m)
 	case *wire.TokenRequest:
 		h.replyAsync(s, call, func(context.Context) (wire.Message, error) { return h.handleTokenRequest(s, m) })
+	case *wire.RetryRequest:
+		h.replyAsync(s, call, func(ctx context.Context) (wire.Message, error) { return h.handleRetryRequest(ctx, s, m) })
 	case *wire.EngineLoad:
 		h.fleet.loads.update(s, m)
 	case *wire.EngineLoads:
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -163,6 +163,9 @@
 	groups []*group
 	// crowdTotals sums the demands of the hosts.
 	crowdTotals schedule.CrowdTotals
+	// retries is the ledger of the extra retries, and reservedRetries is how many were reserved.
+	retries         *retrybudget.Ledger
+	reservedRetries uint64
 	// engines maps the address of each rank to its engine.
 	engines       map[string]*engine
 	activeCallers int
@@ -202,6 +205,7 @@
 
 // build creates the engines and the hosts. Every host knows all engines from the start.
 func (s *simulation) build() {
+	s.retries = retrybudget.NewLedger(s.cfg.RetryBudget)
 	var all []registry.Upstream
 	for g := range s.cfg.Groups {
 		group := newGroup(s, g)
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -195,7 +195,7 @@
 	c.host.endAttempt(c.ticket, schedule.Failure)
 	c.ticket = nil
 	now := c.sim.clock.now
-	if c.host.scheduler.TakeRetry(serviceName, now) {
+	if c.host.takeRetry(now) {
 		c.host.admit(c)
 		return
 	}
@@ -268,3 +268,29 @@
 	*ofPhase++
 	c.sim.activeCallers--
 }
+
+// takeRetry takes a retry from the host's budget, and asks for more if there is none. The delay of the
+// answer is not simulated.
+func (h *host) takeRetry(now time.Duration) bool {
+	if _, ok := h.scheduler.TakeRetry(serviceName, now); ok {
+		return true
+	}
+	for _, r := range h.scheduler.TakeRetryRequests(now) {
+		n := h.sim.grantRetries(r.Count, now)
+		h.scheduler.AddRetries(serviceName, n, now, retryAskPause, now)
+	}
+	_, ok := h.scheduler.TakeRetry(serviceName, now)
+	return ok
+}
+
+// retryAskPause is the time between two requests of a host for retries.
+const retryAskPause = 10 * time.Millisecond
+
+// grantRetries grants up to wanted retries of the extra that all hosts share.
+func (s *simulation) grantRetries(wanted int, now time.Duration) int {
+	s.retries.Observe(serviceName, s.reservedRetries, now)
+	n := s.retries.Propose(serviceName, wanted, now)
+	s.reservedRetries += uint64(n)
+	s.retries.Observe(serviceName, s.reservedRetries, now)
+	return s.retries.Confirm(serviceName, n, now)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,7 +94,7 @@
 		since = time.Now()
 	}
 	resp, err := c.sendCancellable(ctx, reserved, since, target, request)
-	if errors.Is(err, errWithheld) || errors.Is(err, errQuarantinedMeanwhile) {
+	if errors.Is(err, errWithheld) || errors.Is(err, errQuarantinedMeanwhile) || errors.Is(err, errRetryEnded) {
 		c.withhold(reserved, err)
 		return nil, nil, false
 	}
@@ -141,23 +141,28 @@
 	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.content); c.quarantineVerdict == quarantine.Quarantined {
 		return errQuarantinedMeanwhile
 	}
-	err := reserved.maySend()
-	if err == nil && c.attempts > 1 {
-		c.g.countRetrySent(c.service.Name)
+	if err := reserved.maySend(); err != nil {
+		return err
 	}
-	return err
+	return c.useRetry()
 }
 
-// withhold undoes an attempt of which nothing was sent. A request in quarantine is refused.
+// withhold undoes an attempt of which nothing was sent. A request in quarantine is refused. One without a
+// retry ends with the error of its last attempt.
 func (c *call) withhold(reserved *reservation, err error) {
 	reserved.release(outcomeNeutral)
 	c.g.counts.increment("attempts.withheld")
 	c.log("attempt withheld", "upstream", reserved.ID(), "send", c.attempts, "error", err.Error())
 	c.attempts--
 	c.tried = c.tried[:len(c.tried)-1]
-	c.last = err
-	if errors.Is(err, errQuarantinedMeanwhile) {
+	switch {
+	case errors.Is(err, errRetryEnded):
+		c.g.counts.budgetEmpty.Inc(1)
+		c.isFinal = true
+	case errors.Is(err, errQuarantinedMeanwhile):
 		c.last, c.isFinal = c.refuseQuarantined(), true
+	default:
+		c.last = err
 	}
 }
 
@@ -177,7 +182,8 @@
 	resp, err := c.g.cfg.Client.Send(ctx, t, r)
 	var stalled *stalledError
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
-		c.isFinal, c.hasRetry = !stalled.HasOtherEngine, stalled.HasRetry
+		c.isFinal = !stalled.HasOtherEngine
+		c.takeLeaveRetry(reserved)
 		return nil, stalled.verdict()
 	}
 	return resp, err
@@ -216,11 +222,10 @@
 	if c.mayHaveRun() && (!c.route.AllowsRetry() || c.quarantineVerdict == quarantine.Suspect) {
 		return false
 	}
-	if c.hasRetry {
-		c.hasRetry = false
+	if c.retry != nil {
 		return true
 	}
-	if !c.g.takeRetry(c.service.Name) {
+	if !c.takeRetry(ctx) {
 		c.g.counts.budgetEmpty.Inc(1)
 		return false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
+	"github.com/sassafraspost/sassafraspost/internal/standstill"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -70,6 +71,9 @@
 	DataCentreRegions map[string]string
 	// RetryBudget limits the retries of all hosts together.
 	RetryBudget retrybudget.Params
+	// RequestRetries asks the leading control host for retries beyond those that the requests of this host
+	// pay for; nil if there is none to ask.
+	RequestRetries func(context.Context, *wire.RetryRequest) (*wire.Retries, error)
 	// PlanReturns enables the rules for periodic load and returning callers.
 	PlanReturns bool
 	// Fingerprints computes request fingerprints that are the same on all hosts.
@@ -119,6 +123,10 @@
 	// upstreamsChanged is closed and replaced when the upstreams change, or which of them accept a
 	// request.
 	upstreamsChanged chan struct{}
+	// retriesGranted is closed and replaced when a request for retries was answered or has failed.
+	retriesGranted chan struct{}
+	// suspensions finds out that retries are older than they look.
+	suspensions *standstill.Suspensions
 	// cancels holds the cancel functions of the attempts that may be cancelled because their
 	// group does not serve or their engine is slow or unresponsive.
 	cancels map[*schedule.Ticket]context.CancelCauseFunc
@@ -139,6 +147,11 @@
 			return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "there are no control hosts")
 		}
 	}
+	if cfg.RequestRetries == nil {
+		cfg.RequestRetries = func(context.Context, *wire.RetryRequest) (*wire.Retries, error) {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "there are no control hosts")
+		}
+	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
 		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(),
@@ -147,6 +160,7 @@
 			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), StartupUntil: startupWait, PlanReturns: cfg.PlanReturns,
 		}),
+		retriesGranted: make(chan struct{}), suspensions: standstill.NewSuspensions(),
 		upstreamsChanged: make(chan struct{}), waiters: map[*schedule.Waiter]chan schedule.Decision{},
 		cancels: map[*schedule.Ticket]context.CancelCauseFunc{},
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -34,6 +35,8 @@
 	front   *httptest.Server
 	// clockAhead is how far the gateway's clock is ahead of the real one, in nanoseconds.
 	clockAhead atomic.Int64
+	// grantedRetries is how many retries the gateway has asked for, of which it gets 100.
+	grantedRetries atomic.Int64
 	// addresses holds the addresses of the upstreams by id.
 	addresses map[string]string
 	// dataCentre is the data centre of the upstreams that are added next.
@@ -85,7 +88,11 @@
 		Dialect: d, Client: dispatch.New(dispatch.Config{HeaderNames: d.UpstreamHeaders, DialTimeout: 5 * time.Second}),
 		DataCentreRegions: map[string]string{"n": "north", "s": "south"},
 		RetryBudget:       retrybudget.Params{Ratio: 0.2, Extra: 100, Window: 10 * time.Second},
-		Now:               now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+		RequestRetries: func(_ context.Context, m *wire.RetryRequest) (*wire.Retries, error) {
+			left := 100 - env.grantedRetries.Add(int64(m.Count))
+			return &wire.Retries{Count: m.Count + int(min(left, 0))}, nil
+		},
+		Now: now, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
 	})
 	env.gateway, env.front = g, httptest.NewServer(g)
 	t.Cleanup(env.front.Close)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
+	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -59,8 +60,8 @@
 	// hasPossiblyRun is set once an attempt may have run, so that a later refusal can't claim
 	// otherwise.
 	hasPossiblyRun bool
-	// hasRetry is set if a retry was taken from the budget for the next attempt already.
-	hasRetry bool
+	// retry was taken from the budget for the next attempt; nil if none was, or once it is sent.
+	retry *retrybudget.Retry
 	// isFinal is set if no further attempt is to be made, so that the caller gets its response
 	// without delay: no upstream is left, the group of the last attempt does not serve, the
 	// request is quarantined, the upstream has ended while it ran the request, or there is no
@@ -110,6 +111,7 @@
 
 // close releases what the request holds.
 func (c *call) close() {
+	c.returnRetry()
 	c.memory.Close()
 	c.stop(nil)
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -93,15 +93,16 @@
 // Guards against spending the shared retry budget on a request for which no upstream is left.
 // Its caller gets the final response at once.
 func TestRetryBudgetIsNotSpentWithoutUpstream(t *testing.T) {
-	// retriesLeft counts the retries left in the budget after one request.
-	retriesLeft := func(env *testEnv) int {
+	// sentRetries counts the retries that were sent.
+	sentRetries := func(env *testEnv) int {
 		env.gateway.mu.Lock()
 		defer env.gateway.mu.Unlock()
-		left := 0
-		for env.gateway.scheduler.TakeRetry("s", env.gateway.now()) {
-			left++
+		sent := 0
+		for _, r := range env.gateway.scheduler.TakeRetryReports(env.gateway.now()) {
+			require.Equal(t, r.Taken, r.Sent+r.Returned, "no retry is lost")
+			sent += r.Sent
 		}
-		return left
+		return sent
 	}
 	served, refused := newTestEnv(t), newTestEnv(t)
 	served.setTable(nil)
@@ -112,5 +113,6 @@
 	refused.addUpstream("u1", refuseNotRun)
 	resp, _ = refused.post("/safe/", nil)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-	require.Equal(t, retriesLeft(served)-1, retriesLeft(refused))
+	require.Zero(t, sentRetries(served))
+	require.Zero(t, sentRetries(refused), "the retry was given back")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -166,7 +166,7 @@
 func (r *relay) recordIncomplete(ctx context.Context, err error) {
 	c := r.c
 	if r.reserved.isMoved() {
-		c.hasRetry = true
+		c.takeLeaveRetry(r.reserved)
 		r.reserved.release(outcomeNeutral)
 		c.log("stream leaves its engine", "upstream", r.reserved.ID(), "event", r.last, "reason", r.reserved.cause().Error())
 		return
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -177,7 +177,7 @@
 	return g.view.IsDraining(r.ID(), r.StartedAt())
 }
 
-// SetHostCount sets how many hosts share the budgets and limits.
+// SetHostCount sets how many hosts share the limits.
 func (g *Gateway) SetHostCount(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -213,6 +213,7 @@
 		}
 	}
 	g.moveStreams()
+	g.requestRetries()
 }
 
 // logReportChanges logs whose load reports are missing and whose arrive again. The caller holds mu.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -80,6 +80,7 @@
 			SilenceTimeout: time.Duration(silenceIntervals * float64(n.settings.AnnounceInterval)), ForgetTimeout: forgetTimeout,
 			ForwardsKnownColdTimes: n.settings.ColdBound != backpressure.ColdBound{},
 		},
+		RetryBudget:  n.settings.RetryBudget,
 		DataCentres:  slices.Sorted(maps.Keys(n.settings.DataCentreRegions)),
 		RestartCache: control.NewRestartCache(journal.OS{}, set.DataFolder+restartCacheSuffix),
 		Log:          n.log, Metrics: n.metrics,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -58,13 +58,14 @@
 	})
 	n.openPool("")
 	f := newFollower(n, "entry")
+	leader := control.NewClientWithAddressBook(n.pool, f.controlHosts)
 	client := dispatch.New(dispatch.Config{HeaderNames: n.platform.Dialect.UpstreamHeaders, DialTimeout: upstreamDialTimeout})
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
 		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre, DataCentreRegions: n.settings.DataCentreRegions,
-		RetryBudget: n.settings.RetryBudget, ColdBound: n.settings.ColdBound, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper,
+		RetryBudget: n.settings.RetryBudget, RequestRetries: leader.RequestRetries, ColdBound: n.settings.ColdBound, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper,
 		MemoryMB: n.settings.MemoryMB, Settle: n.standstills.Settle, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
-			Publish: n.sendNotices, RequestTokens: control.NewClientWithAddressBook(n.pool, f.controlHosts).RequestTokens,
+			Publish: n.sendNotices, RequestTokens: leader.RequestTokens,
 		},
 	})}
 	f.mergeUpstreams, f.dropSource, f.setEntryHostCount, f.applyTable = e.gateway.Merge, e.gateway.DropSource, e.gateway.SetHostCount, e.gateway.SetTable
--- /dev/null
+++ b/internal/retrybudget/ledger_test.go
@@ -0,0 +1,68 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const service = "s"
+
+// reserve proposes and confirms up to n retries in a log with the given total, and returns how many may be
+// granted.
+func reserve(l *Ledger, total *uint64, n int, now time.Duration) int {
+	l.Observe(service, *total, now)
+	proposed := l.Propose(service, n, now)
+	*total += uint64(proposed)
+	l.Observe(service, *total, now)
+	return l.Confirm(service, proposed, now)
+}
+
+func TestLedgerGrantsTheExtraOnceInHold(t *testing.T) {
+	l, total := NewLedger(params), uint64(0)
+	require.Equal(t, 60, reserve(l, &total, 60, time.Second))
+	require.Equal(t, 30, reserve(l, &total, 60, 2*time.Second))
+	require.Zero(t, reserve(l, &total, 60, time.Second+params.Hold()))
+	later := time.Second + params.Hold() + params.Hold()/spanBuckets
+	require.Equal(t, 60, reserve(l, &total, 90, later))
+	require.Equal(t, 90, l.Usage(service, later))
+}
+
+// Guards against a leader that doesn't count what the leader before it has granted.
+func TestNewLeaderCountsWhatTheOneBeforeItHasGranted(t *testing.T) {
+	old, follower, total := NewLedger(params), NewLedger(params), uint64(0)
+	require.Equal(t, 80, reserve(old, &total, 80, time.Second))
+	require.Equal(t, 10, reserve(follower, &total, 80, 2*time.Second))
+
+	restarted := NewLedger(params)
+	require.Zero(t, reserve(restarted, &total, 80, 3*time.Second), "it does not know when the retries were reserved")
+	require.Equal(t, 80, reserve(restarted, &total, 80, 4*time.Second+params.Hold()))
+}
+
+// Guards against two leaders that each believe what the other reserves to be free.
+func TestReservationsOfTwoLeadersShareTheExtra(t *testing.T) {
+	a, b, total := NewLedger(params), NewLedger(params), uint64(0)
+	a.Observe(service, total, 0)
+	b.Observe(service, total, 0)
+	require.Equal(t, 60, a.Propose(service, 60, 0))
+	require.Equal(t, 60, b.Propose(service, 60, 0))
+	total += 60
+	a.Observe(service, total, 0)
+	require.Equal(t, 60, a.Confirm(service, 60, 0))
+	total += 60
+	b.Observe(service, total, 0)
+	require.Equal(t, 30, b.Confirm(service, 60, 0))
+}
+
+func TestAbandonedProposalIsFreeUnlessItWasReserved(t *testing.T) {
+	l := NewLedger(params)
+	l.Observe(service, 0, 0)
+	require.Equal(t, 90, l.Propose(service, 90, 0))
+	require.Zero(t, l.Propose(service, 1, 0))
+	l.Abandon(service, 90)
+	require.Equal(t, 90, l.Propose(service, 90, 0))
+	l.Abandon(service, 90)
+	l.Observe(service, 90, 0)
+	require.Zero(t, l.Propose(service, 1, 0))
+}
--- a/internal/schedule/budget.go
+++ b/internal/schedule/budget.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 )
 
 // CountRequest counts a caller's request to a service for its retry budget.
@@ -11,37 +13,94 @@
 	s.service(name).budget.AddRequest(s.cfg.RetryBudget, now)
 }
 
-// TakeRetry takes one retry from the service's budget, and reports whether the budget allows
-// it.
-func (s *Scheduler) TakeRetry(name string, now time.Duration) bool {
+// TakeRetry takes one retry from the service's budget, and returns false if none is allowed now. The retry
+// must be sent or returned.
+func (s *Scheduler) TakeRetry(name string, now time.Duration) (retrybudget.Retry, bool) {
 	sv := s.service(name)
-	ok := sv.budget.Take(s.cfg.RetryBudget, s.hosts, now)
+	r, ok := sv.budget.Take(now)
 	if ok {
 		sv.retries.taken++
 	} else {
 		sv.retries.refused++
 	}
-	return ok
+	return r, ok
+}
+
+// ReturnRetry gives back a retry of which nothing was sent.
+func (s *Scheduler) ReturnRetry(name string, r retrybudget.Retry, now time.Duration) {
+	sv := s.service(name)
+	sv.retries.returned++
+	sv.budget.Return(r, now)
 }
 
-// CountRetrySent counts a retry whose first byte is sent now.
-func (s *Scheduler) CountRetrySent(name string) { s.service(name).retries.sent++ }
+// SendRetry reports whether the first byte of a retry may be sent now, and counts it if so.
+func (s *Scheduler) SendRetry(name string, r retrybudget.Retry, now time.Duration) bool {
+	sv := s.service(name)
+	if !sv.budget.MaySend(r, now) {
+		return false
+	}
+	sv.retries.sent++
+	return true
+}
 
-// retryCounts counts decisions on retries: how many the budget allowed and refused, and how many were
-// sent.
-type retryCounts struct{ taken, refused, sent int }
+// DropRetries drops all that the budgets of this host have, because the host was suspended.
+func (s *Scheduler) DropRetries() {
+	for _, sv := range s.services {
+		sv.budget.DropAll()
+	}
+}
+
+// RetriesMayBeGranted reports whether it is worth waiting for a retry of a service.
+func (s *Scheduler) RetriesMayBeGranted(name string, now time.Duration) bool {
+	return s.service(name).budget.MayBeGranted(s.cfg.RetryBudget, now)
+}
+
+// RetryRequest tells for how many retries of a service this host is to ask.
+type RetryRequest struct {
+	Service string
+	Count   int
+}
 
-// RetryReport tells what was decided on the retries of one service since the last report, and why.
+// TakeRetryRequests returns the requests for retries that are to be sent now. Each must be answered by
+// AddRetries or RetriesUnanswered.
+func (s *Scheduler) TakeRetryRequests(now time.Duration) []RetryRequest {
+	var out []RetryRequest
+	for _, sv := range s.services {
+		if n := sv.budget.Ask(s.cfg.RetryBudget, now); n > 0 {
+			out = append(out, RetryRequest{Service: sv.name, Count: n})
+		}
+	}
+	return out
+}
+
+// AddRetries records the answer to a request for retries that was sent at askedAt: how many were granted,
+// and the time after which the host may ask again.
+func (s *Scheduler) AddRetries(name string, n int, askedAt, again, now time.Duration) {
+	sv := s.service(name)
+	sv.retries.granted += n
+	sv.budget.Granted(n, askedAt, again, now)
+}
+
+// RetriesUnanswered records that a request for retries was not answered.
+func (s *Scheduler) RetriesUnanswered(name string, now time.Duration) {
+	s.service(name).budget.Unanswered(now)
+}
+
+// retryCounts counts decisions on retries: how many the budget allowed and refused, how many were sent and
+// given back, and how many a control host has granted.
+type retryCounts struct{ taken, refused, sent, returned, granted int }
+
+// RetryReport tells what was decided on the retries of one service since the last report.
 type RetryReport struct {
 	Service string
-	// Taken and Refused count the retries that the budget allowed and refused, Sent those that were
-	// sent.
-	Taken, Refused, Sent int
-	// Requests and Spent are the requests and the retries in the window of the budget.
-	Requests, Spent int
-	// Hosts is the number of hosts that the budget is divided by, and HostsAge how long ago it was set.
-	Hosts    int
-	HostsAge time.Duration
+	// Taken and Refused count the retries that the budget allowed and refused, Sent those that were sent,
+	// Returned those that were not, and Granted those that a control host has granted.
+	Taken, Refused, Sent, Returned, Granted int
+	// Own is how many retries the host's requests pay for now, and Unused how many granted ones it has.
+	Own    float64
+	Unused int
+	// IsGrantable is set if the host may ask for more.
+	IsGrantable bool
 }
 
 // TakeRetryReports returns a report of each service for which a retry was wanted or sent since the last
@@ -49,15 +108,16 @@
 func (s *Scheduler) TakeRetryReports(now time.Duration) []RetryReport {
 	var out []RetryReport
 	for _, sv := range s.services {
-		if sv.retries == (retryCounts{}) {
+		c := sv.retries
+		if c == (retryCounts{}) {
 			continue
 		}
-		requests, spent := sv.budget.Usage(s.cfg.RetryBudget, now)
+		sv.retries = retryCounts{}
+		own, unused := sv.budget.Left(now)
 		out = append(out, RetryReport{
-			Service: sv.name, Taken: sv.retries.taken, Refused: sv.retries.refused, Sent: sv.retries.sent,
-			Requests: requests, Spent: spent, Hosts: s.hosts, HostsAge: now - s.hostsSetAt,
+			Service: sv.name, Taken: c.taken, Refused: c.refused, Sent: c.sent, Returned: c.returned, Granted: c.granted,
+			Own: own, Unused: unused, IsGrantable: sv.budget.MayBeGranted(s.cfg.RetryBudget, now),
 		})
-		sv.retries = retryCounts{}
 	}
 	slices.SortFunc(out, func(a, b RetryReport) int { return cmp.Compare(a.Service, b.Service) })
 	return out
--- a/internal/schedule/leave.go
+++ b/internal/schedule/leave.go
@@ -101,9 +101,9 @@
 	for _, a := range found {
 		w := sv.awaitingHeader[a.Ticket]
 		switch {
-		case sv.left < free && w.mayResend && s.hasOtherEngine(a.Ticket, minRatio, now) && s.TakeRetry(sv.name, now):
+		case sv.left < free && w.mayResend && s.hasOtherEngine(a.Ticket, minRatio, now) && s.takeLeaveRetry(a.Ticket, now):
 			sv.left++
-			a.HasOtherEngine, a.HasRetry = true, true
+			a.HasOtherEngine = true
 		case now-w.silentSince >= StalledAttemptTimeout:
 			a.RetryAfter = leaveRetryAfter
 		default:
@@ -121,3 +121,13 @@
 	_, free := s.capacityOf(sv, now, func(u *upstream) bool { return !u.lacksReport(maxAge, now) })
 	return int(free * s.shareOf(sv, now))
 }
+
+// takeLeaveRetry takes a retry for the next attempt of a request that leaves its upstream. It returns false
+// if the budget allows none now.
+func (s *Scheduler) takeLeaveRetry(t *Ticket, now time.Duration) bool {
+	r, ok := s.TakeRetry(t.service.name, now)
+	if ok {
+		t.retry = &r
+	}
+	return ok
+}
--- a/internal/schedule/leave_test.go
+++ b/internal/schedule/leave_test.go
@@ -64,7 +64,8 @@
 	left := f.passTime(reportInterval)
 	require.Len(t, left, 4)
 	for _, a := range left {
-		require.True(t, a.HasOtherEngine && a.HasRetry)
+		_, hasRetry := a.Ticket.TakeLeaveRetry()
+		require.True(t, a.HasOtherEngine && hasRetry)
 		require.Equal(t, EngineUnresponsive, a.Reason)
 	}
 	require.Empty(t, f.passTime(2*StalledAttemptTimeout), "an attempt leaves once")
--- a/internal/schedule/move.go
+++ b/internal/schedule/move.go
@@ -53,8 +53,9 @@
 	free := max(s.slotsToLeaveFor(sv, maxAge, now)-sv.left, 0)
 	slices.SortFunc(moves, func(a, b Move) int { return cmp.Compare(a.began, b.began) })
 	for _, m := range moves[:min(len(moves), free)] {
-		if !s.TakeRetry(sv.name, now) {
-			break
+		if !s.takeLeaveRetry(m.Ticket, now) {
+			// Each that misses a retry is asked for.
+			continue
 		}
 		sv.left++
 		delete(sv.movable, m.Ticket)
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 )
 
 const (
@@ -56,6 +57,9 @@
 	hasToken  bool
 	allowance *backpressure.Allowance
 	sendBy    time.Duration
+	// retry was taken from the budget for the next attempt of the request, which leaves its upstream; nil
+	// if none was, or once TakeLeaveRetry has returned it.
+	retry *retrybudget.Retry
 }
 
 // ID returns the id of the upstream.
@@ -70,6 +74,18 @@
 	return slices.Index(t.service.classes, t.class), len(t.service.classes) > 1 && t.class != nil
 }
 
+// TakeLeaveRetry returns the retry that was taken for the next attempt of the request when it had to leave
+// its upstream. It returns false if there is none. A retry that is not asked for before the release is
+// given back.
+func (t *Ticket) TakeLeaveRetry() (retrybudget.Retry, bool) {
+	if t.retry == nil {
+		return retrybudget.Retry{}, false
+	}
+	r := *t.retry
+	t.retry = nil
+	return r, true
+}
+
 // Address returns the address of the upstream when the attempt began, as "ip:port".
 func (t *Ticket) Address() string { return t.address }
 
@@ -338,6 +354,9 @@
 	u, sv := t.upstream, t.service
 	delete(sv.awaitingHeader, t)
 	delete(sv.movable, t)
+	if r, ok := t.TakeLeaveRetry(); ok {
+		s.ReturnRetry(sv.name, r, now)
+	}
 	u.inflight--
 	u.tokens -= t.tokens
 	sv.inflight--
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -49,8 +49,6 @@
 	// that number was last valid.
 	recentHosts   int
 	recentHostsAt time.Duration
-	// hostsSetAt is when the number of hosts was set last.
-	hostsSetAt time.Duration
 	// upstreams holds, by id, the upstreams that serve and those that still have attempts of
 	// this host in flight. byAddress holds only the upstreams that serve.
 	upstreams map[string]*upstream
@@ -185,12 +183,12 @@
 	movable map[*Ticket]time.Duration
 }
 
-// SetHostCount sets the number of hosts that share the upstreams and the retry budgets.
+// SetHostCount sets the number of hosts that share the upstreams.
 func (s *Scheduler) SetHostCount(n int, now time.Duration) {
 	if s.hosts >= s.recentHosts {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
-	s.hosts, s.hostsSetAt = max(n, 1), now
+	s.hosts = max(n, 1)
 	if s.hosts >= s.recentHosts || now-s.recentHostsAt > hostMemory {
 		s.recentHosts, s.recentHostsAt = s.hosts, now
 	}
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -67,8 +67,17 @@
 	return l.SetUpstreams(map[string][]registry.Upstream{"s": all}, l.now)
 }
 
+// stockRetries makes the retries available of which the control hosts would grant some, and that were not
+// taken yet.
+func (l *testCluster) stockRetries() {
+	sv := l.service("s")
+	sv.budget = retrybudget.Budget{}
+	l.AddRetries("s", int(l.cfg.RetryBudget.Extra)-sv.retries.taken, l.now, 0, l.now)
+}
+
 // report changes the load of one engine and then reports the loads of all engines.
 func (l *testCluster) report(id string, change func(*wire.EngineLoad)) ([]Result, []StalledAttempt) {
+	l.stockRetries()
 	if change != nil {
 		load := l.loads[id]
 		change(&load)
--- a/internal/schedule/stall.go
+++ b/internal/schedule/stall.go
@@ -25,9 +25,7 @@
 	// RetryAfter.
 	HasOtherEngine bool
 	RetryAfter     time.Duration
-	// HasRetry is set if a retry was taken from the budget for the next attempt.
-	HasRetry bool
-	Reason   LeaveReason
+	Reason         LeaveReason
 }
 
 // AwaitHeader registers an attempt that waits for its response header. It may be ended until
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -24,6 +24,7 @@
 	kindSetVoterAddress  commandKind = 6
 	kindPutConfiguration commandKind = 7
 	kindSetEvacuation    commandKind = 8
+	kindReserveRetries   commandKind = 9
 )
 
 // envelope is the encoded form of a command in the log.
@@ -34,7 +35,8 @@
 }
 
 // Command is one change of the tables: Init, AdvanceClock, SubmitDocument,
-// ClaimBatch, FinishClaims, SetVoterAddress, PutConfiguration or SetEvacuation.
+// ClaimBatch, FinishClaims, SetVoterAddress, PutConfiguration, SetEvacuation or
+// ReserveRetries.
 type Command interface {
 	kind() commandKind
 }
@@ -175,6 +177,8 @@
 		return decodeBody[PutConfiguration](e.Body)
 	case kindSetEvacuation:
 		return decodeBody[SetEvacuation](e.Body)
+	case kindReserveRetries:
+		return decodeBody[ReserveRetries](e.Body)
 	}
 	return nil, &Rejected{Reason: ReasonUnknownKind}
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated tables: documents, claims of non-idempotent
 // calls, the routing configuration, the evacuations of data centres, the cluster's id and
-// addresses, and the audit trail.
+// addresses, reserved retries, and the audit trail.
 //
 // The contents of the tables depend on the log alone. The tables read no clock: they have
 // a logical clock, which AdvanceClock commands advance, and everything expires by it.
@@ -13,7 +13,7 @@
 // one lock may only take a lock that comes later in this order:
 //
 //	Machine.applyMu, documents.mu, claims.mu, cluster.mu, configuration.mu, evacuations.mu,
-//	audit.mu
+//	retries.mu, audit.mu
 //
 // Readers take one lock at a time. No code of other packages is called while a lock is
 // held, except the filter of History.
@@ -127,6 +127,7 @@
 	cluster       cluster
 	configuration configuration
 	evacuations   evacuations
+	retries       retries
 	audit         audit
 }
 
@@ -138,6 +139,7 @@
 	m.cluster.init()
 	m.configuration.init()
 	m.evacuations.init()
+	m.retries.init()
 	m.audit.init(m.options.AuditRecords)
 	return m
 }
@@ -178,6 +180,8 @@
 		return m.putConfiguration(index, c)
 	case SetEvacuation:
 		return m.setEvacuation(index, c)
+	case ReserveRetries:
+		return m.reserveRetries(c)
 	}
 	return Rejected{Reason: ReasonUnknownKind}
 }
--- a/internal/state/result.go
+++ b/internal/state/result.go
@@ -17,6 +17,8 @@
 	ReasonTooLarge       Reason = "document is too large"
 	// ReasonTooManyDataCentres: there were orders for MaxDataCentres other data centres.
 	ReasonTooManyDataCentres Reason = "too many data centres"
+	// ReasonTooManyServices: retries were reserved for MaxRetryServices other services.
+	ReasonTooManyServices Reason = "too many services"
 )
 
 // Rejected is the result of an invalid command, which had no effect.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -31,6 +31,8 @@
 	Configuration Configuration `cbor:"14,keyasint,omitempty"`
 	// Evacuations is nil if there never was an order, and in snapshots of older builds.
 	Evacuations *Evacuations `cbor:"15,keyasint,omitempty"`
+	// Retries holds the reserved retries, sorted by service.
+	Retries []RetryReservation `cbor:"16,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded tables after the last applied log entry.
@@ -62,6 +64,7 @@
 	if e := m.Evacuations(); len(e.All) > 0 {
 		s.Evacuations = &e
 	}
+	s.Retries = m.retries.sorted()
 	m.audit.capture(&s)
 	return s
 }
@@ -119,6 +122,7 @@
 	m.cluster.restore(s.ClusterID, s.Membership, s.Addresses)
 	m.configuration.set(s.Configuration)
 	m.evacuations.restore(evacuationsOf(&s))
+	m.retries.restore(s.Retries)
 	m.audit.restore(s.Audit)
 	m.logicalTime.Store(uint64(s.LogicalTime))
 	m.appliedIndex.Store(s.AppliedIndex)
@@ -140,11 +144,13 @@
 	m.cluster.mu.Lock()
 	m.configuration.mu.Lock()
 	m.evacuations.mu.Lock()
+	m.retries.mu.Lock()
 	m.audit.mu.Lock()
 }
 
 func (m *Machine) unlockTables() {
 	m.audit.mu.Unlock()
+	m.retries.mu.Unlock()
 	m.evacuations.mu.Unlock()
 	m.configuration.mu.Unlock()
 	m.cluster.mu.Unlock()
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -22,6 +22,8 @@
 	KindTokenRequest        Kind = 100
 	KindTokens              Kind = 101
 	KindEvacuations         Kind = 102
+	KindRetryRequest        Kind = 103
+	KindRetries             Kind = 104
 )
 
 // Attach asks a control host to send its state and all later changes, as Upstreams,
@@ -206,3 +208,24 @@
 
 // Kind implements Message.
 func (*Evacuations) Kind() Kind { return KindEvacuations }
+
+// RetryRequest asks the leading control host for retries of a service beyond those that the sender's own
+// requests pay for. The reply is Retries or Failure.
+type RetryRequest struct {
+	Service string `cbor:"1,keyasint"`
+	// Count is how many retries the sender could send now.
+	Count int `cbor:"2,keyasint"`
+}
+
+// Kind implements Message.
+func (*RetryRequest) Kind() Kind { return KindRetryRequest }
+
+// Retries grants retries of a service. They end retrybudget.Lifetime after they were asked for.
+type Retries struct {
+	Count int `cbor:"1,keyasint,omitempty"`
+	// AgainMS is how long the receiver must wait before it asks for retries of the same service again.
+	AgainMS int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Retries) Kind() Kind { return KindRetries }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -145,6 +145,7 @@
 		&StatusQuery{}, &StatusAnswer{}, &ReadQuery{}, &ReadAnswer{}, &ConsensusPart{},
 		&Attach{}, &Upstreams{}, &ConfigurationNotice{}, &ConfigurationQuery{}, &ConfigurationAnswer{}, &Hosts{}, &EngineLoad{}, &EngineLoads{},
 		&Suspicions{}, &Notices{}, &TokenRequest{}, &Tokens{}, &Evacuations{},
+		&RetryRequest{}, &Retries{},
 	}
 	m := make(map[Kind]reflect.Type, len(all))
 	for _, msg := range all {
