Bound the head of an upstream's response in bytes and in time

Callers saw nothing yet; an entry host of 284 MB would have been killed: a response whose status line, header line, header or series of informational responses has no end was read until the deadline of its request, and all of it kept. A late response to an earlier request was skipped for as long as it went on.

Cause: http.ReadResponse has no bound on a plain reader, and the header had no time of its own.

Change: the reader of a connection lets 64 KiB of heads through for a response, and 2 s from the first byte to the end of a head; of a response that is skipped, 1 MiB. Beyond that the attempt fails, the connection is closed, and the request may have run. Waiting for the first byte is bounded by the deadline as before.

Measured: 50 endless responses at once, of nine kinds. Now all end early within the bound. Chunk extensions, trailers and whole informational responses were bounded before and stay so. A fuzz target holds the number of bytes read.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -178,8 +178,10 @@
 // readResponse reads responses until one carries the attempt's id. On a reused connection it
 // skips late responses to the previous attempt.
 func (c *Client) readResponse(conn *conn, r *Request, attempt string) (*http.Response, error) {
+	conn.input.limit(maxHeadBytes)
+	defer conn.input.unlimit()
 	for range 1 + maxStaleResponses {
-		resp, err := http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
+		resp, err := conn.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -194,9 +196,11 @@
 		case received == "" || received != conn.previousAttempt:
 			return nil, errors.New("response to another request")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		conn.input.unlimit()
+		if err := skipBody(resp); err != nil {
 			return nil, err
 		}
+		conn.input.limit(maxHeadBytes)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -27,7 +27,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// input limits what reader may read.
+	input  *limitedReader
+	reader *bufio.Reader
 	// requests counts the requests sent on the connection; previousAttempt is the id of the
 	// last attempt that was answered on it.
 	requests        int
@@ -42,7 +44,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	return newConn(c, address), nil
+}
+
+func newConn(c net.Conn, address string) *conn {
+	input := &limitedReader{from: c}
+	return &conn{Conn: c, address: address, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}
 }
 
 // isReusable reports whether nothing was received on an idle connection: no bytes, which would
--- /dev/null
+++ b/internal/dispatch/endless_test.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+)
+
+const (
+	// endlessCount is how many endless responses a client reads at once.
+	endlessCount = 50
+	// maxHeapGrowth is what an entry host of 284 MB may hold for its callers.
+	maxHeapGrowth = 85 << 20
+	// endlessPatience is the deadline of an attempt that gets an endless response.
+	endlessPatience = 10 * time.Second
+)
+
+// endless are responses of which a part has no end: what comes first, and what is repeated after it.
+var endless = map[string]struct{ first, repeated string }{
+	"status line":        {"HTTP/1.1 200 ", "a"},
+	"bytes without line": {"", "x"},
+	"header line":        {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+	"header lines":       {"HTTP/1.1 200 OK\r\n", "X-B: b\r\n"},
+	"informational":      {"", "HTTP/1.1 103 Early Hints\r\nX-B: b\r\n\r\n"},
+	"informational head": {"HTTP/1.1 103 Early Hints\r\n", "X-B: b\r\n"},
+	"earlier response":   {"HTTP/1.1 200 OK\r\nX-A: earlier\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	"chunk extension":    {"HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n1;e=", "e"},
+	"trailer":            {"HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-B: b\r\n"},
+}
+
+// serveEndless writes the response until the connection is closed.
+func serveEndless(t *testing.T, first, repeated string) string {
+	block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+	return serveUpstream(t, func(c net.Conn, r *http.Request, n int) {
+		if n == 0 && r.Header.Get("X-A") == "earlier" {
+			writeResponse(c, "earlier", "")
+			return
+		}
+		for _, err := io.WriteString(c, first); err == nil; {
+			_, err = c.Write(block)
+		}
+	})
+}
+
+// heapWatch ends a context when the heap has grown by more than maxHeapGrowth.
+type heapWatch struct {
+	before, most uint64
+	stop         func()
+	done         sync.WaitGroup
+}
+
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func watchHeap(ctx context.Context, stop func()) *heapWatch {
+	runtime.GC()
+	w := &heapWatch{before: heapBytes(), stop: stop}
+	w.done.Go(func() {
+		tick := time.NewTicker(2 * time.Millisecond)
+		defer tick.Stop()
+		for ctx.Err() == nil {
+			<-tick.C
+			if w.most = max(w.most, heapBytes()); w.most > w.before+maxHeapGrowth {
+				stop()
+			}
+		}
+	})
+	return w
+}
+
+// growth returns by how many bytes the heap has grown at most.
+func (w *heapWatch) growth() int64 {
+	w.stop()
+	w.done.Wait()
+	return int64(w.most) - int64(w.before)
+}
+
+// Guards against responses without an end that fill the memory of the host until the deadline of their
+// requests. Each attempt ends early, may have run, and closes its connection; other requests are served.
+func TestEndlessResponsesEndEarlyInBoundedMemory(t *testing.T) {
+	sound := serveUpstream(t, func(c net.Conn, r *http.Request, _ int) { writeResponse(c, r.Header.Get("X-A"), "ok") })
+	for name, e := range endless {
+		t.Run(name, func(t *testing.T) {
+			address := serveEndless(t, e.first, e.repeated)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
+			defer cancel()
+			client, heap := newTestClient(), watchHeap(ctx, cancel)
+			var attempts sync.WaitGroup
+			for range endlessCount {
+				attempts.Go(func() {
+					if name == "earlier response" {
+						if resp, err := client.Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("earlier")); err == nil {
+							_, _ = resp.ReadAll(0)
+							resp.Close()
+						}
+					}
+					resp, err := client.Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("a"))
+					if err == nil {
+						_, err = resp.ReadAll(1 << 20)
+						resp.Close()
+					}
+					require.Error(t, err)
+					require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
+				})
+			}
+			attempts.Wait()
+			require.NoError(t, ctx.Err(), "ended before the deadline and within %d MB", maxHeapGrowth>>20)
+			body, err := send(t, client, sound, "b")
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+			require.LessOrEqual(t, heap.growth(), int64(maxHeapGrowth))
+			client.pool.mu.Lock()
+			defer client.pool.mu.Unlock()
+			require.Zero(t, client.pool.open[address], "connections are closed")
+		})
+	}
+}
+
+func endlessRequest(attempt string) *Request {
+	return &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-A": {attempt}}}
+}
+
+// Guards against a head that comes so slowly that it holds its request until the deadline. The time
+// before its first byte does not count.
+func TestSlowHeadEndsEarly(t *testing.T) {
+	address := serveUpstream(t, func(c net.Conn, _ *http.Request, _ int) {
+		for _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A: "); err == nil; {
+			<-time.After(20 * time.Millisecond)
+			_, err = io.WriteString(c, "a")
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
+	defer cancel()
+	_, err := newTestClient().Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("a"))
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "ended before the deadline")
+	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
+}
+
+// countingConn counts the bytes that are read from it.
+type countingConn struct {
+	net.Conn
+	content io.Reader
+	read    int
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.content.Read(p)
+	c.read += n
+	return n, err
+}
+
+func (c *countingConn) SetReadDeadline(time.Time) error { return nil }
+
+// No head makes the client read more than its bound, whatever it contains.
+func FuzzHeadIsReadWithinItsBound(f *testing.F) {
+	for _, e := range endless {
+		f.Add(e.first, e.repeated)
+	}
+	f.Add("HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 2\r\n\r\n", "ok")
+	f.Fuzz(func(t *testing.T, first, repeated string) {
+		if repeated == "" {
+			return
+		}
+		content := first + strings.Repeat(repeated, 1+4*maxHeadBytes/len(repeated))
+		c := &countingConn{content: strings.NewReader(content)}
+		_, _ = newTestClient().readResponse(newConn(c, "a"), endlessRequest("a"), "a")
+		bound := (1 + maxStaleResponses) * (maxHeadBytes + maxStaleBytes + readBufferBytes)
+		require.LessOrEqual(t, c.read, bound)
+	})
+}
