Bound an event of a stream in bytes, and count it in the memory budget

Callers saw nothing yet; an entry host would have been killed: an event without an end was kept until the deadline of its request without asking the memory budget, and all of it was searched again at each read.

Incomplete events count in the memory budget. The search goes on where it ended.

--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -146,7 +146,7 @@
 func (r *relay) addToBacklog(ctx context.Context) error {
 	b := r.backlog
 	for rest := b.fill(r.batch); len(rest) > 0; {
-		if err := r.holdChunk(ctx); err != nil {
+		if err := r.hold(ctx, backlogChunkBytes); err != nil {
 			return err
 		}
 		rest = b.grow(rest)
@@ -155,10 +155,10 @@
 	return b.callerFailure()
 }
 
-// holdChunk counts the memory of another chunk. It waits for it until ctx ends.
-func (r *relay) holdChunk(ctx context.Context) error {
+// hold counts n more bytes. It waits for them until ctx ends.
+func (r *relay) hold(ctx context.Context, n int) error {
 	for {
-		err := r.c.hold(ctx, memory.Response, backlogChunkBytes)
+		err := r.c.hold(ctx, memory.Response, n)
 		switch {
 		case err == nil:
 			return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,8 @@
 	// before the end of the response.
 	events  sse.Splitter
 	readErr error
+	// held is how many bytes are counted for an event that is not complete.
+	held int
 	// last is the id of the last event that the caller has received or will receive from the
 	// backlog; 0 means none. Ids increase by 1.
 	last uint64
@@ -75,6 +77,9 @@
 // errOutOfOrder reports that the events of an upstream do not follow the caller's last event.
 var errOutOfOrder = errors.New("event ids are out of order")
 
+// errEventTooLong reports that an event of an upstream is longer than sse.MaxEventBytes.
+var errEventTooLong = errors.New("an event is too long")
+
 // streamEnd is how a stream has ended.
 type streamEnd uint8
 
@@ -186,6 +191,7 @@
 			continue
 		}
 		if resp.Status/100 == 2 {
+			r.releaseIncomplete()
 			r.resp, r.reserved, r.events, r.readErr, r.batches = resp, reserved, sse.Splitter{}, nil, 0
 			return true
 		}
@@ -205,7 +211,11 @@
 			n, r.readErr = r.resp.Read(r.buffer)
 			r.events.Write(r.buffer[:n])
 		}
-		if r.nextBatch(); len(r.batch) > 0 {
+		r.nextBatch()
+		if err := r.holdIncomplete(ctx); err != nil {
+			return err
+		}
+		if len(r.batch) > 0 {
 			if err := r.deliver(ctx); err != nil {
 				return err
 			}
@@ -242,6 +252,32 @@
 	}
 }
 
+// holdIncomplete counts the memory of an event that is not complete. An event that is too long is the
+// upstream's fault.
+func (r *relay) holdIncomplete(ctx context.Context) error {
+	n := len(r.events.Incomplete())
+	switch {
+	case r.events.IsTooLong() && r.readErr == nil:
+		r.readErr = errEventTooLong
+	case n > max(r.held, streamBufferBytes):
+		// The buffer of the event grows to up to twice its length.
+		more := 2*n - r.held
+		if err := r.hold(ctx, more); err != nil {
+			return err
+		}
+		r.held += more
+	case n <= streamBufferBytes:
+		r.releaseIncomplete()
+	}
+	return nil
+}
+
+// releaseIncomplete gives back the memory that holdIncomplete has counted.
+func (r *relay) releaseIncomplete() {
+	r.c.memory.Release(int64(r.held))
+	r.held = 0
+}
+
 // deliver writes the batch to the caller and flushes it, or adds it to the backlog.
 func (r *relay) deliver(ctx context.Context) error {
 	r.recordTiming(time.Now())
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -29,3 +29,19 @@
 	require.Equal(t, "17", ID([]byte("weight: 2\nid: 17\ndata: id: 9\n\n")))
 	require.Empty(t, ID([]byte("data: id: 9\n\n")))
 }
+
+// Guards against an event without an end, and against a search of all of it at each write.
+func TestEventWithoutEndIsTooLong(t *testing.T) {
+	var s Splitter
+	line := []byte("data: a\n")
+	for written := 0; written <= MaxEventBytes; written += len(line) {
+		require.False(t, s.IsTooLong())
+		s.Write(line)
+		require.Nil(t, s.Next())
+		require.Equal(t, len(s.Incomplete()), s.searched)
+	}
+	require.True(t, s.IsTooLong())
+	s.Write([]byte("\n"))
+	require.NotNil(t, s.Next())
+	require.False(t, s.IsTooLong())
+}
