Bound the other answers that hosts and the command line read

The same cause elsewhere: readers of answers with the library's bound of 10 MB on a head, and two without one on a body (engines of a group, the administration API at the command line). Heads are bounded to 64 KiB, those of engines' bodies to 4 MiB and of the API to 256 MiB. Agents of sassafraspostd were bounded before.

Measured on the code before: only the body of a group's engine failed its test (it lasted to the deadline of 10 s); heads ended at 10 MB. The fuzz target of heads ran for 20 s (146,669 cases), no failure.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -60,7 +60,7 @@
 	for _, address := range o.servers {
 		url := serverURL(address)
 		server, err := oas.NewClient(url, bearer(token), oas.WithClient(&http.Client{
-			Transport: transport,
+			Transport: limitedTransport{transport},
 			// A followed redirect could send the token to another host.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}))
@@ -96,8 +96,30 @@
 	return token, nil
 }
 
+const (
+	// maxHeaderBytes limits the header of an answer, and maxAnswerBytes its body, which is at most a
+	// history of large documents.
+	maxHeaderBytes = 64 << 10
+	maxAnswerBytes = 256 << 20
+)
+
+// limitedTransport limits the bodies of answers.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
+	}
+	return resp, err
+}
+
+// metricsClient is the client of metrics listeners.
+var metricsClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+
 func newTransport(caFile string) (*http.Transport, error) {
-	transport := &http.Transport{Proxy: nil, DisableKeepAlives: true}
+	transport := &http.Transport{Proxy: nil, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	if caFile == "" {
 		return transport, nil
 	}
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return errors.Wrap(err, target)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := metricsClient.Do(req)
 	if err != nil {
 		return errors.Wrap(err, target)
 	}
--- a/internal/cli/stats.go
+++ b/internal/cli/stats.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, address)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := metricsClient.Do(req)
 	if err != nil {
 		return "", errors.Wrap(err, address)
 	}
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/test/endless"
 )
 
 const (
@@ -26,28 +27,24 @@
 	endlessPatience = 10 * time.Second
 )
 
-// endless are responses of which a part has no end: what comes first, and what is repeated after it.
-var endless = map[string]struct{ first, repeated string }{
-	"status line":        {"HTTP/1.1 200 ", "a"},
-	"bytes without line": {"", "x"},
-	"header line":        {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
-	"header lines":       {"HTTP/1.1 200 OK\r\n", "X-B: b\r\n"},
-	"informational":      {"", "HTTP/1.1 103 Early Hints\r\nX-B: b\r\n\r\n"},
-	"informational head": {"HTTP/1.1 103 Early Hints\r\n", "X-B: b\r\n"},
-	"earlier response":   {"HTTP/1.1 200 OK\r\nX-A: earlier\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
-	"chunk extension":    {"HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n1;e=", "e"},
-	"trailer":            {"HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-B: b\r\n"},
+// endlessResponses returns responses of which a part has no end.
+func endlessResponses() map[string]endless.Response {
+	all := endless.Heads()
+	all["earlier response"] = endless.Response{First: "HTTP/1.1 200 OK\r\nX-A: earlier\r\nTransfer-Encoding: chunked\r\n\r\n", Repeated: "1\r\na\r\n"}
+	all["chunk extension"] = endless.Response{First: "HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n1;e=", Repeated: "e"}
+	all["trailer"] = endless.Response{First: "HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", Repeated: "X-B: b\r\n"}
+	return all
 }
 
-// serveEndless writes the response until the connection is closed.
-func serveEndless(t *testing.T, first, repeated string) string {
-	block := bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+// serveEndless writes the response until the connection is closed, but answers an earlier attempt.
+func serveEndless(t *testing.T, e endless.Response) string {
+	block := bytes.Repeat([]byte(e.Repeated), 1+(64<<10)/len(e.Repeated))
 	return serveUpstream(t, func(c net.Conn, r *http.Request, n int) {
 		if n == 0 && r.Header.Get("X-A") == "earlier" {
 			writeResponse(c, "earlier", "")
 			return
 		}
-		for _, err := io.WriteString(c, first); err == nil; {
+		for _, err := io.WriteString(c, e.First); err == nil; {
 			_, err = c.Write(block)
 		}
 	})
@@ -93,9 +90,9 @@
 // requests. Each attempt ends early, may have run, and closes its connection; other requests are served.
 func TestEndlessResponsesEndEarlyInBoundedMemory(t *testing.T) {
 	sound := serveUpstream(t, func(c net.Conn, r *http.Request, _ int) { writeResponse(c, r.Header.Get("X-A"), "ok") })
-	for name, e := range endless {
+	for name, e := range endlessResponses() {
 		t.Run(name, func(t *testing.T) {
-			address := serveEndless(t, e.first, e.repeated)
+			address := serveEndless(t, e)
 			ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
 			defer cancel()
 			client, heap := newTestClient(), watchHeap(ctx, cancel)
@@ -168,8 +165,8 @@
 
 // No head makes the client read more than its bound, whatever it contains.
 func FuzzHeadIsReadWithinItsBound(f *testing.F) {
-	for _, e := range endless {
-		f.Add(e.first, e.repeated)
+	for _, e := range endlessResponses() {
+		f.Add(e.First, e.Repeated)
 	}
 	f.Add("HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 2\r\n\r\n", "ok")
 	f.Fuzz(func(t *testing.T, first, repeated string) {
--- a/internal/group/engine.go
+++ b/internal/group/engine.go
@@ -18,6 +18,12 @@
 // a failure.
 const engineTimeout = 2 * time.Second
 
+const (
+	// maxHeaderBytes limits the header of an engine's answer, and maxAnswerBytes its body.
+	maxHeaderBytes = 64 << 10
+	maxAnswerBytes = 4 << 20
+)
+
 // BallotRequest is the body of a commit or abort request to an engine.
 type BallotRequest struct{ Ballot expertmap.Ballot }
 
@@ -32,7 +38,7 @@
 func NewEngine(upstream string, rank uint32) *Engine {
 	return &Engine{
 		base:   fmt.Sprintf("%s/ranks/%d", upstream, rank),
-		client: &http.Client{Timeout: engineTimeout},
+		client: &http.Client{Timeout: engineTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
@@ -77,7 +83,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("group: engine answered with status %s", resp.Status)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "group: decode engine's answer")
+	return errors.Wrap(json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)).Decode(out), "group: decode engine's answer")
 }
 
 func (e *Engine) post(ctx context.Context, path string, in any) error {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -114,7 +114,7 @@
 	if cfg.DialContext == nil {
 		cfg.DialContext = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
 	}
-	transport := &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.DialContext}
+	transport := &http.Transport{TLSClientConfig: cfg.TLS, DialContext: cfg.DialContext, MaxResponseHeaderBytes: maxHandshakeBytes}
 	return &Pool{
 		cfg:               cfg,
 		client:            &http.Client{Transport: transport},
@@ -230,6 +230,9 @@
 	}
 }
 
+// maxHandshakeBytes limits the header of the answer to a handshake.
+const maxHandshakeBytes = 64 << 10
+
 func (p *Pool) connect(ctx context.Context, address string) (*Session, error) {
 	opts := &websocket.DialOptions{
 		HTTPClient:      p.client,
