--- a/internal/cli/endless_test.go
+++ b/internal/cli/endless_test.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -13,13 +15,16 @@
 func TestEndlessAnswerEndsEarly(t *testing.T) {
 	all := endless.Heads()
 	all["body"] = endless.Body()
-	for name, e := range all {
-		t.Run(name, func(t *testing.T) {
-			o := &options{timeout: 20 * time.Second}
-			began := time.Now()
-			body, err := o.fetchMetrics(t.Context(), endless.Serve(t, e))
-			require.True(t, err != nil || len(body) <= maxMetricsBytes)
-			require.Less(t, time.Since(began), o.timeout)
-		})
-	}
+	endless.RequireEndsEarly(t, all, func(ctx context.Context, address string) error {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+		require.NoError(t, err)
+		transport, err := newTransport("")
+		require.NoError(t, err)
+		resp, err := limitedTransport{transport}.RoundTrip(r)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		return err
+	})
 }
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -50,42 +49,6 @@
 	})
 }
 
-// heapWatch ends a context when the heap has grown by more than maxHeapGrowth.
-type heapWatch struct {
-	before, most uint64
-	stop         func()
-	done         sync.WaitGroup
-}
-
-func heapBytes() uint64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
-func watchHeap(ctx context.Context, stop func()) *heapWatch {
-	runtime.GC()
-	w := &heapWatch{before: heapBytes(), stop: stop}
-	w.done.Go(func() {
-		tick := time.NewTicker(2 * time.Millisecond)
-		defer tick.Stop()
-		for ctx.Err() == nil {
-			<-tick.C
-			if w.most = max(w.most, heapBytes()); w.most > w.before+maxHeapGrowth {
-				stop()
-			}
-		}
-	})
-	return w
-}
-
-// growth returns by how many bytes the heap has grown at most.
-func (w *heapWatch) growth() int64 {
-	w.stop()
-	w.done.Wait()
-	return int64(w.most) - int64(w.before)
-}
-
 // Guards against responses without an end that fill the memory of the host until the deadline of their
 // requests. Each attempt ends early, may have run, and closes its connection; other requests are served.
 func TestEndlessResponsesEndEarlyInBoundedMemory(t *testing.T) {
@@ -95,7 +58,7 @@
 			address := serveEndless(t, e)
 			ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
 			defer cancel()
-			client, heap := newTestClient(), watchHeap(ctx, cancel)
+			client, grown := newTestClient(), endless.WatchHeap(ctx, maxHeapGrowth, cancel)
 			var attempts sync.WaitGroup
 			for range endlessCount {
 				attempts.Go(func() {
@@ -119,7 +82,7 @@
 			body, err := send(t, client, sound, "b")
 			require.NoError(t, err)
 			require.Equal(t, "ok", body)
-			require.LessOrEqual(t, heap.growth(), int64(maxHeapGrowth))
+			require.LessOrEqual(t, grown(), int64(maxHeapGrowth))
 			client.pool.mu.Lock()
 			defer client.pool.mu.Unlock()
 			require.Zero(t, client.pool.open[address], "connections are closed")
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -5,13 +5,14 @@
 	"context"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/test/endless"
 )
 
 const (
@@ -47,7 +48,7 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
 			defer cancel()
-			grown := watchHeap(ctx, cancel)
+			grown := endless.WatchHeap(ctx, maxHeapGrowth, cancel)
 			var callers sync.WaitGroup
 			for range endlessCount {
 				callers.Go(func() {
@@ -71,31 +72,3 @@
 		})
 	}
 }
-
-// watchHeap calls stop when the heap has grown by more than maxHeapGrowth. The returned function ends that,
-// and returns by how much it has grown at most.
-func watchHeap(ctx context.Context, stop func()) (grown func() int64) {
-	heap := func() int64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapAlloc)
-	}
-	runtime.GC()
-	before, most := heap(), int64(0)
-	var done sync.WaitGroup
-	done.Go(func() {
-		tick := time.NewTicker(2 * time.Millisecond)
-		defer tick.Stop()
-		for ctx.Err() == nil {
-			<-tick.C
-			if most = max(most, heap()-before); most > maxHeapGrowth {
-				stop()
-			}
-		}
-	})
-	return func() int64 {
-		stop()
-		done.Wait()
-		return most
-	}
-}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -123,10 +123,10 @@
 	defer g.mu.Unlock()
 	for _, r := range g.scheduler.TakeRetryReports(g.now()) {
 		g.counts.add("retries.taken", r.Taken)
-		g.counts.add("retries.refused", r.Refused)
+		g.counts.add("retries.missed", r.Missed)
 		g.counts.add("retries.sent", r.Sent)
 		g.counts.add("retries.granted", r.Granted)
-		g.cfg.Log.Info("retry budget used", "service", r.Service, "taken", r.Taken, "refused", r.Refused, "sent", r.Sent,
+		g.cfg.Log.Info("retry budget used", "service", r.Service, "taken", r.Taken, "missed", r.Missed, "sent", r.Sent,
 			"returned", r.Returned, "granted", r.Granted, "own", r.Own, "unused", r.Unused, "grantable", r.IsGrantable)
 	}
 }
--- a/internal/group/endless_test.go
+++ b/internal/group/endless_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
-
-	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/test/endless"
 )
@@ -14,15 +11,10 @@
 func TestEndlessAnswerOfEngineEndsEarly(t *testing.T) {
 	all := endless.Heads()
 	all["body"] = endless.Body()
-	for name, e := range all {
-		t.Run(name, func(t *testing.T) {
-			engine := NewEngine("http://"+endless.Serve(t, e), 0)
-			engine.client.Timeout = 10 * time.Second
-			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-			defer cancel()
-			_, err := engine.Status(ctx)
-			require.Error(t, err)
-			require.NoError(t, ctx.Err(), "ended before the deadline")
-		})
-	}
+	endless.RequireEndsEarly(t, all, func(ctx context.Context, address string) error {
+		e := NewEngine("http://"+address, 0)
+		e.client.Timeout = 0
+		_, err := e.Status(ctx)
+		return err
+	})
 }
--- a/internal/schedule/budget.go
+++ b/internal/schedule/budget.go
@@ -21,7 +21,7 @@
 	if ok {
 		sv.retries.taken++
 	} else {
-		sv.retries.refused++
+		sv.retries.missed++
 	}
 	return r, ok
 }
@@ -86,16 +86,16 @@
 	s.service(name).budget.Unanswered(now)
 }
 
-// retryCounts counts decisions on retries: how many the budget allowed and refused, how many were sent and
-// given back, and how many a control host has granted.
-type retryCounts struct{ taken, refused, sent, returned, granted int }
+// retryCounts counts what became of retries. RetryReport describes the counts.
+type retryCounts struct{ taken, missed, sent, returned, granted int }
 
 // RetryReport tells what was decided on the retries of one service since the last report.
 type RetryReport struct {
 	Service string
-	// Taken and Refused count the retries that the budget allowed and refused, Sent those that were sent,
-	// Returned those that were not, and Granted those that a control host has granted.
-	Taken, Refused, Sent, Returned, Granted int
+	// Taken counts the retries that the budget allowed, and Missed those that it did not allow at once.
+	// Sent counts those that were sent, Returned those that were given back unsent, and Granted those that
+	// a control host has granted.
+	Taken, Missed, Sent, Returned, Granted int
 	// Own is how many retries the host's requests pay for now, and Unused how many granted ones it has.
 	Own    float64
 	Unused int
@@ -115,7 +115,7 @@
 		sv.retries = retryCounts{}
 		own, unused := sv.budget.Left(now)
 		out = append(out, RetryReport{
-			Service: sv.name, Taken: c.taken, Refused: c.refused, Sent: c.sent, Returned: c.returned, Granted: c.granted,
+			Service: sv.name, Taken: c.taken, Missed: c.missed, Sent: c.sent, Returned: c.returned, Granted: c.granted,
 			Own: own, Unused: unused, IsGrantable: sv.budget.MayBeGranted(s.cfg.RetryBudget, now),
 		})
 	}
--- a/test/endless/endless.go
+++ b/test/endless/endless.go
@@ -3,11 +3,18 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
+// patience is how long a reader may take.
+const patience = 10 * time.Second
+
 // Response is a response that begins with First and goes on with Repeated until its reader closes the
 // connection.
 type Response struct{ First, Repeated string }
@@ -29,13 +36,25 @@
 	return Response{"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n\"", "a"}
 }
 
+// RequireEndsEarly checks that read fails for each response before its context ends, and not because of
+// that.
+func RequireEndsEarly(t *testing.T, all map[string]Response, read func(ctx context.Context, address string) error) {
+	t.Helper()
+	for name, r := range all {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			require.Error(t, read(ctx, Serve(t, r)))
+			require.NoError(t, ctx.Err(), "ended before the deadline")
+		})
+	}
+}
+
 // Serve serves the response on loopback until the test ends, and returns its address.
 func Serve(t *testing.T, r Response) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
