Let control hosts that start anew count only the retries that may still arrive

A control host that starts counts all retries that were ever reserved as if it were now, so once as many as the extra had been granted since the system began, a restart of all control hosts left 11.5 s without any.

Change: the leader records a total as settled, a hold after it has observed the last reservation; a control host that starts counts what is not settled.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -225,10 +225,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.quarantine.Sweep()
-	f.h.retries.observeAll()
-	if term, isLeader := f.h.replica.LeaderTerm(); isLeader {
+	term, isLeader := f.h.replica.LeaderTerm()
+	if isLeader {
 		f.dispenser.BeginTerm(term, f.now())
 	}
+	f.h.retries.observeAll(isLeader)
 	f.sweepRateLimits()
 	f.sendDemands()
 	if all := f.registry.Tick(f.now()); len(all) > 0 {
--- a/internal/control/retries.go
+++ b/internal/control/retries.go
@@ -37,8 +37,9 @@
 	ledger  *retrybudget.Ledger
 	askers  *contention.Askers
 	pending []*retryClaim
-	// isReserving is set while a goroutine proposes reservations.
-	isReserving bool
+	// isReserving is set while a goroutine proposes reservations, and isSettling while one proposes what is
+	// settled.
+	isReserving, isSettling bool
 }
 
 // retryClaim is what was proposed for one request.
@@ -121,7 +122,7 @@
 		if len(claims) == 0 {
 			return
 		}
-		err := g.reserve(claims)
+		err := g.propose(reservationOf(claims))
 		if err != nil {
 			g.h.cfg.Log.Info("retries not reserved", "claims", len(claims), "error", err.Error())
 		}
@@ -129,12 +130,16 @@
 	}
 }
 
-// reserve reserves the retries of claims in the log. After an error they may have been reserved.
-func (g *retryGrantor) reserve(claims []*retryClaim) error {
+func reservationOf(claims []*retryClaim) state.ReserveRetries {
 	var c state.ReserveRetries
 	for _, claim := range claims {
 		c.All = append(c.All, state.RetryReservation{Service: claim.service, Count: uint64(claim.count)})
 	}
+	return c
+}
+
+// propose puts reservations into the log. After an error they may be there.
+func (g *retryGrantor) propose(c state.ReserveRetries) error {
 	data, err := state.Encode(c)
 	if err != nil {
 		return err
@@ -168,17 +173,36 @@
 
 // observe lets the ledger count what the log has reserved of a service. The caller holds mu.
 func (g *retryGrantor) observe(service string) {
-	g.ledger.Observe(service, g.h.tables.TotalReservedRetries(service), g.now())
+	t := g.h.tables.ReservedRetriesOf(service)
+	g.ledger.Observe(service, t.Reserved, t.Settled, g.now())
 }
 
 // observeAll lets the ledger count what the log has reserved of all services, also while another control
-// host leads.
-func (g *retryGrantor) observeAll() {
+// host leads. The leader records what is settled.
+func (g *retryGrantor) observeAll(isLeader bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, r := range g.h.tables.ReservedRetries() {
-		g.ledger.Observe(r.Service, r.Count, g.now())
+	var c state.ReserveRetries
+	for _, t := range g.h.tables.ReservedRetries() {
+		g.ledger.Observe(t.Service, t.Reserved, t.Settled, g.now())
+		if total, ok := g.ledger.Unsettled(t.Service, g.now()); ok {
+			c.Settled = append(c.Settled, state.RetryReservation{Service: t.Service, Count: total})
+		}
+	}
+	if isLeader && len(c.Settled) > 0 && !g.isSettling {
+		g.isSettling = true
+		go g.settleTotals(c)
 	}
 }
 
+// settleTotals records what is settled. After an error it is proposed again.
+func (g *retryGrantor) settleTotals(c state.ReserveRetries) {
+	if err := g.propose(c); err != nil {
+		g.h.cfg.Log.Info("settled retries not recorded", "services", len(c.Settled), "error", err.Error())
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isSettling = false
+}
+
 func (g *retryGrantor) now() time.Duration { return time.Since(g.started) }
--- a/internal/control/retries_test.go
+++ b/internal/control/retries_test.go
@@ -38,7 +38,7 @@
 	}
 	hosts.Wait()
 	require.Equal(t, int64(40), granted.Load())
-	require.Equal(t, uint64(40), h.tables.TotalReservedRetries("s"))
+	require.Equal(t, uint64(40), h.tables.ReservedRetriesOf("s").Reserved)
 
 	answer, err := client.RequestRetries(t.Context(), &wire.RetryRequest{Service: "s", Count: 1})
 	require.NoError(t, err)
@@ -65,3 +65,18 @@
 	require.Zero(t, answer.Count)
 	require.Empty(t, h.tables.ReservedRetries())
 }
+
+// Guards against a restart of all control hosts after which no retry is granted for a window, however long
+// ago the last one was.
+func TestGrantedRetriesAreSettledOnceTheyCountNoMore(t *testing.T) {
+	h, client := startRetryLeader(t)
+	h.cfg.RetryBudget.Window = time.Millisecond
+	h.retries = newRetryGrantor(h)
+	answer, err := client.RequestRetries(t.Context(), &wire.RetryRequest{Service: "s", Count: 3})
+	require.NoError(t, err)
+	require.Equal(t, 3, answer.Count)
+	require.Eventually(t, func() bool {
+		h.retries.observeAll(true)
+		return h.tables.ReservedRetriesOf("s") == state.RetryTotals{Service: "s", Reserved: 3, Settled: 3}
+	}, conditionTimeout, 10*time.Millisecond)
+}
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -288,9 +288,9 @@
 
 // grantRetries grants up to wanted retries of the extra that all hosts share.
 func (s *simulation) grantRetries(wanted int, now time.Duration) int {
-	s.retries.Observe(serviceName, s.reservedRetries, now)
+	s.retries.Observe(serviceName, s.reservedRetries, 0, now)
 	n := s.retries.Propose(serviceName, wanted, now)
 	s.reservedRetries += uint64(n)
-	s.retries.Observe(serviceName, s.reservedRetries, now)
+	s.retries.Observe(serviceName, s.reservedRetries, 0, now)
 	return s.retries.Confirm(serviceName, n, now)
 }
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -20,9 +20,10 @@
 	hosts []*fleetHost
 	// entry is the host to which all callers go at the moment; nil if they are spread over all.
 	entry *fleetHost
-	// ledgers are those of the control hosts, and total is what the log has reserved.
-	ledgers []*Ledger
-	total   uint64
+	// ledgers are those of the control hosts, total is what the log has reserved, and settled the part of it
+	// that is settled there.
+	ledgers        []*Ledger
+	total, settled uint64
 	// proposals holds the reservations that were proposed and not yet confirmed.
 	proposals []*proposal
 	// requests holds when each request was sent, and retries when each retry arrived.
@@ -78,7 +79,7 @@
 // sends them at once.
 func (f *fleet) step() {
 	h := f.hosts[f.draw("host", len(f.hosts))]
-	switch f.draw("step", 16) {
+	switch f.draw("step", 17) {
 	case 0, 1:
 		f.take(h)
 	case 2, 3:
@@ -90,7 +91,7 @@
 	case 6:
 		f.confirm()
 	case 7:
-		f.ledgers[f.draw("control", len(f.ledgers))].Observe(service, f.total, f.now)
+		f.ledgers[f.draw("control", len(f.ledgers))].Observe(service, f.total, f.settled, f.now)
 	case 8:
 		f.restart(h)
 	case 9:
@@ -100,6 +101,8 @@
 		if f.entry = h; f.draw("spread", 2) == 0 {
 			f.entry = nil
 		}
+	case 11:
+		f.settle()
 	default:
 		f.take(h)
 		f.ask(h)
@@ -110,6 +113,13 @@
 	}
 }
 
+// settle lets a control host record what is settled.
+func (f *fleet) settle() {
+	if total, ok := f.ledgers[f.draw("control", len(f.ledgers))].Unsettled(service, f.now); ok {
+		f.settled = max(f.settled, total)
+	}
+}
+
 // clock returns the time by the monotonic clock of a host.
 func (f *fleet) clock(h *fleetHost) time.Duration { return f.now - h.suspended }
 
@@ -160,7 +170,7 @@
 	}
 	l := f.ledgers[i]
 	if l.services[service] == nil || f.draw("observes", 2) == 0 {
-		l.Observe(service, f.total, f.now)
+		l.Observe(service, f.total, f.settled, f.now)
 	}
 	f.proposals = append(f.proposals, &proposal{ledger: l, host: h, start: h.starts, n: l.Propose(service, n, f.now)})
 }
@@ -184,7 +194,7 @@
 	}
 	p := f.proposals[0]
 	f.proposals = f.proposals[1:]
-	p.ledger.Observe(service, f.total, f.now)
+	p.ledger.Observe(service, f.total, f.settled, f.now)
 	n := p.ledger.Confirm(service, p.n, f.now)
 	if p.host.starts == p.start {
 		p.host.Granted(n, p.host.askedAt, 0, f.clock(p.host))
--- a/internal/retrybudget/ledger.go
+++ b/internal/retrybudget/ledger.go
@@ -19,9 +19,9 @@
 
 // reservations are those of one service.
 type reservations struct {
-	// total is the total that was observed last.
-	total  uint64
-	recent slidingCounter
+	// total is the total that was observed last, and settled the part of it that counts for no control host.
+	total, settled uint64
+	recent         slidingCounter
 	// proposed is how many retries this control host has proposed and not yet confirmed or abandoned.
 	proposed int
 }
@@ -32,14 +32,16 @@
 // Extra returns the number of retries that may be granted within Params.Hold.
 func (l *Ledger) Extra() int { return int(min(max(l.params.Extra, 0), math.MaxInt32)) }
 
-// Observe records the total of the reservations of a service in the log. What has come since the last
-// call counts from now on, since it is not known when it was reserved.
-func (l *Ledger) Observe(service string, total uint64, now time.Duration) {
+// Observe records the total of the reservations of a service in the log, and the part of it that is
+// settled. What has come since the last call counts from now on, since it is not known when it was
+// reserved; at the first call, all that is not settled.
+func (l *Ledger) Observe(service string, total, settled uint64, now time.Duration) {
 	r := l.services[service]
 	if r == nil {
-		r = &reservations{}
+		r = &reservations{total: settled}
 		l.services[service] = r
 	}
+	r.settled = max(r.settled, settled)
 	if total <= r.total {
 		return
 	}
@@ -47,6 +49,16 @@
 	r.total = total
 }
 
+// Unsettled returns the total of a service that is to be recorded as settled, because none of it counts
+// any more. It returns false if there is nothing to record.
+func (l *Ledger) Unsettled(service string, now time.Duration) (total uint64, ok bool) {
+	r := l.services[service]
+	if r == nil || r.settled == r.total || r.proposed > 0 || r.recent.sum(l.params.Hold(), now) > 0 {
+		return 0, false
+	}
+	return r.total, true
+}
+
 // Propose returns how many of the wanted retries may be proposed for reservation. Each is ended by
 // Confirm or Abandon. The service must have been observed.
 func (l *Ledger) Propose(service string, wanted int, now time.Duration) int {
--- a/internal/retrybudget/ledger_test.go
+++ b/internal/retrybudget/ledger_test.go
@@ -12,10 +12,10 @@
 // reserve proposes and confirms up to n retries in a log with the given total, and returns how many may be
 // granted.
 func reserve(l *Ledger, total *uint64, n int, now time.Duration) int {
-	l.Observe(service, *total, now)
+	l.Observe(service, *total, 0, now)
 	proposed := l.Propose(service, n, now)
 	*total += uint64(proposed)
-	l.Observe(service, *total, now)
+	l.Observe(service, *total, 0, now)
 	return l.Confirm(service, proposed, now)
 }
 
@@ -43,26 +43,48 @@
 // Guards against two leaders that each believe what the other reserves to be free.
 func TestReservationsOfTwoLeadersShareTheExtra(t *testing.T) {
 	a, b, total := NewLedger(params), NewLedger(params), uint64(0)
-	a.Observe(service, total, 0)
-	b.Observe(service, total, 0)
+	a.Observe(service, total, 0, 0)
+	b.Observe(service, total, 0, 0)
 	require.Equal(t, 60, a.Propose(service, 60, 0))
 	require.Equal(t, 60, b.Propose(service, 60, 0))
 	total += 60
-	a.Observe(service, total, 0)
+	a.Observe(service, total, 0, 0)
 	require.Equal(t, 60, a.Confirm(service, 60, 0))
 	total += 60
-	b.Observe(service, total, 0)
+	b.Observe(service, total, 0, 0)
 	require.Equal(t, 30, b.Confirm(service, 60, 0))
 }
 
 func TestAbandonedProposalIsFreeUnlessItWasReserved(t *testing.T) {
 	l := NewLedger(params)
-	l.Observe(service, 0, 0)
+	l.Observe(service, 0, 0, 0)
 	require.Equal(t, 90, l.Propose(service, 90, 0))
 	require.Zero(t, l.Propose(service, 1, 0))
 	l.Abandon(service, 90)
 	require.Equal(t, 90, l.Propose(service, 90, 0))
 	l.Abandon(service, 90)
-	l.Observe(service, 90, 0)
+	l.Observe(service, 90, 0, 0)
 	require.Zero(t, l.Propose(service, 1, 0))
 }
+
+// Guards against a control host that starts anew and counts retries that were granted long ago.
+func TestSettledRetriesDoNotCountAfterARestart(t *testing.T) {
+	l, total := NewLedger(params), uint64(0)
+	_, ok := l.Unsettled(service, 0)
+	require.False(t, ok)
+	require.Equal(t, 80, reserve(l, &total, 80, time.Second))
+	_, ok = l.Unsettled(service, time.Second+params.Hold())
+	require.False(t, ok, "they may still count elsewhere")
+	later := time.Second + params.Hold() + params.Hold()/spanBuckets
+	settled, ok := l.Unsettled(service, later)
+	require.True(t, ok)
+	require.Equal(t, uint64(80), settled)
+	l.Observe(service, total, settled, later)
+	_, ok = l.Unsettled(service, later)
+	require.False(t, ok, "it is recorded")
+
+	require.Equal(t, 7, reserve(l, &total, 7, later))
+	restarted := NewLedger(params)
+	restarted.Observe(service, total, settled, later)
+	require.Equal(t, 7, restarted.Usage(service, later))
+}
--- a/internal/state/retries.go
+++ b/internal/state/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -14,6 +15,9 @@
 // that leads later knows how many may have been granted.
 type ReserveRetries struct {
 	All []RetryReservation `cbor:"1,keyasint"`
+	// Settled tells of which totals no retry counts any more, so that a control host which starts anew
+	// does not count them.
+	Settled []RetryReservation `cbor:"2,keyasint,omitempty"`
 }
 
 // RetryReservation is a number of reserved retries of a service.
@@ -24,6 +28,14 @@
 
 func (ReserveRetries) kind() commandKind { return kindReserveRetries }
 
+// RetryTotals are the reserved retries of a service.
+type RetryTotals struct {
+	Service string `cbor:"1,keyasint"`
+	// Reserved is how many retries were ever reserved, and Settled the part of them that counts no more.
+	Reserved uint64 `cbor:"2,keyasint"`
+	Settled  uint64 `cbor:"3,keyasint,omitempty"`
+}
+
 // RetriesResult is the result of ReserveRetries.
 type RetriesResult struct{}
 
@@ -31,37 +43,32 @@
 type retries struct {
 	// mu guards the fields below.
 	mu sync.RWMutex
-	// totals holds for each service how many retries were ever reserved.
-	totals map[string]uint64
+	// totals holds the totals by service.
+	totals map[string]RetryTotals
 }
 
-func (r *retries) init() { r.totals = make(map[string]uint64) }
+func (r *retries) init() { r.totals = make(map[string]RetryTotals) }
 
 // sorted returns the totals by the name of the service.
-func (r *retries) sorted() []RetryReservation {
+func (r *retries) sorted() []RetryTotals {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var all []RetryReservation
-	for service, total := range r.totals {
-		all = append(all, RetryReservation{Service: service, Count: total})
-	}
-	slices.SortFunc(all, func(a, b RetryReservation) int { return cmp.Compare(a.Service, b.Service) })
-	return all
+	return slices.SortedFunc(maps.Values(r.totals), func(a, b RetryTotals) int { return cmp.Compare(a.Service, b.Service) })
 }
 
 // restore replaces the table by that of a snapshot. The caller holds mu.
-func (r *retries) restore(all []RetryReservation) {
+func (r *retries) restore(all []RetryTotals) {
 	clear(r.totals)
-	for _, total := range all {
-		r.totals[total.Service] = total.Count
+	for _, t := range all {
+		r.totals[t.Service] = t
 	}
 }
 
-// ReservedRetries returns how many retries of each service were ever reserved, sorted by service.
-func (m *Machine) ReservedRetries() []RetryReservation { return m.retries.sorted() }
+// ReservedRetries returns the reserved retries of all services, sorted by service.
+func (m *Machine) ReservedRetries() []RetryTotals { return m.retries.sorted() }
 
-// TotalReservedRetries returns how many retries of a service were ever reserved.
-func (m *Machine) TotalReservedRetries(service string) uint64 {
+// ReservedRetriesOf returns the reserved retries of a service.
+func (m *Machine) ReservedRetriesOf(service string) RetryTotals {
 	m.retries.mu.RLock()
 	defer m.retries.mu.RUnlock()
 	return m.retries.totals[service]
@@ -85,7 +92,16 @@
 		return Rejected{Reason: ReasonTooManyServices}
 	}
 	for _, reservation := range c.All {
-		r.totals[reservation.Service] += reservation.Count
+		t := r.totals[reservation.Service]
+		t.Service = reservation.Service
+		t.Reserved += reservation.Count
+		r.totals[reservation.Service] = t
+	}
+	for _, settled := range c.Settled {
+		if t, isKnown := r.totals[settled.Service]; isKnown {
+			t.Settled = max(t.Settled, min(settled.Count, t.Reserved))
+			r.totals[settled.Service] = t
+		}
 	}
 	return RetriesResult{}
 }
--- a/internal/state/retries_test.go
+++ b/internal/state/retries_test.go
@@ -15,14 +15,24 @@
 	return m.Apply(m.AppliedIndex()+1, data)
 }
 
+// settle records totals as settled in the next log entry.
+func settle(t *testing.T, m *Machine, all ...RetryReservation) {
+	t.Helper()
+	data, err := Encode(ReserveRetries{Settled: all})
+	require.NoError(t, err)
+	require.Equal(t, RetriesResult{}, m.Apply(m.AppliedIndex()+1, data))
+}
+
 func TestReservedRetriesAddUpAndAreKeptInSnapshots(t *testing.T) {
 	m := New(Options{})
 	require.Equal(t, RetriesResult{}, reserve(t, m, RetryReservation{"b", 3}, RetryReservation{"a", 1}, RetryReservation{"b", 2}))
 	require.Equal(t, RetriesResult{}, reserve(t, m, RetryReservation{"a", 4}))
-	want := []RetryReservation{{"a", 5}, {"b", 5}}
+	settle(t, m, RetryReservation{"a", 3}, RetryReservation{"b", 99}, RetryReservation{"c", 1})
+	settle(t, m, RetryReservation{"a", 2})
+	want := []RetryTotals{{"a", 5, 3}, {"b", 5, 5}}
 	require.Equal(t, want, m.ReservedRetries())
-	require.Equal(t, uint64(5), m.TotalReservedRetries("b"))
-	require.Zero(t, m.TotalReservedRetries("c"))
+	require.Equal(t, want[1], m.ReservedRetriesOf("b"))
+	require.Zero(t, m.ReservedRetriesOf("c"))
 
 	data, err := m.Snapshot()
 	require.NoError(t, err)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -32,7 +32,7 @@
 	// Evacuations is nil if there never was an order, and in snapshots of older builds.
 	Evacuations *Evacuations `cbor:"15,keyasint,omitempty"`
 	// Retries holds the reserved retries, sorted by service.
-	Retries []RetryReservation `cbor:"16,keyasint,omitempty"`
+	Retries []RetryTotals `cbor:"16,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded tables after the last applied log entry.
