--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -25,6 +25,8 @@
 	ArrivalTime = 500 * time.Millisecond
 	// MaxAsked is the maximum number of retries that a host asks for at once.
 	MaxAsked = 32
+	// maxAskPause bounds the pause that an answer may ask for.
+	maxAskPause = 10 * time.Second
 	// unansweredPause is how long a host asks for no retries after its request was not answered. It is
 	// the duration of an election.
 	unansweredPause = time.Second
@@ -135,7 +137,7 @@
 // Granted adds n retries that were granted to the request of the given time, and sets after which time the
 // host may ask again.
 func (b *Budget) Granted(n int, askedAt, again, now time.Duration) {
-	b.isAsking, b.missed, b.askAt = false, 0, now+again
+	b.isAsking, b.missed, b.askAt = false, 0, now+min(again, maxAskPause)
 	for range min(n, MaxAsked) {
 		b.granted = append(b.granted, Retry{isGranted: true, until: askedAt + Lifetime, suspensions: b.askedIn})
 	}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -121,6 +121,9 @@
 	require.Zero(t, b.Ask(params, 299*time.Millisecond))
 	require.Equal(t, 1, b.Ask(params, 300*time.Millisecond))
 
+	b.Granted(0, 0, time.Hour, 0)
+	require.True(t, b.MayBeGranted(params, maxAskPause), "no answer keeps a host from asking for long")
+
 	b.Unanswered(time.Second)
 	_, _ = b.Take(time.Second)
 	require.False(t, b.MayBeGranted(params, time.Second+unansweredPause-1))
