--- a/internal/retrybudget/ledger_test.go
+++ b/internal/retrybudget/ledger_test.go
@@ -88,3 +88,31 @@
 	restarted.Observe(service, total, settled, later)
 	require.Equal(t, 7, restarted.Usage(service, later))
 }
+
+// Guards against an extra that is divided among so many hosts that none of them can retry more than once
+// or twice, although few of them need to.
+func TestFewOfManyHostsMayUseTheWholeExtra(t *testing.T) {
+	const hosts, needing, wanted = 529, 13, 80
+	p := Params{Ratio: 0.2, Extra: 1040, Window: 10 * time.Second}
+	budgets, l, total := make([]Budget, hosts), NewLedger(p), uint64(0)
+	for i := range budgets {
+		budgets[i].AddRequest(p, time.Second)
+	}
+	taken := 0
+	for i := range needing {
+		b := &budgets[i*hosts/needing]
+		for done := 0; done < wanted; {
+			if _, ok := b.Take(time.Second); ok {
+				done++
+				taken++
+				continue
+			}
+			n := b.Ask(p, time.Second)
+			if n == 0 {
+				break
+			}
+			b.Granted(reserve(l, &total, n, time.Second), time.Second, 0, time.Second)
+		}
+	}
+	require.Equal(t, needing*wanted, taken)
+}
