--- a/internal/dispatch/head.go
+++ b/internal/dispatch/head.go
@@ -16,7 +16,7 @@
 	// late as the deadline of the request.
 	maxHeadTime = 2 * time.Second
 	// maxStaleBytes limits the body of a response to an earlier attempt that is skipped.
-	maxStaleBytes = 1 << 20
+	maxStaleBytes = 256 << 10
 )
 
 // errHeadTooLong and errStaleTooLong are faults of the upstream.
