--- a/internal/control/retries.go
+++ b/internal/control/retries.go
@@ -130,6 +130,7 @@
 	}
 }
 
+// reservationOf returns the command that reserves the retries of claims.
 func reservationOf(claims []*retryClaim) state.ReserveRetries {
 	var c state.ReserveRetries
 	for _, claim := range claims {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -274,6 +274,9 @@
 
 // releaseIncomplete gives back the memory that holdIncomplete has counted.
 func (r *relay) releaseIncomplete() {
+	if r.held == 0 {
+		return
+	}
 	r.c.memory.Release(int64(r.held))
 	r.held = 0
 }
