Keep the former traffic in a property of the retry budget: requests at random times, hosts undisturbed

The former TestHostsTogetherStayWithinBudget had random pauses and an extra of 90; its successor has hosts and control hosts disturbed, but requests at an even rate for the users' bound.

--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -271,3 +271,39 @@
 		})
 	})
 }
+
+// With undisturbed hosts and requests at random times, the users' bound holds too.
+func TestUndisturbedHostsStayWithinBudgetAtAnUnevenRate(t *testing.T) {
+	p := Params{Ratio: 0.2, Extra: 90, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		budgets, l, total := make([]Budget, rapid.IntRange(1, 5).Draw(t, "hosts")), NewLedger(p), uint64(0)
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		take := func(b *Budget) bool {
+			if _, ok := b.Take(now); ok {
+				return true
+			}
+			if n := b.Ask(p, now); n > 0 {
+				b.Granted(reserve(l, &total, n, now), now, 0, now)
+			}
+			_, ok := b.Take(now)
+			return ok
+		}
+		for range rapid.IntRange(50, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			b := &budgets[rapid.IntRange(0, len(budgets)-1).Draw(t, "host")]
+			b.AddRequest(p, now)
+			requests = append(requests, now)
+			for rapid.Bool().Draw(t, "again") && take(b) {
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			w := p.Window
+			most := max(during(requests, end-w, w), during(requests, end-2*w, w), during(requests, end-w*3/2, w))
+			if n, bound := during(retries, end-w, w), p.Ratio*most+p.Extra; n > bound {
+				t.Fatalf("%v retries up to %v, allowed are %v", n, end, bound)
+			}
+		}
+	})
+}
