--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -37,16 +37,16 @@
 	attempts map[string]*Attempt
 }
 
-// startClients sends perSecond requests a second to each front, the unsafe and the safe route in turn.
-func (l *Lab) startClients(perSecond int) *Clients {
+// startClients sends perSecond requests a second to each front, of the given kinds in turn.
+func (l *Lab) startClients(perSecond int, kinds ...string) *Clients {
 	c := &Clients{lab: l, stop: make(chan struct{}), attempts: map[string]*Attempt{}}
 	for _, front := range l.fronts {
-		c.wg.Go(func() { c.sendTo(front, time.Second/time.Duration(perSecond)) })
+		c.wg.Go(func() { c.sendTo(front, time.Second/time.Duration(perSecond), kinds) })
 	}
 	return c
 }
 
-func (c *Clients) sendTo(front *Machine, interval time.Duration) {
+func (c *Clients) sendTo(front *Machine, interval time.Duration, kinds []string) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: clientDeadline}
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
@@ -56,11 +56,7 @@
 			return
 		case <-tick.C:
 		}
-		kind := "unsafe"
-		if i%2 == 1 {
-			kind = "safe"
-		}
-		c.wg.Go(func() { c.send(client, front, kind) })
+		c.wg.Go(func() { c.send(client, front, kinds[i%len(kinds)]) })
 	}
 }
 
--- a/review/lab/founding.go
+++ b/review/lab/founding.go
@@ -60,7 +60,7 @@
 	acknowledged := make(chan bool, 1)
 	go func() { acknowledged <- l.replaceConfiguration(7, foundingTime) }()
 	time.Sleep(trafficDelay)
-	clients := l.startClients(foundingRequestsPerSecond)
+	clients := l.startClients(foundingRequestsPerSecond, "unsafe", "safe")
 	isAcknowledged := <-acknowledged
 	time.Sleep(2 * contactTime)
 	clients.Stop()
--- a/review/lab/leave.go
+++ b/review/lab/leave.go
@@ -20,9 +20,8 @@
 	releaseGap = 200 * time.Millisecond
 )
 
-// startDeployment starts the machines for the first time, puts a configuration into force and starts
-// the workers.
-func (l *Lab) startDeployment() ([]*Worker, error) {
+// startMachines starts the machines for the first time and puts a configuration into force.
+func (l *Lab) startMachines() error {
 	for i := range coreCount {
 		l.addMachine("control", i, firstCore+i)
 	}
@@ -33,11 +32,19 @@
 	for _, m := range append(append([]*Machine(nil), l.core...), l.fronts...) {
 		m.seeds = seeds
 		if err := m.Start(true); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if !l.replaceConfiguration(7, startLimit) {
-		return nil, errNotRun
+		return errNotRun
+	}
+	return nil
+}
+
+// startDeployment starts the machines and one worker in each zone.
+func (l *Lab) startDeployment() ([]*Worker, error) {
+	if err := l.startMachines(); err != nil {
+		return nil, err
 	}
 	var workers []*Worker
 	for i := range workerCount {
@@ -47,12 +54,20 @@
 		}
 		workers = append(workers, w)
 	}
+	if !l.awaitAllReady() {
+		return nil, errNotRun
+	}
+	return workers, nil
+}
+
+// awaitAllReady waits until all fronts say that they are ready.
+func (l *Lab) awaitAllReady() bool {
 	for _, m := range l.fronts {
 		if !l.awaitReady(m) {
-			return nil, errNotRun
+			return false
 		}
 	}
-	return workers, nil
+	return true
 }
 
 // awaitReady waits until a front says that it is ready.
@@ -77,7 +92,7 @@
 	if err != nil {
 		return false, err
 	}
-	clients := l.startClients(requestsPerSecond)
+	clients := l.startClients(requestsPerSecond, "unsafe", "safe")
 	time.Sleep(2 * contactTime)
 	leaver, front := workers[0], l.fronts[0]
 	if hasTrouble && !front.Terminate() {
@@ -124,7 +139,7 @@
 	if err != nil {
 		return false, err
 	}
-	clients := l.startClients(requestsPerSecond)
+	clients := l.startClients(requestsPerSecond, "unsafe", "safe")
 	time.Sleep(2 * contactTime)
 	leaver := workers[0]
 	host := l.coreAt(leaver.HeartbeatAddress())
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,6 +23,7 @@
 	"leave-and-restart": leaveAndRestart,
 	"leave-and-kill":    leaveAndKill,
 	"founding":          founding,
+	"extra-answer":      lateHeartbeatAndExtraAnswer,
 }
 
 func main() {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -47,24 +47,33 @@
 // workTime is how long a request takes.
 const workTime = 15 * time.Millisecond
 
-// startWorker starts a worker that sends heartbeats, the first one to the given control host.
-func (l *Lab) startWorker(number, zone int, first *Machine) (*Worker, error) {
-	ctx, stop := context.WithCancel(context.Background())
-	w := &Worker{
+// newWorker returns a worker that does not listen yet. Its first heartbeat goes to the given control host.
+func (l *Lab) newWorker(number, zone int, first *Machine) *Worker {
+	return &Worker{
 		lab: l, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zones[zone], address: l.address(l.ip(number), portWorker),
-		slots: 6, stop: stop, ended: make(chan struct{}), heartbeat: l.address(first.ip, portControl),
+		slots: 6, ended: make(chan struct{}), heartbeat: l.address(first.ip, portControl),
 	}
+}
+
+// startWorker starts a worker that sends heartbeats, the first one to the given control host.
+func (l *Lab) startWorker(number, zone int, first *Machine) (*Worker, error) {
+	w := l.newWorker(number, zone, first)
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
-		stop()
 		return nil, err
 	}
 	w.server = &http.Server{Handler: http.HandlerFunc(w.handle)}
 	go func() { _ = w.server.Serve(listener) }()
-	go w.sendHeartbeats(ctx)
+	w.startHeartbeats()
 	return w, nil
 }
 
+func (w *Worker) startHeartbeats() {
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go w.sendHeartbeats(ctx)
+}
+
 // sendHeartbeats sends heartbeats until the worker leaves.
 func (w *Worker) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -85,10 +94,7 @@
 		return
 	}
 	w.sequence++
-	body, _ := json.Marshal(map[string]any{
-		"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
-		"coldRemainingMs": 0, "sequenceNumber": w.sequence,
-	})
+	body := heartbeatBody(w.address, w.zone, w.slots, w.sequence)
 	targets := []string{w.heartbeat}
 	w.mu.Unlock()
 	for _, m := range w.lab.core {
@@ -113,6 +119,15 @@
 	}
 }
 
+// heartbeatBody returns the body of a heartbeat of a worker that is ready.
+func heartbeatBody(address, zone string, slots, sequence int) []byte {
+	body, _ := json.Marshal(map[string]any{
+		"service": serviceName, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+		"coldRemainingMs": 0, "sequenceNumber": sequence,
+	})
+	return body
+}
+
 // HeartbeatAddress returns where the worker sends its heartbeats.
 func (w *Worker) HeartbeatAddress() string {
 	w.mu.Lock()
