--- a/review/lab/founding.go
+++ b/review/lab/founding.go
@@ -21,7 +21,7 @@
 		l.addMachine("control", i, firstCore+i)
 	}
 	for i := range frontCount {
-		l.addMachine("front", i, firstFront+i)
+		l.addMachine("front", i%len(zones), firstFront+i)
 	}
 	seeds := l.seedList(l.core)
 	for _, m := range append(append([]*Machine(nil), l.fronts...), l.core[:2]...) {
--- a/review/lab/leave.go
+++ b/review/lab/leave.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	coreCount, frontCount, workerCount = 3, 3, 3
+	coreCount, frontCount, workerCount = 3, 8, 3
 	firstCore, firstFront, firstWorker = 1, 11, 21
 	requestsPerSecond                  = 40
 	startLimit                         = 20 * time.Second
@@ -26,7 +26,7 @@
 		l.addMachine("control", i, firstCore+i)
 	}
 	for i := range frontCount {
-		l.addMachine("front", i, firstFront+i)
+		l.addMachine("front", i%len(zones), firstFront+i)
 	}
 	seeds := l.seedList(l.core)
 	for _, m := range append(append([]*Machine(nil), l.core...), l.fronts...) {
