--- /dev/null
+++ b/internal/control/untold_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// sessionWith returns the control host's session with the only attached entry host.
+func (v *voter) sessionWith(t *testing.T) *peer.Session {
+	t.Helper()
+	v.awaitAttached(t, 1)
+	return v.host.fleet.entrySessions()[0]
+}
+
+// offerAt announces the upstream of these tests to a control host and waits until the entry host offers it.
+func (e *entryHost) offerAt(t *testing.T, v *voter) {
+	t.Helper()
+	require.NoError(t, v.host.Announce(t.Context(), testUpstream(1, registry.Ready)))
+	require.Eventually(t, e.offers, propagationTimeout, time.Millisecond)
+}
+
+// stopsOffering waits until the entry host, which attaches again to the control host whenever its session
+// has ended, offers the upstream no longer.
+func (e *entryHost) stopsOffering(t *testing.T, v *voter) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		if e.pool.LiveSession(v.address) == nil {
+			e.attachTo(t, v)
+		}
+		return !e.offers()
+	}, propagationTimeout, 10*time.Millisecond)
+}
+
+// Guards against requests to an upstream whose departure was acknowledged, from an entry host that was
+// silent then: it was frozen or cut off for a moment, too short to end its session, and is never told.
+func TestDepartureReachesEntryHostThatWasSilent(t *testing.T) {
+	for _, departed := range []registry.State{registry.Draining, registry.Gone} {
+		all := startVoters(t)
+		e := all[0].attachEntryHost(t, "e1")
+		e.offerAt(t, all[0])
+		s := all[0].sessionWith(t)
+		require.Eventually(t, func() bool { return s.SilentFor() >= quietTimeout }, propagationTimeout, time.Millisecond)
+		require.NoError(t, all[0].host.Announce(t.Context(), testUpstream(2, departed)))
+		e.stopsOffering(t, all[0])
+		require.True(t, s.Alive(), "a host that was silent keeps its session")
+	}
+}
+
+// Guards against requests to an upstream whose departure was acknowledged, from an entry host that had no
+// session with the acknowledging control host then, and whose other control hosts never listed the upstream.
+func TestDepartureReachesEntryHostsOfOtherControlHosts(t *testing.T) {
+	all := startVoters(t)
+	e := all[0].attachEntryHost(t, "e1")
+	e.attachTo(t, all[1])
+	all[1].awaitAttached(t, 1)
+	e.offerAt(t, all[0])
+	all[0].sessionWith(t).Close()
+	all[0].awaitAttached(t, 0)
+	require.NoError(t, all[0].host.Announce(t.Context(), testUpstream(2, registry.Gone)))
+	require.Eventually(t, func() bool { return !e.offers() }, propagationTimeout, time.Millisecond)
+}
+
+// largeMessage takes long to write to a host that does not read.
+var largeMessage = &wire.Upstreams{All: []registry.Upstream{{ID: strings.Repeat("x", 64<<10), State: registry.Gone}}}
+
+// Guards against requests to an upstream whose departure was acknowledged, from an entry host to which the
+// message could not be written in time, since it was not reading or its link was full: the message is
+// withdrawn, or finds no place in the queue.
+func TestDepartureReachesEntryHostThatReadsLate(t *testing.T) {
+	fill := map[string]func(s *peer.Session){
+		"the writer waits": func(s *peer.Session) {
+			for range 512 {
+				_ = s.Post(largeMessage)
+			}
+		},
+		"the queue is full": func(s *peer.Session) {
+			for s.Post(largeMessage) == nil {
+			}
+		},
+	}
+	for name, fill := range fill {
+		t.Run(name, func(t *testing.T) {
+			all := startVoters(t)
+			e := all[0].attachEntryHost(t, "e1")
+			e.offerAt(t, all[0])
+			e.frozen.Lock()
+			fill(all[0].sessionWith(t))
+			err := all[0].host.Announce(t.Context(), testUpstream(2, registry.Gone))
+			e.frozen.Unlock()
+			require.NoError(t, err)
+			e.stopsOffering(t, all[0])
+		})
+	}
+}
