--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -111,7 +111,7 @@
 	var mu sync.Mutex
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
-	err = callAll(ctx, f.sessionsInTouch(), &wire.Upstreams{Leaving: u.ID}, func(reply wire.Message) {
+	_, err = callAll(ctx, f.sessionsInTouch(), &wire.Upstreams{Leaving: u.ID}, func(reply wire.Message) {
 		mu.Lock()
 		defer mu.Unlock()
 		if m, ok := reply.(*wire.Upstreams); ok && len(m.Departures) == 1 {
@@ -245,55 +245,6 @@
 	return err
 }
 
-// notifyDeparture tells the attached hosts of an upstream that drains or is gone, and waits for the
-// entry hosts, no longer than limit. Upstreams that depart at the same time share the messages, unless
-// the records contain a call of which the hosts have to judge for themselves whether it applies.
-func (f *fleet) notifyDeparture(ctx context.Context, limit time.Duration, records []registry.Upstream) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if len(records) > 1 {
-		return f.notifyHosts(ctx, records)
-	}
-	round := f.notifications.join(records[0])
-	<-round.started
-	select {
-	case <-round.done:
-	case <-ctx.Done():
-		return nil
-	}
-	if round.err != nil {
-		// A host has refused one of the records. Whether it is this one is asked again.
-		return f.notifyHosts(ctx, records)
-	}
-	return nil
-}
-
-// notifyRound tells the attached hosts of upstreams that drain or are gone.
-func (f *fleet) notifyRound(records []registry.Upstream) error {
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-	defer cancel()
-	return f.notifyHosts(ctx, records)
-}
-
-// notifyHosts sends records to the attached hosts and waits for the entry hosts until ctx ends. The error
-// is that of a host that has not applied a record.
-func (f *fleet) notifyHosts(ctx context.Context, records []registry.Upstream) error {
-	m := &wire.Upstreams{All: records}
-	var entries []*peer.Session
-	f.mu.Lock()
-	for s, role := range f.attached {
-		switch {
-		case role == roleCallers:
-		case role != roleEntry:
-			_ = s.Post(m)
-		case s.Alive() && s.SilentFor() < quietTimeout:
-			entries = append(entries, s)
-		}
-	}
-	f.mu.Unlock()
-	return callAll(ctx, entries, m, func(wire.Message) {})
-}
-
 // receiveUpstreams handles the departures that another control host sends, or its question which
 // incarnation leaves.
 func (f *fleet) receiveUpstreams(s *peer.Session, call uint64, m *wire.Upstreams) {
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -163,7 +163,7 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
 	defer cancel()
-	err := callAll(ctx, sessions, m, func(wire.Message) {})
+	_, err := callAll(ctx, sessions, m, func(wire.Message) {})
 	if err != nil {
 		f.h.cfg.Log.Warn("evacuations refused by a host", "index", m.Index, "error", err.Error())
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -298,33 +298,6 @@
 	return records, changed, nil
 }
 
-// callAll sends m to all sessions and waits for the replies, which it passes to onReply, from several
-// goroutines. A host that does not reply before ctx ends counts as disconnected. The error is that of a
-// host that has not applied the message.
-func callAll(ctx context.Context, sessions []*peer.Session, m wire.Message, onReply func(wire.Message)) error {
-	refusals := make(chan error, len(sessions))
-	var wg sync.WaitGroup
-	for _, s := range sessions {
-		wg.Go(func() {
-			reply, _, err := s.Call(ctx, m)
-			if err == nil {
-				onReply(reply)
-				return
-			}
-			if _, isRefusal := reply.(*wire.Failure); isRefusal {
-				refusals <- err
-			}
-		})
-	}
-	wg.Wait()
-	select {
-	case err := <-refusals:
-		return err
-	default:
-		return nil
-	}
-}
-
 // ControlHostConnected adds a control host with which a session has begun. It sends the
 // suspicions and the departures of upstreams to it, and the addresses of all control hosts to all of them. The settings
 // contain only a few seeds, which can change and need not be voters. Voters that knew only
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,12 +83,10 @@
 	target := dispatch.Target{ID: u.ID, StartedAt: u.StartedAt, Address: u.Address, MaxConnections: c.g.maxConnections(c.service)}
 	request := &dispatch.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.upstreamHeader(reserved, resume), Body: c.body,
-		MaySend: func() error { return c.maySend(reserved) },
+		MaySend: func() error { return c.maySend(reserved, resume) },
 		Trail:   &c.trail,
 	}
-	c.log("request sent", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts), "upstream", u.ID, "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
-		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
-		"left_ms", time.Until(c.deadline).Milliseconds())
+	c.debug("upstream chosen", "upstream", u.ID, "send", c.attempts)
 	// The caller has received no event since this time.
 	since := c.began
 	if resume != "" {
@@ -137,15 +135,29 @@
 // upstream was chosen.
 var errQuarantinedMeanwhile = errors.New("the request is in quarantine")
 
-// maySend is asked just before the first byte of an attempt is sent.
-func (c *call) maySend(reserved *reservation) error {
+// maySend is asked just before the first byte of an attempt is sent. resume is as in send.
+func (c *call) maySend(reserved *reservation, resume string) error {
 	if c.quarantineVerdict = c.g.cfg.Quarantine.Verdict(c.content); c.quarantineVerdict == quarantine.Quarantined {
 		return errQuarantinedMeanwhile
 	}
 	if err := reserved.maySend(); err != nil {
 		return err
 	}
-	return c.useRetry()
+	if err := c.useRetry(); err != nil {
+		return err
+	}
+	c.logSent(reserved, resume)
+	return nil
+}
+
+// logSent logs that an attempt is sent now, and what the host knows of the upstream: which control host
+// has told of it, how long ago, and how long ago that control host was heard.
+func (c *call) logSent(reserved *reservation, resume string) {
+	report, silence := c.g.lastReport(reserved)
+	c.log("request sent", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts), "upstream", reserved.ID(), "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
+		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
+		"left_ms", time.Until(c.deadline).Milliseconds(), "state", report.State, "told_by", report.ToldBy, "told_ms", report.Age.Milliseconds(),
+		"heard_ms", silence.Milliseconds())
 }
 
 // withhold undoes an attempt of which nothing was sent. A request in quarantine is refused. One without a
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -391,7 +391,7 @@
 
 func (h *afterChoice) Handle(_ context.Context, r slog.Record) error {
 	r.Attrs(func(a slog.Attr) bool {
-		if r.Message == "request sent" && a.Key == "upstream" {
+		if r.Message == "upstream chosen" && a.Key == "upstream" {
 			h.once.Do(func() { h.hook(a.Value.String()) })
 		}
 		return true
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -91,6 +91,9 @@
 // log logs progress of the request.
 func (c *call) log(message string, args ...any) { c.write(slog.LevelInfo, message, args...) }
 
+// debug logs a step that operators seldom need.
+func (c *call) debug(message string, args ...any) { c.write(slog.LevelDebug, message, args...) }
+
 // warn logs a failure. If there are too many log lines, warnings are kept in preference to
 // others.
 func (c *call) warn(message string, args ...any) { c.write(slog.LevelWarn, message, args...) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,9 @@
 	// Settle, if set, blocks after a standstill of the host until it has had the time to read which
 	// callers have left; see [standstill.Watch].
 	Settle func(context.Context)
+	// SilenceOf returns the time since the last message from a control host, or NoSession; nil if there
+	// are no control hosts.
+	SilenceOf func(controlHost string) time.Duration
 	// Now returns the time since the host's start; nil means the system's monotonic clock.
 	Now     func() time.Duration
 	Log     *slog.Logger
@@ -147,6 +151,9 @@
 			return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "there are no control hosts")
 		}
 	}
+	if cfg.SilenceOf == nil {
+		cfg.SilenceOf = func(string) time.Duration { return NoSession }
+	}
 	if cfg.RequestRetries == nil {
 		cfg.RequestRetries = func(context.Context, *wire.RetryRequest) (*wire.Retries, error) {
 			return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "there are no control hosts")
@@ -208,20 +215,50 @@
 		g.counts.increment("departures.contradicted")
 		g.cfg.Log.Warn("upstream that is gone is listed as ready", "upstream", id, "from", source)
 	}
+	before := g.view.ReadyAmong(departing(all))
 	changed, err := g.view.Merge(source, all, g.now())
 	if changed {
 		g.updateUpstreams()
 	}
+	g.logDeparted(source, before)
 	return err
 }
 
+// departing returns the IDs of the upstreams that a list has as draining or gone. Several records of one
+// upstream follow each other.
+func departing(all []registry.Upstream) []string {
+	var out []string
+	for _, u := range all {
+		if u.State != registry.Ready {
+			out = append(out, u.ID)
+		}
+	}
+	return slices.Compact(out)
+}
+
+// logDeparted logs which of the upstreams that were ready before are so no longer, since a control host
+// has said so. The caller holds mu.
+func (g *Gateway) logDeparted(source string, before []registry.Upstream) {
+	for _, u := range before {
+		if report := g.view.LastReport(u.ID, u.StartedAt, g.now()); report.State != registry.Ready {
+			g.cfg.Log.Info("upstream departs", "upstream", u.ID, "state", report.State, "from", source)
+		}
+	}
+}
+
 // MergeDepartures applies the departures of which a control host does not know the incarnation.
-func (g *Gateway) MergeDepartures(all []registry.Departure) {
+func (g *Gateway) MergeDepartures(source string, all []registry.Departure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	ids := make([]string, 0, len(all))
+	for _, d := range all {
+		ids = append(ids, d.ID)
+	}
+	before := g.view.ReadyAmong(ids)
 	if g.view.MergeDepartures(all) {
 		g.updateUpstreams()
 	}
+	g.logDeparted(source, before)
 }
 
 // ResolveLeave returns the incarnation of an upstream that leaves by a call without its start time, or
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -170,6 +170,18 @@
 	return errWithheld
 }
 
+// lastReport returns what the host was last told of the upstream of an attempt, and how long ago the
+// control host that told it was heard, or NoSession.
+func (g *Gateway) lastReport(r *reservation) (registry.Report, time.Duration) {
+	g.mu.Lock()
+	report := g.view.LastReport(r.ID(), r.StartedAt(), g.now())
+	g.mu.Unlock()
+	return report, g.cfg.SilenceOf(report.ToldBy)
+}
+
+// NoSession stands for the silence of a control host with which there is no session.
+const NoSession = -time.Millisecond
+
 // isDraining reports whether an upstream has announced that it is draining.
 func (g *Gateway) isDraining(r *reservation) bool {
 	g.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -63,7 +63,7 @@
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
 		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre, DataCentreRegions: n.settings.DataCentreRegions,
 		RetryBudget: n.settings.RetryBudget, RequestRetries: leader.RequestRetries, ColdBound: n.settings.ColdBound, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper,
-		MemoryMB: n.settings.MemoryMB, Settle: n.standstills.Settle, Log: n.log, Metrics: n.metrics,
+		MemoryMB: n.settings.MemoryMB, Settle: n.standstills.Settle, SilenceOf: n.silenceOf, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
 			Publish: n.sendNotices, RequestTokens: leader.RequestTokens,
 		},
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/engineload"
+	"github.com/sassafraspost/sassafraspost/internal/gateway"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
@@ -53,7 +54,7 @@
 	// mergeDepartures merges departures of which a control host does not know the incarnation, and
 	// resolveLeave returns the incarnation of an upstream that leaves by a call without its start time;
 	// nil if the role sends no requests to upstreams.
-	mergeDepartures   func(all []registry.Departure)
+	mergeDepartures   func(source string, all []registry.Departure)
 	resolveLeave      func(id string) (startedAt int64, err error)
 	dropSource        func(source string)
 	setEntryHostCount func(entries int)
@@ -209,7 +210,7 @@
 	}
 	err := f.mergeUpstreams(s.Remote().Host, m.All)
 	if f.mergeDepartures != nil && len(m.Departures) > 0 {
-		f.mergeDepartures(m.Departures)
+		f.mergeDepartures(s.Remote().Host, m.Departures)
 	}
 	f.replyMerged(s, call, err)
 }
@@ -332,6 +333,17 @@
 	return lowest
 }
 
+// silenceOf is gateway.Config.SilenceOf.
+func (n *Node) silenceOf(controlHost string) time.Duration {
+	silence := gateway.NoSession
+	for _, s := range n.pool.Sessions() {
+		if s.Remote().Host == controlHost && s.Remote().Replica != "" && (silence < 0 || s.SilentFor() < silence) {
+			silence = s.SilentFor()
+		}
+	}
+	return silence
+}
+
 // otherControlSession returns a live session with a control host other than the given one, nil if
 // there is none.
 func (f *follower) otherControlSession(excluded *peer.Session) *peer.Session {
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -34,6 +34,9 @@
 	isInGone bool
 	// firstMerge is the number of the Merge call that first contained the incarnation.
 	firstMerge uint64
+	// toldBy is the control host whose list contained the incarnation last, and toldAt when that was.
+	toldBy string
+	toldAt time.Duration
 }
 
 // NewView returns an empty View.
@@ -72,6 +75,7 @@
 		v.recordGone(s)
 		if u.StartedAt == s.StartedAt {
 			s.silentBy[source] = u.IsSilent
+			s.toldBy, s.toldAt = source, now
 		}
 		changed = s.updateSilence() || changed
 	}
@@ -92,6 +96,35 @@
 	return out
 }
 
+// Report is what a View knows of the state of an upstream, and from whom.
+type Report struct {
+	State State
+	// ToldBy is the control host whose list contained the incarnation last, and Age how long ago that
+	// was. A control host tells only what has changed, so a high age is normal.
+	ToldBy string
+	Age    time.Duration
+}
+
+// LastReport returns what was last told of an incarnation; the zero Report if it is not known.
+func (v *View) LastReport(id string, startedAt int64, now time.Duration) Report {
+	s := v.byID[id]
+	if s == nil || s.StartedAt != startedAt {
+		return Report{}
+	}
+	return Report{State: s.State, ToldBy: s.toldBy, Age: now - s.toldAt}
+}
+
+// ReadyAmong returns those of the upstreams with these IDs that the View has as ready.
+func (v *View) ReadyAmong(ids []string) []Upstream {
+	var out []Upstream
+	for _, id := range ids {
+		if s := v.byID[id]; s != nil && s.State == Ready {
+			out = append(out, s.Upstream)
+		}
+	}
+	return out
+}
+
 // MergeDepartures applies the departures of which a control host does not know the incarnation. They
 // end incarnations that state no start time. It reports whether anything changed.
 func (v *View) MergeDepartures(all []Departure) bool {
