Tell an entry host of a departure although nobody waits for it

Callers' requests reached an upstream seconds after its departure was acknowledged, from an entry host in touch.

Cause: the control host told only the entry hosts that it waits for. One that was silent for 2 s, frozen or cut off for a moment, got no message; a message that could not be written within 600 ms was withdrawn; one that found the queue full was dropped. In each case the session went on, so that the list of upstreams, with which a session begins, never came. The class: a limit of a wait that ends what is waited for.

Change: each attached host gets the records into its queue, or its session is closed and the next one begins with the whole list (peer.Session.PostOrClose, used for evacuations and statements, which did the same already). Whom the acknowledgement waits for stays.

--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -139,10 +139,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for s, role := range f.attached {
-		// If the queue is full, the session is closed, so that the host attaches again and gets the
-		// list then.
-		if servesCallers(role) && s.Alive() && s.Post(m) != nil {
-			s.Close()
+		if servesCallers(role) && s.Alive() {
+			s.PostOrClose(m)
 		}
 	}
 }
--- a/internal/control/notify.go
+++ b/internal/control/notify.go
@@ -43,8 +43,11 @@
 	return f.notifyHosts(ctx, records)
 }
 
-// notifyHosts sends records to the attached hosts and waits for the entry hosts until ctx ends. The error
-// is that of a host that has not applied a record.
+// notifyHosts sends records to the attached hosts and waits until ctx ends for the entry hosts that were
+// heard lately. The error is that of a host that has not applied a record.
+//
+// A host that is not waited for is told all the same: the records are in its queue when notifyHosts
+// returns, or its session is closed, and the next one begins with the list of all upstreams.
 func (f *fleet) notifyHosts(ctx context.Context, records []registry.Upstream) error {
 	m := &wire.Upstreams{All: records}
 	var awaited, silent []*peer.Session
@@ -53,15 +56,20 @@
 		switch {
 		case role == roleCallers || !s.Alive():
 		case role != roleEntry:
-			_ = s.Post(m)
+			s.PostOrClose(m)
 		case s.SilentFor() < quietTimeout:
 			awaited = append(awaited, s)
 		default:
+			s.PostOrClose(m)
 			silent = append(silent, s)
 		}
 	}
 	f.mu.Unlock()
 	missing, err := callAll(ctx, awaited, m, func(wire.Message) {})
+	for _, s := range missing {
+		// The call may have been withdrawn. Hosts apply records that they have without effect.
+		s.PostOrClose(m)
+	}
 	f.logUnconfirmed("silent", silent, records)
 	f.logUnconfirmed("no reply", missing, records)
 	return err
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -251,8 +251,8 @@
 // is closed, because the next session with that host starts by sending everything.
 func (n *Node) postToControlHosts(m wire.Message) {
 	for _, s := range n.pool.Sessions() {
-		if s.Remote().Replica != "" && s.Post(m) != nil {
-			s.Close()
+		if s.Remote().Replica != "" {
+			s.PostOrClose(m)
 		}
 	}
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -221,6 +221,14 @@
 	return err
 }
 
+// PostOrClose is Post for messages that the peer must not miss: if the message can't be queued, it ends
+// the session. What sends such messages sends all that the peer needs when the next session begins.
+func (s *Session) PostOrClose(m wire.Message) {
+	if s.Post(m) != nil {
+		s.Close()
+	}
+}
+
 // PostUrgent is Post for small messages that other hosts wait for. They are written before
 // all messages in the normal queue, in the order in which they were posted.
 func (s *Session) PostUrgent(m wire.Message) error {
