Let every control host that hears of a departure tell its entry hosts

Callers' requests reached an upstream after its acknowledged departure, from an entry host that had no session with the acknowledging control host at that moment and was in touch with the others.

Cause: a control host that saved a departure for another one told its entry hosts only if it had listed the upstream itself. Upstreams announce themselves to one control host, so usually it had not. The entry host heard of it with its next session with the first one, or never if that one was lost.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -270,18 +270,41 @@
 }
 
 // mergeDepartures applies departures and tells the attached hosts of the upstreams that this host has
-// listed in an earlier state, which it returns.
+// listed in an earlier state, which it returns. The entry hosts hear of the others too: one that has lost
+// its session with the host that listed them goes on using them.
 func (f *fleet) mergeDepartures(all []registry.Departure) []registry.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	unlisted := f.registry.UnlistedAmong(all)
 	changed := f.registry.MergeDepartures(all, f.now())
 	f.upstreamList = nil
 	if len(changed) > 0 {
 		f.broadcast(&wire.Upstreams{All: changed})
 	}
+	f.tellEntryHosts(unlisted)
 	return changed
 }
 
+// tellEntryHosts tells the attached entry hosts of departures. The caller holds mu.
+func (f *fleet) tellEntryHosts(all []registry.Departure) {
+	m := &wire.Upstreams{}
+	for _, d := range all {
+		if d.IsStartUnknown && !d.IsNew() {
+			m.Departures = append(m.Departures, d)
+			continue
+		}
+		m.All = append(m.All, d.Upstream())
+	}
+	if len(all) == 0 {
+		return
+	}
+	for s, role := range f.attached {
+		if role == roleEntry && s.Alive() {
+			s.PostOrClose(m)
+		}
+	}
+}
+
 // postDepartures sends all known departures to a control host with which a session has begun.
 func (f *fleet) postDepartures(s *peer.Session) {
 	f.mu.Lock()
--- a/internal/control/departures_property_test.go
+++ b/internal/control/departures_property_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 )
 
@@ -34,6 +36,8 @@
 	asked int
 	// frozen is the host that is frozen; nil if none is.
 	frozen *testHost
+	// isHealed is set from heal until the next fault of control hosts.
+	isHealed bool
 }
 
 type incarnation struct {
@@ -93,6 +97,7 @@
 			w.eventually(func() bool { return other.knowsDeparturesOf(v) }, "the control hosts have told each other")
 		}
 	}
+	w.isHealed = true
 }
 
 // isConnectedWith reports whether two control hosts have a session, and begins one if not. Hosts may still
@@ -249,6 +254,26 @@
 	}
 }
 
+// departUnheard lets an upstream depart while an entry host has no session with one of the control hosts.
+// The others must tell it.
+func (w *departureWorld) departUnheard(u *worldUpstream) {
+	if !w.isHealed {
+		return
+	}
+	e, v := w.entries[0], rapid.SampledFrom(w.control).Draw(w.r, "without a session with")
+	if s := e.pool.LiveSession(v.address); s != nil {
+		s.Close()
+	}
+	w.eventually(func() bool { return !v.isAttached(e) }, "the session has ended")
+	w.depart(u)
+	w.eventually(func() bool { return e.keepsTo(nil, w.left) }, "the other control hosts tell of departures")
+}
+
+// isAttached reports whether an entry host is attached to the control host.
+func (v *voter) isAttached(e *entryHost) bool {
+	return slices.ContainsFunc(v.host.fleet.entrySessions(), func(s *peer.Session) bool { return s.Remote().Address == e.address })
+}
+
 // departBesideFaults lets an upstream depart while the disks of some control hosts hang, or while a host
 // is frozen, which wakes after the next faults.
 func (w *departureWorld) departBesideFaults() {
@@ -273,6 +298,7 @@
 func (w *departureWorld) disrupt() {
 	i := rapid.SampledFrom([]int{0, 1, 2, w.asked, w.asked, w.asked}).Draw(w.r, "host")
 	losesDisk := rapid.Bool().Draw(w.r, "loses its disk")
+	w.isHealed = false
 	switch rapid.SampledFrom([]string{"kill", "kill all", "cut", "none"}).Draw(w.r, "fault") {
 	case "kill":
 		w.kill(i)
@@ -314,11 +340,13 @@
 // step does one thing to the upstreams.
 func (w *departureWorld) step() {
 	u := rapid.SampledFrom(w.upstreams).Draw(w.r, "upstream")
-	switch rapid.SampledFrom([]string{"restart", "depart", "heartbeat", "late call"}).Draw(w.r, "step") {
+	switch rapid.SampledFrom([]string{"restart", "depart", "depart unheard", "heartbeat", "late call"}).Draw(w.r, "step") {
 	case "restart":
 		w.restartUpstream(u)
 	case "depart":
 		w.depart(u)
+	case "depart unheard":
+		w.departUnheard(u)
 	case "heartbeat":
 		w.heartbeat(u)
 	case "late call":
--- a/internal/control/untold_test.go
+++ b/internal/control/untold_test.go
@@ -67,6 +67,24 @@
 	require.Eventually(t, func() bool { return !e.offers() }, propagationTimeout, time.Millisecond)
 }
 
+// Guards against the same for an upstream that leaves by a call without its start time to a control host
+// that does not know it, while the one that does is down.
+func TestLeaveOfUnknownStartReachesEntryHostsOfOtherControlHosts(t *testing.T) {
+	for _, startedAt := range []int64{0, 5} {
+		all := startVoters(t)
+		e := all[0].attachEntryHost(t, "e1")
+		e.attachTo(t, all[2])
+		all[2].awaitAttached(t, 1)
+		u := testUpstream(1, registry.Ready)
+		u.StartedAt = startedAt
+		require.NoError(t, all[0].host.Announce(t.Context(), u))
+		require.Eventually(t, e.offers, propagationTimeout, time.Millisecond)
+		all[0].stop()
+		require.NoError(t, all[1].host.Announce(t.Context(), leaveOf))
+		require.Eventually(t, func() bool { return !e.offers() }, propagationTimeout, time.Millisecond, "started at %d", startedAt)
+	}
+}
+
 // largeMessage takes long to write to a host that does not read.
 var largeMessage = &wire.Upstreams{All: []registry.Upstream{{ID: strings.Repeat("x", 64<<10), State: registry.Gone}}}
 
--- a/internal/registry/departure.go
+++ b/internal/registry/departure.go
@@ -133,6 +133,28 @@
 	return out
 }
 
+// UnlistedAmong returns those departures that MergeDepartures would apply to upstreams that are not
+// listed here.
+func (r *Registry) UnlistedAmong(all []Departure) []Departure {
+	var out []Departure
+	for _, d := range all {
+		_, hasLeft := r.unknownLeft[d.ID]
+		if d.isKept() && r.byID[d.ID] == nil && !(hasLeft && d.IsStartUnknown) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// IsNew reports whether the departure is so young that a host may apply the call that told of it as if it
+// had just arrived, see ErrAmbiguous.
+func (d Departure) IsNew() bool { return time.Duration(d.AgeMS)*time.Millisecond < maxTransit }
+
+// isKept reports whether a departure is one, and young enough to be kept.
+func (d Departure) isKept() bool {
+	return d.State != Ready && time.Duration(d.AgeMS)*time.Millisecond <= departureRetention
+}
+
 // MergeDepartures applies the departures that another control host knows, or that were saved. It
 // returns the records of the upstreams that this host has listed in an earlier state.
 func (r *Registry) MergeDepartures(all []Departure, now time.Duration) []Upstream {
@@ -150,15 +172,15 @@
 	at := now - time.Duration(d.AgeMS)*time.Millisecond
 	e := r.byID[d.ID]
 	switch {
-	case d.State == Ready || now-at > departureRetention:
+	case !d.isKept():
 		return nil
 	case d.IsStartUnknown:
 		return r.mergeUnknownDeparture(d.ID, e, at)
 	case e == nil:
 		delete(r.unknownLeft, d.ID)
-		r.byID[d.ID] = &entry{Upstream: d.upstream(), heardAt: at, knownSince: now, departedAt: at}
+		r.byID[d.ID] = &entry{Upstream: d.Upstream(), heardAt: at, knownSince: now, departedAt: at}
 	case d.StartedAt > e.StartedAt:
-		e.Upstream, e.heardAt, e.departedAt, e.isDurable = d.upstream(), at, at, false
+		e.Upstream, e.heardAt, e.departedAt, e.isDurable = d.Upstream(), at, at, false
 		e.recordReplacement(now)
 		e.knownSince = now
 		return e
@@ -194,8 +216,8 @@
 	return nil
 }
 
-// upstream returns the record of an upstream of which only the departure is known.
-func (d Departure) upstream() Upstream {
+// Upstream returns the record of an upstream of which only the departure is known.
+func (d Departure) Upstream() Upstream {
 	return Upstream{ID: d.ID, StartedAt: d.StartedAt, State: d.State, IsColdUnknown: true}
 }
 
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -132,7 +132,7 @@
 	for _, d := range all {
 		s := v.byID[d.ID]
 		if s == nil {
-			s = &viewEntry{Upstream: d.upstream(), silentBy: make(map[string]bool), firstMerge: v.mergeCount}
+			s = &viewEntry{Upstream: d.Upstream(), silentBy: make(map[string]bool), firstMerge: v.mergeCount}
 			v.byID[d.ID] = s
 		}
 		if s.StartedAt == d.StartedAt && s.State < d.State {
