Show that a departure between choice and first byte counts on each way of a request

The test passes on the code of before and fails in each case without the look at the upstream before the first byte.

--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -380,9 +380,10 @@
 }
 
 // afterChoice is a log handler that calls hook once when a request has chosen its upstream, before
-// the first byte is sent.
+// the first byte is sent. If of is not empty, only a choice of that upstream counts.
 type afterChoice struct {
 	slog.Handler
+	of   string
 	once sync.Once
 	hook func(upstream string)
 }
@@ -391,7 +392,7 @@
 
 func (h *afterChoice) Handle(_ context.Context, r slog.Record) error {
 	r.Attrs(func(a slog.Attr) bool {
-		if r.Message == "upstream chosen" && a.Key == "upstream" {
+		if r.Message == "upstream chosen" && a.Key == "upstream" && (h.of == "" || h.of == a.Value.String()) {
 			h.once.Do(func() { h.hook(a.Value.String()) })
 		}
 		return true
