--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -244,9 +244,14 @@
 func (p *testProxy) do(r *http.Request) response {
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	require.NoError(p.t, err)
+	return read(resp)
+}
+
+// read reads a response to its end.
+func read(resp *http.Response) response {
 	defer func() { _ = resp.Body.Close() }()
 	var b bytes.Buffer
-	_, err = io.Copy(&b, resp.Body)
+	_, err := io.Copy(&b, resp.Body)
 	return response{resp.StatusCode, resp.Header, b.String(), err}
 }
 
