End sessions in which a departure or a suspicion was lost

A control host whose session's queue was full lost a departure, or a suspicion of the quarantine, and the session went on, so that what the next session begins with never came: it would list the upstream to entry hosts that attach to it. Such a session is ended now, as those with entry hosts are. Suspicions have no test of their own; other messages between control hosts that are lost this way are sent again each second (demands), or are addresses.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -222,8 +222,7 @@
 	for _, s := range sessions {
 		replica := consensus.ReplicaID(s.Remote().Replica)
 		if !slices.Contains(voters, replica) {
-			// If the queue is full, the host gets the departures with the next session.
-			_ = s.Post(m)
+			s.PostOrClose(m)
 			continue
 		}
 		asked++
@@ -239,8 +238,7 @@
 	defer cancel()
 	_, sent, err := s.Call(ctx, m)
 	if !sent {
-		// If the queue is full, the host gets the departures with the next session.
-		_ = s.Post(m)
+		s.PostOrClose(m)
 	}
 	return err
 }
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -125,7 +125,7 @@
 		f.upstreamList, _ = peer.Prepare(&wire.Upstreams{All: all, Departures: f.registry.UnknownDepartures(f.now())})
 		f.isUpstreamListCold = slices.ContainsFunc(all, func(u registry.Upstream) bool { return u.ColdRemainingMS > 0 })
 	}
-	_ = s.PostPrepared(f.upstreamList)
+	s.PostPreparedOrClose(f.upstreamList)
 	_ = s.Post(&wire.ConfigurationNotice{Number: f.h.tables.Configuration().Number})
 	// The other hosts get the new number of hosts with the next tick. If they got it at
 	// once, n hosts that start together would cause n messages to each of them.
@@ -152,11 +152,7 @@
 		if role == roleCallers {
 			continue
 		}
-		// If the queue is full, the message is lost. The session is closed, so that the host
-		// reconnects and gets the whole state.
-		if s.PostPrepared(p) != nil {
-			s.Close()
-		}
+		s.PostPreparedOrClose(p)
 	}
 }
 
--- a/internal/control/ratelimit.go
+++ b/internal/control/ratelimit.go
@@ -57,9 +57,8 @@
 		return
 	}
 	for s, role := range f.attached {
-		// If the queue is full, the session is closed. The host reconnects and gets all notices.
-		if role == roleEntry && s != from && s.Alive() && s.PostPrepared(p) != nil {
-			s.Close()
+		if role == roleEntry && s != from && s.Alive() {
+			s.PostPreparedOrClose(p)
 		}
 	}
 }
--- a/internal/control/suspicions.go
+++ b/internal/control/suspicions.go
@@ -41,14 +41,11 @@
 		return
 	}
 	for s, role := range f.attached {
-		// If the queue is full, the session is closed. The host reconnects and gets all
-		// suspicions.
-		if (role == roleEntry || role == roleCallers) && s.Alive() && s.PostPrepared(m) != nil {
-			s.Close()
+		if (role == roleEntry || role == roleCallers) && s.Alive() {
+			s.PostPreparedOrClose(m)
 		}
 	}
 	for _, s := range f.h.cfg.Transport.Sessions() {
-		// If the queue is full, the host gets the suspicions with the next session.
-		_ = s.PostPrepared(m)
+		s.PostPreparedOrClose(m)
 	}
 }
--- a/internal/control/untold_test.go
+++ b/internal/control/untold_test.go
@@ -88,6 +88,36 @@
 // largeMessage takes long to write to a host that does not read.
 var largeMessage = &wire.Upstreams{All: []registry.Upstream{{ID: strings.Repeat("x", 64<<10), State: registry.Gone}}}
 
+// Guards against a departure that a control host never hears of, since the session's queue is full while it
+// does not read: it would list the upstream to hosts that attach.
+func TestDepartureReachesControlHostThatReadsLate(t *testing.T) {
+	all := startVoters(t)
+	require.NoError(t, all[0].host.Announce(t.Context(), testUpstream(1, registry.Ready)))
+	late := all[2]
+	s := all[0].host.cfg.Transport.session(late.host.id)
+	late.frozen.Lock()
+	for s.Post(largeMessage) == nil {
+	}
+	err := all[0].host.Announce(t.Context(), testUpstream(2, registry.Gone))
+	late.frozen.Unlock()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return all[0].isConnectedWith(t, late) && late.savedState("u") == registry.Gone
+	}, propagationTimeout, 10*time.Millisecond)
+	late.awaitIdleDisk(t)
+}
+
+// awaitIdleDisk waits until the control host writes no more, so that its folder can be removed.
+func (v *voter) awaitIdleDisk(t *testing.T) {
+	t.Helper()
+	before := int64(-1)
+	require.Eventually(t, func() bool {
+		last := before
+		before = v.disk.writes.Load()
+		return before == last
+	}, propagationTimeout, 100*time.Millisecond)
+}
+
 // Guards against requests to an upstream whose departure was acknowledged, from an entry host to which the
 // message could not be written in time, since it was not reading or its link was full: the message is
 // withdrawn, or finds no place in the queue.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -229,6 +229,13 @@
 	}
 }
 
+// PostPreparedOrClose is PostOrClose for an encoded message.
+func (s *Session) PostPreparedOrClose(p *Prepared) {
+	if s.PostPrepared(p) != nil {
+		s.Close()
+	}
+}
+
 // PostUrgent is Post for small messages that other hosts wait for. They are written before
 // all messages in the normal queue, in the order in which they were posted.
 func (s *Session) PostUrgent(m wire.Message) error {
