--- a/internal/control/departures_property_test.go
+++ b/internal/control/departures_property_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -94,7 +95,10 @@
 	w.attachEntryHosts()
 	for _, v := range w.control {
 		for _, other := range w.control {
-			w.eventually(func() bool { return other.knowsDeparturesOf(v) }, "the control hosts have told each other")
+			if !assert.Eventually(w.r, func() bool { return other.knowsDeparturesOf(v) }, propagationTimeout, time.Millisecond) {
+				require.Fail(w.r, "the control hosts have not told each other", "%s knows %v and lists %v, %s knows %v",
+					other.host.id, other.knownDepartures(), other.list(), v.host.id, v.knownDepartures())
+			}
 		}
 	}
 	w.isHealed = true
