--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -285,17 +285,18 @@
 
 // tellEntryHosts tells the attached entry hosts of departures. The caller holds mu.
 func (f *fleet) tellEntryHosts(all []registry.Departure) {
+	if len(all) == 0 {
+		return
+	}
 	m := &wire.Upstreams{}
 	for _, d := range all {
 		if d.IsStartUnknown && !d.IsNew() {
 			m.Departures = append(m.Departures, d)
 			continue
 		}
+		// Without a start time this is the call itself, which each host judges.
 		m.All = append(m.All, d.Upstream())
 	}
-	if len(all) == 0 {
-		return
-	}
 	for s, role := range f.attached {
 		if role == roleEntry && s.Alive() {
 			s.PostOrClose(m)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,10 +154,11 @@
 // has told of it, how long ago, and how long ago that control host was heard.
 func (c *call) logSent(reserved *reservation, resume string) {
 	report, silence := c.g.lastReport(reserved)
-	c.log("request sent", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts), "upstream", reserved.ID(), "send", c.attempts, "resume", resume, "taken", reserved.EstimatedLoad,
-		"load_age_ms", reserved.LoadAge.Milliseconds(), "waited_ms", time.Since(c.began).Milliseconds(),
-		"left_ms", time.Until(c.deadline).Milliseconds(), "state", report.State, "told_by", report.ToldBy, "told_ms", report.Age.Milliseconds(),
-		"heard_ms", silence.Milliseconds())
+	c.log("request sent", "fingerprint", c.content.Request.String(), "parts", shortForms(c.content.Parts),
+		"upstream", reserved.ID(), "send", c.attempts, "resume", resume,
+		"taken", reserved.EstimatedLoad, "load_age_ms", reserved.LoadAge.Milliseconds(),
+		"waited_ms", time.Since(c.began).Milliseconds(), "left_ms", time.Until(c.deadline).Milliseconds(),
+		"state", report.State, "told_by", report.ToldBy, "told_ms", report.Age.Milliseconds(), "heard_ms", silence.Milliseconds())
 }
 
 // withhold undoes an attempt of which nothing was sent. A request in quarantine is refused. One without a
