Log messages that can't be decoded with kind, sender and reason

Cause of this change: a session that ends for a message that can't be decoded left only a counter, so that logs could not tell it from a link that is gone. No logic is changed.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -101,7 +101,7 @@
 	require.NoError(t, err)
 	require.NoError(t, s.conn.Write(context.Background(), websocket.MessageBinary, data))
 	require.Eventually(t, func() bool { return !s.Alive() }, 10*time.Second, time.Millisecond)
-	require.Equal(t, int64(1), b.pool.traffic.unreadable.Count())
+	require.Equal(t, int64(1), b.pool.traffic.unreadable.counter.Count())
 	_, err = a.pool.Get(context.Background(), b.address)
 	require.NoError(t, err, "a new session can begin")
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -61,7 +61,8 @@
 	BeforeHandshake func()
 	// Metrics is the registry for the traffic counters; nil means a private one.
 	Metrics metrics.Registry
-	// Log receives the errors of messages whose handler panicked; nil discards them.
+	// Log receives the errors of messages that can't be decoded or whose handler panicked; nil discards
+	// them.
 	Log *slog.Logger
 }
 
@@ -118,7 +119,7 @@
 	return &Pool{
 		cfg:               cfg,
 		client:            &http.Client{Transport: transport},
-		traffic:           newTraffic(cfg.Metrics),
+		traffic:           newTraffic(cfg.Metrics, cfg.Log),
 		allSessions:       make(map[*Session]bool),
 		sessionsByAddress: make(map[string][]*Session),
 		dials:             make(map[string]*dial),
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -400,7 +400,7 @@
 		}
 		env, m, err := wire.Decode(data)
 		if err != nil {
-			s.traffic.unreadable.Inc(1)
+			s.traffic.unreadable.add(s.remote.Host, env.Kind, err, time.Now())
 			_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
 			return err
 		}
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -36,9 +37,10 @@
 // ("attempt") apart from all others ("control").
 type traffic struct {
 	controlSent, controlReceived, attemptSent, attemptReceived counts
-	// unreadable counts messages that this build can't decode, rejected the connections with
-	// a wrong secret or Hello.
-	unreadable, rejected metrics.Counter
+	// unreadable counts and logs messages that this build can't decode.
+	unreadable *refusals
+	// rejected counts the connections with a wrong secret or Hello.
+	rejected metrics.Counter
 	// panicked counts messages whose handler panicked.
 	panicked metrics.Counter
 	// dials counts all dials, lateHandshakes those that exceeded the handshake timeout,
@@ -83,14 +85,14 @@
 	return counter
 }
 
-func newTraffic(reg metrics.Registry) *traffic {
+func newTraffic(reg metrics.Registry, log *slog.Logger) *traffic {
 	return &traffic{
 		controlSent:     newCounts(reg, "control.sent"),
 		controlReceived: newCounts(reg, "control.received"),
 		attemptSent:     newCounts(reg, "attempt.sent"),
 		attemptReceived: newCounts(reg, "attempt.received"),
 		panicked:        metrics.GetOrRegisterCounter("peer.messages.harmful", reg),
-		unreadable:      metrics.GetOrRegisterCounter("peer.messages.unreadable", reg),
+		unreadable:      newRefusals("message can't be decoded", metrics.GetOrRegisterCounter("peer.messages.unreadable", reg), log),
 		rejected:        metrics.GetOrRegisterCounter("peer.strangers", reg),
 		dials:           metrics.GetOrRegisterCounter("peer.dials.begun", reg),
 		lateHandshakes:  metrics.GetOrRegisterCounter("peer.dials.late", reg),
