Let a message that can't be decoded cost only itself, and send none that can't

What callers saw: no control host accepted a configuration any more after one call with an id that is no UTF-8. Cause: such text is encoded without a check and refused by the decoder; the reader ended the whole session, which the consensus shares, and the next session began with the same list.

Reader: a message whose envelope can be read but not its body, or whose kind is unknown, is counted, logged and left out; a call gets a failure, a reply that can't be decoded ends its call. Of a list of independent records only the bad one is left out. Messages over 16 MiB are discarded up to 64 MiB. Another version or a broken envelope still end the session. Writer: text, size and number of elements are checked as a message is encoded; what no reader would accept is an error at the caller with a line, bad records of lists are left out, and PostOrClose ends a session only for a full queue. A control host refuses the announcement before it enters the registry. Paths and header fields of requests and responses are carried as they are: HTTP allows bytes that are no text.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -12,6 +12,8 @@
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
+	"github.com/sassafraspost/sassafraspost/internal/textcheck"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -121,11 +123,11 @@
 		return
 	}
 	if f.upstreamList == nil || f.isUpstreamListCold {
-		all := f.registry.List(f.now())
-		f.upstreamList, _ = peer.Prepare(&wire.Upstreams{All: all, Departures: f.registry.UnknownDepartures(f.now())})
-		f.isUpstreamListCold = slices.ContainsFunc(all, func(u registry.Upstream) bool { return u.ColdRemainingMS > 0 })
+		f.prepareUpstreamList()
+	}
+	if f.upstreamList != nil {
+		s.PostPreparedOrClose(f.upstreamList)
 	}
-	s.PostPreparedOrClose(f.upstreamList)
 	_ = s.Post(&wire.ConfigurationNotice{Number: f.h.tables.Configuration().Number})
 	// The other hosts get the new number of hosts with the next tick. If they got it at
 	// once, n hosts that start together would cause n messages to each of them.
@@ -136,6 +138,17 @@
 	}
 }
 
+// prepareUpstreamList encodes the list of all upstreams. The caller holds mu.
+func (f *fleet) prepareUpstreamList() {
+	all := f.registry.List(f.now())
+	var err error
+	f.upstreamList, err = peer.Prepare(&wire.Upstreams{All: all, Departures: f.registry.UnknownDepartures(f.now())})
+	if err != nil {
+		f.h.cfg.Log.Error("list of upstreams can't be encoded", "upstreams", len(all), "error", err.Error())
+	}
+	f.isUpstreamListCold = slices.ContainsFunc(all, func(u registry.Upstream) bool { return u.ColdRemainingMS > 0 })
+}
+
 // broadcast sends a message to all attached hosts except those with roleCallers.
 // The caller holds mu.
 func (f *fleet) broadcast(m wire.Message) {
@@ -264,6 +277,11 @@
 // control host.
 func (h *Host) Announce(ctx context.Context, u registry.Upstream) error {
 	f := h.fleet
+	if err := textcheck.Check(&u); err != nil {
+		// No host could be told of it.
+		h.cfg.Log.Warn("announcement refused", "upstream", u.ID, "state", u.State, "error", err.Error())
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, err.Error())
+	}
 	if u.State != registry.Ready {
 		return f.announceDeparture(ctx, u)
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -21,10 +21,10 @@
 func (h *Host) HandlePeer(s *peer.Session, call uint64, m wire.Message) bool {
 	switch m := m.(type) {
 	case *wire.Consensus:
-		h.handleConsensus(m)
+		h.handleConsensus(s, m)
 	case *wire.ConsensusPart:
 		if data, isComplete := h.cfg.Transport.reassemble(consensus.ReplicaID(s.Remote().Replica), m); isComplete {
-			h.handleConsensus(&wire.Consensus{To: m.To, Data: data})
+			h.handleConsensus(s, &wire.Consensus{To: m.To, Data: data})
 		}
 	case *wire.Hosts:
 		h.AddControlHosts(m.ControlHosts...)
@@ -108,16 +108,18 @@
 	return f
 }
 
-func (h *Host) handleConsensus(m *wire.Consensus) {
+func (h *Host) handleConsensus(s *peer.Session, m *wire.Consensus) {
 	if consensus.ReplicaID(m.To) != h.id {
 		return
 	}
 	var msg consensus.Message
-	if wire.Unmarshal(m.Data, &msg) == nil {
-		h.contacts.consensusReceived(msg.From, time.Now())
-		h.cfg.Transport.counters.of(msg.From).received.Inc(1)
-		h.replica.Step(msg)
+	if err := wire.Unmarshal(m.Data, &msg); err != nil {
+		s.ReportUnreadable(m.Kind(), err)
+		return
 	}
+	h.contacts.consensusReceived(msg.From, time.Now())
+	h.cfg.Transport.counters.of(msg.From).received.Inc(1)
+	h.replica.Step(msg)
 }
 
 func (h *Host) handleRead(ctx context.Context) (wire.Message, error) {
--- a/internal/peer/failure.go
+++ b/internal/peer/failure.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -13,7 +14,7 @@
 	return &wire.Failure{
 		Verdict:      uint8(e.Verdict),
 		Code:         string(e.Code),
-		Text:         e.Text,
+		Text:         strings.ToValidUTF8(e.Text, "\uFFFD"),
 		RetryAfterMS: uint64(e.RetryAfter / time.Millisecond),
 	}
 }
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -30,7 +30,7 @@
 }
 
 func (s *Session) enqueue(call uint64, isReply bool, m wire.Message) (*item, error) {
-	it, err := newItem(call, isReply, m)
+	it, err := s.newItem(call, isReply, m)
 	if err != nil {
 		return nil, err
 	}
@@ -73,22 +73,30 @@
 type Prepared struct {
 	kind wire.Kind
 	data []byte
+	// partial is the *wire.PartialError if elements were left out.
+	partial error
 }
 
-// Prepare encodes a message that is to be posted to many sessions.
+// Prepare encodes a message that is to be posted to many sessions. The error is a *wire.EncodeError.
 func Prepare(m wire.Message) (*Prepared, error) {
 	data, err := wire.Encode(0, false, m)
-	return &Prepared{kind: m.Kind(), data: data}, err
+	if err != nil && !wire.IsPartial(err) {
+		return nil, err
+	}
+	return &Prepared{kind: m.Kind(), data: data, partial: err}, nil
 }
 
 // PostPrepared is Post for an encoded message.
 func (s *Session) PostPrepared(p *Prepared) error {
+	if p.partial != nil {
+		s.traffic.unsendable.add(s.remote.Host, p.kind, p.partial, time.Now())
+	}
 	return s.tryPut(s.queue, &item{kind: p.kind, data: p.data, queued: time.Now(), started: make(chan struct{})})
 }
 
 // enqueueBlocking queues a message and waits while the queue is full.
 func (s *Session) enqueueBlocking(ctx context.Context, m wire.Message) (*item, error) {
-	it, err := newItem(0, false, m)
+	it, err := s.newItem(0, false, m)
 	if err != nil {
 		return nil, err
 	}
@@ -129,9 +137,13 @@
 	}
 }
 
-func newItem(call uint64, isReply bool, m wire.Message) (*item, error) {
+// newItem encodes a message. It counts and logs what can't be encoded.
+func (s *Session) newItem(call uint64, isReply bool, m wire.Message) (*item, error) {
 	data, err := wire.Encode(call, isReply, m)
 	if err != nil {
+		s.traffic.unsendable.add(s.remote.Host, m.Kind(), err, time.Now())
+	}
+	if err != nil && !wire.IsPartial(err) {
 		return nil, err
 	}
 	return &item{kind: m.Kind(), data: data, queued: time.Now(), started: make(chan struct{})}, nil
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/pause"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -215,24 +217,25 @@
 	})
 }
 
-// Post queues m without blocking. If it returns an error (ErrBusy, ErrClosed, or that of the
-// encoding), the message was not sent.
+// Post queues m without blocking. If it returns an error (ErrBusy, ErrClosed or *wire.EncodeError), the message
+// was not sent.
 func (s *Session) Post(m wire.Message) error {
 	_, err := s.enqueue(0, false, m)
 	return err
 }
 
-// PostOrClose is Post for messages that the peer must not miss: if the message can't be queued, it ends
-// the session. What sends such messages sends all that the peer needs when the next session begins.
+// PostOrClose is Post for messages that the peer must not miss: if the queue is full, it ends the session.
+// What sends such messages sends all that the peer needs when the next session begins. A message that can't be
+// encoded does not end the session, since it could not be sent on the next one either.
 func (s *Session) PostOrClose(m wire.Message) {
-	if s.Post(m) != nil {
+	if errors.Is(s.Post(m), ErrBusy) {
 		s.Close()
 	}
 }
 
 // PostPreparedOrClose is PostOrClose for an encoded message.
 func (s *Session) PostPreparedOrClose(p *Prepared) {
-	if s.PostPrepared(p) != nil {
+	if errors.Is(s.PostPrepared(p), ErrBusy) {
 		s.Close()
 	}
 }
@@ -240,7 +243,7 @@
 // PostUrgent is Post for small messages that other hosts wait for. They are written before
 // all messages in the normal queue, in the order in which they were posted.
 func (s *Session) PostUrgent(m wire.Message) error {
-	it, err := newItem(0, false, m)
+	it, err := s.newItem(0, false, m)
 	if err != nil {
 		return err
 	}
@@ -345,6 +348,7 @@
 
 // run reads and writes messages until the session ends.
 func (s *Session) run(h Handler) {
+	s.conn.SetReadLimit(maxDiscardedBytes)
 	go s.writeLoop()
 	s.fail(s.readLoop(h))
 }
@@ -395,14 +399,23 @@
 func (s *Session) readLoop(h Handler) error {
 	for {
 		data, err := s.read()
+		if errors.Is(err, errTooLarge) {
+			s.traffic.unreadable.add(s.remote.Host, 0, err, time.Now())
+			continue
+		}
 		if err != nil {
 			return err
 		}
 		env, m, err := wire.Decode(data)
 		if err != nil {
-			s.traffic.unreadable.add(s.remote.Host, env.Kind, err, time.Now())
-			_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
-			return err
+			s.ReportUnreadable(env.Kind, err)
+			if m, err = s.refuse(env, m, err); err != nil {
+				_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
+				return err
+			}
+			if m == nil {
+				continue
+			}
 		}
 		s.traffic.countReceived(env.Kind, len(data))
 		if env.IsReply {
@@ -426,6 +439,32 @@
 	}
 }
 
+// refuse handles a message that can't be decoded, or not entirely. It returns the message that takes its
+// place, nil if there is none. A single message must not end the session: the sender would send it again on the
+// next one, and all other messages share the session, those of the consensus among them. An error ends the
+// session, since the peer speaks another version or the end of the message is not known.
+func (s *Session) refuse(env wire.Envelope, m wire.Message, err error) (wire.Message, error) {
+	var body *wire.BodyError
+	var kind *wire.KindError
+	switch {
+	case wire.IsPartial(err):
+		return m, nil
+	case !errors.As(err, &body) && !errors.As(err, &kind):
+		return nil, err
+	case env.IsReply:
+		return NewFailure(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the reply can't be decoded")), nil
+	case env.Call != 0:
+		s.unrepliedCalls.Add(1)
+		_ = s.Reply(env.Call, NewFailure(verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the message can't be decoded")))
+	}
+	return nil, nil
+}
+
+// ReportUnreadable counts and logs a message of the peer that can't be decoded, or not entirely.
+func (s *Session) ReportUnreadable(kind wire.Kind, reason error) {
+	s.traffic.unreadable.add(s.remote.Host, kind, reason, time.Now())
+}
+
 // serve passes a message to the handler. If the handler panics, only the session ends and
 // not the process. Otherwise the sender, which sends the message again, would crash the
 // restarted process too, and then every other host.
@@ -441,17 +480,33 @@
 	return nil
 }
 
+// errTooLarge is returned for a message that was read and discarded because of its size.
+var errTooLarge = errors.Errorf("peer: message of more than %d bytes", wire.MaxMessageBytes)
+
+// maxDiscardedBytes is the largest message that is discarded. A larger one ends the session.
+const maxDiscardedBytes = 4 * wire.MaxMessageBytes
+
 // read returns the next message and records the time of its arrival.
 func (s *Session) read() ([]byte, error) {
-	kind, data, err := s.conn.Read(context.Background())
+	kind, r, err := s.conn.Reader(context.Background())
 	if err != nil {
 		return nil, err
 	}
+	data, err := io.ReadAll(io.LimitReader(r, wire.MaxMessageBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > wire.MaxMessageBytes {
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			return nil, err
+		}
+		err = errTooLarge
+	}
 	s.lastReceived.Store(int64(s.age()))
 	if kind != websocket.MessageBinary {
 		return nil, errors.New("peer: text message refused")
 	}
-	return data, nil
+	return data, err
 }
 
 // deliverReply passes a reply to the caller that waits for it, if there still is one.
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -37,8 +37,9 @@
 // ("attempt") apart from all others ("control").
 type traffic struct {
 	controlSent, controlReceived, attemptSent, attemptReceived counts
-	// unreadable counts and logs messages that this build can't decode.
-	unreadable *refusals
+	// unreadable counts and logs received messages that this build can't decode, or not entirely, unsendable
+	// those that it does not send, or not entirely, because no peer of this build could decode them.
+	unreadable, unsendable *refusals
 	// rejected counts the connections with a wrong secret or Hello.
 	rejected metrics.Counter
 	// panicked counts messages whose handler panicked.
@@ -93,6 +94,7 @@
 		attemptReceived: newCounts(reg, "attempt.received"),
 		panicked:        metrics.GetOrRegisterCounter("peer.messages.harmful", reg),
 		unreadable:      newRefusals("message can't be decoded", metrics.GetOrRegisterCounter("peer.messages.unreadable", reg), log),
+		unsendable:      newRefusals("message can't be encoded", metrics.GetOrRegisterCounter("peer.messages.unsendable", reg), log),
 		rejected:        metrics.GetOrRegisterCounter("peer.strangers", reg),
 		dials:           metrics.GetOrRegisterCounter("peer.dials.begun", reg),
 		lateHandshakes:  metrics.GetOrRegisterCounter("peer.dials.late", reg),
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -111,7 +111,7 @@
 
 // InForce reports to control hosts which revisions hosts use.
 type InForce struct {
-	Hosts []ActiveRevision `cbor:"1,keyasint"`
+	Hosts []ActiveRevision `cbor:"1,keyasint" independent:"true"`
 }
 
 // Kind implements Message.
@@ -288,7 +288,7 @@
 	Voters    []string `cbor:"7,keyasint,omitempty"`
 	Learners  []string `cbor:"8,keyasint,omitempty"`
 	// Hosts contains the latest reports of the revisions that hosts use.
-	Hosts []ActiveRevision `cbor:"9,keyasint,omitempty"`
+	Hosts []ActiveRevision `cbor:"9,keyasint,omitempty" independent:"true"`
 }
 
 // Kind implements Message.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -46,8 +46,8 @@
 // With Leaving it is a question instead, which changes nothing. The reply has the departure of the
 // incarnation that the receiver knows, or is Ack or Failure.
 type Upstreams struct {
-	All        []registry.Upstream  `cbor:"1,keyasint"`
-	Departures []registry.Departure `cbor:"2,keyasint,omitempty"`
+	All        []registry.Upstream  `cbor:"1,keyasint" independent:"true"`
+	Departures []registry.Departure `cbor:"2,keyasint,omitempty" independent:"true"`
 	// Leaving is the ID of an upstream that leaves by a call without its start time.
 	Leaving string `cbor:"3,keyasint,omitempty"`
 }
@@ -57,7 +57,7 @@
 
 // SavedDepartures is a list of departures on the disk of a control host.
 type SavedDepartures struct {
-	All []registry.Departure `cbor:"1,keyasint"`
+	All []registry.Departure `cbor:"1,keyasint" independent:"true"`
 	// SavedAt is when the list was saved, in Unix milliseconds.
 	SavedAt int64 `cbor:"2,keyasint"`
 }
@@ -132,7 +132,7 @@
 type EngineLoads struct {
 	// FullRecords contains full records. CompactLoads contains the loads of engines whose full
 	// record the receiver already has, in the encoding of package engineload.
-	FullRecords  []EngineLoad `cbor:"1,keyasint,omitempty"`
+	FullRecords  []EngineLoad `cbor:"1,keyasint,omitempty" independent:"true"`
 	CompactLoads []byte       `cbor:"2,keyasint,omitempty"`
 	// UnchangedLoads contains the engines whose load is the same as in the previous EngineLoads,
 	// in the encoding of package engineload.
@@ -152,12 +152,12 @@
 // Hosts announces the hosts of the system that the sender knows, and the demand at entry hosts.
 type Hosts struct {
 	// ControlHosts contains the peer addresses of control hosts.
-	ControlHosts []string `cbor:"1,keyasint,omitempty"`
+	ControlHosts []string `cbor:"1,keyasint,omitempty" independent:"true"`
 	// EntryHosts is the number of entry hosts attached to the sender.
 	EntryHosts int `cbor:"2,keyasint,omitempty"`
 	// Demands is the demand at the sender, if it is an entry host, else the sum of the demands at the
 	// entry hosts that are attached to the sender.
-	Demands []ServiceDemand `cbor:"3,keyasint,omitempty"`
+	Demands []ServiceDemand `cbor:"3,keyasint,omitempty" independent:"true"`
 }
 
 // Kind implements Message.
@@ -168,7 +168,7 @@
 // upstreams that announce themselves to entry hosts send it to each other too. Receivers must
 // accept it in any order and repeatedly.
 type Suspicions struct {
-	All []quarantine.Suspicion `cbor:"1,keyasint"`
+	All []quarantine.Suspicion `cbor:"1,keyasint" independent:"true"`
 }
 
 // Kind implements Message.
@@ -178,7 +178,7 @@
 // hosts, and these send it to all other entry hosts. Receivers must accept it in any order and
 // repeatedly.
 type Notices struct {
-	All []backpressure.Notice `cbor:"1,keyasint"`
+	All []backpressure.Notice `cbor:"1,keyasint" independent:"true"`
 }
 
 // Kind implements Message.
--- a/internal/wire/membership.go
+++ b/internal/wire/membership.go
@@ -114,17 +114,17 @@
 	Incarnation uint64     `cbor:"1,keyasint"`
 	Version     uint64     `cbor:"2,keyasint"`
 	Full        bool       `cbor:"3,keyasint,omitempty"`
-	Upserts     []Upstream `cbor:"4,keyasint,omitempty"`
+	Upserts     []Upstream `cbor:"4,keyasint,omitempty" independent:"true"`
 	// Forgotten contains the names of upstreams whose records the directory host deleted.
-	Forgotten []string `cbor:"5,keyasint,omitempty"`
+	Forgotten []string `cbor:"5,keyasint,omitempty" independent:"true"`
 	// Events contains the cache events of each upstream.
-	Events []UpstreamEvents `cbor:"6,keyasint,omitempty"`
+	Events []UpstreamEvents `cbor:"6,keyasint,omitempty" independent:"true"`
 	// Loads contains the reports of upstreams whose records are otherwise unchanged.
-	Loads []UpstreamLoad `cbor:"7,keyasint,omitempty"`
+	Loads []UpstreamLoad `cbor:"7,keyasint,omitempty" independent:"true"`
 	// Silent contains the names of upstreams whose announcements stopped arriving, and
 	// NoLongerSilent those whose announcements arrive again.
-	Silent         []string `cbor:"8,keyasint,omitempty"`
-	NoLongerSilent []string `cbor:"9,keyasint,omitempty"`
+	Silent         []string `cbor:"8,keyasint,omitempty" independent:"true"`
+	NoLongerSilent []string `cbor:"9,keyasint,omitempty" independent:"true"`
 }
 
 // UpstreamLoad is the load report of one upstream.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,8 +17,14 @@
 // Version is the version of the envelope and the messages that this build supports.
 const Version = 1
 
-// MaxMessageBytes is the maximum size of an encoded message.
-const MaxMessageBytes = 16 << 20
+const (
+	// MaxMessageBytes is the maximum size of an encoded message.
+	MaxMessageBytes = 16 << 20
+	// maxNestedLevels is how deep arrays and maps in a message may be nested, maxElements how many
+	// elements or pairs each of them may have.
+	maxNestedLevels = 16
+	maxElements     = 1 << 20
+)
 
 // Kind identifies the type of a message in its envelope.
 type Kind uint16
@@ -68,10 +74,40 @@
 	return errors.Errorf("wire: unknown message kind %d", e.Got).Error()
 }
 
+// BodyError reports that a message can't be decoded although its envelope can.
+type BodyError struct {
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *BodyError) Error() string {
+	return "wire: decode message of kind " + e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the error of the decoder.
+func (e *BodyError) Unwrap() error { return e.Err }
+
+// EncodeError reports that a message was not encoded, because no receiver of this build could decode it.
+type EncodeError struct {
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *EncodeError) Error() string {
+	return "wire: encode message of kind " + e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the reason.
+func (e *EncodeError) Unwrap() error { return e.Err }
+
 var (
 	encMode = newEncMode()
-	decMode = newDecMode()
-	types   = typesByKind()
+	decMode = newDecMode(cbor.UTF8RejectInvalid)
+	// opaqueDecMode accepts text that is not valid UTF-8.
+	opaqueDecMode = newDecMode(cbor.UTF8DecodeInvalid)
+	types         = typesByKind()
 )
 
 func newEncMode() cbor.EncMode {
@@ -82,12 +118,13 @@
 	return m
 }
 
-func newDecMode() cbor.DecMode {
+func newDecMode(text cbor.UTF8Mode) cbor.DecMode {
 	opts := cbor.DecOptions{
-		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 20,
-		MaxMapPairs:      1 << 20,
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		UTF8:             text,
 	}
 	m, err := opts.DecMode()
 	if err != nil {
@@ -103,17 +140,48 @@
 // the number of elements.
 func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
 
-// Encode encodes m in an envelope. If call is zero, no reply is expected.
+// Encode encodes m in an envelope. If call is zero, no reply is expected. With a *PartialError the data can be
+// sent; any other error is an *EncodeError.
 func Encode(call uint64, isReply bool, m Message) ([]byte, error) {
-	body, err := Marshal(m)
+	body, partial := marshalBody(m)
+	if partial != nil && !IsPartial(partial) {
+		return nil, &EncodeError{Kind: m.Kind(), Err: partial}
+	}
+	data, err := Marshal(Envelope{Version: Version, Kind: m.Kind(), Call: call, IsReply: isReply, Body: body})
+	if err == nil {
+		err = checkLimits(data, body)
+	}
 	if err != nil {
-		return nil, errors.Wrap(err, "wire: encode message")
+		return nil, &EncodeError{Kind: m.Kind(), Err: err}
+	}
+	return data, partial
+}
+
+// marshalBody encodes a message. Those of attempts carry what callers and upstreams have sent, which need not be
+// valid text, and are decoded accordingly.
+func marshalBody(m Message) ([]byte, error) {
+	if m.Kind().IsAttempt() {
+		return Marshal(m)
 	}
-	return Marshal(Envelope{Version: Version, Kind: m.Kind(), Call: call, IsReply: isReply, Body: body})
+	return MarshalValid(m)
 }
 
-// Decode decodes an envelope and the message in it. The message is a pointer to its type.
-// The error is a *VersionError, a *KindError, or that of a malformed encoding.
+// checkLimits returns an error if a receiver would refuse an encoded message because of its size or its
+// number of elements.
+func checkLimits(data, body []byte) error {
+	if len(data) > MaxMessageBytes {
+		return errors.Errorf("%d bytes, at most %d are allowed", len(data), MaxMessageBytes)
+	}
+	if len(body) <= maxElements {
+		// Each element takes a byte or more.
+		return nil
+	}
+	return decMode.Wellformed(body)
+}
+
+// Decode decodes an envelope and the message in it. The message is a pointer to its type. The error is
+// a *VersionError, or that of an envelope that can't be decoded; a *KindError or a *BodyError, with a valid
+// envelope; or a *PartialError, with a message that can be used.
 func Decode(data []byte) (Envelope, Message, error) {
 	var e Envelope
 	if err := Unmarshal(data, &e); err != nil {
@@ -127,10 +195,19 @@
 		return e, nil, &KindError{Got: e.Kind}
 	}
 	m := reflect.New(t).Interface().(Message)
-	if err := Unmarshal(e.Body, m); err != nil {
-		return e, nil, errors.Wrapf(err, "wire: decode message of kind %d", e.Kind)
+	err := unmarshalBody(e.Body, m)
+	if err != nil && !IsPartial(err) {
+		return e, nil, &BodyError{Kind: e.Kind, Err: err}
+	}
+	return e, m, err
+}
+
+// unmarshalBody is the counterpart of marshalBody.
+func unmarshalBody(body []byte, m Message) error {
+	if m.Kind().IsAttempt() {
+		return opaqueDecMode.Unmarshal(body, m)
 	}
-	return e, m, nil
+	return UnmarshalValid(body, m)
 }
 
 func typesByKind() map[Kind]reflect.Type {
