Dispatch: send nothing to an upstream whose id has control characters

A heartbeat whose path ends in i-1%0D%0AX-Tenant:%20other was acknowledged, and each request to that worker then carried the field X-Tenant with the value "other" besides what the gateway had set, or a second request.

Cause: the id is written into the header with Fprintf, which does not replace line breaks as http.Header.Write does.

Evidence: TestIDWithControlCharactersSendsNothing failed before: the upstream received "X-I":["i1"], "X-Tenant":["other"].

An id may also come from a control host of an older build, so the client checks it too: the attempt ends as not run before a connection is taken.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -10,7 +10,9 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
@@ -135,6 +137,10 @@
 // Errors wrap a *verdict.Error, which is NotRun only if the upstream said so or no byte of the
 // request was sent.
 func (c *Client) Send(ctx context.Context, t Target, r *Request) (*Response, error) {
+	if strings.ContainsFunc(t.ID, unicode.IsControl) {
+		// The id is the value of a header field, which a line break would end.
+		return nil, newError(verdict.NotRun, verdict.CodeNoUpstream, "the id of the upstream has control characters", nil)
+	}
 	conn, err := c.pool.get(ctx, t.Address, t.MaxConnections, c.now(), r.Trail)
 	if err != nil {
 		return nil, newError(verdict.NotRun, verdict.CodeNoUpstream, "no connection to the upstream", err)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -77,6 +77,21 @@
 	require.True(t, reused)
 }
 
+// Guards against an id that adds header fields, or a whole request, to the request that is sent to its upstream.
+func TestIDWithControlCharactersSendsNothing(t *testing.T) {
+	var received atomic.Pointer[http.Header]
+	address := serveUpstream(t, func(c net.Conn, r *http.Request, n int) {
+		received.Store(&r.Header)
+		writeResponse(c, r.Header.Get("X-A"), "")
+	})
+	for _, id := range []string{"i1\r\nX-Tenant: other", "i1\nX-Tenant: other", "i1\x00", "i1\r\n\r\nGET / HTTP/1.1"} {
+		r := &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-A": {"a"}}}
+		_, err := newTestClient().Send(t.Context(), Target{ID: id, Address: address}, r)
+		require.Nil(t, received.Load(), "%q: the upstream received a request", id)
+		require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, "%q", id)
+	}
+}
+
 // Guards against a duplicate response that is taken for the response to the next request on the
 // same connection, whether it is received right behind the first response or while the next
 // request is in flight.
