Quarantine: report crashes under requests whose id is not UTF-8

A poison request whose X-Attempt-Id has a byte that is not UTF-8, or 63 ASCII characters and then any other one, crashed a worker for each host that it was sent to: no other host learned of the crash.

Cause: a suspicion carries the first 64 bytes of the id as CBOR text. A caller may choose any bytes, which are legal in a header field, and the cut may split a character.

The id in a suspicion only helps to find the request in logs, and JSON logs write U+FFFD for such bytes, so the suspicion now does too. The request itself is forwarded unchanged. A suspicion with a name that is not UTF-8, which a host of an older build may have saved, is ignored.

--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -46,7 +48,7 @@
 func (r *Attempt) suspicions(age time.Duration) []Suspicion {
 	whole := Suspicion{
 		Fingerprint: r.Content.Request, Workspace: r.Workspace, Incarnation: r.Incarnation, Service: r.Service,
-		Request: r.RequestID[:min(len(r.RequestID), maxRequestIDBytes)], AgeMS: age.Milliseconds(), RanMS: r.Ran.Milliseconds(),
+		Request: textOf(r.RequestID, maxRequestIDBytes), AgeMS: age.Milliseconds(), RanMS: r.Ran.Milliseconds(),
 	}
 	all := []Suspicion{whole}
 	for _, part := range r.Content.Parts {
@@ -57,6 +59,12 @@
 	return all
 }
 
+// textOf returns the first bytes of an id that a caller has chosen, with U+FFFD for those that are not UTF-8.
+// Hosts could not decode a suspicion with such bytes.
+func textOf(id string, maxBytes int) string {
+	return strings.ToValidUTF8(id[:min(len(id), maxBytes)], string(utf8.RuneError))
+}
+
 // failedAttempt is an attempt whose answer broke off at a time, and whose upstream may turn
 // out, until another time, to have crashed.
 type failedAttempt struct {
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // maxNameBytes is the longest name that a suspicion may contain.
@@ -81,9 +82,14 @@
 // String returns the name of the verdict, as used in the administration API.
 func (v Verdict) String() string { return [...]string{"free", "suspect", "held"}[v] }
 
-// isValid reports whether a suspicion names an upstream and no name is too long.
+// isValid reports whether a suspicion names an upstream, and each name is valid UTF-8 and not too long.
 func (s *Suspicion) isValid() bool {
-	return s.Incarnation.Upstream != "" && max(len(s.Incarnation.Upstream), len(s.Workspace), len(s.Service), len(s.Request)) <= maxNameBytes
+	for _, name := range []string{s.Incarnation.Upstream, s.Workspace, s.Service, s.Request} {
+		if len(name) > maxNameBytes || !utf8.ValidString(name) {
+			return false
+		}
+	}
+	return s.Incarnation.Upstream != ""
 }
 
 func (s *Suspicion) ran() time.Duration { return time.Duration(max(s.RanMS, 0)) * time.Millisecond }
