Refuse commands that no replica can read at their proposer

What callers saw: one claim or outcome with text that is no UTF-8 (idempotency key, workspace, host name, content type of an upstream's response) made the replicas refuse its whole log entry, so that up to 127 other callers got 400 'malformed command', and calls that had run kept no outcome. A response body of any size went into the log, although the tables record 64 KiB at most.

Cause: state.Encode wrote text that state.decode refuses, and nothing bounded an encoded command, although it must fit into one message to the leader (16 MiB).

Change: Encode refuses invalid text and more than 15 MiB, as an error of the proposer alone with the verdict NotRun. Claims and outcomes are checked before they share an entry. Of a response that the tables would not record only the verdict is proposed. What the replicas do with an entry is unchanged, since builds must not differ in it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
@@ -159,6 +160,9 @@
 // another host, or gives the attempt up and releases the claim by Finish. Nobody else releases
 // it: a host that did could free the key of a call that another host has granted meanwhile.
 func (s *Service) Claim(ctx context.Context, c state.Claim) (state.ClaimResult, error) {
+	if err := checkText(c); err != nil {
+		return state.ClaimResult{}, err
+	}
 	result, err := s.claims.submit(ctx, c)
 	if err != nil {
 		return state.ClaimResult{}, verdict.FromError(err)
@@ -167,8 +171,15 @@
 }
 
 // Finish records the outcome of an attempt. After an error the claim may stay open; from its
-// deadline on, the outcome of its call then counts as unknown.
+// deadline on, the outcome of its call then counts as unknown. Of a response that the tables do not record
+// only the verdict is proposed.
 func (s *Service) Finish(ctx context.Context, f state.Finish) (state.FinishOutcome, error) {
+	if f.Response != nil && !f.Response.CanBeRecorded() {
+		f.Response = nil
+	}
+	if err := checkText(f); err != nil {
+		return 0, err
+	}
 	outcome, err := s.finishes.submit(ctx, f)
 	if err != nil {
 		return 0, verdict.FromError(err)
@@ -176,6 +187,15 @@
 	return outcome, nil
 }
 
+// checkText returns an error for a claim or finish with text that no replica can decode. In a batch it would cost
+// the others too.
+func checkText(request any) error {
+	if err := textcheck.Check(request); err != nil {
+		return EncodingError(err)
+	}
+	return nil
+}
+
 func (s *Service) sendClaims(ctx context.Context, claims []state.Claim) ([]state.ClaimResult, error) {
 	result, err := propose[state.ClaimBatchResult](ctx, s.claimProposer, state.ClaimBatch{Claims: claims})
 	return result.Claims, err
@@ -192,9 +212,7 @@
 	var zero R
 	data, err := state.Encode(c)
 	if err != nil {
-		e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "command cannot be encoded")
-		e.Cause = err
-		return zero, e
+		return zero, EncodingError(err)
 	}
 	result, err := p.Propose(ctx, data)
 	if err != nil {
@@ -209,6 +227,16 @@
 	return zero, unexpectedResult()
 }
 
+// EncodingError returns the error for a command that state.Encode refuses. It was not proposed.
+func EncodingError(err error) *verdict.Error {
+	e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "command cannot be encoded")
+	if errors.Is(err, state.ErrCommandTooLarge) {
+		e = verdict.New(verdict.NotRun, verdict.CodeTooLarge, "command is too large")
+	}
+	e.Cause = err
+	return e
+}
+
 // proposeError converts the error of a proposal to a *verdict.Error. After an error that is
 // not one already, the command may be applied, so the verdict is MayHaveRun.
 func proposeError(err error) *verdict.Error {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -26,6 +26,8 @@
 
 	mu    sync.Mutex
 	index uint64
+	// largest is the length of the longest proposal.
+	largest int
 	// errAfterApply makes the next proposal return an error although it is applied.
 	errAfterApply error
 	// errBeforeApply makes each proposal return an error without being applied.
@@ -37,6 +39,7 @@
 func (a *fakeProposer) Propose(ctx context.Context, data []byte) (any, error) {
 	a.mu.Lock()
 	a.index++
+	a.largest = max(a.largest, len(data))
 	index, errAfterApply, errBeforeApply := a.index, a.errAfterApply, a.errBeforeApply
 	a.errAfterApply = nil
 	a.mu.Unlock()
@@ -61,6 +64,13 @@
 	return int(a.index)
 }
 
+// largestProposal returns the length of the longest proposal, in bytes.
+func (a *fakeProposer) largestProposal() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.largest
+}
+
 func claim(key, attempt string) state.Claim {
 	return state.Claim{Workspace: "w", Key: key, Attempt: attempt, Deadline: 1000}
 }
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/command"
 	"github.com/sassafraspost/sassafraspost/internal/state"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -17,13 +18,13 @@
 		// The state machine holds committed configurations only, and numbers never decrease.
 		return current, nil
 	}
-	command, err := state.Encode(state.PutConfiguration{
+	encoded, err := state.Encode(state.PutConfiguration{
 		Number: number, Data: data, Author: author, At: time.Now().UnixMilli(),
 	})
 	if err != nil {
-		return 0, err
+		return 0, command.EncodingError(err)
 	}
-	value, err := forwarder{h}.Propose(ctx, command)
+	value, err := forwarder{h}.Propose(ctx, encoded)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -8,6 +8,7 @@
 	"unicode/utf8"
 
 	"github.com/sassafraspost/sassafraspost/internal/adminapi"
+	"github.com/sassafraspost/sassafraspost/internal/command"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/state"
@@ -69,7 +70,7 @@
 		}
 		data, err := state.Encode(c)
 		if err != nil {
-			return state.EvacuationResult{}, err
+			return state.EvacuationResult{}, command.EncodingError(err)
 		}
 		value, err := forwarder{h}.Propose(ctx, data)
 		if err != nil {
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -204,10 +205,16 @@
 	return FinishRecorded
 }
 
+// CanBeRecorded reports whether the tables record the response. Of another one only the verdict is recorded.
+// No replica can decode a content type that is not valid UTF-8.
+func (a *RecordedResponse) CanBeRecorded() bool {
+	return len(a.Body) <= MaxResponseBytes && len(a.ContentType) <= MaxNameBytes && utf8.ValidString(a.ContentType)
+}
+
 // recordResponse stores the response of a call, unless it is too large or the recorded
 // bodies have reached their limit. The caller holds mu.
 func (t *claims) recordResponse(c *claim, a *RecordedResponse) {
-	if a == nil || len(a.Body) > MaxResponseBytes || len(a.ContentType) > MaxNameBytes {
+	if a == nil || !a.CanBeRecorded() {
 		return
 	}
 	if t.recordedBytes+len(a.Body) > t.maxRecordedBytes {
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
@@ -138,14 +139,31 @@
 func (FinishClaims) kind() commandKind    { return kindFinishClaims }
 func (SetVoterAddress) kind() commandKind { return kindSetVoterAddress }
 
-// Encode returns the encoded form of c in the log.
+// MaxCommandBytes is the maximum length of an encoded command. A command must fit into one message to the leader,
+// which is at most 16 MiB.
+const MaxCommandBytes = 15 << 20
+
+// ErrCommandTooLarge is returned for a command that is longer than MaxCommandBytes.
+var ErrCommandTooLarge = errors.New("command is too large")
+
+// Encode returns the encoded form of c in the log. It fails for a command that no replica can decode: with a
+// *textcheck.Error if a text is not valid UTF-8, or with ErrCommandTooLarge.
 func Encode(c Command) ([]byte, error) {
+	if err := textcheck.Check(c); err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
 	body, err := encoding.Marshal(c)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
 	}
 	data, err := encoding.Marshal(envelope{Version: commandVersion, Kind: c.kind(), Body: body})
-	return data, errors.Wrap(err, "encode envelope")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode envelope")
+	}
+	if len(data) > MaxCommandBytes {
+		return nil, ErrCommandTooLarge
+	}
+	return data, nil
 }
 
 // decode decodes a command from the log, or returns why it is rejected.
