Refuse a replica whose ID is no UTF-8, and such a membership as an invalid one

Cause: the ID was checked nowhere. A membership with such an ID was refused before it was in the log already, but as an unknown error rather than as a bad request.

Evidence, on the code before: TestReplicaWithoutValidTextInItsIDIsRefused got no error, TestMembershipThatCanNotBeDecodedIsRefused 'decode membership: cbor: invalid UTF-8 string'. Now consensus.New refuses the ID at the start, and a change of the membership fails with ErrInvalidMembership; the log is unchanged and the leader goes on.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -192,12 +193,16 @@
 	syncedTerm uint64
 }
 
-// New returns a follower that continues from the persisted state. It fails if the log has a
+// New returns a follower that continues from the persisted state. It fails if the ID is not text, or if the log has a
 // gap or contains a membership that can't be decoded.
 func New(cfg Config, r PersistedState) (*Core, error) {
 	if cfg.ID == "" || cfg.Rand == nil {
 		return nil, errors.New("consensus: ID and Rand are required")
 	}
+	if !utf8.ValidString(string(cfg.ID)) {
+		// No replica could decode the messages of this one, nor this one its own vote after a restart.
+		return nil, errors.New("consensus: ID is not valid UTF-8")
+	}
 	log, err := restoreLog(r)
 	if err != nil {
 		return nil, err
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -107,6 +108,11 @@
 	}
 	all := slices.Concat(m.Voters, m.Learners)
 	slices.Sort(all)
+	for _, id := range all {
+		if !utf8.ValidString(string(id)) {
+			return errors.Wrap(ErrInvalidMembership, "a replica's ID is not valid UTF-8")
+		}
+	}
 	if len(slices.Compact(all)) != len(m.Voters)+len(m.Learners) {
 		return errors.Wrap(ErrInvalidMembership, "a replica is listed twice")
 	}
