--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -55,6 +55,9 @@
 	snapshotPrefix = "snapshot-"
 )
 
+// maxSnapshotMetaBytes is more than the metadata of a snapshot takes in its record.
+const maxSnapshotMetaBytes = 1 << 20
+
 // ErrClosed is returned by all methods of a closed journal except Close.
 var ErrClosed = errors.New("journal is closed")
 
@@ -198,7 +201,7 @@
 // SaveSnapshot makes s the current snapshot and deletes the data that it replaces. If the
 // log contains the entry with the snapshot's index and term, the entries after it are
 // kept; otherwise the whole log is discarded. A snapshot that is not newer than the
-// current one is rejected without any effect.
+// current one, or too large, is rejected without any effect.
 func (j *Journal) SaveSnapshot(s consensus.Snapshot) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -208,6 +211,9 @@
 	if s.Meta.Index <= j.snapshot.Index {
 		return errors.Errorf("snapshot %d is not newer than %d", s.Meta.Index, j.snapshot.Index)
 	}
+	if len(s.Data) >= maxPayload-maxSnapshotMetaBytes {
+		return errors.Errorf("snapshot of %d bytes is too large", len(s.Data))
+	}
 	if err := j.saveSnapshot(s); err != nil {
 		return j.fail(err)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -458,3 +458,21 @@
 		})
 	}
 }
+
+// Guards against a snapshot that is longer than the longest record: it would be written, and the journal could
+// not be opened again.
+func TestSnapshotLongerThanARecordIsRejected(t *testing.T) {
+	dir := t.TempDir()
+	j, _, err := Open(Options{Dir: dir, Logger: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	require.NoError(t, j.Append(nil, []consensus.Entry{{Term: 1, Index: 1, Data: []byte("x")}}))
+	// The pages of the slice are never touched.
+	tooLong := consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 1, Term: 1}, Data: make([]byte, maxPayload)}
+	require.Error(t, j.SaveSnapshot(tooLong))
+	require.NoError(t, j.Append(nil, []consensus.Entry{{Term: 1, Index: 2, Data: []byte("y")}}), "the journal goes on")
+	require.NoError(t, j.Close())
+	j, recovered, err := Open(Options{Dir: dir, Logger: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	require.Len(t, recovered.Entries, 2)
+	require.NoError(t, j.Close())
+}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -147,7 +147,8 @@
 	isolated   map[consensus.ReplicaID]bool
 	recorded   map[consensus.ReplicaID][]consensus.Message
 	recordFrom consensus.ReplicaID
-	tick       time.Duration
+	// configure changes the options of each replica that is opened; nil changes nothing.
+	configure func(*Options)
 }
 
 type memTransport struct {
@@ -176,9 +177,13 @@
 
 func (c *cluster) open(id consensus.ReplicaID, storage *memStorage) *member {
 	m := &member{storage: storage, machine: &listMachine{}}
-	r, err := Open(Options{ID: id, Storage: storage, StateMachine: m.machine, Transport: memTransport{c, id}, PersistedState: storage.persisted,
-		Tick: c.tick, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 20, TrailingEntries: 5, MemberSilenceTimeout: 40 * c.tick,
-		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	o := Options{ID: id, Storage: storage, StateMachine: m.machine, Transport: memTransport{c, id}, PersistedState: storage.persisted,
+		Tick: testTick, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 20, TrailingEntries: 5, MemberSilenceTimeout: 40 * testTick,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	if c.configure != nil {
+		c.configure(&o)
+	}
+	r, err := Open(o)
 	require.NoError(c.t, err)
 	m.Replica = r
 	c.mu.Lock()
@@ -197,8 +202,13 @@
 }
 
 func newClusterWithTick(t *testing.T, tick time.Duration, ids ...consensus.ReplicaID) *cluster {
-	c := &cluster{t: t, tick: tick, members: map[consensus.ReplicaID]*member{}, isolated: map[consensus.ReplicaID]bool{},
-		recorded: map[consensus.ReplicaID][]consensus.Message{}}
+	return newClusterWith(t, func(o *Options) { o.Tick, o.MemberSilenceTimeout = tick, 40*tick }, ids...)
+}
+
+// newClusterWith is newCluster with other options.
+func newClusterWith(t *testing.T, configure func(*Options), ids ...consensus.ReplicaID) *cluster {
+	c := &cluster{t: t, members: map[consensus.ReplicaID]*member{}, isolated: map[consensus.ReplicaID]bool{},
+		recorded: map[consensus.ReplicaID][]consensus.Message{}, configure: configure}
 	for _, id := range ids {
 		c.open(id, &memStorage{})
 	}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -226,17 +226,20 @@
 	r.appliedBytes = 0
 	r.encodingSnapshot = true
 	encode := r.opts.StateMachine.Capture()
-	go func() { r.encodedSnapshots <- encodeSnapshot(meta, encode) }()
+	go func() { r.encodedSnapshots <- encodeSnapshot(meta, encode, r.opts.MaxSnapshotBytes) }()
 	return nil
 }
 
-func encodeSnapshot(meta consensus.SnapshotMeta, encode func() ([]byte, error)) encodedSnapshot {
+func encodeSnapshot(meta consensus.SnapshotMeta, encode func() ([]byte, error), maxBytes int) encodedSnapshot {
 	data, err := encode()
+	if err == nil && len(data) > maxBytes {
+		return encodedSnapshot{snapshot: consensus.Snapshot{Meta: meta}, err: errors.Errorf("snapshot of %d bytes is larger than %d", len(data), maxBytes)}
+	}
 	return encodedSnapshot{snapshot: consensus.Snapshot{Meta: meta, Data: data}, err: err}
 }
 
 // saveSnapshot hands a snapshot to the writer; once it is on disk, the log is compacted. If
-// encoding failed, the log is kept, and the next attempt follows after as many further entries.
+// encoding failed or the snapshot is too large, the log is kept, and the next attempt follows after as many further entries.
 func (r *Replica) saveSnapshot(e encodedSnapshot) {
 	meta := e.snapshot.Meta
 	if meta.Index <= r.snapshot {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -57,6 +57,8 @@
 	DefaultHeartbeatTicks  = 2
 	DefaultSnapshotEntries = 10000
 	DefaultSnapshotBytes   = 8 << 20
+	// DefaultMaxSnapshotBytes is somewhat below the longest message between control hosts, 1 GiB.
+	DefaultMaxSnapshotBytes = 1<<30 - 1<<20
 	// DefaultMemberSilenceTimeout is above the duration of an election at the default tick.
 	DefaultMemberSilenceTimeout = 3 * time.Second
 )
@@ -86,6 +88,9 @@
 	// data of entries: the log takes up that much of the disk and of memory.
 	SnapshotEntries uint64
 	SnapshotBytes   int
+	// MaxSnapshotBytes limits a snapshot. The log is kept instead of a larger one, which a replica that joins
+	// would never get.
+	MaxSnapshotBytes int
 	// TrailingEntries is how many entries that the latest snapshot covers stay in memory.
 	// Zero means the default of consensus.Config.
 	TrailingEntries uint64
@@ -122,6 +127,9 @@
 	if o.SnapshotBytes <= 0 {
 		o.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if o.MaxSnapshotBytes <= 0 {
+		o.MaxSnapshotBytes = DefaultMaxSnapshotBytes
+	}
 	if o.MemberSilenceTimeout <= 0 {
 		o.MemberSilenceTimeout = DefaultMemberSilenceTimeout
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -451,3 +451,27 @@
 		require.Equal(t, term+1, next.Status().Term, "one transfer, no election by silence")
 	}
 }
+
+// Guards against a snapshot that is larger than its readers take: no replica that joins would ever get it, and
+// beyond the largest record the journal could not be opened again. The log must be kept instead, and the replica
+// go on.
+func TestSnapshotThatIsTooLargeIsNotTaken(t *testing.T) {
+	const maxBytes = 1000
+	c := newClusterWith(t, func(o *Options) { o.SnapshotEntries, o.MaxSnapshotBytes = 3, maxBytes }, idA, idB, idC)
+	l := c.leader("")
+	for range 20 {
+		c.mustPropose(l, strings.Repeat("x", maxBytes/10))
+	}
+	require.Eventually(t, func() bool { return l.metrics.snapshotErrors.Count() > 0 }, waitTimeout, pollInterval)
+	for i := range 10 {
+		c.mustPropose(l, fmt.Sprint(i))
+	}
+	for _, m := range c.members {
+		m.storage.update(func(s *memStorage) { require.LessOrEqual(t, len(s.persisted.Snapshot.Data), maxBytes) })
+	}
+	f := c.follower(l)
+	require.NoError(t, f.Close(c.ctx()))
+	f = c.open(f.ID(), f.storage)
+	c.mustPropose(l, "z")
+	c.waitForSameCommands(l, f)
+}
