Refuse documents beyond 256 MiB in all

The state machine is unchanged, since builds must not differ in what they apply.

The test of the limit is new with it.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -29,6 +29,11 @@
 	// lists a host as not heard.
 	notHeardTimeout = 15 * time.Second
 	clusterIDBytes  = 16
+	// maxDocumentsBytes limits all documents together. With the other tables at their limits, a snapshot
+	// stays below replica.DefaultMaxSnapshotBytes.
+	maxDocumentsBytes = 256 << 20
+	// documentOverhead is more than a document takes up in a snapshot beside its text: four names and numbers.
+	documentOverhead = 2 << 10
 )
 
 // API implements adminapi.Commands and adminapi.Queries on a control host.
@@ -77,6 +82,9 @@
 	if a.h.tables.HasOutcome(req.Name, req.Author, req.ChangeID) {
 		return nil
 	}
+	if err := checkTotalSize(all, req, maxDocumentsBytes); err != nil {
+		return err
+	}
 	submitted, err := document.Parse(req.Text)
 	if err != nil {
 		return err
@@ -93,6 +101,23 @@
 	return document.CheckConflicts(append(docs, submitted))
 }
 
+// checkTotalSize returns an error if all documents after a submission would be larger than limit bytes. One
+// that makes its document smaller is accepted.
+func checkTotalSize(all []state.Document, req adminapi.SubmitRequest, limit int) error {
+	total, previous := documentOverhead+len(req.Text), 0
+	for _, d := range all {
+		if d.Name == req.Name {
+			previous = documentOverhead + len(d.Text)
+			continue
+		}
+		total += documentOverhead + len(d.Text)
+	}
+	if total > limit && documentOverhead+len(req.Text) > previous {
+		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "all documents together are too large")
+	}
+	return nil
+}
+
 // Init implements adminapi.Commands. It fails unless every control host in the settings
 // answers and none belongs to a cluster. Otherwise a host that lost its disk could start a
 // second cluster.
--- /dev/null
+++ b/internal/control/limits_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/adminapi"
+	"github.com/sassafraspost/sassafraspost/internal/consensus"
+	"github.com/sassafraspost/sassafraspost/internal/replica"
+	"github.com/sassafraspost/sassafraspost/internal/state"
+	"github.com/sassafraspost/sassafraspost/internal/verdict"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
+)
+
+// Guards against what is accepted at its writer and can't pass one of the readers on its way, so that it is sent
+// again for ever: the message to the leader, the answer to entry hosts, and the chunks to a replica that joins.
+func TestLargestAcceptedStateFitsEveryReader(t *testing.T) {
+	var e wire.Evacuations
+	for i := range state.MaxDataCentres {
+		e.DataCentres = append(e.DataCentres, strings.Repeat("x", state.MaxNameBytes-4)+strconv.Itoa(1000+i))
+	}
+	large := make([]byte, state.MaxCommandBytes)
+	for name, m := range map[string]wire.Message{
+		"command":       &wire.Propose{Data: large},
+		"configuration": &wire.ConfigurationAnswer{Number: 1, Data: large[:state.MaxConfigurationBytes], Evacuations: &e},
+		"document":      &wire.Changes{Documents: []wire.Document{{Text: large[:state.MaxDocumentBytes]}}, Evacuations: &e},
+		"response":      &wire.ClaimReply{Response: &wire.Response{Body: large[:state.MaxResponseBytes]}},
+	} {
+		data, err := wire.Encode(1, false, m)
+		require.NoError(t, err, name)
+		require.LessOrEqual(t, len(data), wire.MaxMessageBytes, name)
+		_, decoded, err := wire.Decode(data)
+		require.NoError(t, err, name)
+		require.Equal(t, m, decoded, name)
+	}
+	empty, err := wire.Marshal(consensus.Message{Snapshot: &consensus.Snapshot{Meta: consensus.SnapshotMeta{Membership: consensus.Membership{
+		Voters: make([]consensus.ReplicaID, 100), Learners: make([]consensus.ReplicaID, 100),
+	}}}})
+	require.NoError(t, err)
+	const namesBytes = 200 * state.MaxNameBytes
+	require.LessOrEqual(t, replica.DefaultMaxSnapshotBytes+len(empty)+namesBytes, chunkBytes*maxChunks)
+}
+
+// Guards against documents that are accepted until no snapshot of them can be taken or sent.
+func TestDocumentsBeyondTheirCommonLimitAreRefused(t *testing.T) {
+	const limit = 10 * documentOverhead
+	text := func(n int) []byte { return bytes.Repeat([]byte("x"), n) }
+	all := []state.Document{
+		{Name: "a", Text: string(text(4 * documentOverhead))},
+		{Name: "b", Text: string(text(3 * documentOverhead))},
+	}
+	for name, c := range map[string]struct {
+		document  string
+		bytes     int
+		isRefused bool
+	}{
+		"another that fits":          {"c", 0, false},
+		"another that does not fit":  {"c", 1, true},
+		"a larger one that fits":     {"a", 5 * documentOverhead, false},
+		"a larger one that does not": {"a", 5*documentOverhead + 1, true},
+		"a smaller one":              {"a", documentOverhead, false},
+	} {
+		err := checkTotalSize(all, adminapi.SubmitRequest{Name: c.document, Text: text(c.bytes)}, limit)
+		if !c.isRefused {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.Equal(t, verdict.CodeTooLarge, verdict.FromError(err).Code, name)
+		require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, name)
+	}
+	over := []state.Document{{Name: "a", Text: string(text(2 * limit))}}
+	require.NoError(t, checkTotalSize(over, adminapi.SubmitRequest{Name: "a", Text: text(limit)}, limit), "it becomes smaller")
+}
