Load saved lists without the records that can't be read, and keep the rest

What operators saw: after one leave with an id that is no UTF-8 and a restart of all control hosts, each of them said 'saved departures can't be loaded ... cbor: invalid UTF-8 string', as INFO, and had forgotten all acknowledged departures: upstreams that had left got requests again. The lists of upstreams and of suspicions were lost alike.

Cause: the store wrote text that its own decoder refuses, one such record cost its whole file, and the next save overwrote it. The node used what was decoded of the first seeds before the error as the initial voters.

Change: a record that can't be read is not saved, and left out of a file that an older build wrote, with a WARN line that says how many and why. A file that can't be read at all is told of by WARN and kept as NAME.unreadable, the latest one only. A missing file, as at a first start, is INFO. The first seeds are loaded whole or not at all, since hosts with different initial voters could form two clusters. The format of the files is unchanged.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -32,11 +32,7 @@
 	f.mu.Lock()
 	all := f.registry.Departures(f.now())
 	f.mu.Unlock()
-	err := f.h.cfg.LocalStore.SaveDepartures(all, time.Now())
-	if err != nil {
-		f.h.cfg.Log.Warn("departures can't be saved", "error", err.Error())
-	}
-	return err
+	return f.savedAll("departures", f.h.cfg.LocalStore.SaveDepartures(all, time.Now()))
 }
 
 // isDurable reports whether a departure survives the loss of as many disks as the cluster survives:
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -49,6 +49,8 @@
 	// saveRequested holds a value if the list of upstreams or the suspicions of the quarantine
 	// have changed since they were saved.
 	saveRequested chan struct{}
+	// leftOut logs records that are not saved.
+	leftOut leftOutLog
 	// quarantine keeps the suspicions: which requests ran on upstreams that crashed. It has
 	// its own lock, which it does not hold when it calls functions of the fleet.
 	quarantine *quarantine.Keeper
--- a/internal/control/localstore.go
+++ b/internal/control/localstore.go
@@ -24,6 +24,10 @@
 //   - The departures of upstreams. An upstream's leave is acknowledged only after its departure is on
 //     the disks of enough hosts.
 //   - The first seeds. A disk without them may have replaced one that took part in the first start.
+//
+// A record of a list that can't be decoded does not cost the others: it is not saved, and a file that has one, as
+// builds without a check of texts wrote it, is loaded without it. The error is a *wire.PartialError then, and what
+// is returned with it can be used. A file that can't be read at all is kept under another name.
 type LocalStore struct {
 	fs  journal.FS
 	dir string
@@ -36,6 +40,8 @@
 	firstSeedsFile = "first-seeds"
 	// tempSuffix is appended to the name of a file while it is written.
 	tempSuffix = ".new"
+	// unreadableSuffix is appended to the name of a file that can't be read. The latest one is kept.
+	unreadableSuffix = ".unreadable"
 	// checksumBytes is the length of the checksum that precedes the data in a file.
 	checksumBytes = 4
 )
@@ -76,7 +82,8 @@
 // day.
 func (r *LocalStore) LoadDepartures(now time.Time) ([]registry.Departure, error) {
 	var saved wire.SavedDepartures
-	if err := r.load(departuresFile, &saved); err != nil {
+	err := r.load(departuresFile, &saved)
+	if err != nil && !wire.IsPartial(err) {
 		return nil, errors.Wrap(err, "departures")
 	}
 	// The time of day may have been set back since.
@@ -84,7 +91,7 @@
 	for i := range saved.All {
 		saved.All[i].AgeMS += elapsed
 	}
-	return saved.All, nil
+	return saved.All, errors.Wrap(err, "departures")
 }
 
 // SaveDepartures replaces the saved departures. It returns once they are synced to disk.
@@ -93,36 +100,54 @@
 }
 
 // LoadFirstSeeds returns the initial voters of the cluster. It fails on a disk that was not there at the
-// first start.
+// first start. The list is returned whole or not at all: hosts with different lists could form two clusters.
 func (r *LocalStore) LoadFirstSeeds() ([]string, error) {
 	var seeds []string
-	err := r.load(firstSeedsFile, &seeds)
-	return seeds, errors.Wrap(err, "first seeds")
+	if err := r.load(firstSeedsFile, &seeds); err != nil {
+		return nil, errors.Wrap(err, "first seeds")
+	}
+	return seeds, nil
 }
 
 // SaveFirstSeeds records at the first start which hosts are the initial voters.
 func (r *LocalStore) SaveFirstSeeds(seeds []string) error {
-	return errors.Wrap(r.save(firstSeedsFile, seeds), "first seeds")
+	return errors.Wrap(r.save(firstSeedsFile, &seeds), "first seeds")
 }
 
+// load decodes a file into what m points to. With a *wire.PartialError m can be used.
 func (r *LocalStore) load(name string, m any) error {
-	data, err := r.fs.ReadFile(filepath.Join(r.dir, name))
+	path := filepath.Join(r.dir, name)
+	data, err := r.fs.ReadFile(path)
 	if err != nil {
 		return err
 	}
+	if err = decodeFile(data, m); err == nil || wire.IsPartial(err) {
+		return err
+	}
+	if renameErr := r.fs.Rename(path, path+unreadableSuffix); renameErr != nil {
+		return errors.Wrapf(err, "not kept aside (%v)", renameErr)
+	}
+	return errors.Wrapf(err, "kept as %s", name+unreadableSuffix)
+}
+
+func decodeFile(data []byte, m any) error {
 	if len(data) < checksumBytes || binary.BigEndian.Uint32(data) != crc32.ChecksumIEEE(data[checksumBytes:]) {
 		return errDamaged
 	}
-	return wire.Unmarshal(data[checksumBytes:], m)
+	return wire.UnmarshalValid(data[checksumBytes:], m)
 }
 
+// save replaces a file by what m points to. With a *wire.PartialError the rest is saved.
 func (r *LocalStore) save(name string, m any) error {
-	body, err := wire.Marshal(m)
-	if err != nil {
-		return err
+	body, partial := wire.MarshalValid(m)
+	if partial != nil && !wire.IsPartial(partial) {
+		return partial
 	}
 	data := binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE(body))
-	return r.write(name, append(data, body...))
+	if err := r.write(name, append(data, body...)); err != nil {
+		return err
+	}
+	return partial
 }
 
 func (r *LocalStore) write(name string, data []byte) error {
--- a/internal/control/restore.go
+++ b/internal/control/restore.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"io/fs"
+	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
 // saveInterval is the minimum time between two writes of the caches, so that a hundred announcements
@@ -24,11 +30,28 @@
 	f.restoreSuspicions()
 }
 
+// CanUseSaved reports whether what was loaded from the disk with err can be used, and logs what is lost. A host that
+// has saved nothing yet has lost nothing. what names the list.
+func CanUseSaved(log *slog.Logger, what string, err error) bool {
+	var partial *wire.PartialError
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, fs.ErrNotExist):
+		log.Info("nothing was saved before the start", "list", what)
+		return false
+	case errors.As(err, &partial):
+		log.Warn("saved records can't be read and are left out", "list", what, "left_out", partial.Count, "error", partial.First.Error())
+		return true
+	}
+	log.Warn("saved list can't be read and is lost", "list", what, "error", err.Error())
+	return false
+}
+
 // restoreUpstreams adds the saved upstreams to the registry.
 func (f *fleet) restoreUpstreams() {
 	all, err := f.h.cfg.LocalStore.LoadUpstreams()
-	if err != nil {
-		f.h.cfg.Log.Info("saved upstreams can't be loaded", "error", err.Error())
+	if !CanUseSaved(f.h.cfg.Log, "upstreams", err) {
 		return
 	}
 	f.registry.Restore(all, f.now())
@@ -39,8 +62,7 @@
 // of upstreams, which may be older.
 func (f *fleet) restoreDepartures() {
 	all, err := f.h.cfg.LocalStore.LoadDepartures(time.Now())
-	if err != nil {
-		f.h.cfg.Log.Info("saved departures can't be loaded", "error", err.Error())
+	if !CanUseSaved(f.h.cfg.Log, "departures", err) {
 		return
 	}
 	f.logDepartures("departure taken over from disk", f.registry.MergeDepartures(all, f.now()), "")
@@ -51,8 +73,7 @@
 // saved does not count towards their age, so requests stay in quarantine that much longer.
 func (f *fleet) restoreSuspicions() {
 	all, err := f.h.cfg.LocalStore.LoadSuspicions()
-	if err != nil {
-		f.h.cfg.Log.Info("saved suspicions can't be loaded", "error", err.Error())
+	if !CanUseSaved(f.h.cfg.Log, "suspicions", err) {
 		return
 	}
 	f.quarantine.Merge(all)
@@ -71,9 +92,7 @@
 		case <-f.saveRequested:
 		}
 		f.saveUpstreams()
-		if err := f.h.cfg.LocalStore.SaveSuspicions(f.quarantine.All()); err != nil {
-			f.h.cfg.Log.Warn("suspicions can't be saved", "error", err.Error())
-		}
+		_ = f.savedAll("suspicions", f.h.cfg.LocalStore.SaveSuspicions(f.quarantine.All()))
 		pause.For(ctx, saveInterval)
 	}
 }
@@ -84,9 +103,47 @@
 	all := f.registry.All()
 	f.mu.Unlock()
 	all = slices.DeleteFunc(all, func(u registry.Upstream) bool { return u.State != registry.Ready })
-	if err := f.h.cfg.LocalStore.SaveUpstreams(all); err != nil {
-		f.h.cfg.Log.Warn("upstreams can't be saved", "error", err.Error())
+	_ = f.savedAll("upstreams", f.h.cfg.LocalStore.SaveUpstreams(all))
+}
+
+// savedAll logs the error of saving a list. It returns nil if all records are saved that a host can read: the others
+// would be lost at the next start in any case.
+func (f *fleet) savedAll(what string, err error) error {
+	var partial *wire.PartialError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &partial):
+		f.leftOut.log(f.h.cfg.Log, what, partial, time.Now())
+		return nil
+	}
+	f.h.cfg.Log.Warn(what+" can't be saved", "error", err.Error())
+	return err
+}
+
+// leftOutInterval is the shortest time between two lines about records that are not saved. Such a record is left out
+// each time that its list is saved.
+const leftOutInterval = 10 * time.Second
+
+// leftOutLog logs records that are not saved, because no host could read them.
+type leftOutLog struct {
+	// mu guards last.
+	mu sync.Mutex
+	// last holds when the last line about each list was logged.
+	last map[string]time.Time
+}
+
+func (l *leftOutLog) log(log *slog.Logger, what string, partial *wire.PartialError, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last, ok := l.last[what]; ok && now.Sub(last) < leftOutInterval {
+		return
+	}
+	if l.last == nil {
+		l.last = make(map[string]time.Time)
 	}
+	l.last[what] = now
+	log.Warn("records that can't be read are not saved", "list", what, "left_out", partial.Count, "error", partial.First.Error())
 }
 
 // requestSave makes saveLoop save the upstreams and suspicions.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -110,7 +110,10 @@
 func (n *Node) initialVoters(ownAddress string, saved *control.LocalStore) []string {
 	seeds := n.settings.seedPeers()
 	if !n.settings.FirstStart {
-		seeds, _ = saved.LoadFirstSeeds()
+		var err error
+		if seeds, err = saved.LoadFirstSeeds(); !control.CanUseSaved(n.log, "first seeds", err) {
+			return nil
+		}
 	} else if err := saved.SaveFirstSeeds(seeds); err != nil {
 		n.log.Warn("a restart before the first leader will leave this host out", "error", err.Error())
 	}
--- a/internal/state/unreadable_test.go
+++ b/internal/state/unreadable_test.go
@@ -126,7 +126,7 @@
 	l := newLog(t, Options{})
 	var b ClaimBatch
 	for i := range defaultMaxElements + 1 {
-		b.Claims = append(b.Claims, Claim{Workspace: "w" + string(rune('a'+i%4)), Key: string(rune(0x4e00 + i%20_000)) + string(rune('a'+i/20_000)), Attempt: "a", Deadline: 1000})
+		b.Claims = append(b.Claims, Claim{Workspace: "w" + string(rune('a'+i%4)), Key: string(rune(0x4e00+i%20_000)) + string(rune('a'+i/20_000)), Attempt: "a", Deadline: 1000})
 	}
 	l.apply(b)
 	require.Equal(t, len(b.Claims), l.machine.ClaimCount())
