--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -164,6 +164,7 @@
 	p.pool = peer.NewPool(peer.Config{
 		Hello:   wire.Hello{Host: "entry", Address: "127.0.0.1:1"},
 		Secret:  secret,
+		Metrics: p.metrics,
 		Handler: peer.HandlerFunc(func(s *peer.Session, _ uint64, m wire.Message) { p.server.HandlePeer(s, m) }),
 	})
 	t.Cleanup(p.pool.Close)
@@ -192,7 +193,7 @@
 	srv := httptest.NewServer(mux)
 	p.t.Cleanup(srv.Close)
 	address := strings.TrimPrefix(srv.URL, "http://")
-	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: name, Address: address}, Secret: secret, Handler: h})
+	pool := peer.NewPool(peer.Config{Hello: wire.Hello{Host: name, Address: address}, Secret: secret, Metrics: p.metrics, Handler: h})
 	p.t.Cleanup(pool.Close)
 	mux.Handle(peer.Path, peer.NewServer(pool))
 	p.router.add(wire.Upstream{Name: name, Address: address, Incarnation: incarnation, Pool: "pool"})
@@ -203,9 +204,14 @@
 func (p *testProxy) addUpstream(name string, h http.Handler, change func(*agent.Config)) (*agent.Agent, *peer.Pool) {
 	srv := httptest.NewServer(h)
 	p.t.Cleanup(srv.Close)
+	return p.addUpstreamAt(name, srv.URL, change)
+}
+
+// addUpstreamAt adds the upstream at a URL and a real agent in front of it. change may be nil.
+func (p *testProxy) addUpstreamAt(name, url string, change func(*agent.Config)) (*agent.Agent, *peer.Pool) {
 	cfg := agent.Config{
 		Identity: wire.Upstream{Name: name, Incarnation: incarnation, Pool: "pool"},
-		URL:      srv.URL,
+		URL:      url,
 		Metrics:  p.metrics,
 	}
 	if change != nil {
