Record outcomes of keyed calls whose response has other bytes than UTF-8

A call with an idempotency key whose response had such bytes in any header field ran, but its outcome was not recorded: a repetition was told that it is in progress until the deadline, then that it may have run.

Cause: the outcome was sent with all header fields, although the log keeps only the Content-Type.

Evidence: TestOutcomeOfResponseWithAnyBytesIsRecorded failed before ("invalid UTF-8 in .Response.Header[3].Value").

Entry host and agent now send the Content-Type only. If that field itself is not valid UTF-8, the outcome is recorded without the response, as for one that is too large: a repetition gets 409 with the verdict "ran", not a changed response.

--- a/internal/agent/outcome.go
+++ b/internal/agent/outcome.go
@@ -55,7 +55,7 @@
 		Verdict:   uint8(verdict.Ran),
 	}
 	if !r.isTooLarge {
-		outcome.Response = &wire.Response{Status: resp.StatusCode, Header: headerFields(resp.Header), Body: r.body}
+		outcome.Response = answer.Recorded(resp.StatusCode, headerFields(resp.Header), r.body)
 	}
 	select {
 	case a.undelivered <- struct{}{}:
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -140,3 +140,14 @@
 	require.NoError(t, r.Add(&wire.Head{Attempt: ownAttempt}))
 	require.Equal(t, verdict.MayHaveRun, verdict.FromError(r.Add(refused)).Verdict)
 }
+
+// Guards against an outcome that is never recorded, since a header field of the response is not valid UTF-8.
+func TestRecordedResponseCanBeEncoded(t *testing.T) {
+	odd := wire.Field{Name: "X-Odd", Value: "a\xff\xfe"}
+	plain := wire.Field{Name: "Content-Type", Value: "text/plain"}
+	r := Recorded(200, []wire.Field{odd, plain}, []byte("\xff"))
+	require.Equal(t, &wire.Response{Status: 200, Header: []wire.Field{plain}, Body: []byte("\xff")}, r)
+	_, err := wire.Encode(1, false, &wire.FinishRequest{Response: r})
+	require.NoError(t, err)
+	require.Nil(t, Recorded(200, []wire.Field{{Name: "Content-Type", Value: "text/\xff"}}, nil))
+}
--- a/internal/answer/record.go
+++ b/internal/answer/record.go
@@ -3,10 +3,31 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
+// contentType is the only header field of a recorded response.
+const contentType = "Content-Type"
+
+// Recorded returns a complete response in the form in which it is recorded under its idempotency key, which keeps
+// of the header the Content-Type only. It returns nil if that field is not valid UTF-8: such a response can't be
+// stored, and a repetition must not get a changed one.
+func Recorded(status int, header []wire.Field, body []byte) *wire.Response {
+	r := &wire.Response{Status: status, Body: body}
+	for _, f := range header {
+		if f.Name != contentType {
+			continue
+		}
+		if !utf8.ValidString(f.Value) {
+			return nil
+		}
+		r.Header = append(r.Header, f)
+	}
+	return r
+}
+
 // Recorder stores the outcomes of claimed calls through consensus. A claim reserves
 // the idempotency key of a call, so that the call runs only once.
 type Recorder interface {
--- a/internal/entry/bytes_test.go
+++ b/internal/entry/bytes_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/entry"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 	"github.com/sassafraspost/sassafraspost/test/rawserver"
 )
 
@@ -134,3 +135,39 @@
 	require.Zero(t, runs)
 	require.Empty(t, p.claims.byKey)
 }
+
+// requireReadable requires that the control hosts decode an outcome to the same value.
+func requireReadable(t *testing.T, answer *wire.Response) {
+	f := &wire.FinishRequest{Workspace: "w", Key: "k", Response: answer}
+	data, err := wire.Encode(1, false, f)
+	require.NoError(t, err)
+	_, m, err := wire.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, f, m)
+}
+
+// Guards against an outcome that control hosts can't decode: the header of the response has bytes that are not
+// UTF-8. The caller gets the response, and a repetition what was recorded of it.
+func TestOutcomeOfResponseWithAnyBytesIsRecorded(t *testing.T) {
+	p := startTestProxy(t, nil)
+	p.addUpstream("u1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Odd", anyBytes)
+		w.Header().Set("Content-Type", "text/plain")
+		if r.Header.Get("X-Case") == "type" {
+			w.Header().Set("Content-Type", anyBytes)
+		}
+		_, _ = io.WriteString(w, "booked")
+	}), nil)
+	for name, wantStatus := range map[string]int{"field": http.StatusOK, "type": http.StatusConflict} {
+		text := rawRequest("/slots/book", entry.IdempotencyKeyHeader+": "+name+"\r\nX-Case: "+name, "{}")
+		r := p.sendRaw(text)
+		require.Equal(t, "booked", r.body, name)
+		require.Equal(t, anyBytes, r.header.Get("X-Odd"), name)
+		claim := p.claims.byKey[name]
+		require.Equal(t, wire.ClaimFinished, claim.state)
+		requireReadable(t, claim.answer)
+		r = p.sendRaw(text)
+		require.Equal(t, wantStatus, r.status, name)
+		require.Equal(t, "ran", r.verdict(), name)
+	}
+}
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/answer"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -173,10 +174,10 @@
 }
 
 // recordedResponse returns a complete response in the form in which it is recorded under its
-// idempotency key, or nil if the body is larger than limit bytes.
+// idempotency key, or nil if it can't be recorded, as with a body of more than limit bytes.
 func (o *output) recordedResponse(limit int) *wire.Response {
 	if len(o.buffered) > limit {
 		return nil
 	}
-	return &wire.Response{Status: o.head.Status, Header: o.head.Header, Body: slices.Clone(o.buffered)}
+	return answer.Recorded(o.head.Status, o.head.Header, slices.Clone(o.buffered))
 }
