--- a/internal/adminapi/evacuation.go
+++ b/internal/adminapi/evacuation.go
@@ -6,9 +6,13 @@
 	"strings"
 
 	"github.com/sassafraspost/sassafraspost/api/oas"
+	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
+// maxDataCentreBytes is the maximum length of the name of a data centre.
+const maxDataCentreBytes = 256
+
 // evacuationPath is the path of the operations on evacuations.
 const evacuationPath = "/v1/evacuations"
 
@@ -36,6 +40,9 @@
 	if !identity.Admin {
 		return nil, forbidden("only an admin may evacuate a data centre")
 	}
+	if !textcheck.IsName(dataCentre, maxDataCentreBytes) {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the name of the data centre is too long or has characters that no name has")
+	}
 	all, err := h.commands.SetEvacuation(ctx, EvacuationRequest{DataCentre: dataCentre, IsEvacuated: isEvacuated, Author: identity.Name})
 	if err != nil {
 		return nil, err
