Agent: refuse reports of engines whose version is no name

An engine, or what answers at its address, could report a version of up to a megabyte. Its agent put it into each announcement, and a directory host into the message with the records of all upstreams, which some twenty of them make larger than a message may be: entry hosts then learn of no upstream any more.

Cause: the version was taken over as it is.

Evidence: TestReportWithInvalidVersionIsAnError failed before (a version of 900 KiB was accepted). That the message grows too large is by reading.

Such a report is an error, as one that is not JSON: the last valid report stays in use and grows old.

--- a/internal/agent/engine_reports.go
+++ b/internal/agent/engine_reports.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -20,6 +21,8 @@
 	// Older events are dropped; receivers notice the gap in the sequence numbers.
 	maxPendingEvents = 4096
 	maxReportBytes   = 1 << 20
+	// maxVersionBytes bounds the name of a version, which every announcement repeats.
+	maxVersionBytes = 256
 )
 
 // LoadReport is the body of an engine's response to GET /load.
@@ -121,6 +124,9 @@
 		return err
 	}
 	a.monitor.markConnected()
+	if load.Version != "" && !textcheck.IsName(load.Version, maxVersionBytes) {
+		return errors.New("agent: engine reports a version with invalid text")
+	}
 	a.mu.Lock()
 	a.reports.latestLoad = load
 	a.reports.loadTime = time.Now()
--- a/internal/agent/orders_test.go
+++ b/internal/agent/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -107,6 +108,32 @@
 	require.Greater(t, draining.Seq, u.Seq)
 }
 
+// Guards against an engine whose report makes the records of all upstreams too large for one message, or names a
+// version that no document can have.
+func TestReportWithInvalidVersionIsAnError(t *testing.T) {
+	var version string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			_, _ = io.WriteString(w, `{"running":1,"version":"`+version+`"}`)
+			return
+		}
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	defer srv.Close()
+	a, err := agent.New(agent.Config{Identity: wire.Upstream{Name: "u"}, URL: srv.URL, IsEngine: true})
+	require.NoError(t, err)
+	for _, version = range []string{"", "v1", "größe"} {
+		require.NoError(t, a.PollOnce(t.Context()), "%q", version)
+	}
+	for _, version = range []string{strings.Repeat("v", 900<<10), "v\xff", `v\ud800`, `v\u0000`, `v\r\n`} {
+		err := a.PollOnce(t.Context())
+		require.Error(t, err, "%.20q", version)
+		require.Less(t, len(err.Error()), 200)
+	}
+	u, _ := a.Record()
+	require.Equal(t, "größe", u.Version)
+}
+
 // Guards against leaving a restarted engine without an order. The engine has lost the order, so it
 // must be sent again although it has not changed.
 func TestRestartedEngineReceivesOrderAgain(t *testing.T) {
