Metrics: replace all characters that a metric's name can't have

The page of a control host had names with spaces, bytes or line breaks if a host is called so, since the counters of messages and the gauges of voters have the host in their names: a reader of the Prometheus text format refuses the whole page.

Cause: only dots, dashes and slashes were replaced.

Evidence: TestMetricNamesHaveNoOtherCharacters failed before ("sassafraspost_consensus_peer_a{b="c"}_sent").

Everything but ASCII letters, digits and underscores is now an underscore.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -46,8 +46,15 @@
 	return strings.Join(lines, "")
 }
 
+// metricName returns the name in the text format, which allows ASCII letters, digits and underscores only. The name
+// of a metric may have that of a host in it.
 func metricName(name string) string {
-	return namePrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
+	return namePrefix + strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
 }
 
 func formatMetric(name string, metric any) string {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,3 +19,17 @@
 	require.Contains(t, text, "sassafraspost_entry_first_byte_us{quantile=\"0.5\"} 5\n")
 	require.Contains(t, text, "sassafraspost_entry_first_byte_us_count 1\n")
 }
+
+// Guards against a page that no reader accepts, since a metric has the name of a host in its own.
+func TestMetricNamesHaveNoOtherCharacters(t *testing.T) {
+	reg := metrics.NewRegistry()
+	for _, host := range []string{"control-1", "größe 1", "a\xff\xfe", "x\n# TYPE y counter\ny 1", `a{b="c"}`} {
+		metrics.GetOrRegisterCounter("consensus.peer."+host+".sent", reg).Inc(1)
+	}
+	text := Text(reg)
+	require.Contains(t, text, "sassafraspost_consensus_peer_control_1_sent 1\n")
+	for line := range strings.Lines(text) {
+		require.Regexp(t, `^(# TYPE sassafraspost_[a-zA-Z0-9_]+ counter|sassafraspost_[a-zA-Z0-9_]+ 1)\n$`, line)
+	}
+	require.Equal(t, 10, strings.Count(text, "\n"))
+}
