Registry: keep at most 12,288 upstreams, so that their list fits into a message

Whoever can call a control host could announce upstreams under ever new ids, each kept for the forget timeout. From some 18,000 on, with names of the length that is allowed, the list is larger than a message may be: hosts that attach later are told of no upstream at all.

Cause: only departures were limited.

Evidence: TestListOfAllUpstreamsFitsIntoMessage failed before (20,000 of 20,000 calls accepted). With the limit the list and all departures, each name 256 bytes long, can be encoded.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -59,6 +59,13 @@
 // may come from an earlier incarnation than the known one.
 var ErrAmbiguous = errors.New("the announcement names no start time and may come from an earlier incarnation")
 
+// maxUpstreams is how many upstreams are kept. With departures, and names of the maximum length, they fit into one
+// message.
+const maxUpstreams = 12 << 10
+
+// ErrFull is returned for an announcement of an unknown upstream that is not applied, because too many are known.
+var ErrFull = errors.New("too many upstreams are known")
+
 // maxTransit is the longest time that an announcement takes to arrive. Calls may be held up for
 // several seconds while links are cut off.
 const maxTransit = 5 * time.Second
@@ -224,8 +231,11 @@
 			// Upstreams that state no start time don't come back under their ID.
 			return []Upstream{u}, false, nil
 		}
-		delete(r.unknownLeft, u.ID)
 	}
+	if len(r.byID) >= maxUpstreams {
+		return nil, false, ErrFull
+	}
+	delete(r.unknownLeft, u.ID)
 	u.IsSilent = false
 	e := &entry{Upstream: u, heardAt: now, knownSince: now, departedAt: now}
 	e.receiveColdTime(now)
