Record the outcome of a call whatever its response, and refuse at once what can't be encoded

What callers saw: a claimed call that ran at an upstream whose response has a header field that is no UTF-8 (Latin-1 file names, say) has no recorded outcome: the request to record it can't be encoded, at any of six tries, and from the deadline on the call counts as unknown. A message to the control hosts that can't be encoded was tried at each of them as long as its caller waits, and ended as 'no leader', which tells the caller to try again.

Cause: the request carried all header fields, of which control hosts record only the content type; and the client took an error of the encoder for that of a host.

Evidence, on the code before: TestOutcomeIsRecordedWhateverTheResponse got 'no-quorum (not-run): ... invalid UTF-8 in .Response.Header[0].Value', and ' bytes, at most are allowed' for a body that is not recorded anyway; TestMessageThatCanNotBeEncodedIsRefusedAtOnce got 'no-quorum' instead of 'bad-request'.

Change: only the part of the response that is recorded is sent. *wire.EncodeError ends the call with 'bad-request', not run.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
+	"github.com/sassafraspost/sassafraspost/internal/state"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -82,12 +83,31 @@
 	return ask[*wire.ClaimReply](ctx, c, m, mayResend)
 }
 
-// Finish records the outcome of a claimed call.
+// Finish records the outcome of a claimed call. Only the part of its response is sent that control hosts record: a
+// response with other fields that are no text must not keep the outcome from being recorded.
 func (c *Client) Finish(ctx context.Context, m *wire.FinishRequest) error {
-	_, err := ask[*wire.FinishReply](ctx, c, m, mayResend)
+	request := *m
+	request.Response = recordablePart(m.Response)
+	_, err := ask[*wire.FinishReply](ctx, c, &request, mayResend)
 	return err
 }
 
+// recordablePart returns the part of a response that control hosts record, or nil if they do not record it.
+func recordablePart(r *wire.Response) *wire.Response {
+	if r == nil {
+		return nil
+	}
+	recorded := state.RecordedResponse{Status: r.Status, ContentType: contentType(r.Header), Body: r.Body}
+	if !recorded.CanBeRecorded() {
+		return nil
+	}
+	part := &wire.Response{Status: r.Status, Body: r.Body}
+	if recorded.ContentType != "" {
+		part.Header = []wire.Field{{Name: contentTypeField, Value: recorded.ContentType}}
+	}
+	return part
+}
+
 // QueryOrder returns the current order to an upstream: what its engine must serve.
 func (c *Client) QueryOrder(ctx context.Context, m *wire.OrderQuery) (*wire.OrderAnswer, error) {
 	return ask[*wire.OrderAnswer](ctx, c, m, mayResend)
@@ -169,6 +189,13 @@
 		if err == nil {
 			return reply, nil
 		}
+		var unencodable *wire.EncodeError
+		if errors.As(err, &unencodable) {
+			// No host could decode it.
+			e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the message to the control hosts can't be encoded")
+			e.Cause = err
+			return nil, withPossibleRun(e, mayHaveRun)
+		}
 		last = err
 		failure, isFailure := reply.(*wire.Failure)
 		mayHaveRun = mayHaveRun || sent && !(isFailure && verdict.FromError(err).Verdict == verdict.NotRun)
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -199,7 +199,7 @@
 	if a := r.Response; a != nil {
 		reply.Response = &wire.Response{
 			Status: a.Status,
-			Header: []wire.Field{{Name: "Content-Type", Value: a.ContentType}},
+			Header: []wire.Field{{Name: contentTypeField, Value: a.ContentType}},
 			Body:   a.Body,
 		}
 	}
@@ -229,9 +229,12 @@
 	return &wire.FinishReply{}, nil
 }
 
+// contentTypeField is the only header field of a response that is recorded.
+const contentTypeField = "Content-Type"
+
 func contentType(fields []wire.Field) string {
 	for _, f := range fields {
-		if f.Name == "Content-Type" {
+		if f.Name == contentTypeField {
 			return f.Value
 		}
 	}
