Let a body that breaks its envelope cost only its message

What callers saw: a message nested deeper than 14 levels, with more than 2^20 elements, with a tag of the wrong content, or cut short ended the session with the peer, and all that shares it. The same message ends the next session too.

Cause: the body is part of the envelope's encoding, so the limits on the body apply to the envelope. Decode reported a broken envelope, for which a session ends.

The body is the last field that Encode writes. If the whole can't be decoded, Decode reads the fields before it, which say the version, the kind and the call, and reports a *BodyError. An envelope without these still ends the session. FuzzDecode now requires that a decoded message is encoded to the same value, not only that it can be encoded.

--- a/internal/peer/unreadable_test.go
+++ b/internal/peer/unreadable_test.go
@@ -81,8 +81,14 @@
 		"invalid text": func(t *testing.T, s *Session) {
 			writeUnchecked(t, s, 0, false, wire.KindGroupQuery, &wire.GroupQuery{Group: invalidText})
 		},
-		"other type":   func(t *testing.T, s *Session) { writeUnchecked(t, s, 0, false, wire.KindUpstreams, "text") },
-		"too deep":     func(t *testing.T, s *Session) { writeUnchecked(t, s, 0, false, wire.KindUpstreams, nestedLists(12)) },
+		"other type": func(t *testing.T, s *Session) { writeUnchecked(t, s, 0, false, wire.KindUpstreams, "text") },
+		"too deep":   func(t *testing.T, s *Session) { writeUnchecked(t, s, 0, false, wire.KindUpstreams, nestedLists(12)) },
+		"deeper than the envelope allows": func(t *testing.T, s *Session) {
+			writeUnchecked(t, s, 0, false, wire.KindUpstreams, nestedLists(30))
+		},
+		"more elements than the envelope allows": func(t *testing.T, s *Session) {
+			writeUnchecked(t, s, 0, false, wire.KindUpstreams, make([]int, 1<<20+1))
+		},
 		"unknown kind": func(t *testing.T, s *Session) { writeUnchecked(t, s, 0, false, 9999, "text") },
 		"too large": func(t *testing.T, s *Session) {
 			writeUnchecked(t, s, 0, false, wire.KindFrame, &wire.Frame{Data: make([]byte, wire.MaxMessageBytes)})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -184,8 +184,12 @@
 // envelope; or a *PartialError, with a message that can be used.
 func Decode(data []byte) (Envelope, Message, error) {
 	var e Envelope
-	if err := Unmarshal(data, &e); err != nil {
-		return e, nil, errors.Wrap(err, "wire: decode envelope")
+	malformed := Unmarshal(data, &e)
+	if malformed != nil {
+		var ok bool
+		if e, ok = decodeHead(data); !ok {
+			return e, nil, errors.Wrap(malformed, "wire: decode envelope")
+		}
 	}
 	if e.Version != Version {
 		return e, nil, &VersionError{Got: e.Version}
@@ -194,6 +198,9 @@
 	if !ok {
 		return e, nil, &KindError{Got: e.Kind}
 	}
+	if malformed != nil {
+		return e, nil, &BodyError{Kind: e.Kind, Err: malformed}
+	}
 	m := reflect.New(t).Interface().(Message)
 	err := unmarshalBody(e.Body, m)
 	if err != nil && !IsPartial(err) {
@@ -202,6 +209,32 @@
 	return e, m, err
 }
 
+// bodyKey is the key of Envelope.Body, the last one that Encode writes.
+const bodyKey = 5
+
+// decodeHead decodes the fields before the body. It serves envelopes that can't be decoded because of their
+// body: one that is truncated, or that exceeds the limits on nesting or the number of elements.
+func decodeHead(data []byte) (e Envelope, ok bool) {
+	const emptyMap = 0xa0
+	if len(data) == 0 || data[0] <= emptyMap || data[0] > emptyMap+bodyKey {
+		return e, false
+	}
+	others := data[0] - emptyMap - 1
+	rest := data[1:]
+	for range 2 * others {
+		var item cbor.RawMessage
+		var err error
+		if rest, err = decMode.UnmarshalFirst(rest, &item); err != nil {
+			return e, false
+		}
+	}
+	if len(rest) == 0 || rest[0] != bodyKey {
+		return e, false
+	}
+	head := append([]byte{emptyMap + others}, data[1:len(data)-len(rest)]...)
+	return e, Unmarshal(head, &e) == nil
+}
+
 // unmarshalBody is the counterpart of marshalBody.
 func unmarshalBody(body []byte, m Message) error {
 	if m.Kind().IsAttempt() {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -39,7 +39,7 @@
 }
 
 // FuzzDecode looks for input that makes Decode panic, or that Decode accepts although the
-// decoded message can't be encoded again.
+// decoded message can't be encoded again, or not to the same.
 func FuzzDecode(f *testing.F) {
 	for _, m := range []Message{
 		&Hello{Host: "entry-1", Address: "127.0.0.1:7101"},
@@ -55,11 +55,14 @@
 	f.Add([]byte{0xa3, 0x01, 0x01, 0x02, 0x18, 0x14, 0x05, 0x9f})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		env, m, err := Decode(data)
-		if err != nil {
+		if err != nil && !IsPartial(err) {
 			return
 		}
-		_, err = Encode(env.Call, env.IsReply, m)
+		data, err = Encode(env.Call, env.IsReply, m)
 		require.NoError(t, err)
+		_, again, err := Decode(data)
+		require.NoError(t, err)
+		requireSame(t, m, again)
 	})
 }
 
