Cut long texts in log lines

What operators saw: a client's attempt id of 5,000 bytes that are not valid UTF-8 made a line of 30 KB, and a header field of an upstream's malformed response one of 25 KB. Fields of 64 KB are accepted, each such byte is six in JSON, and 100 lines a second of a warning are written.

Cause: texts from callers and upstreams, and errors that quote them, were logged whole.

All loggers now replace bytes that are not valid UTF-8 and cut texts and errors after 1 KB, in one place. A stack trace is not foreign and stays whole, under a key of its own; that of a handler that panicked moved there from the error.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/pause"
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -472,8 +473,8 @@
 	defer func() {
 		if p := recover(); p != nil {
 			s.traffic.panicked.Inc(1)
-			err = errors.Errorf("peer: message of kind %s from %s: %v\n%s", m.Kind(), s.remote.Host, p, debug.Stack())
-			s.log.Error("handler panicked on a message; closing its session", "kind", m.Kind().String(), "from", s.remote.Host, "error", err.Error())
+			err = errors.Errorf("peer: message of kind %s from %s: %v", m.Kind(), s.remote.Host, p)
+			s.log.Error("handler panicked on a message; closing its session", "kind", m.Kind().String(), "from", s.remote.Host, "error", err.Error(), telemetry.StackKey, string(debug.Stack()))
 		}
 	}()
 	h.ServePeer(s, call, m)
--- a/internal/telemetry/nonblocking.go
+++ b/internal/telemetry/nonblocking.go
@@ -27,11 +27,11 @@
 // message is limited. Lines that are not written are counted in the attributes of later lines:
 // "suppressed" counts lines above the rate limit, in the next line with the same message, and
 // "dropped" counts lines that found the queue full, in the next line of any message. flush
-// waits up to flushTimeout for queued lines to be written.
+// waits up to flushTimeout for queued lines to be written. Long texts in lines are cut.
 func NewNonBlockingLogger(w io.Writer, level slog.Level) (log *slog.Logger, flush func()) {
 	q := &queueWriter{lines: make(chan []byte, logQueueLength), done: make(chan struct{})}
 	go q.run(w)
-	h := slog.NewJSONHandler(q, &slog.HandlerOptions{Level: level})
+	h := slog.NewJSONHandler(q, &slog.HandlerOptions{Level: level, ReplaceAttr: boundText})
 	return slog.New(&rateLimitedHandler{Handler: h, queue: q, limiter: &rateLimiter{counts: make(map[string]*messageCount)}}), q.flush
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -19,9 +19,9 @@
 
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// NewLogger returns a logger that writes JSON or text lines to w.
+// NewLogger returns a logger that writes JSON or text lines to w. Long texts in its lines are cut.
 func NewLogger(w io.Writer, isJSON bool, level slog.Level) *slog.Logger {
-	opts := &slog.HandlerOptions{Level: level}
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: boundText}
 	if isJSON {
 		return slog.New(slog.NewJSONHandler(w, opts))
 	}
