Respond to requests that arrived while a host stood still

A request that was sent on a connection open and unused before its host stood still got no response: the time to read its header (3 s on the platform, 10 s in the daemon) ran out meanwhile, and net/http closed the connection although the whole request lay in its buffer. Callers and operators can't know then whether it ran, and an order that its operator had given up on was neither read nor refused.

Cause: a read deadline that has passed ends a read before it looks at the data. All HTTP servers accept through standstill.NewListener now, whose connections extend a read deadline that has passed once, by the 50 ms that a process reads on after a standstill. Deadlines that have passed when they are set, by which net/http interrupts reads, are not extended, and a client that sends too slowly gains 50 ms at most.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/settings"
+	"github.com/sassafraspost/sassafraspost/internal/standstill"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -24,7 +25,7 @@
 }
 
 func newServer(name string, l net.Listener, h *http.Server, t settings.TLS) (*server, error) {
-	s := &server{name: name, listener: l, http: h}
+	s := &server{name: name, listener: standstill.NewListener(l), http: h}
 	if !t.Enabled() {
 		return s, nil
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/gateway"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
+	"github.com/sassafraspost/sassafraspost/internal/standstill"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -85,7 +86,7 @@
 	e.callers = &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	go func() { _ = e.callers.Serve(callers) }()
+	go func() { _ = e.callers.Serve(standstill.NewListener(callers)) }()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath, e.serveReady)
 	e.ready = serve(ready, mux)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 // down.
 func serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(standstill.NewListener(l)) }()
 	return srv
 }
 
