--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -32,6 +32,9 @@
 // The replica applies further entries while a snapshot of the state machine is encoded.
 var _ replica.StateMachine = (*state.Machine)(nil)
 
+// The replica refuses snapshots that this build can't decode.
+var _ replica.RestorePreparer = (*state.Machine)(nil)
+
 const (
 	// clockInterval is how often the leader advances the logical clock of the state machine,
 	// by which claims expire.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,12 +85,15 @@
 }
 
 // listMachine appends each command to a list and records the latest membership. If encodeGate is set, the
-// encoding of a snapshot waits for it to close.
+// encoding of a snapshot waits for it to close. While isUnreadable is set, it refuses snapshots and counts them.
 type listMachine struct {
 	mu         sync.Mutex
 	commands   []string
 	membership consensus.Membership
 	encodeGate chan struct{}
+
+	isUnreadable atomic.Bool
+	refused      atomic.Int64
 }
 
 func (m *listMachine) Apply(_ uint64, data []byte) any {
@@ -119,12 +123,23 @@
 }
 
 func (m *listMachine) Restore(data []byte) error {
+	if m.isUnreadable.Load() {
+		m.refused.Add(1)
+		return errors.New("unknown version of the snapshot")
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commands = strings.Split(string(data), ",")
 	return nil
 }
 
+func (m *listMachine) PrepareRestore(data []byte) (restore func() error, err error) {
+	if m.isUnreadable.Load() {
+		return nil, m.Restore(data)
+	}
+	return func() error { return m.Restore(data) }, nil
+}
+
 func (m *listMachine) appliedCommands() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -88,14 +88,48 @@
 	return nil
 }
 
+// preparedSnapshot is a snapshot of the leader that was decoded. restore puts it into the state machine.
+type preparedSnapshot struct {
+	index, term uint64
+	restore     func() error
+}
+
+// step passes a message to the core. A snapshot that can't be decoded is refused; the leader sends one again.
+func (r *Replica) step(m consensus.Message) error {
+	preparer, ok := r.opts.StateMachine.(RestorePreparer)
+	if !ok || m.Type != consensus.MessageSnapshot || m.Snapshot == nil || m.Snapshot.Meta.Index <= r.appliedIndex {
+		return r.core.Step(m)
+	}
+	restore, err := preparer.PrepareRestore(m.Snapshot.Data)
+	if err != nil {
+		r.refuseSnapshot(m, err)
+		return nil
+	}
+	r.prepared = &preparedSnapshot{index: m.Snapshot.Meta.Index, term: m.Snapshot.Meta.Term, restore: restore}
+	return r.core.Step(m)
+}
+
+// refusalLogInterval is the shortest time between two lines about refused snapshots.
+const refusalLogInterval = 10 * time.Second
+
+func (r *Replica) refuseSnapshot(m consensus.Message, err error) {
+	r.metrics.snapshotsRefused.Inc(1)
+	if time.Since(r.refusalLoggedAt) < refusalLogInterval {
+		return
+	}
+	r.refusalLoggedAt = time.Now()
+	r.opts.Logger.Error("snapshot can't be decoded and is refused", "replica", string(r.opts.ID), "from", string(m.From),
+		"index", m.Snapshot.Meta.Index, "bytes", len(m.Snapshot.Data), "error", err.Error())
+}
+
 func (r *Replica) stepQueuedMessages(first consensus.Message) error {
-	if err := r.core.Step(first); err != nil {
+	if err := r.step(first); err != nil {
 		return err
 	}
 	for range maxQueuedMessages {
 		select {
 		case m := <-r.messages:
-			if err := r.core.Step(m); err != nil {
+			if err := r.step(m); err != nil {
 				return err
 			}
 		default:
@@ -107,6 +141,7 @@
 
 // processReady does all outstanding work of the core.
 func (r *Replica) processReady() error {
+	defer func() { r.prepared = nil }()
 	r.startReadRound()
 	for r.core.HasReady() {
 		if err := r.handleReady(r.core.Ready()); err != nil {
@@ -202,7 +237,11 @@
 }
 
 func (r *Replica) restore(s consensus.Snapshot) error {
-	if err := r.opts.StateMachine.Restore(s.Data); err != nil {
+	restore := func() error { return r.opts.StateMachine.Restore(s.Data) }
+	if p := r.prepared; p != nil && p.index == s.Meta.Index && p.term == s.Meta.Term {
+		restore = p.restore
+	}
+	if err := restore(); err != nil {
 		return errors.Wrap(err, "restore the leader's snapshot")
 	}
 	r.setAppliedIndex(s.Meta.Index)
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,6 +7,7 @@
 	elections, leaderLosses           metrics.Counter
 	snapshots, restores               metrics.Counter
 	snapshotErrors, slowSyncs         metrics.Counter
+	snapshotsRefused                  metrics.Counter
 	sync                              metrics.Timer
 }
 
@@ -17,6 +18,8 @@
 		dropped: counter("messages-dropped"), elections: counter("elections-won"), leaderLosses: counter("leader-losses"),
 		snapshots: counter("snapshots"), restores: counter("restores"),
 		snapshotErrors: counter("snapshot-errors"), slowSyncs: counter("slow-syncs"),
+		snapshotsRefused: counter("snapshots-refused"),
+
 		sync: metrics.GetOrRegisterTimer("replica.sync", r),
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,6 +44,14 @@
 	ApplyMembership(index uint64, m consensus.Membership)
 }
 
+// RestorePreparer is a StateMachine that decodes a snapshot before the replica takes it. The replica refuses one
+// that can't be decoded, as that of a newer build, and stays as it is. Otherwise it would end, and could not start
+// again, since the snapshot is on its disk by then.
+type RestorePreparer interface {
+	// PrepareRestore decodes a snapshot and changes nothing. The function that it returns does the rest of Restore.
+	PrepareRestore(data []byte) (restore func() error, err error)
+}
+
 // Transport sends messages and may lose them. Send may be called concurrently. It must not block
 // and must not change the message, which shares memory with the log.
 type Transport interface {
@@ -185,6 +193,10 @@
 	// snapshot is the index of the latest snapshot. A failed attempt to take one counts too.
 	snapshot         uint64
 	encodingSnapshot bool
+	// prepared is the snapshot that was decoded for the messages that are being processed, nil if there is none.
+	prepared *preparedSnapshot
+	// refusalLoggedAt is when the last line about a refused snapshot was logged.
+	refusalLoggedAt time.Time
 	// appliedBytes is the data of the entries that were applied since the latest snapshot was begun.
 	appliedBytes int
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -475,3 +475,25 @@
 	c.mustPropose(l, "z")
 	c.waitForSameCommands(l, f)
 }
+
+// Guards against a snapshot that this build can't decode, as that of a newer one, and that ends the replica for good:
+// it was on its disk before it was decoded, so that the replica could not start any more either.
+func TestSnapshotThatCanNotBeDecodedIsRefused(t *testing.T) {
+	c := newCluster(t, idA, idB, idC)
+	l := c.leader("")
+	f := c.follower(l)
+	c.setIsolated(f.ID(), true)
+	for i := range 60 {
+		c.mustPropose(l, fmt.Sprint(i))
+	}
+	require.Eventually(t, func() bool { return l.Status().SnapshotIndex > f.AppliedIndex()+10 }, waitTimeout, pollInterval)
+	f.machine.isUnreadable.Store(true)
+	c.setIsolated(f.ID(), false)
+	require.Eventually(t, func() bool { return f.machine.refused.Load() > 0 }, waitTimeout, pollInterval)
+	c.mustPropose(l, "x")
+	require.Eventually(t, func() bool { return f.machine.refused.Load() > 1 }, waitTimeout, pollInterval, "the replica has ended: %v", f.Err())
+	f.storage.update(func(s *memStorage) { require.Zero(t, s.persisted.Snapshot.Meta.Index) })
+	f.machine.isUnreadable.Store(false)
+	c.waitForSameCommands(l, f)
+	require.Equal(t, int64(1), f.metrics.restores.Count())
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -97,16 +97,30 @@
 // Restore replaces the tables by those of a snapshot. A snapshot that cannot be decoded,
 // or that is older than the tables, is refused without effect.
 func (m *Machine) Restore(data []byte) error {
+	restore, err := m.PrepareRestore(data)
+	if err != nil {
+		return err
+	}
+	return restore()
+}
+
+// PrepareRestore decodes a snapshot and changes nothing. The function that it returns does the rest of Restore; it
+// may be called once.
+func (m *Machine) PrepareRestore(data []byte) (restore func() error, err error) {
 	var s snapshot
 	if err := decoding.Unmarshal(data, &s); err != nil {
-		return errors.Wrap(err, "decode tables")
+		return nil, errors.Wrap(err, "decode tables")
 	}
 	if s.Version != snapshotVersion {
-		return errors.Errorf("unknown version %d of tables", s.Version)
+		return nil, errors.Errorf("unknown version %d of tables", s.Version)
 	}
 	if len(s.CompactClaims)%compactClaimBytes != 0 {
-		return errors.New("compact claims are not a whole number of records")
+		return nil, errors.New("compact claims are not a whole number of records")
 	}
+	return func() error { return m.restore(&s) }, nil
+}
+
+func (m *Machine) restore(s *snapshot) error {
 	m.applyMu.Lock()
 	defer m.applyMu.Unlock()
 	if s.AppliedIndex < m.AppliedIndex() {
@@ -121,7 +135,7 @@
 	m.claims.restore(s.Claims, s.CompactClaims)
 	m.cluster.restore(s.ClusterID, s.Membership, s.Addresses)
 	m.configuration.set(s.Configuration)
-	m.evacuations.restore(evacuationsOf(&s))
+	m.evacuations.restore(evacuationsOf(s))
 	m.retries.restore(s.Retries)
 	m.audit.restore(s.Audit)
 	m.logicalTime.Store(uint64(s.LogicalTime))
--- a/internal/state/unreadable_test.go
+++ b/internal/state/unreadable_test.go
@@ -136,3 +136,31 @@
 	require.NoError(t, restored.Restore(data))
 	require.Equal(t, len(b.Claims), restored.ClaimCount())
 }
+
+// Guards against a snapshot of a newer build, or a damaged one, that changes the tables before it is refused, and
+// against one that is in force before the replica has taken it.
+func TestSnapshotIsDecodedBeforeItIsRestored(t *testing.T) {
+	l := newLog(t, Options{})
+	l.apply(PutConfiguration{Number: 1, Data: []byte("one")})
+	data, err := l.machine.Snapshot()
+	require.NoError(t, err)
+	var newer snapshot
+	require.NoError(t, decoding.Unmarshal(data, &newer))
+	newer.Version++
+	newerData, err := encoding.Marshal(newer)
+	require.NoError(t, err)
+	invalidTextData, err := cbor.Marshal(snapshot{Version: snapshotVersion, ClusterID: "\xff"})
+	require.NoError(t, err)
+	m := New(Options{})
+	for name, refused := range map[string][]byte{"newer": newerData, "text": invalidTextData, "truncated": data[:len(data)-1], "empty": nil} {
+		_, err := m.PrepareRestore(refused)
+		require.Error(t, err, name)
+		require.Error(t, m.Restore(refused), name)
+	}
+	restore, err := m.PrepareRestore(data)
+	require.NoError(t, err)
+	require.Zero(t, m.AppliedIndex())
+	require.Zero(t, m.Configuration().Number)
+	require.NoError(t, restore())
+	require.Equal(t, uint64(1), m.Configuration().Number)
+}
