Refuse a configuration that is too large before it is proposed

What operators saw: 'configuration was rejected' (bad request) for a configuration above 8 MiB, which each control host had written to its disk by then, and replicated.

Cause: its size was checked by the tables only, which can't say why. The check of the tables stays, for entries of older builds.

The largest configuration, 8 MiB, is accepted and read back.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -18,6 +18,12 @@
 		// The state machine holds committed configurations only, and numbers never decrease.
 		return current, nil
 	}
+	switch {
+	case len(data) > state.MaxConfigurationBytes:
+		return 0, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the configuration is too large")
+	case len(author) > state.MaxNameBytes:
+		return 0, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the name of the author is too long")
+	}
 	encoded, err := state.Encode(state.PutConfiguration{
 		Number: number, Data: data, Author: author, At: time.Now().UnixMilli(),
 	})
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -75,3 +75,30 @@
 	over := []state.Document{{Name: "a", Text: string(text(2 * limit))}}
 	require.NoError(t, checkTotalSize(over, adminapi.SubmitRequest{Name: "a", Text: text(limit)}, limit), "it becomes smaller")
 }
+
+// Guards against a configuration that is too large for the tables and is committed all the same, so that each host
+// writes it to its disk, and is answered with 'rejected' without a reason. The largest one must be accepted.
+func TestConfigurationThatIsTooLargeIsRefusedAtItsProposer(t *testing.T) {
+	h, _ := startLeader(t)
+	data := make([]byte, state.MaxConfigurationBytes+1)
+	before := h.replica.Status().Commit
+	for name, c := range map[string]struct {
+		data   []byte
+		author string
+		code   verdict.Code
+	}{
+		"data":                    {data, "ann", verdict.CodeTooLarge},
+		"beyond a message":        {make([]byte, 2*state.MaxCommandBytes), "ann", verdict.CodeTooLarge},
+		"author that is no text":  {nil, invalidText, verdict.CodeBadRequest},
+		"author that is too long": {nil, strings.Repeat("x", state.MaxNameBytes+1), verdict.CodeBadRequest},
+	} {
+		_, err := h.PutConfiguration(t.Context(), 1, c.data, c.author)
+		require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict, name)
+		require.Equal(t, c.code, verdict.FromError(err).Code, name)
+	}
+	require.Equal(t, before, h.replica.Status().Commit, "nothing is in the log")
+	number, err := h.PutConfiguration(t.Context(), 1, data[:state.MaxConfigurationBytes], "ann")
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), number)
+	require.Len(t, h.tables.Configuration().Data, state.MaxConfigurationBytes)
+}
