--- a/internal/control/forward_test.go
+++ b/internal/control/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/state"
@@ -100,3 +102,35 @@
 		require.Less(t, o.took, contactTimeout, o.host)
 	}
 }
+
+// Guards against a forwarded command whose result its proposer can't read, so that an accepted change is answered
+// as one that may not be made.
+func TestForwardedResultIsDecodedToTheSameValue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		number := func(label string) uint64 { return rapid.Uint64().Draw(rt, label) }
+		text := func(label string) string { return rapid.String().Draw(rt, label) }
+		results := []any{
+			state.SubmitResult{
+				Outcome: state.SubmitConflict, Revision: number("revision"), Repeated: rapid.Bool().Draw(rt, "repeated"),
+				Winner: &state.Winner{Revision: number("winner"), Author: text("author"), ChangeID: text("change")},
+			},
+			state.InitResult{Accepted: rapid.Bool().Draw(rt, "accepted"), ClusterID: text("cluster")},
+			state.VoterAddressResult{Changed: rapid.Bool().Draw(rt, "changed")},
+			state.Rejected{Reason: state.Reason(text("reason"))},
+			state.ConfigurationResult{Accepted: rapid.Bool().Draw(rt, "put"), Number: number("number")},
+			state.EvacuationResult{
+				Outcome: state.EvacuationChanged, LastOrder: number("order"), Index: number("index"),
+				Evacuated: slices.Repeat([]string{strings.Repeat("x", state.MaxNameBytes)}, state.MaxDataCentres),
+			},
+		}
+		for _, result := range results {
+			data, err := encodeResult(result)
+			require.NoError(rt, err)
+			_, err = wire.Encode(1, true, &wire.Proposed{Index: number("log index"), Result: data})
+			require.NoError(rt, err)
+			decoded, err := decodeResult(data)
+			require.NoError(rt, err)
+			require.Equal(rt, result, decoded)
+		}
+	})
+}
