Give metrics names that every reader accepts

What operators would see: a metrics page that no reader accepts, for the name of one host. The names of some metrics contain that of another control host, from its settings, or a code that another host has sent.

Cause: only dots, dashes and slashes were replaced. A space, a quote, a line break or any other character got onto the page as it is, and two names that differ in such a character made two series of the same name.

Evidence: TestNamesOfMetricsAreClean and TestNamesOfMetricsAreDistinct failed first.

All but ASCII letters and digits is replaced now, as are the characters that were before, and a name that is used already gets a number.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -38,16 +41,38 @@
 
 // Text returns all metrics of the registry in the Prometheus text format, sorted by name.
 func Text(reg metrics.Registry) string {
+	all := make(map[string]any)
+	reg.Each(func(name string, metric any) { all[name] = metric })
 	var lines []string
-	reg.Each(func(name string, metric any) {
-		lines = append(lines, formatMetric(metricName(name), metric))
-	})
+	used := make(map[string]bool)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		name, metric := distinct(metricName(name), used), all[name]
+		lines = append(lines, formatMetric(name, metric))
+	}
 	slices.Sort(lines)
 	return strings.Join(lines, "")
 }
 
+// metricName returns a name that the text format allows. Some names contain those of other hosts, which may
+// hold any text.
 func metricName(name string) string {
-	return namePrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
+	return namePrefix + strings.Map(func(r rune) rune {
+		if r < utf8.RuneSelf && (unicode.IsLetter(r) || unicode.IsDigit(r)) {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+// distinct returns the name, with a number if it is used already, and marks it as used. Readers refuse a page
+// with two series of the same name.
+func distinct(name string, used map[string]bool) string {
+	out := name
+	for n := 2; used[out]; n++ {
+		out = fmt.Sprintf("%s_%d", name, n)
+	}
+	used[out] = true
+	return out
 }
 
 func formatMetric(name string, metric any) string {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -1,6 +1,8 @@
 package telemetry
 
 import (
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,3 +20,29 @@
 	require.Contains(t, text, "sassafraspost_entry_first_byte_us{quantile=\"0.5\"} 5\n")
 	require.Contains(t, text, "sassafraspost_entry_first_byte_us_count 1\n")
 }
+
+// Guards against a metrics page that no reader accepts: some names contain that of another host or a code that
+// another host sent, which may hold any text.
+func TestNamesOfMetricsAreClean(t *testing.T) {
+	reg := metrics.NewRegistry()
+	for _, name := range []string{"control 1", "a\nb 7", "a\"{x=\"y\"}", "côte-1", "a\xff", "9a", ""} {
+		metrics.GetOrRegisterCounter("consensus.peer."+name+".sent", reg).Inc(1)
+	}
+	line := regexp.MustCompile(`^(# TYPE [a-z_][a-zA-Z0-9_]* counter|[a-z_][a-zA-Z0-9_]* 1)$`)
+	for _, l := range strings.Split(strings.TrimSuffix(Text(reg), "\n"), "\n") {
+		require.Regexp(t, line, l)
+	}
+}
+
+// Guards against two series of the same name, which a reader refuses together with the whole page.
+func TestNamesOfMetricsAreDistinct(t *testing.T) {
+	reg := metrics.NewRegistry()
+	for _, name := range []string{"a.b", "a-b", "a b", "ä", "ö", "a\xff", "a\xfe"} {
+		metrics.GetOrRegisterCounter(name, reg).Inc(1)
+	}
+	seen := make(map[string]bool)
+	for _, l := range strings.Split(strings.TrimSuffix(Text(reg), "\n"), "\n") {
+		require.False(t, seen[l], l)
+		seen[l] = true
+	}
+}
