Tell of refused messages whatever was refused before

What operators would see: peer.messages.unreadable grows and no line says which messages of which host.

Cause: the pairs of host and kind are limited, and were never removed. A host that sends 1,024 kinds that this build does not know, or as many hosts as that over time, used them up.

Unknown kinds of a host count as one kind, and pairs without a line in the last 10 s make room for others.

--- a/internal/peer/refusals.go
+++ b/internal/peer/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 	// refusalLogInterval is the shortest time between two log lines about messages of the same kind
 	// that the same host sent, or that are sent to it.
 	refusalLogInterval = 10 * time.Second
-	// maxRefusalSources limits the number of pairs of host and kind that are told apart in the log.
+	// maxRefusalSources limits the number of pairs of host and kind that have lines within refusalLogInterval.
 	maxRefusalSources = 1024
 )
 
@@ -28,7 +29,8 @@
 	last map[refusalSource]*refusalLine
 }
 
-// refusalSource is the peer of a refused message, and the message's kind.
+// refusalSource is the peer of a refused message, and the message's kind. All kinds that this build does not
+// know count as kind 0.
 type refusalSource struct {
 	host string
 	kind wire.Kind
@@ -49,7 +51,11 @@
 // refusalLogInterval.
 func (r *refusals) add(host string, kind wire.Kind, reason error, now time.Time) {
 	r.counter.Inc(1)
-	if count := r.countUntold(refusalSource{host: host, kind: kind}, now); count > 0 {
+	source := refusalSource{host: host}
+	if kind.IsKnown() {
+		source.kind = kind
+	}
+	if count := r.countUntold(source, now); count > 0 {
 		r.log.Warn(r.message, "kind", kind.String(), "peer", host, "count", count, "error", reason.Error())
 	}
 }
@@ -61,6 +67,9 @@
 	defer r.mu.Unlock()
 	line, ok := r.last[source]
 	if !ok {
+		if len(r.last) >= maxRefusalSources {
+			r.forget(now)
+		}
 		if len(r.last) >= maxRefusalSources {
 			return 0
 		}
@@ -75,3 +84,8 @@
 	line.at, line.count = now, 0
 	return count
 }
+
+// forget removes sources about which no line was logged within refusalLogInterval. The caller must hold mu.
+func (r *refusals) forget(now time.Time) {
+	maps.DeleteFunc(r.last, func(_ refusalSource, line *refusalLine) bool { return now.Sub(line.at) >= refusalLogInterval })
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,9 @@
 // requests and responses. All other messages are control traffic.
 func (k Kind) IsAttempt() bool { return k >= KindDispatch && k <= KindRefused }
 
+// IsKnown reports whether this build has a message type of the kind.
+func (k Kind) IsKnown() bool { _, ok := types[k]; return ok }
+
 // String returns the name of the message type, or the number of an unknown kind.
 func (k Kind) String() string {
 	if t, ok := types[k]; ok {
