--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,7 +29,7 @@
 	got     chan wire.Message
 }
 
-func startHost(t *testing.T, name string, h Handler) *testHost {
+func startHost(t testing.TB, name string, h Handler) *testHost {
 	t.Helper()
 	out := &testHost{got: make(chan wire.Message, 16)}
 	if h == nil {
