Find the crash of an upstream while the attempt that caused it is remembered

A request that crashed an upstream went unsuspected if its entry host was cut off, or its caller had left, and nothing else was sent to the upstream then: it crashed more upstreams than the quarantine allows.

Cause: an agent remembers such an attempt for a second, but looked for the end of its upstream only when a request failed or at its next poll, which is a second apart too. A crash 600 ms after the loss of the session was found 0.6 to 1.6 s after it. The agent now probes the upstream each 100 ms for that second.

TestAgentFindsCrashAfterAbandonedAttemptWithoutPoll fails without it: the crash is not found.

--- a/internal/agent/upstream_monitor.go
+++ b/internal/agent/upstream_monitor.go
@@ -17,6 +17,15 @@
 // host refuses the connection at once if the upstream's process has ended.
 const probeTimeout = 250 * time.Millisecond
 
+const (
+	// watchTime is how long the upstream is watched after an attempt that it may still be executing was
+	// abandoned. Suspicions are remembered for as long, see package quarantine.
+	watchTime = time.Second
+	// watchInterval is the time between two probes of a watched upstream. Without them the end would be
+	// found by the next poll, which can come after the attempt has been forgotten.
+	watchInterval = 100 * time.Millisecond
+)
+
 // upstreamMonitor tracks whether the upstream's process has ended. In its zero value the
 // upstream is running.
 type upstreamMonitor struct {
@@ -27,6 +36,8 @@
 	// it is running. restarts counts how often it accepted connections again afterwards.
 	endedAt  int64
 	restarts int
+	// watchedUntil is when the watch of the upstream ends; zero if it is not watched.
+	watchedUntil time.Time
 }
 
 // probe checks whether the upstream still accepts connections after a response was broken off
@@ -56,6 +67,26 @@
 	return p.endedAt
 }
 
+// watch extends the watch of the upstream by watchTime from now. It reports whether a new watch begins.
+func (p *upstreamMonitor) watch(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isNew := p.watchedUntil.IsZero()
+	p.watchedUntil = now.Add(watchTime)
+	return isNew
+}
+
+// endWatch ends the watch if its time is over or the upstream has ended. It reports whether it did.
+func (p *upstreamMonitor) endWatch(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.endedAt == 0 && now.Before(p.watchedUntil) {
+		return false
+	}
+	p.watchedUntil = time.Time{}
+	return true
+}
+
 // markConnected records that the upstream accepted a connection.
 func (p *upstreamMonitor) markConnected() {
 	p.mu.Lock()
@@ -112,7 +143,7 @@
 
 // noteIfAbandoned is called after an attempt failed that the upstream may have executed. If the
 // entry host can't be told, it reports the attempt to Config.OnAbandoned, and then the upstream's
-// end if that is known and came during the attempt.
+// end if that came during the attempt or soon after it.
 func (a *Agent) noteIfAbandoned(at *attempt) {
 	isReported := at.ctx.Err() == nil && !isClosed(at.session.Done())
 	if isReported || a.cfg.OnAbandoned == nil || a.isDraining() {
@@ -121,6 +152,18 @@
 	a.cfg.OnAbandoned(at.dispatch, time.Since(at.began))
 	if endedAt := a.monitor.lastEnd(); endedAt >= at.began.UnixMilli() {
 		a.reportEnd(endedAt)
+		return
+	}
+	if a.monitor.watch(time.Now()) {
+		go a.watchUpstream()
+	}
+}
+
+// watchUpstream probes the upstream until the watch ends.
+func (a *Agent) watchUpstream() {
+	for !a.monitor.endWatch(time.Now()) {
+		time.Sleep(watchInterval)
+		a.probe()
 	}
 }
 
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -136,6 +136,45 @@
 	require.Empty(t, p.keeper.List())
 }
 
+// Guards against a crash that is found only by the agent's next poll, when the attempt that caused it has
+// been forgotten: nothing is sent to the upstream after the caller has left, and the agent does not poll.
+func TestAgentFindsCrashAfterAbandonedAttemptWithoutPoll(t *testing.T) {
+	p := startTestProxy(t, nil)
+	running, left := make(chan struct{}), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(running)
+		<-r.Context().Done()
+		close(left)
+	}))
+	t.Cleanup(srv.Close)
+	abandoned, ends := make(chan struct{}), make(chan int64, 1)
+	p.addUpstream("u1", http.NotFoundHandler(), func(c *agent.Config) {
+		c.URL = srv.URL
+		c.OnAbandoned = func(*wire.Dispatch, time.Duration) { close(abandoned) }
+		c.OnUpstreamEnded = func(at int64) { ends <- at }
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-running
+		leave()
+	}()
+	if resp, err := http.DefaultTransport.RoundTrip(p.newCompletion(ctx, "prompt", tokens, true)); err == nil {
+		_ = resp.Body.Close()
+	}
+	<-left
+	<-abandoned
+	// Within the second for which the attempt is remembered.
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, srv.Listener.Close())
+	select {
+	case at := <-ends:
+		require.NotZero(t, at)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the crash was not found")
+	}
+}
+
 // If the caller leaves just before the upstream crashes, the entry host does not learn of the crash.
 // The agent must report the attempt as well as the crash, whichever it notices first: otherwise a
 // request that crashes upstreams goes unsuspected.
