Answer a call whose reply can't be encoded

A caller waited until its deadline for a reply that the writer had refused, and called again. It gets a Failure now; whether the call ran is not known to it. TestReplyThatCanNotBeEncodedEndsTheCall failed before.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -339,9 +339,14 @@
 }
 
 // Reply queues m as the reply to a call, without blocking. If the session has ended, it
-// discards the reply and returns ErrClosed.
+// discards the reply and returns ErrClosed. If m can't be encoded, the caller gets a Failure, and Reply returns the
+// *wire.EncodeError.
 func (s *Session) Reply(call uint64, m wire.Message) error {
 	_, err := s.enqueue(call, true, m)
+	var unencodable *wire.EncodeError
+	if errors.As(err, &unencodable) {
+		_, _ = s.enqueue(call, true, NewFailure(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the reply can't be encoded")))
+	}
 	s.unrepliedCalls.Add(-1)
 	return err
 }
