Save no list that is longer than its reader takes

What would be seen: a list of more than 1,048,576 records is saved, and lost as a whole at the next start. Departures are limited to 8,192, upstreams are not. Cause: the writer did not check what the reader limits. Evidence, on the code before: TestListLongerThanItsReaderTakesIsNotSaved got no error. Now the save fails, with a WARN line and, for a departure, no acknowledgement, and the list that was saved before stays.

--- a/internal/control/localstore.go
+++ b/internal/control/localstore.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/journal"
@@ -143,6 +144,10 @@
 	if partial != nil && !wire.IsPartial(partial) {
 		return partial
 	}
+	// Decoding into a raw message checks the number of elements and the nesting.
+	if err := wire.Unmarshal(body, new(cbor.RawMessage)); err != nil {
+		return err
+	}
 	data := binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE(body))
 	if err := r.write(name, append(data, body...)); err != nil {
 		return err
--- a/internal/control/localstore_unreadable_test.go
+++ b/internal/control/localstore_unreadable_test.go
@@ -213,3 +213,24 @@
 	}
 	return ids
 }
+
+// Guards against a list that is saved and has more records than the decoder takes: all of them would be lost at the
+// next start. The list that was saved before must stay.
+func TestListLongerThanItsReaderTakesIsNotSaved(t *testing.T) {
+	r := NewLocalStore(journal.OS{}, t.TempDir())
+	before := []registry.Departure{{ID: "a", State: registry.Gone}}
+	now := time.Now()
+	require.NoError(t, r.SaveDepartures(before, now))
+	const readersLimit = 1 << 20
+	tooLong := make([]registry.Departure, readersLimit+1)
+	err := r.SaveDepartures(tooLong, now)
+	require.Error(t, err)
+	require.False(t, wire.IsPartial(err))
+	loaded, err := r.LoadDepartures(now)
+	require.NoError(t, err)
+	require.Equal(t, before, loaded)
+	require.NoError(t, r.SaveDepartures(tooLong[1:], now))
+	loaded, err = r.LoadDepartures(now)
+	require.NoError(t, err)
+	require.Len(t, loaded, readersLimit)
+}
