Settings: refuse an address and a secret that no other host can use

A host whose peer address has an IPv6 zone, or whose secret has a line break within or another control character, started and then had no session, with the reason only in the errors of its connections.

Cause: the address is told to others, for whom the zone names another interface or none; the secret is sent in a header field, which can't have such characters.

Evidence: four cases of TestSettingsThatNoOtherHostCanUseAreRefused failed before: two addresses, two secrets. The other five passed before: the settings have to be UTF-8, and the names of hosts and data centres are 1 to 63 ASCII letters, digits, dots, dashes and underscores.

The host now ends at its start with the section, the key and the line. A tab and all other characters stay allowed in a secret.

--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -101,7 +101,7 @@
 		CAFile: inifile.Optional(s, "tls-ca", "", inifile.String),
 	}
 	p.Advertise = inifile.Optional(s, "advertise", p.Listen, inifile.AddrPort)
-	if p.Advertise.IsValid() && p.Advertise.Addr().IsUnspecified() {
+	if p.Advertise.IsValid() && (p.Advertise.Addr().IsUnspecified() || p.Advertise.Addr().Zone() != "") {
 		s.Errorf("advertise", "%s is not an address that others can reach", p.Advertise)
 	}
 	if p.CAFile != "" && !p.TLS.Enabled() {
@@ -129,9 +129,15 @@
 	if len(secret) < MinSecretLength {
 		s.Errorf("secret", "is shorter than %d characters", MinSecretLength)
 	}
+	if strings.ContainsFunc(secret, isInvalidInHeader) {
+		s.Errorf("secret", "has control characters")
+	}
 	return Secret(secret)
 }
 
+// isInvalidInHeader reports whether the value of a header field, in which the secret is sent, can't have a character.
+func isInvalidInHeader(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
+
 func readSecret(path string) (string, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -125,6 +125,33 @@
 	}
 }
 
+// Guards against a host that starts although no other host can decode its first message or reach the address in
+// it, or takes part in nothing since its secret can't be sent.
+func TestSettingsThatNoOtherHostCanUseAreRefused(t *testing.T) {
+	replaced := func(old, new string) string {
+		require.Contains(t, minimalAgent, old)
+		return strings.Replace(minimalAgent, old, new, 1)
+	}
+	secretFile := filepath.Join(t.TempDir(), "secret")
+	require.NoError(t, os.WriteFile(secretFile, []byte("0123456789abcdef\r\nX: 1"), 0o600))
+	for name, c := range map[string]struct{ text, want string }{
+		"bytes in the name":        {replaced("name = ", "name = a\xff"), "not UTF-8"},
+		"bytes in a comment":       {minimalAgent + "# \xff\xfe\n", "not UTF-8"},
+		"text in the name":         {replaced("name = ", "name = größe"), "[host] name: "},
+		"NUL in the data centre":   {replaced("data-centre = ", "data-centre = a\x00"), "[host] data-centre: "},
+		"long name":                {replaced("name = ", "name = "+strings.Repeat("a", 64)), "[host] name: "},
+		"address of one machine":   {replaced("listen = 127.0.0.1:7000", "listen = [fe80::1%eth0]:7000"), "[peer] advertise: "},
+		"advertised to nobody":     {replaced("listen = 127.0.0.1:7000", "listen = 127.0.0.1:7000\nadvertise = [fe80::1%\x01]:7000"), "[peer] advertise: "},
+		"line break in the secret": {replaced("secret = 0123456789abcdef", "secret-file = "+secretFile), "[peer] secret: "},
+		"control in the secret":    {replaced("secret = 0123456789abcdef", "secret = 0123456789\x01abcdef"), "[peer] secret: "},
+	} {
+		_, err := Parse([]byte(c.text))
+		require.ErrorContains(t, err, c.want, name)
+	}
+	_, err := Parse([]byte(replaced("secret = 0123456789abcdef", "secret = 0123456789\tgrößer")))
+	require.NoError(t, err)
+}
+
 func TestSecretIsReadFromFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "secret")
 	require.NoError(t, os.WriteFile(path, []byte("0123456789abcdef\n"), 0o600))
