Quarantine: show operators no control characters of callers

The list of suspect requests, which the tool prints on a terminal, had the request id as the caller sent it: a tab moves the columns, and a control character such as U+009B, legal in a header value, begins a terminal sequence.

Evidence: TestSuspicionOfAnyRequestIDIsDecoded failed before for "a\u009b31m\tb".

Control characters in the id are shown as U+FFFD, like bytes that are not UTF-8.

--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 )
 
@@ -59,10 +60,15 @@
 	return all
 }
 
-// textOf returns the first bytes of an id that a caller has chosen, with U+FFFD for those that are not UTF-8.
-// Hosts could not decode a suspicion with such bytes.
+// textOf returns the first bytes of an id that a caller has chosen, with U+FFFD for those that are not UTF-8 and for
+// control characters. Hosts could not decode a suspicion with the former, and operators read it on a terminal.
 func textOf(id string, maxBytes int) string {
-	return strings.ToValidUTF8(id[:min(len(id), maxBytes)], string(utf8.RuneError))
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return utf8.RuneError
+		}
+		return r
+	}, strings.ToValidUTF8(id[:min(len(id), maxBytes)], string(utf8.RuneError)))
 }
 
 // failedAttempt is an attempt whose answer broke off at a time, and whose upstream may turn
--- a/internal/wire/suspicions_test.go
+++ b/internal/wire/suspicions_test.go
@@ -33,7 +33,7 @@
 // Guards against a request id of a caller that makes the suspicions of a host unreadable for all others: an id
 // that is not UTF-8, or one that is cut within a character.
 func TestSuspicionOfAnyRequestIDIsDecoded(t *testing.T) {
-	for _, id := range []string{"9c41d07be2a35f68", "a\xff\xfe", strings.Repeat("\xff-", 200), strings.Repeat("a", 63) + "ö", "\xc3\x28", "", "größe"} {
+	for _, id := range []string{"9c41d07be2a35f68", "a\xff\xfe", strings.Repeat("\xff-", 200), strings.Repeat("a", 63) + "ö", "\xc3\x28", "", "größe", "a\u009b31m\tb"} {
 		var published []quarantine.Suspicion
 		k := quarantine.NewKeeper(quarantine.Config{
 			Limits: quarantine.DefaultLimits, Now: func() time.Duration { return 0 }, Metrics: metrics.NewRegistry(),
@@ -47,5 +47,6 @@
 		_, m, err := Decode(data)
 		require.NoError(t, err, "%q", id)
 		require.Equal(t, &Suspicions{All: published}, m)
+		require.NotRegexp(t, `\p{Cc}`, published[0].Request, "operators read it on a terminal")
 	}
 }
