--- a/internal/control/localstore_unreadable_test.go
+++ b/internal/control/localstore_unreadable_test.go
@@ -234,3 +234,32 @@
 	require.NoError(t, err)
 	require.Len(t, loaded, readersLimit)
 }
+
+// Whatever the file contains, it is loaded in part or refused, and the next save and load work. Guards against a
+// host that does not start, or does not save any more, because of a damaged file.
+func TestAnyFileIsLoadedOrRefusedAndReplaced(t *testing.T) {
+	dir := t.TempDir()
+	r := NewLocalStore(journal.OS{}, dir)
+	rapid.Check(t, func(rt *rapid.T) {
+		body, err := cbor.Marshal(&wire.SavedDepartures{All: badAmongGood(), SavedAt: 1})
+		require.NoError(rt, err)
+		for range rapid.IntRange(0, 3).Draw(rt, "changes") {
+			at := rapid.IntRange(0, len(body)-1).Draw(rt, "at")
+			body[at] = rapid.Byte().Draw(rt, "byte")
+		}
+		body = body[:rapid.IntRange(0, len(body)).Draw(rt, "length")]
+		writeWithChecksum(rt, dir, departuresFile, body)
+		now := time.Now()
+		loaded, err := r.LoadDepartures(now)
+		if err != nil && !wire.IsPartial(err) {
+			require.Empty(rt, loaded)
+		}
+		for _, d := range loaded {
+			require.Equal(rt, strings.ToValidUTF8(d.ID, ""), d.ID)
+		}
+		require.NoError(rt, r.SaveDepartures(loaded, now), "what was loaded can be saved")
+		again, err := r.LoadDepartures(now)
+		require.NoError(rt, err)
+		require.ElementsMatch(rt, loaded, again)
+	})
+}
