--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -82,7 +82,20 @@
 		v.disk.isFull.Store(true)
 		stopHost()
 	}
-	go v.host.fleet.departures.run(ctx)
+	saverEnded := make(chan struct{})
+	go func() {
+		defer close(saverEnded)
+		v.host.fleet.departures.run(ctx)
+	}()
+	t.Cleanup(func() {
+		// A write in progress would create files in a folder that is being removed. A test that fails may
+		// leave the disk stalled.
+		cancel()
+		select {
+		case <-saverEnded:
+		case <-time.After(propagationTimeout):
+		}
+	})
 	return v
 }
 
