Let no engine's list of experts end the agent that plans

What callers would see: the agent of a group's first rank ends, and again after each start, as long as one engine of the group names an expert that the group does not have in its list of experts.

Cause: the planner indexes its load by the experts that ranks report, and only the counts were compared with the shape of the group.

Such a report is counted as group.loads.unread and left out, as is one of a rank that the group does not have, which kept the group from ever being planned. The planner itself makes no plan from such lists either.

--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -76,7 +76,8 @@
 // planning host has them. If this host doesn't, because it started after they were sent, it
 // requests them.
 func (r *Runner) addReport(l receivedReport) {
-	if !r.unpackCounts(l.ExpertLoad) {
+	shape := r.cfg.Shape()
+	if !r.unpackCounts(l.ExpertLoad) || shape != nil && !planner.Fits(l.ExpertLoad, shape) {
 		r.counters.unreadLoads.Inc(1)
 		return
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -51,6 +51,20 @@
 // IsComplete reports whether there is enough data for NextBySelections.
 func (p *Planner) IsComplete(shape *wire.GroupShape) bool { return p.stats.isComplete(shape) }
 
+// Fits reports whether a report is of ranks of the group, and names only experts that it has. What ranks report
+// comes from their engines.
+func Fits(l *wire.ExpertLoad, shape *wire.GroupShape) bool {
+	if uint64(l.FirstRank)+uint64(len(l.Ranks)) > uint64(shape.Ranks) {
+		return false
+	}
+	for i := range l.Ranks {
+		if lists := l.Ranks[i].ExpertsByLayer; lists != nil && !fitsShape(lists, shape) {
+			return false
+		}
+	}
+	return true
+}
+
 // Add stores a report of one or more ranks.
 func (p *Planner) Add(l *wire.ExpertLoad) {
 	if len(l.Ranks) > 0 && l.Ranks[0].Selections != nil {
--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -118,7 +118,7 @@
 	}
 	for r := range shape.Ranks {
 		s := p.ranks[r]
-		if s == nil || len(s.expertsBySet) != int(shape.Layers) || s.version != p.ranks[0].version {
+		if s == nil || !fitsShape(s.expertsBySet, shape) || s.version != p.ranks[0].version {
 			return false
 		}
 		if p.reported[r] && !hasShape(s.counts, shape) {
@@ -128,6 +128,20 @@
 	return true
 }
 
+// fitsShape reports whether lists of a rank's experts by set match the group's number of sets, and name only
+// experts that it has.
+func fitsShape(expertsBySet [][]uint16, shape *wire.GroupShape) bool {
+	if len(expertsBySet) != int(shape.Layers) {
+		return false
+	}
+	for _, experts := range expertsBySet {
+		if len(experts) > int(shape.SlotsPerRank) || slices.ContainsFunc(experts, func(e uint16) bool { return uint32(e) >= shape.Experts }) {
+			return false
+		}
+	}
+	return true
+}
+
 // hasShape reports whether counts match the group's number of sets and experts.
 func hasShape(counts [][]uint32, shape *wire.GroupShape) bool {
 	if len(counts) != int(shape.Layers) {
