--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -76,6 +76,8 @@
 	expertLoad placement.Load
 	// isSlow tells whether the engine was last logged as slow.
 	isSlow bool
+	// isShapeRefused is set if the shape of the engine's group was last out of range.
+	isShapeRefused bool
 	// isUnreachable is set if the last request to the engine failed. born is the start time of the
 	// engine when it last became reachable, in Unix milliseconds.
 	isUnreachable bool
@@ -162,10 +164,31 @@
 	if service == nil || service.Engine == nil || service.Engine.Experts.LayerSetCount == 0 {
 		return nil
 	}
-	experts := service.Engine.Experts
+	shape := newGroupShape(r.Size, service.Engine.Experts)
+	if isRefused := shape == nil; isRefused != a.isShapeRefused {
+		a.isShapeRefused = isRefused
+		if isRefused {
+			a.n.log.Error("no expert maps: the configuration of the service's experts is out of range", "service", service.Name, "configuration", t.Number)
+		}
+	}
+	return shape
+}
+
+// maxMapSlots is the maximum number of slots of an expert map, over all layer sets and ranks. Each has two bytes,
+// and an agent holds several maps.
+const maxMapSlots = 1 << 22
+
+// newGroupShape returns the shape of a group with the given number of ranks, nil if a number is out of range.
+func newGroupShape(ranks int, e routetable.Experts) *wire.GroupShape {
+	if ranks < 1 || ranks > maxMapSlots || e.LayerSetCount < 1 || e.LayerSetCount > maxMapSlots || e.Slots < 0 || e.Slots > maxMapSlots {
+		return nil
+	}
+	if ranks*e.Slots > maxMapSlots || ranks*e.Slots*e.LayerSetCount > maxMapSlots || e.ExpertsPerSet < 0 || e.ExpertsPerSet > int(rank.NoExpert) || e.MaxNewPerSet < 0 {
+		return nil
+	}
 	return &wire.GroupShape{
-		Ranks: uint32(r.Size), Experts: uint32(experts.ExpertsPerSet), Layers: uint32(experts.LayerSetCount), SlotsPerRank: uint32(experts.Slots),
-		MaxNewPerSet: uint32(experts.MaxNewPerSet), CopyUS: uint32(experts.CopyTime.Microseconds()),
+		Ranks: uint32(ranks), Experts: uint32(e.ExpertsPerSet), Layers: uint32(e.LayerSetCount), SlotsPerRank: uint32(e.Slots),
+		MaxNewPerSet: uint32(e.MaxNewPerSet), CopyUS: uint32(e.CopyTime.Microseconds()),
 	}
 }
 
