Plan no expert map from a list with an expert that the group lacks

The agent of the first rank ended when a rank's engine listed an expert beyond the number in the configuration, and ended again after each restart. Such a list counts as unknown now, so that there is no plan until the rank reports a usable one. TestReportOfAnExpertThatTheGroupLacksDoesNotEndPlanning failed before.

--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -28,8 +28,19 @@
 	counts  [][]uint32
 	version uint64
 	// expertsBySet lists the experts of the rank by set, under the map with that version. It is
-	// nil if they are not known.
+	// nil if they are not known. experts is above the highest number in it.
 	expertsBySet [][]uint16
+	experts      int
+}
+
+// setExperts sets the experts of the rank under a map.
+func (s *rankStat) setExperts(version uint64, expertsBySet [][]uint16) {
+	s.version, s.expertsBySet, s.experts = version, expertsBySet, 0
+	for _, experts := range expertsBySet {
+		for _, e := range experts {
+			s.experts = max(s.experts, int(e)+1)
+		}
+	}
 }
 
 // rank returns the entry of a rank, and adds it if necessary.
@@ -55,7 +66,7 @@
 		// A report that was sent before a change but arrives after it has the experts of an
 		// older map.
 		if l.Ranks[i].ExpertsByLayer != nil && l.Ranks[i].Version >= s.version {
-			s.version, s.expertsBySet = l.Ranks[i].Version, l.Ranks[i].ExpertsByLayer
+			s.setExperts(l.Ranks[i].Version, l.Ranks[i].ExpertsByLayer)
 		}
 	}
 }
@@ -106,19 +117,20 @@
 				}
 			}
 		}
-		s.version, s.expertsBySet = version, expertsBySet
+		s.setExperts(version, expertsBySet)
 	}
 }
 
 // isComplete reports whether there is enough data for a plan: as many reports as arrive in an
-// interval, and the experts of all ranks under the same map.
+// interval, and the experts of all ranks under the same map. A list with an expert that the group does not have, as an
+// engine may send it, does not count.
 func (p *rankStats) isComplete(shape *wire.GroupShape) bool {
 	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, ReportsPerInterval) {
 		return false
 	}
 	for r := range shape.Ranks {
 		s := p.ranks[r]
-		if s == nil || len(s.expertsBySet) != int(shape.Layers) || s.version != p.ranks[0].version {
+		if s == nil || len(s.expertsBySet) != int(shape.Layers) || s.experts > int(shape.Experts) || s.version != p.ranks[0].version {
 			return false
 		}
 		if p.reported[r] && !hasShape(s.counts, shape) {
