Forget reports of ranks that the group does not have

One such report kept the group from getting a new expert map until the planning agent restarted. TestReportOfARankThatTheGroupLacksDoesNotEndPlanning failed before.

--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -86,6 +86,7 @@
 // syncMap sets the experts of all ranks from the map in use, if find returns its content. The
 // next plan then need not wait for a report of every rank.
 func (p *rankStats) syncMap(active expertmap.Version, find func(expertmap.Version) (expertmap.Map, bool), shape *wire.GroupShape) {
+	p.removeUnknownRanks(shape)
 	if len(p.reported) == 0 {
 		return
 	}
@@ -102,6 +103,13 @@
 	p.setMap(rank.Version(active), m)
 }
 
+// removeUnknownRanks removes the reports of ranks that the group does not have. Engines state their ranks themselves.
+func (p *rankStats) removeUnknownRanks(shape *wire.GroupShape) {
+	isUnknown := func(number uint32) bool { return number >= shape.Ranks }
+	maps.DeleteFunc(p.ranks, func(number uint32, _ *rankStat) bool { return isUnknown(number) })
+	maps.DeleteFunc(p.reported, func(number uint32, _ bool) bool { return isUnknown(number) })
+}
+
 // setMap sets the experts of all known ranks from a map that has taken effect.
 func (p *rankStats) setMap(version uint64, m expertmap.Map) {
 	for number, s := range p.ranks {
@@ -125,6 +133,7 @@
 // interval, and the experts of all ranks under the same map. A list with an expert that the group does not have, as an
 // engine may send it, does not count.
 func (p *rankStats) isComplete(shape *wire.GroupShape) bool {
+	p.removeUnknownRanks(shape)
 	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, ReportsPerInterval) {
 		return false
 	}
