Show that a map of another shape ends the planning host (failing test)

NextByTokens indexes the map by the ranks of the document's shape, and its counts by the experts of the map. With more ranks or fewer experts in the document than in the map it panics, outside of any handler of messages.

--- a/internal/planner/invalid_reports_test.go
+++ b/internal/planner/invalid_reports_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
 // Guards against a rank that ends the planning host, and again after each start of it, by a report of an expert
@@ -46,3 +49,21 @@
 		require.NotPanics(t, func() { p.NextBySelections(shape, 1) })
 	}
 }
+
+// Guards against a planning host that ends since the map in use does not have the shape in the document, as after a
+// change of the document, or since an engine states a map that no plan has made.
+func TestMapOfAnotherShapeDoesNotEndPlanning(t *testing.T) {
+	m := expertmap.Map{SlotsPerRank: 2, Layers: [][]uint16{{0, 1, 1, 2}}}
+	reports := make([]wire.RankLoad, 3)
+	for i := range reports {
+		reports[i].Tokens = [][]uint32{{5, 7}}
+	}
+	for name, shape := range map[string]*wire.GroupShape{
+		"more ranks": {Ranks: 3, Experts: 3, Layers: 1, SlotsPerRank: 2}, "fewer experts": {Ranks: 2, Experts: 2, Layers: 1, SlotsPerRank: 2},
+	} {
+		require.NotPanics(t, func() {
+			_, isBetter := New(nil).NextByTokens(m, reports[:shape.Ranks], shape)
+			require.False(t, isBetter, name)
+		}, name)
+	}
+}
