Plan no expert map on a map of another shape

The planning agent ended with 'index out of range' if the group's shape in the document had more ranks or fewer experts than the map in use. TestMapOfAnotherShapeDoesNotEndPlanning failed before.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -99,7 +99,8 @@
 }
 
 // sumTokens adds up the tokens by layer and expert, and by rank. It returns false if a report
-// does not have the shape of the map, as happens if the map has changed between reports.
+// does not have the shape of the map, as happens if the map has changed between reports, or the map has other ranks or
+// experts than the group.
 func sumTokens(m expertmap.Map, reports []wire.RankLoad, experts int) (tokens placement.Load, byRank, times []float64, ok bool) {
 	tokens = make(placement.Load, len(m.Layers))
 	for l := range tokens {
@@ -113,11 +114,14 @@
 		}
 		times[rank] = float64(rep.StepUS)
 		for l, slots := range rep.Tokens {
-			if len(slots) != m.SlotsPerRank {
+			if len(slots) != m.SlotsPerRank || len(m.Layers[l]) != len(reports)*m.SlotsPerRank {
 				return nil, nil, nil, false
 			}
 			for s, n := range slots {
-				expert := m.Layers[l][rank*m.SlotsPerRank+s]
+				expert := int(m.Layers[l][rank*m.SlotsPerRank+s])
+				if expert >= experts {
+					return nil, nil, nil, false
+				}
 				tokens[l][expert] += float64(n)
 				byRank[rank] += float64(n)
 			}
