Show that a changed number of experts ends the planning host (failing test)

The planner keeps the load by expert from an earlier epoch of the group. With a configuration that has fewer experts or layer sets it indexes the new counts by the old numbers: 'index out of range [72] with length 72'.

--- a/internal/planner/invalid_reports_test.go
+++ b/internal/planner/invalid_reports_test.go
@@ -1,11 +1,13 @@
 package planner
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
+	"github.com/sassafraspost/sassafraspost/internal/placement"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -67,3 +69,24 @@
 		}, name)
 	}
 }
+
+// Guards against a planning host that ends when a configuration changes the numbers of a group's experts: the load
+// that it knows, from an earlier epoch of the group too, has those from before.
+func TestLoadOfAnotherShapeDoesNotEndPlanning(t *testing.T) {
+	const ranks = 8
+	shape := shapeOf(ranks, 0)
+	for _, known := range []struct{ layers, experts int }{{4, 73}, {4, 71}, {5, 72}, {3, 72}} {
+		load := make(placement.Load, known.layers)
+		for l := range load {
+			load[l] = slices.Repeat([]float64{1}, known.experts)
+		}
+		p := New(load)
+		for r := range ranks {
+			p.Add(report(r, ranks, 3))
+		}
+		require.True(t, p.IsComplete(shape))
+		require.NotPanics(t, func() { p.NextBySelections(shape, 1) }, known)
+		require.Len(t, p.Load(), int(shape.Layers), known)
+		require.Len(t, p.Load()[0], int(shape.Experts), known)
+	}
+}
