Forget a load of other layers or experts than the group has

The planning agent ended when a configuration reduced the experts or layer sets of a service. TestLoadOfAnotherShapeDoesNotEndPlanning failed before.

--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -7,17 +7,20 @@
 // its slowness. An expert's tokens are split evenly among its replicas.
 package placement
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Load is the number of tokens by layer and expert in one interval, as a moving
 // average.
 type Load [][]float64
 
 // Observe updates the moving average with the tokens of a new interval and returns
-// it. Weight is the weight of the new interval, in (0, 1]. A nil load becomes the
-// new interval.
+// it. Weight is the weight of the new interval, in (0, 1]. A nil load, and one of other
+// layers or experts, becomes the new interval.
 func (l Load) Observe(tokens Load, weight float64) Load {
-	if l == nil {
+	if l == nil || !l.hasShapeOf(tokens) {
 		weight = 1
 		l = make(Load, len(tokens))
 		for i := range l {
@@ -32,6 +35,11 @@
 	return l
 }
 
+// hasShapeOf reports whether two loads have the same numbers of layers and experts.
+func (l Load) hasShapeOf(other Load) bool {
+	return slices.EqualFunc(l, other, func(a, b []float64) bool { return len(a) == len(b) })
+}
+
 // Slowness returns each rank's time per token divided by the median of the ranks,
 // from the measured step times and the tokens of each rank. It is 1 for a rank
 // without tokens.
@@ -56,7 +64,7 @@
 // Distance returns the total variation distance between the distributions of tokens over
 // experts of the load and of another interval, averaged over the layers, in [0, 1].
 func (l Load) Distance(tokens Load) float64 {
-	if len(l) == 0 || len(l) != len(tokens) {
+	if len(l) == 0 || !l.hasShapeOf(tokens) {
 		return 0
 	}
 	sum := 0.0
