Show that a rank with more experts than slots shifts the map of all ranks (failing test)

An engine that lists more experts of a set than its slots makes the planned layer longer than the group's slots. All agents take the slots of the ranks after it for those of other ranks, and an agent that divides such a layer by ranks may end with 'slice bounds out of range'. The other tests of the file have 12 ranks now, since 8 ranks with 8 slots can't hold the 72 experts of these reports.

--- a/internal/planner/invalid_reports_test.go
+++ b/internal/planner/invalid_reports_test.go
@@ -14,7 +14,7 @@
 // Guards against a rank that ends the planning host, and again after each start of it, by a report of an expert
 // that the group does not have.
 func TestReportOfAnExpertThatTheGroupLacksDoesNotEndPlanning(t *testing.T) {
-	const ranks = 8
+	const ranks = 12
 	shape := shapeOf(ranks, 0)
 	p := New(nil)
 	add := func(wrong bool) {
@@ -37,7 +37,7 @@
 
 // Guards against plans that end for good after a report of a rank that the group does not have.
 func TestReportOfARankThatTheGroupLacksDoesNotEndPlanning(t *testing.T) {
-	const ranks = 8
+	const ranks = 12
 	shape := shapeOf(ranks, 0)
 	p := New(nil)
 	for _, stray := range []uint32{ranks, 900, 1<<32 - 1} {
@@ -73,7 +73,7 @@
 // Guards against a planning host that ends when a configuration changes the numbers of a group's experts: the load
 // that it knows, from an earlier epoch of the group too, has those from before.
 func TestLoadOfAnotherShapeDoesNotEndPlanning(t *testing.T) {
-	const ranks = 8
+	const ranks = 12
 	shape := shapeOf(ranks, 0)
 	for _, known := range []struct{ layers, experts int }{{4, 73}, {4, 71}, {5, 72}, {3, 72}} {
 		load := make(placement.Load, known.layers)
@@ -90,3 +90,31 @@
 		require.Len(t, p.Load()[0], int(shape.Experts), known)
 	}
 }
+
+// Guards against maps whose layers have other lengths than the group's slots, after a report of a rank that has more
+// experts than slots: the agents would take the slots of one rank for those of the next one.
+func TestReportOfMoreExpertsThanSlotsIsNotPlannedWith(t *testing.T) {
+	const ranks = 12
+	shape := shapeOf(ranks, 0)
+	for more := range 12 {
+		p := New(nil)
+		for r := range ranks {
+			l := report(r, ranks, 3)
+			if r == 5 {
+				l.Ranks[0].ExpertsByLayer[2] = nil
+				for e := range int(shape.SlotsPerRank) + more {
+					l.Ranks[0].ExpertsByLayer[2] = append(l.Ranks[0].ExpertsByLayer[2], uint16(e))
+				}
+			}
+			p.Add(l)
+		}
+		require.False(t, more == 0 && !p.IsComplete(shape), "as many experts as slots")
+		if !p.IsComplete(shape) {
+			continue
+		}
+		m, _, _ := p.NextBySelections(shape, 1)
+		for _, slots := range m.Layers {
+			require.Len(t, slots, ranks*int(shape.SlotsPerRank), "%d experts more than slots", more)
+		}
+	}
+}
