--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -28,21 +28,27 @@
 	counts  [][]uint32
 	version uint64
 	// expertsBySet lists the experts of the rank by set, under the map with that version. It is
-	// nil if they are not known. experts is above the highest number in it.
-	expertsBySet [][]uint16
-	experts      int
+	// nil if they are not known. experts is above the highest number in it, slots the most experts of a set.
+	expertsBySet   [][]uint16
+	experts, slots int
 }
 
 // setExperts sets the experts of the rank under a map.
 func (s *rankStat) setExperts(version uint64, expertsBySet [][]uint16) {
-	s.version, s.expertsBySet, s.experts = version, expertsBySet, 0
+	s.version, s.expertsBySet, s.experts, s.slots = version, expertsBySet, 0, 0
 	for _, experts := range expertsBySet {
+		s.slots = max(s.slots, len(experts))
 		for _, e := range experts {
 			s.experts = max(s.experts, int(e)+1)
 		}
 	}
 }
 
+// fits reports whether the experts of the rank are known and have the group's shape.
+func (s *rankStat) fits(shape *wire.GroupShape) bool {
+	return len(s.expertsBySet) == int(shape.Layers) && s.experts <= int(shape.Experts) && s.slots <= int(shape.SlotsPerRank)
+}
+
 // rank returns the entry of a rank, and adds it if necessary.
 func (p *rankStats) rank(number uint32) *rankStat {
 	if p.ranks == nil {
@@ -130,8 +136,8 @@
 }
 
 // isComplete reports whether there is enough data for a plan: as many reports as arrive in an
-// interval, and the experts of all ranks under the same map. A list with an expert that the group does not have, as an
-// engine may send it, does not count.
+// interval, and the experts of all ranks under the same map. Lists that don't fit the group's shape, as an engine may
+// send them, don't count.
 func (p *rankStats) isComplete(shape *wire.GroupShape) bool {
 	p.removeUnknownRanks(shape)
 	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, ReportsPerInterval) {
@@ -139,7 +145,7 @@
 	}
 	for r := range shape.Ranks {
 		s := p.ranks[r]
-		if s == nil || len(s.expertsBySet) != int(shape.Layers) || s.experts > int(shape.Experts) || s.version != p.ranks[0].version {
+		if s == nil || !s.fits(shape) || s.version != p.ranks[0].version {
 			return false
 		}
 		if p.reported[r] && !hasShape(s.counts, shape) {
