--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -84,7 +84,7 @@
 		received.Store(&r.Header)
 		writeResponse(c, r.Header.Get("X-A"), "")
 	})
-	for _, id := range []string{"i1\r\nX-Tenant: other", "i1\nX-Tenant: other", "i1\x00", "i1\r\n\r\nGET / HTTP/1.1"} {
+	for _, id := range []string{"i1\r\nX-Other: 1", "i1\nX-Other: 1", "i1\x00", "i1\r\n\r\nGET / HTTP/1.1"} {
 		r := &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-A": {"a"}}}
 		_, err := newTestClient().Send(t.Context(), Target{ID: id, Address: address}, r)
 		require.Nil(t, received.Load(), "%q: the upstream received a request", id)
