Limit the loads of engines to what receivers accept, and skip a higher one alone

An engine that stated more than 2^20 waiting or running requests kept entry hosts from the loads of the engines after it. TestLoadThatNoReceiverAcceptsCostsNoOther and TestLoadAboveTheMaximumCostsOnlyItself failed before.

--- a/internal/engineload/decoder.go
+++ b/internal/engineload/decoder.go
@@ -13,7 +13,7 @@
 }
 
 // Decode returns a full record for each load in a message. It skips compact loads of engines
-// whose full record it never received, and everything after bytes that it can't parse.
+// whose full record it never received or with loads above maxRequests, and everything after bytes that it can't parse.
 // unread is a lower bound of the number of skipped loads.
 func (v *Decoder) Decode(m *wire.EngineLoads) (loads []wire.EngineLoad, unread int) {
 	if v.records == nil {
@@ -25,18 +25,18 @@
 	}
 	number := uint64(0)
 	for b := m.CompactLoads; len(b) > 0; {
-		delta, running, waiting, ratio, rest, ok := readCompact(b)
+		c, rest, ok := readCompact(b)
 		if !ok {
 			return loads, unread + 1
 		}
 		b = rest
-		number += delta
+		number += c.delta
 		l, isKnown := v.records[number]
-		if !isKnown {
+		if !isKnown || max(c.running, c.waiting) > maxRequests {
 			unread++
 			continue
 		}
-		l.Running, l.Waiting, l.Slowdown = running, waiting, ratio
+		l.Running, l.Waiting, l.Slowdown = int(c.running), int(c.waiting), c.ratio
 		v.records[number] = l
 		loads = append(loads, l)
 	}
@@ -54,22 +54,29 @@
 	return loads, unread
 }
 
-// maxRequests is the highest number of running or waiting requests accepted in a compact
-// load. Higher numbers are treated as unreadable.
+// maxRequests is the highest number of running or waiting requests in a load. Senders limit higher numbers to it, and
+// receivers skip compact loads with higher ones.
 const maxRequests = 1 << 20
 
+// compactLoad is a compact load as it was received.
+type compactLoad struct {
+	// delta is the difference between the engine's number and that of the engine before.
+	delta, running, waiting uint64
+	ratio                   float64
+}
+
 // readCompact parses one compact load, as appendCompact writes it, and returns the rest of b.
-func readCompact(b []byte) (delta uint64, running, waiting int, ratio float64, rest []byte, ok bool) {
-	var fields [3]uint64
-	for i := range fields {
+func readCompact(b []byte) (c compactLoad, rest []byte, ok bool) {
+	for _, field := range []*uint64{&c.delta, &c.running, &c.waiting} {
 		n, size := binary.Uvarint(b)
 		if size <= 0 {
-			return 0, 0, 0, 0, nil, false
+			return compactLoad{}, nil, false
 		}
-		fields[i], b = n, b[size:]
+		*field, b = n, b[size:]
 	}
-	if len(b) == 0 || fields[1] > maxRequests || fields[2] > maxRequests {
-		return 0, 0, 0, 0, nil, false
+	if len(b) == 0 {
+		return compactLoad{}, nil, false
 	}
-	return fields[0], int(fields[1]), int(fields[2]), decodeStepRatio(b[0]), b[1:], true
+	c.ratio = decodeStepRatio(b[0])
+	return c, b[1:], true
 }
--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -53,7 +53,7 @@
 }
 
 func newFlushedLoad(l wire.EngineLoad) flushedLoad {
-	return flushedLoad{isSet: true, running: max(l.Running, 0), waiting: max(l.Waiting, 0), ratio: encodeStepRatio(l.Slowdown)}
+	return flushedLoad{isSet: true, running: l.Running, waiting: l.Waiting, ratio: encodeStepRatio(l.Slowdown)}
 }
 
 // Table holds the latest load of each engine at the sender. The zero value is ready to use.
@@ -75,11 +75,15 @@
 		t.engines[l.Address] = e
 	}
 	l.Number = e.number
+	l.Running, l.Waiting = limitRequests(l.Running), limitRequests(l.Waiting)
 	// Receivers that attached while the engine was silent have not received its record.
 	e.needsFullRecord = e.needsFullRecord || withoutLoad(l) != withoutLoad(e.load) || now-e.updatedAt > maxSnapshotAge
 	e.load, e.agentAddress, e.isUpdated, e.updatedAt = l, agentAddress, true, now
 }
 
+// limitRequests returns the number of requests nearest to n that receivers accept.
+func limitRequests(n int) int { return min(max(n, 0), maxRequests) }
+
 // withoutLoad returns a record without the fields that a compact load contains.
 func withoutLoad(l wire.EngineLoad) wire.EngineLoad {
 	l.Running, l.Waiting, l.Slowdown = 0, 0, 0
