--- a/internal/planner/invalid_reports_test.go
+++ b/internal/planner/invalid_reports_test.go
@@ -5,9 +5,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/sassafraspost/sassafraspost/internal/expertmap"
 	"github.com/sassafraspost/sassafraspost/internal/placement"
+	"github.com/sassafraspost/sassafraspost/internal/rank"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -118,3 +120,79 @@
 		}
 	}
 }
+
+// Guards against reports of any content, and changes of the group's shape, that end the planning host or lead to a map
+// that does not have the shape of the group.
+func TestPlansFromAnyReportsHaveTheGroupsShape(t *testing.T) {
+	drawShape := func(rt *rapid.T) *wire.GroupShape {
+		draw := func(label string) uint32 { return rapid.Uint32Range(1, 3).Draw(rt, label) }
+		return &wire.GroupShape{Ranks: draw("ranks"), Experts: 2 * draw("experts"), Layers: draw("layers"), SlotsPerRank: 2 * draw("slots")}
+	}
+	drawLists := func(rt *rapid.T, shape *wire.GroupShape, of int, highest uint32, label string) [][]uint32 {
+		layers := int(shape.Layers)
+		if rapid.IntRange(0, 9).Draw(rt, label+" layers") == 0 {
+			layers = rapid.IntRange(0, 4).Draw(rt, label+" other layers")
+		}
+		out := make([][]uint32, layers)
+		for l := range out {
+			length := of
+			if rapid.IntRange(0, 9).Draw(rt, label+" length") == 0 {
+				length = rapid.IntRange(0, 9).Draw(rt, label+" other length")
+			}
+			out[l] = rapid.SliceOfN(rapid.Uint32Range(0, highest), length, length).Draw(rt, label)
+		}
+		return out
+	}
+	complete := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		shape := drawShape(rt)
+		p := New(nil)
+		for range rapid.IntRange(1, 20).Draw(rt, "rounds") {
+			if rapid.IntRange(0, 9).Draw(rt, "new shape") == 0 {
+				shape = drawShape(rt)
+			}
+			for r := range shape.Ranks {
+				if rapid.IntRange(0, 9).Draw(rt, "other rank") == 0 {
+					r = rapid.SampledFrom([]uint32{0, 1, shape.Ranks, 900, 1<<32 - 1}).Draw(rt, "rank")
+				}
+				l := wire.RankLoad{
+					StepUS: rapid.Uint64().Draw(rt, "step"), Slowdown: rapid.Float64().Draw(rt, "slowdown"),
+					Selections: drawLists(rt, shape, int(shape.Experts), 1<<32-1, "selections"),
+				}
+				highest := shape.Experts - 1
+				if rapid.IntRange(0, 9).Draw(rt, "other experts") == 0 {
+					highest = 1<<16 - 1
+				}
+				for _, list := range drawLists(rt, shape, int(shape.SlotsPerRank), highest, "experts") {
+					var experts []uint16
+					for _, e := range list {
+						experts = append(experts, uint16(e))
+					}
+					l.ExpertsByLayer = append(l.ExpertsByLayer, experts)
+				}
+				if rapid.IntRange(0, 4).Draw(rt, "tokens") == 0 {
+					l.Tokens, l.Selections = drawLists(rt, shape, int(shape.SlotsPerRank), 1000, "tokens"), nil
+				}
+				p.Add(&wire.ExpertLoad{FirstRank: r, Ranks: []wire.RankLoad{l}})
+			}
+			requireShape := func(m expertmap.Map) {
+				require.Len(rt, m.Layers, int(shape.Layers))
+				for _, slots := range m.Layers {
+					require.Len(rt, slots, int(shape.Ranks*shape.SlotsPerRank))
+				}
+			}
+			if p.IsComplete(shape) {
+				complete++
+				m, _, _ := p.NextBySelections(shape, 1)
+				requireShape(m)
+			}
+			if reports := p.TakeReports(shape.Ranks); reports != nil {
+				m := rank.InitialMap(int(shape.Ranks), int(shape.SlotsPerRank), int(shape.Layers), int(shape.Experts))
+				if next, isBetter := p.NextByTokens(m, reports, shape); isBetter {
+					requireShape(next)
+				}
+			}
+		}
+	})
+	require.Positive(t, complete, "no case was planned with")
+}
