--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -75,14 +75,14 @@
 		t.engines[l.Address] = e
 	}
 	l.Number = e.number
-	l.Running, l.Waiting = boundRequests(l.Running), boundRequests(l.Waiting)
+	l.Running, l.Waiting = limitRequests(l.Running), limitRequests(l.Waiting)
 	// Receivers that attached while the engine was silent have not received its record.
 	e.needsFullRecord = e.needsFullRecord || withoutLoad(l) != withoutLoad(e.load) || now-e.updatedAt > maxSnapshotAge
 	e.load, e.agentAddress, e.isUpdated, e.updatedAt = l, agentAddress, true, now
 }
 
-// boundRequests returns a number of requests that a compact load can hold.
-func boundRequests(n int) int { return min(max(n, 0), maxRequests) }
+// limitRequests returns the number of requests nearest to n that receivers accept.
+func limitRequests(n int) int { return min(max(n, 0), maxRequests) }
 
 // withoutLoad returns a record without the fields that a compact load contains.
 func withoutLoad(l wire.EngineLoad) wire.EngineLoad {
