Take no engine for slow because another one states a shorter step than usual

What callers would see: an engine that reports a pace of 1e-9, 0.1 or 0.4 gets all requests of its service, the others, which report 1, get none. Cause: engines are compared with the lowest ratio of step times, whatever it is. Evidence: TestWrongStepTimeOfAnEngineCostsNoOther failed before (10, 0 and 0 requests), passes now. The lowest ratio counts as 1 if it is below: above 1 means slow, and nothing is slower than usual by it.

--- a/internal/schedule/capacity.go
+++ b/internal/schedule/capacity.go
@@ -2,8 +2,12 @@
 
 import "time"
 
+// usualStepTimeRatio is the step time ratio of an engine that is as fast as usual.
+const usualStepTimeRatio = 1
+
 // minStepTimeRatio returns the step time ratio of the fastest engine of a service with a fresh
-// load report, 0 if it is unknown for all.
+// load report, at least usualStepTimeRatio, or 0 if it is unknown for all. An engine that states a shorter
+// step than usual, rightly or not, is no reason to take the others for slow.
 func (sv *service) minStepTimeRatio(now time.Duration) float64 {
 	lowest := 0.0
 	for _, u := range sv.active {
@@ -11,7 +15,10 @@
 			lowest = u.load.stepTimeRatio
 		}
 	}
-	return lowest
+	if lowest == 0 {
+		return 0
+	}
+	return max(lowest, usualStepTimeRatio)
 }
 
 // limitOf returns how many requests an engine should run at once. An engine that is slower than
