Run the tests of replicas in virtual time, where a busy machine deposes no leader

Cause: the tests run three replicas in one process in real time, with election timeouts of 50 ms and 500 ms, and ask that one leader stays. A whole process that stands still is not the cause: in 120 runs of the first that were stopped for 80 ms again and again (36 stops in 60 of them) none failed, since a ticker keeps one tick. What fits is one thread without processor time while the others' clocks go on; it was not traced.

Change: the twelve tests with three replicas run in a synctest bubble, as TestSlowSyncDeposesNobody did. Its clock advances only when all goroutines wait, so an election there has a cause in the code. TestSlowSyncDeposesNobody used to hang when run alone: go-metrics started its goroutine in the bubble.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/consensus"
@@ -23,6 +24,10 @@
 	pollInterval = 2 * time.Millisecond
 )
 
+// init starts the goroutine that go-metrics has for all meters of the process. Started in a synctest bubble
+// it would keep the time there from passing.
+func init() { metrics.NewMeter().Stop() }
+
 var errDisk = errors.New("disk failed")
 
 // memStorage keeps the log in memory. If appendGate is set, each Append waits for it to
@@ -140,6 +145,9 @@
 // cluster is a group of replicas on a network in memory. An isolated replica neither sends
 // nor receives. Messages that the replica recordFrom sends are recorded, to be delivered
 // late.
+//
+// Tests in which a leader has to stay run in a synctest bubble. A thread that gets no processor time for an
+// election timeout, which is 50 ms with testTick, would end the leadership in real time.
 type cluster struct {
 	t          *testing.T
 	mu         sync.Mutex
@@ -147,7 +155,6 @@
 	isolated   map[consensus.ReplicaID]bool
 	recorded   map[consensus.ReplicaID][]consensus.Message
 	recordFrom consensus.ReplicaID
-	tick       time.Duration
 }
 
 type memTransport struct {
@@ -177,7 +184,7 @@
 func (c *cluster) open(id consensus.ReplicaID, storage *memStorage) *member {
 	m := &member{storage: storage, machine: &listMachine{}}
 	r, err := Open(Options{ID: id, Storage: storage, StateMachine: m.machine, Transport: memTransport{c, id}, PersistedState: storage.persisted,
-		Tick: c.tick, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 20, TrailingEntries: 5, MemberSilenceTimeout: 40 * c.tick,
+		Tick: testTick, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 20, TrailingEntries: 5, MemberSilenceTimeout: 40 * testTick,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	require.NoError(c.t, err)
 	m.Replica = r
@@ -193,11 +200,7 @@
 }
 
 func newCluster(t *testing.T, ids ...consensus.ReplicaID) *cluster {
-	return newClusterWithTick(t, testTick, ids...)
-}
-
-func newClusterWithTick(t *testing.T, tick time.Duration, ids ...consensus.ReplicaID) *cluster {
-	c := &cluster{t: t, tick: tick, members: map[consensus.ReplicaID]*member{}, isolated: map[consensus.ReplicaID]bool{},
+	c := &cluster{t: t, members: map[consensus.ReplicaID]*member{}, isolated: map[consensus.ReplicaID]bool{},
 		recorded: map[consensus.ReplicaID][]consensus.Message{}}
 	for _, id := range ids {
 		c.open(id, &memStorage{})
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -25,6 +25,10 @@
 )
 
 func TestThreeReplicasElectCommitAndRestart(t *testing.T) {
+	synctest.Test(t, testThreeReplicasElectCommitAndRestart)
+}
+
+func testThreeReplicasElectCommitAndRestart(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	res, err := l.Propose(c.ctx(), []byte("x"))
@@ -56,6 +60,10 @@
 }
 
 func TestIsolatedLeaderRefusesProposals(t *testing.T) {
+	synctest.Test(t, testIsolatedLeaderRefusesProposals)
+}
+
+func testIsolatedLeaderRefusesProposals(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	old := c.leader("")
 	c.setIsolated(old.ID(), true)
@@ -86,6 +94,10 @@
 }
 
 func TestDelayedMessagesOfDeposedLeaderAreIgnored(t *testing.T) {
+	synctest.Test(t, testDelayedMessagesOfDeposedLeaderAreIgnored)
+}
+
+func testDelayedMessagesOfDeposedLeaderAreIgnored(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	old := c.leader("")
 	c.mu.Lock()
@@ -120,7 +132,9 @@
 
 // A leader whose sync fails must stop and write nothing more. One follower is cut off, so that
 // nothing can be committed without the leader's disk.
-func TestFailedSyncStopsReplica(t *testing.T) {
+func TestFailedSyncStopsReplica(t *testing.T) { synctest.Test(t, testFailedSyncStopsReplica) }
+
+func testFailedSyncStopsReplica(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	cut := c.follower(l)
@@ -144,6 +158,10 @@
 }
 
 func TestSnapshotCatchesUpLaggingReplica(t *testing.T) {
+	synctest.Test(t, testSnapshotCatchesUpLaggingReplica)
+}
+
+func testSnapshotCatchesUpLaggingReplica(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	f := c.follower(l)
@@ -159,6 +177,10 @@
 
 // Guards against a leader that sends no heartbeat while it encodes a snapshot, and loses its leadership.
 func TestEncodingOfSnapshotHoldsUpNoHeartbeat(t *testing.T) {
+	synctest.Test(t, testEncodingOfSnapshotHoldsUpNoHeartbeat)
+}
+
+func testEncodingOfSnapshotHoldsUpNoHeartbeat(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	gate := make(chan struct{})
@@ -172,18 +194,21 @@
 	}
 	for deadline := time.Now().Add(20 * l.electionTimeout()); time.Now().Before(deadline); {
 		c.mustPropose(l, "during")
+		time.Sleep(testTick)
 	}
 	require.Zero(t, l.Status().SnapshotIndex, "it is still being encoded")
 	require.Equal(t, term, l.Status().Term)
 	require.True(t, l.IsLeader())
 }
 
-// Guards against a log of large entries that fills the disk before their number calls for a snapshot. The
-// cluster has the default tick, so the leader has to stay: on a machine short of processor time, a process
-// under the race detector can stand still for longer than elections of the short tick take.
+// Guards against a log of large entries that fills the disk before their number calls for a snapshot.
 func TestLargeEntriesAreCoveredBySnapshots(t *testing.T) {
+	synctest.Test(t, testLargeEntriesAreCoveredBySnapshots)
+}
+
+func testLargeEntriesAreCoveredBySnapshots(t *testing.T) {
 	const entries = 12
-	c := newClusterWithTick(t, DefaultTick, idA, idB, idC)
+	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	large := strings.Repeat("x", DefaultSnapshotBytes/4)
 	for range entries {
@@ -194,7 +219,9 @@
 	}
 }
 
-func TestVoterWithLostDiskIsReplaced(t *testing.T) {
+func TestVoterWithLostDiskIsReplaced(t *testing.T) { synctest.Test(t, testVoterWithLostDiskIsReplaced) }
+
+func testVoterWithLostDiskIsReplaced(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	for i := range 50 {
@@ -225,6 +252,10 @@
 // Guards against a change of the membership that waits for minutes for a replica that is gone. In the second
 // case the old voter has been removed already.
 func TestSilentReplicaIsGivenUpWhileItJoins(t *testing.T) {
+	synctest.Test(t, testSilentReplicaIsGivenUpWhileItJoins)
+}
+
+func testSilentReplicaIsGivenUpWhileItJoins(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	lost := c.follower(l)
@@ -317,7 +348,9 @@
 	require.Eventually(t, func() bool { return len(l.machine.appliedCommands()) == 1 }, waitTimeout, pollInterval)
 }
 
-func TestCloseTransfersLeadership(t *testing.T) {
+func TestCloseTransfersLeadership(t *testing.T) { synctest.Test(t, testCloseTransfersLeadership) }
+
+func testCloseTransfersLeadership(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	c.mustPropose(l, "x")
@@ -373,6 +406,10 @@
 // there without a new proposal. The leader's first entry of its term has no data and must
 // count as applied.
 func TestFollowersReachReadIndexWithoutNewEntries(t *testing.T) {
+	synctest.Test(t, testFollowersReachReadIndexWithoutNewEntries)
+}
+
+func testFollowersReachReadIndexWithoutNewEntries(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	index, err := c.leader("").Read(c.ctx())
 	require.NoError(t, err)
@@ -384,6 +421,10 @@
 // An entry that a majority has on disk is committed even if the leader's own disk fails, and it
 // must survive there.
 func TestCommitDoesNotNeedTheLeadersDisk(t *testing.T) {
+	synctest.Test(t, testCommitDoesNotNeedTheLeadersDisk)
+}
+
+func testCommitDoesNotNeedTheLeadersDisk(t *testing.T) {
 	c := newCluster(t, idA, idB, idC)
 	l := c.leader("")
 	release := c.blockAppends(l)
