Attribute a crash whose report is lost with its session

If the agent's report that its upstream had crashed under a request was queued on a session that broke before it was written, nobody suspected the request, and it crashed more upstreams than the quarantine allows.

Cause: an agent took a report as delivered once it was queued. The report and this suspicion name the same crash by its time, so it counts once where both arrive.

Evidence: TestAgentReportsCrashAgainWhenItsSessionEnds fails without it ("the crash was not reported again").

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -84,6 +84,7 @@
 		a.mu.Unlock()
 	}
 	a.refuse(at.session, at.dispatch.Attempt, e)
+	a.confirmCrashReport(at, upstreamEndedAt(e))
 }
 
 // roundTrip sends the request to the upstream. The verdict of the error is NotRun only if no
@@ -188,6 +189,7 @@
 		r.end.Text = err.Error()
 	}
 	a.send(at, &r.end)
+	a.confirmCrashReport(at, r.end.UpstreamCrashedAt)
 	if err == nil {
 		a.recordIfUndelivered(at, resp, &r.recording)
 	}
--- a/internal/agent/upstream_monitor.go
+++ b/internal/agent/upstream_monitor.go
@@ -159,6 +159,24 @@
 	}
 }
 
+// confirmCrashReport is called after the entry host was sent the report that the upstream ended during an
+// attempt; endedAt is 0 if it did not. If the session ends soon after, the report may be lost, so the
+// attempt counts as abandoned. A crash that the entry host reports too counts once.
+func (a *Agent) confirmCrashReport(at *attempt, endedAt int64) {
+	if endedAt == 0 || a.cfg.OnAbandoned == nil {
+		return
+	}
+	ran := time.Since(at.began)
+	go func() {
+		select {
+		case <-at.session.Done():
+			a.cfg.OnAbandoned(at.dispatch, ran)
+			a.reportEnd(endedAt)
+		case <-time.After(watchTime):
+		}
+	}()
+}
+
 // watchUpstream probes the upstream until the watch ends.
 func (a *Agent) watchUpstream() {
 	for !a.monitor.endWatch(time.Now()) {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -175,6 +175,42 @@
 	}
 }
 
+// Guards against a crash that nobody attributes because its report was queued on a session that broke before
+// the entry host could read it. Whether it was read does not matter, so the session ends afterwards here.
+func TestAgentReportsCrashAgainWhenItsSessionEnds(t *testing.T) {
+	for _, hasHeader := range []bool{false, true} {
+		p := startTestProxy(t, nil)
+		var srv *httptest.Server
+		srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if hasHeader {
+				_ = http.NewResponseController(w).Flush()
+			}
+			_ = srv.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(srv.Close)
+		calls := make(chan string, 4)
+		_, pool := p.addUpstream("u1", http.NotFoundHandler(), func(c *agent.Config) {
+			c.URL = srv.URL
+			c.OnAbandoned = func(d *wire.Dispatch, _ time.Duration) { calls <- "abandoned " + d.RequestID }
+			c.OnUpstreamEnded = func(int64) { calls <- "ended" }
+		})
+		require.Equal(t, http.StatusBadGateway, p.complete("prompt", tokens, false).status)
+		require.Equal(t, "ended", <-calls)
+		for _, s := range pool.Sessions() {
+			s.Close()
+		}
+		for _, want := range []string{"abandoned prompt", "ended"} {
+			select {
+			case got := <-calls:
+				require.Equal(t, want, got)
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "the crash was not reported again")
+			}
+		}
+	}
+}
+
 // If the caller leaves just before the upstream crashes, the entry host does not learn of the crash.
 // The agent must report the attempt as well as the crash, whichever it notices first: otherwise a
 // request that crashes upstreams goes unsuspected.
