--- a/internal/planner/rankstats.go
+++ b/internal/planner/rankstats.go
@@ -28,8 +28,25 @@
 	counts  [][]uint32
 	version uint64
 	// expertsBySet lists the experts of the rank by set, under the map with that version. It is
-	// nil if they are not known.
-	expertsBySet [][]uint16
+	// nil if they are not known. experts is above the highest number in it, slots the most experts of a set.
+	expertsBySet   [][]uint16
+	experts, slots int
+}
+
+// setExperts sets the experts of the rank under a map.
+func (s *rankStat) setExperts(version uint64, expertsBySet [][]uint16) {
+	s.version, s.expertsBySet, s.experts, s.slots = version, expertsBySet, 0, 0
+	for _, experts := range expertsBySet {
+		s.slots = max(s.slots, len(experts))
+		for _, e := range experts {
+			s.experts = max(s.experts, int(e)+1)
+		}
+	}
+}
+
+// fits reports whether the experts of the rank are known and have the group's shape.
+func (s *rankStat) fits(shape *wire.GroupShape) bool {
+	return len(s.expertsBySet) == int(shape.Layers) && s.experts <= int(shape.Experts) && s.slots <= int(shape.SlotsPerRank)
 }
 
 // rank returns the entry of a rank, and adds it if necessary.
@@ -55,7 +72,7 @@
 		// A report that was sent before a change but arrives after it has the experts of an
 		// older map.
 		if l.Ranks[i].ExpertsByLayer != nil && l.Ranks[i].Version >= s.version {
-			s.version, s.expertsBySet = l.Ranks[i].Version, l.Ranks[i].ExpertsByLayer
+			s.setExperts(l.Ranks[i].Version, l.Ranks[i].ExpertsByLayer)
 		}
 	}
 }
@@ -75,6 +92,7 @@
 // syncMap sets the experts of all ranks from the map in use, if find returns its content. The
 // next plan then need not wait for a report of every rank.
 func (p *rankStats) syncMap(active expertmap.Version, find func(expertmap.Version) (expertmap.Map, bool), shape *wire.GroupShape) {
+	p.removeUnknownRanks(shape)
 	if len(p.reported) == 0 {
 		return
 	}
@@ -91,6 +109,13 @@
 	p.setMap(rank.Version(active), m)
 }
 
+// removeUnknownRanks removes the reports of ranks that the group does not have. Engines state their ranks themselves.
+func (p *rankStats) removeUnknownRanks(shape *wire.GroupShape) {
+	isUnknown := func(number uint32) bool { return number >= shape.Ranks }
+	maps.DeleteFunc(p.ranks, func(number uint32, _ *rankStat) bool { return isUnknown(number) })
+	maps.DeleteFunc(p.reported, func(number uint32, _ bool) bool { return isUnknown(number) })
+}
+
 // setMap sets the experts of all known ranks from a map that has taken effect.
 func (p *rankStats) setMap(version uint64, m expertmap.Map) {
 	for number, s := range p.ranks {
@@ -106,19 +131,21 @@
 				}
 			}
 		}
-		s.version, s.expertsBySet = version, expertsBySet
+		s.setExperts(version, expertsBySet)
 	}
 }
 
 // isComplete reports whether there is enough data for a plan: as many reports as arrive in an
-// interval, and the experts of all ranks under the same map.
+// interval, and the experts of all ranks under the same map. Lists that don't fit the group's shape, as an engine may
+// send them, don't count.
 func (p *rankStats) isComplete(shape *wire.GroupShape) bool {
+	p.removeUnknownRanks(shape)
 	if len(p.ranks) != int(shape.Ranks) || uint32(len(p.reported)) < min(shape.Ranks, ReportsPerInterval) {
 		return false
 	}
 	for r := range shape.Ranks {
 		s := p.ranks[r]
-		if s == nil || !fitsShape(s.expertsBySet, shape) || s.version != p.ranks[0].version {
+		if s == nil || !s.fits(shape) || s.version != p.ranks[0].version {
 			return false
 		}
 		if p.reported[r] && !hasShape(s.counts, shape) {
@@ -128,20 +155,6 @@
 	return true
 }
 
-// fitsShape reports whether lists of a rank's experts by set match the group's number of sets, and name only
-// experts that it has.
-func fitsShape(expertsBySet [][]uint16, shape *wire.GroupShape) bool {
-	if len(expertsBySet) != int(shape.Layers) {
-		return false
-	}
-	for _, experts := range expertsBySet {
-		if len(experts) > int(shape.SlotsPerRank) || slices.ContainsFunc(experts, func(e uint16) bool { return uint32(e) >= shape.Experts }) {
-			return false
-		}
-	}
-	return true
-}
-
 // hasShape reports whether counts match the group's number of sets and experts.
 func hasShape(counts [][]uint32, shape *wire.GroupShape) bool {
 	if len(counts) != int(shape.Layers) {
