Cut long lists in log lines

What operators would see: a line of 1.5 MB for 1,000 names of 256 bytes that are not valid UTF-8, such as those of evacuated data centres. Texts were cut, lists of texts were not.

--- a/internal/telemetry/bound.go
+++ b/internal/telemetry/bound.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"unicode/utf8"
 )
@@ -15,9 +16,12 @@
 	StackKey = "stack"
 )
 
-// boundText cuts long texts and errors, and replaces bytes that are not valid UTF-8. It is the ReplaceAttr of
+// boundText cuts long texts, lists of texts and errors, and replaces bytes that are not valid UTF-8. It is the ReplaceAttr of
 // slog.HandlerOptions.
 func boundText(_ []string, a slog.Attr) slog.Attr {
+	if list, ok := a.Value.Any().([]string); ok {
+		return slog.Any(a.Key, boundList(list))
+	}
 	text, ok := textOf(a.Value)
 	if !ok || a.Key == StackKey || len(text) <= maxTextBytes && utf8.ValidString(text) {
 		return a
@@ -29,6 +33,17 @@
 	return slog.String(a.Key, kept)
 }
 
+// boundList returns the first texts of a list, up to maxTextBytes together, and how many there are.
+func boundList(list []string) []string {
+	size := 0
+	for i, text := range list {
+		if size += len(text); size > maxTextBytes {
+			return append(slices.Clone(list[:i]), fmt.Sprintf("... (%d in all)", len(list)))
+		}
+	}
+	return list
+}
+
 // textOf returns the text of a string or an error.
 func textOf(v slog.Value) (text string, ok bool) {
 	switch v.Kind() {
--- a/internal/telemetry/bound_test.go
+++ b/internal/telemetry/bound_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 
@@ -41,3 +42,19 @@
 	require.Equal(t, "none", line["error"])
 	require.Equal(t, stack, line[StackKey])
 }
+
+// Guards against log lines that grow with the number of names in them, such as those of all evacuated data centres.
+func TestLongListsAreCutInLogLines(t *testing.T) {
+	var out bytes.Buffer
+	names := slices.Repeat([]string{strings.Repeat("\xff", 256)}, 1000)
+	log := NewLogger(&out, true, slog.LevelInfo)
+	log.Info("event", "names", names)
+	require.Less(t, out.Len(), 24*maxTextBytes)
+	var line struct{ Names []string }
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "... (1000 in all)", line.Names[len(line.Names)-1])
+	out.Reset()
+	log.Info("event", "names", []string{"a", "ö"})
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, []string{"a", "ö"}, line.Names)
+}
