Send a list of upstreams in as many messages as it needs

Hosts that attached to a control host with more upstreams than fit into a message got none of them. Lists of up to 8,192 upstreams are sent as before. TestListLongerThanAMessageReachesHostsThatAttach failed before.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -30,6 +30,9 @@
 	// quietTimeout is the silence after which an attached host is not waited for any more.
 	// Attached hosts probe their sessions several times within this timeout.
 	quietTimeout = 2 * time.Second
+	// maxUpstreamsPerMessage keeps a list of upstreams with the longest names, about 800 bytes each, below
+	// wire.MaxMessageBytes.
+	maxUpstreamsPerMessage = 8192
 	// tickInterval is how often the fleet checks for silent upstreams and hosts.
 	tickInterval = time.Second
 )
@@ -63,9 +66,9 @@
 	registry *registry.Registry
 	// attached holds the role of each host that has attached.
 	attached map[*peer.Session]string
-	// upstreamList is the encoded list of all upstreams for hosts that attach; nil if the
+	// upstreamList is the encoded list of all upstreams for hosts that attach, in one or more messages; nil if the
 	// list has changed since it was encoded.
-	upstreamList *peer.Prepared
+	upstreamList []*peer.Prepared
 	// isUpstreamListCold tells that the encoded list has remaining cold times, which decrease.
 	isUpstreamListCold bool
 	// demands holds the demand at each attached entry host, and crowdTotals which sums are told.
@@ -127,8 +130,8 @@
 	if f.upstreamList == nil || f.isUpstreamListCold {
 		f.prepareUpstreamList()
 	}
-	if f.upstreamList != nil {
-		s.PostPreparedOrClose(f.upstreamList)
+	for _, part := range f.upstreamList {
+		s.PostPreparedOrClose(part)
 	}
 	_ = s.Post(&wire.ConfigurationNotice{Number: f.h.tables.Configuration().Number})
 	// The other hosts get the new number of hosts with the next tick. If they got it at
@@ -143,10 +146,22 @@
 // prepareUpstreamList encodes the list of all upstreams. The caller holds mu.
 func (f *fleet) prepareUpstreamList() {
 	all := f.registry.List(f.now())
-	var err error
-	f.upstreamList, err = peer.Prepare(&wire.Upstreams{All: all, Departures: f.registry.UnknownDepartures(f.now())})
-	if err != nil {
-		f.h.cfg.Log.Error("list of upstreams can't be encoded", "upstreams", len(all), "error", err.Error())
+	messages := []*wire.Upstreams{{Departures: f.registry.UnknownDepartures(f.now())}}
+	for part := range slices.Chunk(all, maxUpstreamsPerMessage) {
+		if len(messages[0].All) == 0 {
+			messages[0].All = part
+			continue
+		}
+		messages = append(messages, &wire.Upstreams{All: part})
+	}
+	f.upstreamList = nil
+	for _, m := range messages {
+		p, err := peer.Prepare(m)
+		if err != nil {
+			f.h.cfg.Log.Error("list of upstreams can't be encoded", "upstreams", len(m.All), "error", err.Error())
+			continue
+		}
+		f.upstreamList = append(f.upstreamList, p)
 	}
 	f.isUpstreamListCold = slices.ContainsFunc(all, func(u registry.Upstream) bool { return u.ColdRemainingMS > 0 })
 }
@@ -256,7 +271,9 @@
 	f.sendDemands()
 	if all := f.registry.Tick(f.now()); len(all) > 0 {
 		f.upstreamList = nil
-		f.broadcast(&wire.Upstreams{All: all})
+		for part := range slices.Chunk(all, maxUpstreamsPerMessage) {
+			f.broadcast(&wire.Upstreams{All: part})
+		}
 		for _, u := range all {
 			f.h.cfg.Log.Info("upstream is silent", "upstream", u.ID, "address", u.Address, "sequence", u.Sequence)
 		}
