Show that refusals are not logged any more after those of 1,024 sources (failing test)

A source, a host and a kind of message, is never forgotten, so that the refused messages of each later one are counted and never logged. The hosts of a large fleet are as many.

--- a/internal/peer/refusals_test.go
+++ b/internal/peer/refusals_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,3 +34,17 @@
 	}
 	require.Equal(t, int64(26), r.counter.Count())
 }
+
+// Guards against refused messages of which no line ever tells, since many others were refused a long time ago.
+func TestRefusalsAreLoggedAfterThoseOfManyOthers(t *testing.T) {
+	var out bytes.Buffer
+	r := newRefusals("refused", metrics.NewCounter(), slog.New(slog.NewTextHandler(&out, nil)))
+	now := time.Unix(100, 0)
+	for i := range 2 * maxRefusalSources {
+		r.add("host-"+strconv.Itoa(i), wire.KindUpstreams, errors.New("invalid text"), now)
+	}
+	require.Equal(t, maxRefusalSources, strings.Count(out.String(), "\n"))
+	out.Reset()
+	r.add("later", wire.KindUpstreams, errors.New("invalid text"), now.Add(refusalLogInterval))
+	require.Contains(t, out.String(), "later")
+}
