Forget the sources of refused messages that were logged long ago

Refused messages of sources beyond the first 1,024 were counted and never logged. TestRefusalsAreLoggedAfterThoseOfManyOthers failed before.

--- a/internal/peer/refusals.go
+++ b/internal/peer/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 	// refusalLogInterval is the shortest time between two log lines about messages of the same kind
 	// that the same host sent, or that are sent to it.
 	refusalLogInterval = 10 * time.Second
-	// maxRefusalSources limits the number of pairs of host and kind that are told apart in the log.
+	// maxRefusalSources limits the number of pairs of host and kind that are logged within refusalLogInterval.
 	maxRefusalSources = 1024
 )
 
@@ -61,6 +62,9 @@
 	defer r.mu.Unlock()
 	line, ok := r.last[source]
 	if !ok {
+		if len(r.last) >= maxRefusalSources {
+			maps.DeleteFunc(r.last, func(_ refusalSource, l *refusalLine) bool { return now.Sub(l.at) >= refusalLogInterval })
+		}
 		if len(r.last) >= maxRefusalSources {
 			return 0
 		}
