Agent: keep no expert map beyond the limits, whoever accepted it

By reading, a stored configuration with -1 or two thousand million layer sets would end each agent of its service at the first map of a group. An agent takes no part in such a group now. TestAgentKeepsNoExpertMapBeyondTheLimits failed before.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
+	"github.com/sassafraspost/sassafraspost/internal/document"
 	"github.com/sassafraspost/sassafraspost/internal/group"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
@@ -163,12 +164,24 @@
 		return nil
 	}
 	experts := service.Engine.Experts
+	if !isWithinLimits(r.Size, experts) {
+		return nil
+	}
 	return &wire.GroupShape{
 		Ranks: uint32(r.Size), Experts: uint32(experts.ExpertsPerSet), Layers: uint32(experts.LayerSetCount), SlotsPerRank: uint32(experts.Slots),
 		MaxNewPerSet: uint32(experts.MaxNewPerSet), CopyUS: uint32(experts.CopyTime.Microseconds()),
 	}
 }
 
+// isWithinLimits reports whether an agent can keep an expert map of a group. Control hosts refuse larger ones, but a
+// configuration may have been accepted by a build without limits.
+func isWithinLimits(ranks int, e routetable.Experts) bool {
+	isBetween := func(n, low, high int) bool { return n >= low && n <= high }
+	return isBetween(ranks, 1, document.MaxRanks) && isBetween(e.LayerSetCount, 1, document.MaxLayers) &&
+		isBetween(e.ExpertsPerSet, 0, document.MaxExperts) && isBetween(e.Slots, 0, document.MaxSlotsPerRank) &&
+		isBetween(e.MaxNewPerSet, 0, document.MaxExperts)
+}
+
 // maxOnTimeStep returns the longest step time with which at least some streams of the service are
 // still on time, 0 if it is unknown.
 func (a *agentRole) maxOnTimeStep() time.Duration {
