Tell of refused calls, and bound repeated lines in one place

A call of a worker or operator that was refused as invalid left a counter only: operators could not see who sends such calls, and why they are refused. Now one line in 10 s for each call and caller, with the reason. The limit on lines about refused messages moved to telemetry.LineLimit, which lines about records that are not saved use too; their own copy of it is gone, and its test moved with it.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
+	"github.com/sassafraspost/sassafraspost/internal/telemetry"
 	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
@@ -52,8 +53,8 @@
 	// saveRequested holds a value if the list of upstreams or the suspicions of the quarantine
 	// have changed since they were saved.
 	saveRequested chan struct{}
-	// leftOut logs records that are not saved.
-	leftOut leftOutLog
+	// leftOut limits the lines about records that are not saved, by list.
+	leftOut telemetry.LineLimit
 	// quarantine keeps the suspicions: which requests ran on upstreams that crashed. It has
 	// its own lock, which it does not hold when it calls functions of the fleet.
 	quarantine *quarantine.Keeper
--- a/internal/control/restore.go
+++ b/internal/control/restore.go
@@ -5,7 +5,6 @@
 	"io/fs"
 	"log/slog"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -114,38 +113,15 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &partial):
-		f.leftOut.log(f.h.cfg.Log, what, partial, time.Now())
+		if f.leftOut.Count(what, time.Now()) > 0 {
+			f.h.cfg.Log.Warn("records that can't be read are not saved", "list", what, "left_out", partial.Count, "error", partial.First.Error())
+		}
 		return nil
 	}
 	f.h.cfg.Log.Warn(what+" can't be saved", "error", err.Error())
 	return err
 }
 
-// leftOutInterval is the shortest time between two lines about records that are not saved. Such a record is left out
-// each time that its list is saved.
-const leftOutInterval = 10 * time.Second
-
-// leftOutLog logs records that are not saved, because no host could read them.
-type leftOutLog struct {
-	// mu guards last.
-	mu sync.Mutex
-	// last holds when the last line about each list was logged.
-	last map[string]time.Time
-}
-
-func (l *leftOutLog) log(log *slog.Logger, what string, partial *wire.PartialError, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if last, ok := l.last[what]; ok && now.Sub(last) < leftOutInterval {
-		return
-	}
-	if l.last == nil {
-		l.last = make(map[string]time.Time)
-	}
-	l.last[what] = now
-	log.Warn("records that can't be read are not saved", "list", what, "left_out", partial.Count, "error", partial.First.Error())
-}
-
 // requestSave makes saveLoop save the upstreams and suspicions.
 func (f *fleet) requestSave() {
 	select {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -99,7 +99,7 @@
 		return nil, errors.Wrap(err, "listener for upstreams and operators")
 	}
 	count := func(name string) { metrics.GetOrRegisterCounter("control-api."+name, n.metrics).Inc(1) }
-	api := serve(listener, n.platform.ControlAPI(host, set.Listen.String(), count))
+	api := serve(listener, n.platform.ControlAPI(host, set.Listen.String(), count, n.log))
 	return &controlRole{n: n, host: host, controlHosts: host.AddressBook(), api: api}, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 	// DecodeTable decodes a packed configuration.
 	DecodeTable func(packed []byte) (*routetable.Table, error)
 	// ControlAPI returns the handler for requests of upstreams and operators to a control host.
-	ControlAPI func(h ControlHost, address string, count func(name string)) http.Handler
+	ControlAPI func(h ControlHost, address string, count func(name string), log *slog.Logger) http.Handler
 	// NewEngine returns a client of the engine at an address.
 	NewEngine func(address netip.AddrPort) rank.Client
 	// ReadyPath is the path of an entry host's readiness check.
--- a/internal/peer/refusals_test.go
+++ b/internal/peer/refusals_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -41,23 +40,10 @@
 	var out bytes.Buffer
 	r := newRefusals("message can't be decoded", metrics.NewCounter(), slog.New(slog.NewJSONHandler(&out, nil)))
 	now := time.Unix(1_000_000, 0)
-	for i := range 2 * maxRefusalSources {
+	for i := range 4096 {
 		r.add("a", wire.Kind(1000+i), errors.New("unknown"), now)
 	}
 	require.Equal(t, 1, strings.Count(out.String(), "\n"), "lines about unknown kinds")
 	r.add("b", wire.KindUpstreams, errors.New("invalid"), now.Add(time.Second))
 	require.Contains(t, out.String(), `"peer":"b"`)
 }
-
-// Guards against refused messages that no line tells of, since very many hosts had some long ago.
-func TestFormerPeersDoNotSilenceRefusals(t *testing.T) {
-	var out bytes.Buffer
-	r := newRefusals("message can't be decoded", metrics.NewCounter(), slog.New(slog.NewJSONHandler(&out, nil)))
-	now := time.Unix(1_000_000, 0)
-	for i := range 2 * maxRefusalSources {
-		r.add(fmt.Sprint("a", i), wire.KindUpstreams, errors.New("invalid"), now)
-	}
-	require.Equal(t, maxRefusalSources, strings.Count(out.String(), "\n"))
-	r.add("b", wire.KindUpstreams, errors.New("invalid"), now.Add(refusalLogInterval))
-	require.Contains(t, out.String(), `"peer":"b"`)
-}
