--- a/internal/textcheck/textcheck.go
+++ b/internal/textcheck/textcheck.go
@@ -1,5 +1,6 @@
 // Package textcheck finds text that is not valid UTF-8 in a value that is to be encoded. CBOR encoders write
-// such text, but decoders refuse it, so that a host would send or save what no host can read.
+// such text, but decoders refuse it, so that a host would send or save what no host can read. Check is for all
+// that is encoded; IsName is stricter, for names that come from outside.
 package textcheck
 
 import (
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -6,6 +6,8 @@
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 )
 
+// Lists with the tag "independent" lose only the elements that can't be encoded or decoded, see independentTag.
+
 // Kinds of the messages with which control hosts inform other hosts about upstreams,
 // configurations and hosts.
 const (
--- a/internal/wire/partial.go
+++ b/internal/wire/partial.go
@@ -12,8 +12,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/textcheck"
 )
 
-// independentTag marks a list in a struct whose elements do not depend on each other. An element that can't be
-// encoded or decoded is left out, so that it does not cost the others.
+// independentTag marks a list in a struct whose elements do not depend on each other, and whose readers decide nothing
+// by the absence of one. An element that can't be encoded or decoded is left out, so that it does not cost the others.
+// A list of ranks, slots or offsets must not have the tag.
 const independentTag = "independent"
 
 // PartialError reports that elements of lists were left out, because they can't be encoded or decoded. The
