--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -415,11 +415,12 @@
 		env, m, err := wire.Decode(data)
 		if err != nil {
 			s.ReportUnreadable(env.Kind, err)
-			if m, err = s.refuse(env, m, err); err != nil {
+			if endsSession(err) {
 				_ = s.conn.Close(websocket.StatusUnsupportedData, "message refused")
 				return err
 			}
 			if m == nil {
+				s.answerUnreadable(env)
 				continue
 			}
 		}
@@ -445,25 +446,27 @@
 	}
 }
 
-// refuse handles a message that can't be decoded, or not entirely. It returns the message that takes its
-// place, nil if there is none. A single message must not end the session: the sender would send it again on the
-// next one, and all other messages share the session, those of the consensus among them. An error ends the
-// session, since the peer speaks another version or the end of the message is not known.
-func (s *Session) refuse(env wire.Envelope, m wire.Message, err error) (wire.Message, error) {
+// endsSession reports whether an error of wire.Decode ends the session: the peer speaks another version, or it can't
+// be told what the message is. A single message that can't be decoded must not: the sender would send it again on
+// the next session, and all other messages share the session, those of the consensus among them.
+func endsSession(err error) bool {
 	var body *wire.BodyError
 	var kind *wire.KindError
+	return !wire.IsPartial(err) && !errors.As(err, &body) && !errors.As(err, &kind)
+}
+
+// answerUnreadable ends a call if the call, or the reply to it, can't be decoded.
+func (s *Session) answerUnreadable(env wire.Envelope) {
 	switch {
-	case wire.IsPartial(err):
-		return m, nil
-	case !errors.As(err, &body) && !errors.As(err, &kind):
-		return nil, err
 	case env.IsReply:
-		return NewFailure(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the reply can't be decoded")), nil
+		e := verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the reply can't be decoded")
+		s.deliverReply(env.Call, NewFailure(e))
 	case env.Call != 0:
+		// Reply counts the call as replied to.
 		s.unrepliedCalls.Add(1)
-		_ = s.Reply(env.Call, NewFailure(verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the message can't be decoded")))
+		e := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the message can't be decoded")
+		_ = s.Reply(env.Call, NewFailure(e))
 	}
-	return nil, nil
 }
 
 // ReportUnreadable counts and logs a message of the peer that can't be decoded, or not entirely.
