Run the slow tests of the control role beside each other

The tests of internal/control wait most of their time: 123 s with 25 s of processor time (load 33 to 37; 141 s at a load of 45 to 70).

--- a/internal/control/departures_property_test.go
+++ b/internal/control/departures_property_test.go
@@ -415,6 +415,7 @@
 // with older lists, freeze or are cut off, beside any number of entry hosts: a departure that was acknowledged
 // holds at all entry hosts that are in touch, and ends no other incarnation.
 func TestAcknowledgedDeparturesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		w := newDepartureWorld(t, r)
 		defer w.stop()
--- a/internal/control/join_snapshot_test.go
+++ b/internal/control/join_snapshot_test.go
@@ -16,6 +16,7 @@
 // Guards against a replica that waits too long for the snapshot it needs, since the first one was lost: its
 // host was killed, or its connections ended, while it was being sent.
 func TestReplicaThatLosesASnapshotWhileItJoinsVotesInTime(t *testing.T) {
+	t.Parallel()
 	// The delay of each block of bytes to the host, and the time after which a snapshot is on its way.
 	const delay, sending = 150 * time.Millisecond, 700 * time.Millisecond
 	ends := map[string]func(h *clusterHost){
--- a/internal/control/linksoak_test.go
+++ b/internal/control/linksoak_test.go
@@ -48,6 +48,7 @@
 // Guards against any course of faults of the links, beside a kill, a lost disk and disks that hang, after
 // whose end the control hosts find no leader or accept no change in time.
 func TestControlHostsAcceptChangesAfterLinkFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range linkSoakSeeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/control/lost_disk_soak_test.go
+++ b/internal/control/lost_disk_soak_test.go
@@ -61,6 +61,7 @@
 // is cut off, silent or frozen, or its disk hangs, or the host loses its disk once more. Also guards against the
 // loss of an acknowledged configuration.
 func TestSoakOfLostDisks(t *testing.T) {
+	t.Parallel()
 	layouts := []struct {
 		name string
 		// maxLost is how many hosts lose their disks at once.
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -70,11 +70,13 @@
 // Guards against a lost voter that is never replaced: a spare host in its data centre, which has a session
 // with the leader but never catches up, is preferred for ever to one that could vote.
 func TestSpareThatNeverCatchesUpDoesNotKeepAnotherFromVoting(t *testing.T) {
+	t.Parallel()
 	for name, stop := range map[string]func(*clusterHost){
 		"silent":         func(h *clusterHost) { h.isDeaf.Store(true) },
 		"stores nothing": func(h *clusterHost) { h.isStuck.Store(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := newTestCluster(t, 3, 2, nil)
 			for _, h := range c.hosts {
 				h.kill()
--- a/internal/control/replacements_test.go
+++ b/internal/control/replacements_test.go
@@ -81,6 +81,7 @@
 // Guards against a replacement of a lost disk that a fault of the joining host, at any step, leaves undone,
 // so that the next lost disk costs the quorum; and against acknowledged entries that are lost by it.
 func TestReplacedVotersUnderFaults(t *testing.T) {
+	t.Parallel()
 	for seed := *firstReplacementSeed; seed < *firstReplacementSeed+*replacementSeeds; seed++ {
 		r := rand.New(rand.NewPCG(seed, 65))
 		c := newTestCluster(t, []int{3, 3, 5}[seed%3], int(seed%2), nil)
