Property of departures: attach the entry host before it loses one control host

TestAcknowledgedDeparturesHoldUnderFaults failed once in a run of the package: after a departure that an entry host could hear of from the other control hosts only, it went on offering the upstream for 60 s. Cause, by a trial that prints how many control hosts the entry host is attached to: 2, 1 and 0 of 3. The step ends one session and no step before heal begins one, so three in a row with three control hosts leave nobody who could tell it, which is no host in touch. The step attaches the entry host first, so that it lacks one control host as its comment says; what it asks after that is unchanged. The case passes (one run, 0.9 s).

--- a/internal/control/departures_property_test.go
+++ b/internal/control/departures_property_test.go
@@ -264,6 +264,8 @@
 	if !w.isHealed {
 		return
 	}
+	// Earlier steps may have ended its sessions with the others, who could not tell it then.
+	w.attachEntryHosts()
 	e, v := w.entries[0], rapid.SampledFrom(w.control).Draw(w.r, "without a session with")
 	if s := e.pool.LiveSession(v.address); s != nil {
 		s.Close()
