Test of configurations that are too large: wait for the leader's first entry

It is the first entry of the leader's term, which a leader commits after it is one; the test took the index before. It reads once first now, which waits for that entry; what it asks is unchanged.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -81,6 +81,9 @@
 func TestConfigurationThatIsTooLargeIsRefusedAtItsProposer(t *testing.T) {
 	h, _ := startLeader(t)
 	data := make([]byte, state.MaxConfigurationBytes+1)
+	// A read waits until the first entry of the leader's term is committed.
+	_, err := h.Configuration(t.Context())
+	require.NoError(t, err)
 	before := h.replica.Status().Commit
 	for name, c := range map[string]struct {
 		data   []byte
