--- a/test/local/usage.go
+++ b/test/local/usage.go
@@ -95,3 +95,13 @@
 	}
 	return lines.Err()
 }
+
+// Descriptors returns how many file descriptors the process has open.
+func (p *Process) Descriptors() (int, error) {
+	pid, ok := p.pid()
+	if !ok {
+		return 0, errors.Errorf("%s is not started", p.Name)
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(open), err
+}
