Bound connections, heads, bodies and unread bytes at every listener of a host

Callers saw: beside a crowd of slow bodies an entry host answered 9 of 79 ordinary requests; crowds took it to 5 times its memory, where the platform would have ended it, or took all descriptors.

Cause: nothing bounded connections, what the kernel holds unread for each (128 KB), or what a head of many fields uses (some 100 bytes a field); any byte counted as progress of a body, and a body had no time limit; bodies could take the memory of responses. The head, header timeout and idle timeout of the configuration were decoded and never used.

Change: internal/inbound has all listeners of a process. Connections are limited by its memory and descriptors; a new one displaces one without a head, an idle one or one whose client reads nothing. Receive buffers are bounded. Heads are counted as they are read, in the budget of bodies. A body ends at its request's deadline, progress is a pace, three quarters of the budget at most are for one use, and small requests need none of it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
@@ -262,12 +263,12 @@
 	if !bodyAllowed(resp.Status) || c.r.Method == http.MethodHead {
 		length = 0
 	}
-	body, err := c.readWhole(ctx, memory.Response, resp, length, maxResponseBytes, nil)
+	body, err := inbound.ReadWhole(resp, length, maxResponseBytes, useAccount{c, ctx, memory.Response})
 	resp.Close()
 	if err != nil {
 		c.last = incompleteResponse(ctx, err)
 		c.warn("answer broke off", "send", c.attempts, "error", err.Error())
-		if isMemoryError(err) {
+		if memory.IsFull(err) {
 			// The upstream is not at fault, and another attempt would need the same memory.
 			reserved.release(outcomeNeutral)
 			c.isFinal = true
--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -162,12 +162,12 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, errShed):
+		case errors.Is(err, memory.ErrShed):
 			return &callerError{err}
 		case ctx.Err() != nil:
 			return err
 		}
-		waitClosed(ctx, r.c.g.memory.Released(), memoryCheckInterval)
+		r.c.g.memory.AwaitRelease(ctx)
 	}
 }
 
@@ -206,7 +206,7 @@
 	if _, err := r.c.w.Write(chunk); err != nil {
 		return err
 	}
-	r.c.memory.Release(backlogChunkBytes)
+	r.c.memory.Release(memory.Response, backlogChunkBytes)
 	r.c.memory.Progress(r.c.g.now())
 	if isLast {
 		return r.c.control.Flush()
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -17,8 +17,13 @@
 	// refusedRetryAfter is the Retry-After when upstreams have refused, which is about the time
 	// until a slot becomes free.
 	refusedRetryAfter = 300 * time.Millisecond
+	// maxUnreadBodyWait bounds the time in which the rest of a refused request's body may arrive.
+	maxUnreadBodyWait = 500 * time.Millisecond
 )
 
+// hasUnreadBody reports whether the body was not read to its end.
+func (c *call) hasUnreadBody() bool { return !c.isBodyWhole && c.r.ContentLength != 0 }
+
 // statusByCode holds the status of the failures that the caller can do something about.
 var statusByCode = map[verdict.Code]int{
 	verdict.CodeBadRequest:   http.StatusBadRequest,
@@ -73,6 +78,13 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if c.hasUnreadBody() {
+		// The server reads some of the rest, so that the caller can read the response.
+		_ = c.control.SetReadDeadline(time.Now().Add(maxUnreadBodyWait))
+		if code != http.StatusNotFound && code != http.StatusUnauthorized {
+			h.Set("Connection", "close")
+		}
+	}
 	if code == http.StatusBadRequest || code == http.StatusRequestEntityTooLarge {
 		// The rest of the body is not read, so the connection can't be reused.
 		h.Set("Connection", "close")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,9 +85,8 @@
 	Backpressure Backpressure
 	// ColdBound limits what a cold upstream gets from all hosts together in any second.
 	ColdBound backpressure.ColdBound
-	// MemoryMB is the memory of the host in megabytes, from which the limits of what it holds for
-	// callers follow; 0 means no limits.
-	MemoryMB int
+	// Memory counts what the host holds for callers, with times of Now; nil means no limits.
+	Memory *memory.Budget
 	// Settle, if set, blocks after a standstill of the host until it has had the time to read which
 	// callers have left; see [standstill.Watch].
 	Settle func(context.Context)
@@ -146,6 +145,9 @@
 	if started := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(started) }
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(memory.LimitsFor(0))
+	}
 	if cfg.Backpressure.RequestTokens == nil {
 		cfg.Backpressure.RequestTokens = func(context.Context, *wire.TokenRequest) (*wire.Tokens, error) {
 			return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "there are no control hosts")
@@ -161,7 +163,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
-		memory: memory.NewBudget(memory.LimitsFor(cfg.MemoryMB)), writes: newWriteWatch(),
+		memory: cfg.Memory, writes: newWriteWatch(),
 		view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
 			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
@@ -76,8 +78,10 @@
 	control *http.ResponseController
 	// memory counts the bytes held for the request.
 	memory *memory.Connection
-	// hasBody is set once the body was read.
+	// hasBody is set once the body was read, or can't be read to its end.
 	hasBody atomic.Bool
+	// isBodyWhole is set once the body was read to its end.
+	isBodyWhole bool
 	// stop cancels the request for the given reason.
 	stop context.CancelCauseFunc
 }
@@ -133,6 +137,10 @@
 	if err := c.authorize(); err != nil {
 		return err
 	}
+	c.deadline = c.began.Add(c.patience())
+	if err := c.holdHead(ctx); err != nil {
+		return err
+	}
 	if err := c.readBody(ctx); err != nil {
 		return err
 	}
@@ -140,17 +148,21 @@
 	if g.cfg.Quarantine.Verdict(c.content) == quarantine.Quarantined {
 		return c.refuseQuarantined()
 	}
-	wait := c.route.Timeout
-	if stated, ok := g.cfg.Dialect.Deadline(c.r.Header); ok {
-		wait = min(wait, stated-responseMargin)
-	}
-	c.deadline = c.began.Add(wait)
 	name := c.route.PickService(randomFraction())
 	c.service = c.table.Service(name)
 	g.countRequest(name)
 	return nil
 }
 
+// patience returns how long the caller waits for the final response, from when its head has arrived.
+func (c *call) patience() time.Duration {
+	wait := c.route.Timeout
+	if stated, ok := c.g.cfg.Dialect.Deadline(c.r.Header); ok {
+		wait = min(wait, stated-responseMargin)
+	}
+	return wait
+}
+
 // authorize finds the workspace of the caller, unless the route is public, and sets the priority and
 // the regions that follow from route and workspace.
 func (c *call) authorize() error {
@@ -212,32 +224,47 @@
 	return p
 }
 
-// readBody reads the body up to the configured limit. If the host has no memory left for it, the
-// request is refused; if its length is known, nothing of it is read.
+// readBody reads the body up to the configured limit and until the request's deadline. If the host has no memory
+// left for it, the request is refused; if its length is known, nothing of it is read.
 func (c *call) readBody(ctx context.Context) error {
 	limit := c.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	onRead := func() { c.memory.Progress(c.g.now()) }
-	onRead()
-	body, err := c.readWhole(ctx, memory.Body, http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, onRead)
+	if c.r.ContentLength != 0 {
+		_ = c.control.SetReadDeadline(c.deadline)
+	}
+	c.memory.Progress(c.g.now())
+	body, err := inbound.ReadWhole(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, useAccount{c, ctx, memory.Body})
 	c.memory.StopWaiting()
 	c.hasBody.Store(true)
 	c.body = body
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		c.endBody()
 		return nil
-	case errors.Is(err, errTooLong), errors.As(err, &tooLarge):
+	case errors.Is(err, inbound.ErrTooLong), errors.As(err, &tooLarge):
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is too large")
-	case isMemoryError(err), c.memory.IsShed():
+	case memory.IsFull(err), c.memory.IsShed():
 		return c.memoryError()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.g.counts.increment("refused.slow-body")
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the body did not come in time")
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body did not come whole")
 	}
 }
 
+// endBody records that the body was read to its end, so that reading what follows it is not bounded by the
+// request's deadline.
+func (c *call) endBody() {
+	c.isBodyWhole = true
+	if c.r.ContentLength != 0 {
+		_ = c.control.SetReadDeadline(time.Time{})
+	}
+}
+
 // hopByHopFields are the header fields that apply to a single connection and are not forwarded.
 var hopByHopFields = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/sse"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -277,7 +278,7 @@
 	if r.held == 0 {
 		return
 	}
-	r.c.memory.Release(int64(r.held))
+	r.c.memory.Release(memory.Response, int64(r.held))
 	r.held = 0
 }
 
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -26,13 +26,16 @@
 	// connectionFraction is the fraction of the budget that one connection may hold. On the smallest
 	// hosts, of 136 MB, it leaves room for the largest response, of 16 MB, and a body of 4 MB.
 	connectionFraction = 0.5
-	// responseFraction is the fraction of the budget that responses may use. The rest is kept for the
-	// bodies of new requests, so that these are not refused before the callers that let the host wait
-	// have stalled for minStall.
-	responseFraction = 0.75
+	// useFraction is the fraction of the budget that one use may have. The rest is kept for the other one:
+	// slow readers can't keep new requests out, and slow senders can't hold up responses, before they have
+	// stalled for minStall.
+	useFraction = 0.75
 	// minStall is the time without progress from which a connection may be shed. It is longer than
 	// the retransmission of a lost packet takes.
 	minStall = 300 * time.Millisecond
+	// minPace is the pace, in bytes per second, below which a caller that sends counts as stalled more and
+	// more, although bytes arrive.
+	minPace = 32 << 10
 )
 
 // Limits are the limits of a Budget in bytes.
@@ -55,6 +58,8 @@
 	// mu guards the fields below and the counts of all connections.
 	mu   sync.Mutex
 	held int64
+	// heldFor is held by use.
+	heldFor [uses]int64
 	// leaving is how much of held belongs to connections that were shed and have not released it yet.
 	leaving     int64
 	connections map[*Connection]struct{}
@@ -70,10 +75,10 @@
 // Connection counts the bytes held for one caller. It must be closed.
 type Connection struct {
 	budget *Budget
-	// held, stalledSince, isWaiting and isShed are guarded by the budget's lock.
-	held int64
-	// stalledSince is when the caller has last read or sent something, or when the host began to
-	// wait for it. It is valid while isWaiting is set.
+	// heldFor, stalledSince, isWaiting and isShed are guarded by the budget's lock.
+	heldFor [uses]int64
+	// stalledSince is when the host began to wait for the caller, moved forward by what the caller has done
+	// since. It is valid while isWaiting is set.
 	stalledSince time.Duration
 	isWaiting    bool
 	isShed       bool
@@ -135,18 +140,38 @@
 type Use uint8
 
 const (
-	// Body is the body of a request.
+	// Body is the head or the body of a request.
 	Body Use = iota
 	// Response is a response or a part of one.
 	Response
+	// uses is the number of uses.
+	uses
 )
 
-// limitFor returns how many bytes may be held in all if more are taken for the given use.
-func (b *Budget) limitFor(use Use) int64 {
-	if use == Response {
-		return int64(responseFraction * float64(b.limits.Total))
+// excess returns by how many bytes the limits of the host would be exceeded if n more were held for a use.
+// The caller holds mu.
+func (b *Budget) excess(use Use, n int64) int64 {
+	ofUse := int64(useFraction * float64(b.limits.Total))
+	return max(b.held+n-b.limits.Total, b.heldFor[use]+n-ofUse)
+}
+
+// held returns the bytes held for the connection. The caller holds the budget's lock.
+func (c *Connection) held() int64 {
+	sum := int64(0)
+	for _, n := range c.heldFor {
+		sum += n
+	}
+	return sum
+}
+
+// add changes the bytes held for a use. The caller holds mu.
+func (b *Budget) add(c *Connection, use Use, n int64) {
+	c.heldFor[use] += n
+	b.heldFor[use] += n
+	b.held += n
+	if c.isShed {
+		b.leaving += n
 	}
-	return b.limits.Total
 }
 
 // Take counts n more bytes for the connection, if they fit. If the host's limit is in the way and
@@ -154,24 +179,22 @@
 // bytes are free once it is closed. The victim may be the connection itself.
 func (c *Connection) Take(use Use, n int64, now time.Duration) (outcome Outcome, victim *Connection) {
 	b := c.budget
-	limit := b.limitFor(use)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	excess := b.excess(use, n)
 	switch {
 	case c.isShed:
 		return IsShed, nil
-	case c.held+n > b.limits.Connection:
+	case c.held()+n > b.limits.Connection:
 		return ConnectionFull, nil
-	case b.held+n <= limit:
-		c.held += n
-		b.held += n
+	case excess <= 0:
+		b.add(c, use, n)
 		return Taken, nil
-	case b.held+n-b.leaving <= limit:
+	case excess <= b.leaving:
 		return HostFull, nil
 	}
 	if victim = b.victim(now); victim != nil {
-		victim.isShed = true
-		b.leaving += victim.held
+		b.shed(victim)
 	}
 	if victim == c {
 		return IsShed, victim
@@ -179,8 +202,22 @@
 	return HostFull, victim
 }
 
+// shed records that a connection is shed. The caller holds mu.
+func (b *Budget) shed(c *Connection) {
+	c.isShed = true
+	b.leaving += c.held()
+}
+
 // victim returns the connection to be shed, nil if none has stalled. The caller holds mu.
 func (b *Budget) victim(now time.Duration) *Connection {
+	return b.worst(now, func(c *Connection, stalled time.Duration) float64 {
+		return float64(c.held()) * stalled.Seconds()
+	})
+}
+
+// worst returns the connection that has stalled and has the highest positive score, nil if there is none. The
+// caller holds mu.
+func (b *Budget) worst(now time.Duration, score func(c *Connection, stalled time.Duration) float64) *Connection {
 	var worst *Connection
 	highest := 0.0
 	for c := range b.connections {
@@ -188,42 +225,59 @@
 		if c.isShed || !c.isWaiting || stalled < minStall {
 			continue
 		}
-		if score := float64(c.held) * stalled.Seconds(); score > highest {
-			worst, highest = c, score
+		if s := score(c, stalled); s > highest {
+			worst, highest = c, s
 		}
 	}
 	return worst
 }
 
-// Release gives back n bytes that were taken.
-func (c *Connection) Release(n int64) {
+// ShedStalled sheds the connection that has stalled for the longest, whatever it holds, so that its place becomes
+// free. It returns that connection, whose Abort the caller must call, or nil if none has stalled.
+func (b *Budget) ShedStalled(now time.Duration) *Connection {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	victim := b.worst(now, func(_ *Connection, stalled time.Duration) float64 { return stalled.Seconds() })
+	if victim != nil {
+		b.shed(victim)
+	}
+	return victim
+}
+
+// Release gives back n bytes that were taken for a use.
+func (c *Connection) Release(use Use, n int64) {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.release(c, n)
+	b.add(c, use, -n)
+	b.tellReleased()
 }
 
-// release gives back bytes and tells those that wait for them. The caller holds mu.
-func (b *Budget) release(c *Connection, n int64) {
-	c.held -= n
-	b.held -= n
-	if c.isShed {
-		b.leaving -= n
-	}
+// tellReleased wakes those that wait for bytes. The caller holds mu.
+func (b *Budget) tellReleased() {
 	if b.released != nil {
 		close(b.released)
 		b.released = nil
 	}
 }
 
-// Progress records that the host waits for the caller and that the caller has just read or sent
-// something, or that the wait begins.
+// Progress records that the host waits for the caller and that the caller has just done what the host waited
+// for, or that the wait begins.
 func (c *Connection) Progress(now time.Duration) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.isWaiting, c.stalledSince = true, now
 }
 
+// Advance records that the caller has sent n bytes of what the host waits for. They make up for the time that
+// they take at minPace.
+func (c *Connection) Advance(n int64, now time.Duration) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	credit := time.Duration(float64(n) / minPace * float64(time.Second))
+	c.stalledSince = min(now, c.stalledSince+credit)
+}
+
 // StopWaiting records that the host does not wait for the caller any more.
 func (c *Connection) StopWaiting() {
 	c.budget.mu.Lock()
@@ -242,7 +296,7 @@
 func (c *Connection) Held() int64 {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	return c.held
+	return c.held()
 }
 
 // Abort aborts the connection, unless it is closed.
@@ -263,6 +317,9 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.release(c, c.held)
+	for use := range uses {
+		b.add(c, use, -c.heldFor[use])
+	}
+	b.tellReleased()
 	delete(b.connections, c)
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -94,12 +93,12 @@
 		}
 	}
 	n.handleMessage = func(s *peer.Session, call uint64, m wire.Message) { host.HandlePeer(s, call, m) }
-	listener, err := net.Listen("tcp", set.Listen.String())
+	count := func(name string) { metrics.GetOrRegisterCounter("control-api."+name, n.metrics).Inc(1) }
+	handler := n.platform.ControlAPI(host, set.Listen.String(), count, n.log)
+	api, err := n.serve("control", set.Listen.String(), n.shares().Main, handler)
 	if err != nil {
 		return nil, errors.Wrap(err, "listener for upstreams and operators")
 	}
-	count := func(name string) { metrics.GetOrRegisterCounter("control-api."+name, n.metrics).Inc(1) }
-	api := serve(listener, n.platform.ControlAPI(host, set.Listen.String(), count, n.log))
 	return &controlRole{n: n, host: host, controlHosts: host.AddressBook(), api: api}, nil
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,9 +13,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
 	"github.com/sassafraspost/sassafraspost/internal/gateway"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
-	"github.com/sassafraspost/sassafraspost/internal/standstill"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -29,12 +28,10 @@
 	// maxTrialDelay is the time over which the hosts spread the end of a quarantine. It is long
 	// compared with the time in which they tell each other of a crash.
 	maxTrialDelay = time.Minute
-	// idleTimeout is how long a connection of a caller may be idle. It is longer than any
-	// configuration allows callers to keep one, so the host never closes a connection on which a
-	// request is arriving.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the size of a request's headers.
-	maxHeaderBytes = 64 << 10
+	// maxHeadBytes bounds the size of a request's head, and maxIdleTime how long a connection of a caller may be
+	// idle, whatever the configuration allows. They hold where it sets no limit.
+	maxHeadBytes = 64 << 10
+	maxIdleTime  = 2 * time.Minute
 	// drainDelay is how long new connections are accepted after the readiness check began to fail.
 	// The balancer checks every second and stops sending callers after the second failure.
 	drainDelay = 2500 * time.Millisecond
@@ -64,7 +61,7 @@
 	e := &entryRole{n: n, client: client, gateway: gateway.New(gateway.Config{
 		Dialect: n.platform.Dialect, Client: client, DataCentre: n.settings.DataCentre, DataCentreRegions: n.settings.DataCentreRegions,
 		RetryBudget: n.settings.RetryBudget, RequestRetries: leader.RequestRetries, ColdBound: n.settings.ColdBound, PlanReturns: n.settings.PlanReturns, Fingerprints: quarantine.NewHasher(peerSecret), Quarantine: keeper,
-		MemoryMB: n.settings.MemoryMB, Settle: n.standstills.Settle, SilenceOf: n.silenceOf, Log: n.log, Metrics: n.metrics,
+		Memory: n.memory, Now: n.now, Settle: n.standstills.Settle, SilenceOf: n.silenceOf, Log: n.log, Metrics: n.metrics,
 		Backpressure: gateway.Backpressure{
 			Publish: n.sendNotices, RequestTokens: leader.RequestTokens,
 		},
@@ -75,22 +72,40 @@
 	f.mergeNotices, f.notices = e.gateway.MergeNotices, e.gateway.Notices
 	f.setEvacuations, f.setTotalDemands = e.gateway.SetEvacuations, e.gateway.SetTotalDemands
 	e.follower = f
-	callers, err := net.Listen("tcp", n.settings.Entry.Listen.String())
+	callers, err := n.inbound.Listen(n.settings.Entry.Listen.String(), inbound.ListenerConfig{
+		Name: "callers", Limits: e.callerLimits, MakeRoom: e.gateway.ShedStalled,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "listener for callers")
 	}
-	ready, err := net.Listen("tcp", n.settings.Entry.Ready.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "listener for readiness")
-	}
-	e.callers = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	go func() { _ = e.callers.Serve(standstill.NewListener(callers)) }()
+	e.callers = &http.Server{Handler: e.gateway, IdleTimeout: maxIdleTime, MaxHeaderBytes: maxHeadBytes, ConnState: callers.ConnState}
+	go func() { _ = e.callers.Serve(callers) }()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath, e.serveReady)
-	e.ready = serve(ready, mux)
-	return e, nil
+	e.ready, err = n.serve("readiness", n.settings.Entry.Ready.String(), inbound.ReadyConnections, mux)
+	return e, errors.Wrap(err, "listener for readiness")
+}
+
+// callerLimits returns the limits of the listener for callers: those of the configuration, within the host's own.
+func (e *entryRole) callerLimits() inbound.Limits {
+	limits := inbound.Limits{
+		Connections: e.n.shares().Main, HeadBytes: maxHeadBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: maxIdleTime,
+		WriteTimeout: maxIdleTime,
+	}
+	t := e.gateway.Table()
+	if t == nil {
+		return limits
+	}
+	if t.Limits.HeaderBytes > 0 {
+		limits.HeadBytes = min(t.Limits.HeaderBytes, maxHeadBytes)
+	}
+	if t.Limits.HeaderTimeout > 0 {
+		limits.HeadTimeout = t.Limits.HeaderTimeout
+	}
+	if t.Limits.IdleTimeout > 0 {
+		limits.IdleTimeout = min(t.Limits.IdleTimeout, maxIdleTime)
+	}
+	return limits
 }
 
 // serveReady answers the balancer's readiness check: 503 while the host is draining or has no
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,8 @@
 
 	"github.com/sassafraspost/sassafraspost/internal/backpressure"
 	"github.com/sassafraspost/sassafraspost/internal/gateway"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/rank"
@@ -36,9 +38,19 @@
 	dialTimeout = 400 * time.Millisecond
 	// pingInterval is the longest silence on a session that nothing is waiting for.
 	pingInterval = 3 * time.Second
-	// readHeaderTimeout bounds the time to read the headers of a request from another host, an
-	// upstream or an operator.
+	// readHeaderTimeout bounds the time to read the headers of a request, unless the configuration sets another
+	// bound for callers.
 	readHeaderTimeout = 3 * time.Second
+	// ownHeadBytes bounds the heads of requests of other hosts, upstreams, operators and the platform, of which none
+	// sends a kilobyte.
+	ownHeadBytes = 8 << 10
+	// requestTimeout bounds the time to read a whole request of theirs, idleTimeout that between two, and
+	// writeTimeout that for which they may accept nothing of a response.
+	requestTimeout = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	writeTimeout   = 15 * time.Second
+	// sessionReceiveBuffer is the receive buffer of a session with another host, in bytes.
+	sessionReceiveBuffer = 256 << 10
 	// peerSecret authenticates hosts to each other. The platform doesn't provide one.
 	// Its private networks keep strangers out; this constant only rejects processes that have
 	// dialled the wrong port.
@@ -58,6 +70,8 @@
 	DecodeTable func(packed []byte) (*routetable.Table, error)
 	// ControlAPI returns the handler for requests of upstreams and operators to a control host.
 	ControlAPI func(h ControlHost, address string, count func(name string), log *slog.Logger) http.Handler
+	// MaxControlBody is the size of the largest body of such a request, in bytes.
+	MaxControlBody int64
 	// NewEngine returns a client of the engine at an address.
 	NewEngine func(address netip.AddrPort) rank.Client
 	// ReadyPath is the path of an entry host's readiness check.
@@ -75,6 +89,11 @@
 	pool     *peer.Pool
 	// standstills finds out that the process was frozen.
 	standstills *standstill.Watch
+	// memory counts what the process holds for its clients, with times of now.
+	memory *memory.Budget
+	now    func() time.Duration
+	// inbound has all listeners.
+	inbound *inbound.Guard
 	// handleMessage is called for each message of a session, onSessionUp for each new session. The
 	// role sets both before any session begins.
 	handleMessage func(s *peer.Session, call uint64, m wire.Message)
@@ -105,20 +124,23 @@
 		n.log.Warn("host stood still", "for_ms", d.Milliseconds())
 		metrics.GetOrRegisterCounter("host.standstills", n.metrics).Inc(1)
 	})
+	started := time.Now()
+	n.now = func() time.Duration { return time.Since(started) }
+	n.memory = memory.NewBudget(memory.LimitsFor(settings.MemoryMB))
+	n.inbound = inbound.NewGuard(inbound.Config{Memory: n.memory, Now: n.now, Log: log, Metrics: n.metrics})
 	r, err := n.build()
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", settings.peerAddress(settings.IP))
-	if err != nil {
+	if _, err := n.serve("peers", settings.peerAddress(settings.IP), n.shares().Peer, n.peerHandler()); err != nil {
 		return errors.Wrap(err, "peer listener")
 	}
-	serve(listener, n.peerHandler())
 	n.serveMetrics(r)
 	roleDone := make(chan error, 1)
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go n.standstills.Run(workCtx)
+	go n.inbound.Run(workCtx)
 	go func() { roleDone <- r.run(workCtx) }()
 	select {
 	case err = <-roleDone:
@@ -174,12 +196,26 @@
 	return mux
 }
 
-// serve starts an HTTP server on the listener. It runs until the process ends or the server is shut
-// down.
-func serve(l net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = srv.Serve(standstill.NewListener(l)) }()
-	return srv
+// shares returns how many connections the process may have at its listeners.
+func (n *Node) shares() inbound.Shares {
+	return inbound.SharesFor(n.settings.MemoryMB, n.settings.Descriptors)
+}
+
+// serve starts an HTTP server for other hosts, upstreams, operators or the platform, with up to the given number of
+// connections. It runs until the process ends or the server is shut down.
+func (n *Node) serve(name, address string, connections int, h http.Handler) (*http.Server, error) {
+	limits := inbound.Limits{
+		Connections: connections, HeadBytes: ownHeadBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+	}
+	l, err := n.inbound.Listen(address, inbound.ListenerConfig{
+		Name: name, Limits: func() inbound.Limits { return limits }, SessionBuffer: sessionReceiveBuffer,
+	})
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: h, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: ownHeadBytes, ConnState: l.ConnState}
+	go func() { _ = srv.Serve(l) }()
+	return srv, nil
 }
 
 // serveMetrics serves the metrics, the list of quarantined requests and that of upstreams with rate
@@ -187,11 +223,6 @@
 // process continues without them, because serving requests is more important.
 func (n *Node) serveMetrics(r role) {
 	address := net.JoinHostPort(n.settings.IP.String(), portText(n.settings.MetricsPort))
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		n.log.Warn("can't serve metrics", "address", address, "error", err.Error())
-		return
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", telemetry.Handler(n.metrics))
 	if keeper := r.keeper(); keeper != nil {
@@ -200,5 +231,7 @@
 		mux.Handle(quarantine.Path+"/", h)
 		mux.Handle("GET "+backpressure.Path, backpressure.Handler(r.notices))
 	}
-	serve(l, mux)
+	if _, err := n.serve("metrics", address, inbound.MetricsConnections, mux); err != nil {
+		n.log.Warn("can't serve metrics", "address", address, "error", err.Error())
+	}
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,6 +27,8 @@
 	FirstStart bool
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
+	// Descriptors is the number of file descriptors that the process may have for sockets and data, 0 if unknown.
+	Descriptors int
 	// LinkRate is the capacity of the host's network link in bytes per second, 0 if unknown.
 	LinkRate float64
 	// AnnounceInterval is how often upstreams announce themselves.
--- a/internal/standstill/listener.go
+++ b/internal/standstill/listener.go
@@ -21,9 +21,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return NewConn(c), nil
 }
 
+// NewConn returns a connection as a listener of NewListener returns it.
+func NewConn(c net.Conn) net.Conn { return &conn{Conn: c} }
+
 // conn extends each read deadline once, by settleTime, when a read finds that it has passed. A client
 // that sends its request too slowly gains no more than that.
 type conn struct {
