--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -94,7 +94,7 @@
 	}
 	n.handleMessage = func(s *peer.Session, call uint64, m wire.Message) { host.HandlePeer(s, call, m) }
 	count := func(name string) { metrics.GetOrRegisterCounter("control-api."+name, n.metrics).Inc(1) }
-	handler := n.platform.ControlAPI(host, set.Listen.String(), count, n.log)
+	handler := n.inbound.Bodies(n.platform.ControlAPI(host, set.Listen.String(), count, n.log), n.platform.MaxControlBody)
 	api, err := n.serve("control", set.Listen.String(), n.shares().Main, handler)
 	if err != nil {
 		return nil, errors.Wrap(err, "listener for upstreams and operators")
