Bound the first message of a session

Cause: a stranger that knows the secret could make a host hold 16 MiB for each connection before its Hello was looked at. Change: 16 KiB until then. TestHelloIsBounded.

--- a/internal/adminapi/limits.go
+++ b/internal/adminapi/limits.go
@@ -9,9 +9,9 @@
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
-// maxBodyBytes fits a text of document.MaxSize in JSON with escapes that double its length, and
+// MaxBodyBytes is the size of the largest body of a request. It fits a text of document.MaxSize in JSON with escapes that double its length, and
 // 64 KiB more.
-const maxBodyBytes = 2*document.MaxSize + 1<<16
+const MaxBodyBytes = 2*document.MaxSize + 1<<16
 
 // overloadRetryDelay is the Retry-After of requests that are refused because too many are in
 // progress.
@@ -60,7 +60,7 @@
 		return
 	}
 	defer func() { <-h.bodySlots }()
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
 	h.next.ServeHTTP(w, r)
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,9 +13,6 @@
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
-// operatorReadTimeout bounds the time to read an operator's request, including a submitted document.
-const operatorReadTimeout = 30 * time.Second
-
 // controlRole runs a replica of the cluster state and the administration API.
 type controlRole struct {
 	host *control.Host
@@ -68,11 +63,8 @@
 	if err != nil {
 		return nil, err
 	}
-	srv, err := d.serveWith("administration API", set.APIListen.String(), &http.Server{
-		Handler:           api,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       operatorReadTimeout,
-	}, set.APITLS)
+	handler := d.guard.Bodies(api, adminapi.MaxBodyBytes)
+	srv, err := d.serve("administration-api", set.APIListen.String(), d.machine.Shares().HTTP2, handler, set.APITLS)
 	return &controlRole{host: host, api: srv}, err
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -14,7 +13,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/journal"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/settings"
 	"github.com/sassafraspost/sassafraspost/internal/standstill"
@@ -52,6 +53,10 @@
 	pool *peer.Pool
 	// standstills finds out that the process was frozen.
 	standstills *standstill.Watch
+	// memory counts what the process holds for its clients, machine is what it may use, and guard has its listeners.
+	memory  *memory.Budget
+	machine inbound.Machine
+	guard   *inbound.Guard
 	// journal, recovered and transport are used by the control role only.
 	journal   *journal.Journal
 	recovered journal.Recovered
@@ -77,6 +82,9 @@
 		d.log.Warn("host stood still", "for_ms", span.Milliseconds())
 		metrics.GetOrRegisterCounter("host.standstills", d.metrics).Inc(1)
 	})
+	d.machine = machineOf(set.Host)
+	d.memory = memory.NewBudget(bufferLimits(d.machine.MemoryMB))
+	d.guard = inbound.NewGuard(inbound.Config{Memory: d.memory, Now: d.now, Log: d.log, Metrics: d.metrics})
 	if err := d.build(); err != nil {
 		d.close()
 		return nil, err
@@ -113,7 +121,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", telemetry.Handler(d.metrics))
-	_, err := d.serve("metrics", d.set.Metrics.Listen.String(), mux, settings.TLS{})
+	_, err := d.serve("metrics", d.set.Metrics.Listen.String(), inbound.MetricsConnections, mux, settings.TLS{})
 	return err
 }
 
@@ -146,7 +154,7 @@
 	d.pool = peer.NewPool(config)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, peer.NewServer(d.pool))
-	_, err = d.serve("peer", p.Listen.String(), mux, p.TLS)
+	_, err = d.serve("peer", p.Listen.String(), d.machine.Shares().Peer, mux, p.TLS)
 	return err
 }
 
@@ -170,18 +178,23 @@
 	d.unknownMessages.Inc(1)
 }
 
-// serve opens a listener for a handler. Run starts to accept connections.
-func (d *Daemon) serve(name, address string, h http.Handler, t settings.TLS) (*server, error) {
-	return d.serveWith(name, address, &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, t)
+// serve opens a listener for a handler of short requests, with up to the given number of connections. Run starts to
+// accept connections.
+func (d *Daemon) serve(name, address string, connections int, h http.Handler, t settings.TLS) (*server, error) {
+	limits := inbound.Limits{Connections: connections, HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
+	return d.serveWith(address, &http.Server{Handler: h, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}, t, inbound.ListenerConfig{
+		Name: name, Limits: func() inbound.Limits { return limits }, SessionBuffer: sessionReceiveBuffer,
+	})
 }
 
-// serveWith is like serve, for an http.Server with its own timeouts and limits.
-func (d *Daemon) serveWith(name, address string, h *http.Server, t settings.TLS) (*server, error) {
-	l, err := net.Listen("tcp", address)
+// serveWith is like serve, for an http.Server and a listener with their own limits.
+func (d *Daemon) serveWith(address string, h *http.Server, t settings.TLS, config inbound.ListenerConfig) (*server, error) {
+	l, err := d.guard.Listen(address, config)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", name)
+		return nil, errors.Wrapf(err, "listen for %s", config.Name)
 	}
-	s, err := newServer(name, l, h, t)
+	h.ReadHeaderTimeout, h.ConnState = readHeaderTimeout, l.ConnState
+	s, err := newServer(config.Name, l, h, t)
 	if err != nil {
 		_ = l.Close()
 		return nil, err
@@ -196,6 +209,7 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.standstills.Run(workCtx)
+	go d.guard.Run(workCtx)
 	failed := make(chan error, len(d.roles)+len(d.servers))
 	for _, s := range d.servers {
 		go func() { failed <- s.run() }()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/control"
 	"github.com/sassafraspost/sassafraspost/internal/directory"
 	"github.com/sassafraspost/sassafraspost/internal/entry"
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
@@ -101,7 +102,9 @@
 		Fingerprints: quarantine.NewHasher(string(d.set.Peer.Secret)),
 		Metrics:      d.metrics,
 		Settle:       d.standstills.Settle,
-		MaxInFlight:  set.MaxSessions,
+		MaxInFlight:  atMost(set.MaxSessions, d.machine.Shares().Requests),
+		Memory:       d.memory,
+		Now:          d.now,
 		MaxBody:      int64(set.MaxBody),
 		MaxDeadline:  set.RequestTimeout,
 		RetryRatio:   set.RetryBudget,
@@ -109,14 +112,28 @@
 	r.server.SetReady(false)
 	var err error
 	callers := entry.NewHTTPServer(r.server, entry.HTTPLimits{
-		MaxConns:    set.MaxSessions,
 		MaxHeader:   int(set.MaxHeader),
 		IdleTimeout: set.IdleTimeout,
 	})
-	r.callers, err = d.serveWith("callers", set.Listen.String(), callers, set.TLS)
+	limits := inbound.Limits{
+		Connections: atMost(set.MaxSessions, d.machine.Shares().HTTP2), HeadBytes: int64(set.MaxHeader), HeadTimeout: readHeaderTimeout, IdleTimeout: set.IdleTimeout,
+		WriteTimeout: entry.DefaultWriteTimeout,
+	}
+	r.callers, err = d.serveWith(set.Listen.String(), callers, set.TLS, inbound.ListenerConfig{
+		Name: "callers", Limits: func() inbound.Limits { return limits }, MakeRoom: r.server.ShedStalled,
+		ReceiveBuffer: inbound.HTTP2ReceiveBuffer,
+	})
 	return r, err
 }
 
+// atMost returns the smaller one of a configured limit and a share, which does not limit if it is 0.
+func atMost(limit, share int) int {
+	if share == 0 {
+		return limit
+	}
+	return min(limit, share)
+}
+
 func entryHosts(self string, entries []settings.EntryHost) (hosts []directory.Host, others []string) {
 	for _, e := range entries {
 		hosts = append(hosts, directory.Host{Name: e.Name, Address: e.Addr.String()})
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -12,10 +12,21 @@
 	"github.com/pkg/errors"
 
 	"github.com/sassafraspost/sassafraspost/internal/settings"
-	"github.com/sassafraspost/sassafraspost/internal/standstill"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds the time to read the head of a request and a TLS handshake.
+	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time to read a whole request of another host, an operator or a scraper of metrics,
+	// idleTimeout that between two, and writeTimeout that for which a client may accept nothing of a response.
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	writeTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the heads of their requests.
+	maxHeaderBytes = 16 << 10
+	// sessionReceiveBuffer is the receive buffer of a session with another host, in bytes.
+	sessionReceiveBuffer = 256 << 10
+)
 
 // server is one HTTP server of the daemon with its listener.
 type server struct {
@@ -25,7 +36,7 @@
 }
 
 func newServer(name string, l net.Listener, h *http.Server, t settings.TLS) (*server, error) {
-	s := &server{name: name, listener: standstill.NewListener(l), http: h}
+	s := &server{name: name, listener: l, http: h}
 	if !t.Enabled() {
 		return s, nil
 	}
--- a/internal/entry/bytebudget.go
+++ b/internal/entry/bytebudget.go
@@ -1,76 +1,83 @@
 package entry
 
 import (
-	"sync"
+	"net/http"
+	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
-// byteBudget bounds the memory that all requests of a Server use for request and response bodies.
-type byteBudget struct {
-	// mu guards available.
-	mu        sync.Mutex
-	available int64
-}
-
-// acquire takes n bytes from the budget, or returns false if fewer are available.
-func (b *byteBudget) acquire(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if n > b.available {
-		return false
-	}
-	b.available -= n
-	return true
-}
-
-func (b *byteBudget) free(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.available += n
-}
-
 // bodyCopies is how many copies of a request body are in memory at once: as read, in the parsed
 // prompt, and encoded for the agent.
 const bodyCopies = 3
 
-// byteReservation is the part of a byteBudget that one call has acquired. It is not safe for
-// concurrent use.
-type byteReservation struct {
-	budget *byteBudget
-	bytes  int64
-}
-
-// grow reserves n more bytes. If they are not available, it reserves nothing and returns false.
-func (r *byteReservation) grow(n int64) bool {
-	if !r.budget.acquire(n) {
-		return false
-	}
-	r.bytes += n
-	return true
-}
+// headCopies is the same for its head: as read, and the fields for the agent.
+const headCopies = 2
 
-// release returns all reserved bytes to the budget.
-func (r *byteReservation) release() {
-	r.budget.free(r.bytes)
-	r.bytes = 0
+// openAccount opens the account of the memory that a call holds. If the call is shed, its body is not read any
+// further.
+func (c *call) openAccount() {
+	control := http.NewResponseController(c.w)
+	c.account = c.s.memory.Open(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 }
 
-// reserveMemory reserves what the call needs before its body is read: the copies of its body and
-// the flow control window of its response. A non-idempotent call also reserves the largest
-// response, which is buffered until it is complete. A body of unknown length counts as the
-// largest one.
-func (c *call) reserveMemory() error {
+// reserveBody reserves memory for the head of the request and the copies of its body before the body is read, beside
+// what the share of the connection covers. A body of unknown length counts as the largest one. While there is none,
+// the calls whose callers are slowest are shed.
+func (c *call) reserveBody() error {
 	body := c.r.ContentLength
 	if body < 0 || body > c.s.cfg.MaxBody {
 		body = c.s.cfg.MaxBody
 	}
-	n := bodyCopies*body + int64(c.s.cfg.FlowWindow)
-	if c.isResolved && !c.plan.Idempotent {
+	n := headCopies*inbound.HeadBytes(c.r.Header) + bodyCopies*body - inbound.HeadAllowance - bodyCopies*inbound.BodyAllowance
+	if n <= 0 || c.account.Hold(c.r.Context(), memory.Body, n, c.s.cfg.Now) == nil {
+		return nil
+	}
+	return c.memoryError()
+}
+
+// reserveResponse reserves the flow control window of the response. A non-idempotent call also reserves the
+// largest response, which is buffered until it is complete.
+func (c *call) reserveResponse() error {
+	n := int64(c.s.cfg.FlowWindow)
+	if !c.plan.Idempotent {
 		n += int64(c.s.cfg.MaxResponse)
 	}
-	if c.reservation.grow(n) {
+	if c.takeResponse(n) {
 		return nil
 	}
+	return c.memoryError()
+}
+
+// takeResponse reserves n more bytes for the response. If they are not available, it reserves nothing and returns
+// false.
+func (c *call) takeResponse(n int64) bool { return c.s.takeResponse(c.account, n) }
+
+func (s *Server) takeResponse(account *memory.Connection, n int64) bool {
+	outcome, victim := account.Take(memory.Response, n, s.cfg.Now())
+	if victim != nil {
+		victim.Abort()
+	}
+	return outcome == memory.Taken
+}
+
+func (c *call) memoryError() error {
 	return notRun(verdict.CodeOverloaded, "entry host holds too many bytes").WithRetryAfter(c.s.cfg.RetryAfter)
 }
+
+// pacedBody tells the account of a call how many bytes of its body have come.
+type pacedBody struct{ c *call }
+
+// Read reads the request's body.
+func (b pacedBody) Read(p []byte) (int, error) {
+	n, err := b.c.r.Body.Read(p)
+	if n > 0 {
+		b.c.account.Advance(int64(n), b.c.s.cfg.Now())
+	}
+	return n, err
+}
+
+// Close closes the request's body.
+func (b pacedBody) Close() error { return b.c.r.Body.Close() }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -26,18 +28,20 @@
 	isResolved, isClaimChecked bool
 	// hasBodyReadBegun is set once the server has started to read the request body.
 	hasBodyReadBegun bool
-	reservation      byteReservation
-	out              *output
+	// account counts the memory that the call holds.
+	account *memory.Connection
+	out     *output
 	// content identifies the request; a repetition of it has the same one.
 	content quarantine.Content
 }
 
 func newCall(s *Server, w http.ResponseWriter, r *http.Request) *call {
-	return &call{s: s, w: w, r: r, req: &request{id: requestID(r)}, reservation: byteReservation{budget: &s.memory}}
+	return &call{s: s, w: w, r: r, req: &request{id: requestID(r)}}
 }
 
 func (c *call) serve() {
-	defer c.reservation.release()
+	c.openAccount()
+	defer c.account.Close()
 	if err := c.prepare(); err != nil {
 		c.fail(err)
 		return
@@ -77,16 +81,18 @@
 	if err := c.resolveEarly(); err != nil {
 		return err
 	}
-	if err := c.reserveMemory(); err != nil {
+	if err := c.reserveBody(); err != nil {
 		return err
 	}
-	c.hasBodyReadBegun = true
-	if err := req.readBody(c.w, c.r, c.s.cfg.MaxBody); err != nil {
+	if err := c.readBody(); err != nil {
 		return err
 	}
 	if err := c.resolve(); err != nil {
 		return err
 	}
+	if err := c.reserveResponse(); err != nil {
+		return err
+	}
 	if !req.urgencySet || req.urgency < c.plan.Urgency {
 		req.urgency = c.plan.Urgency
 	}
@@ -97,6 +103,19 @@
 	return nil
 }
 
+// readBody reads the body. A call that is shed meanwhile is refused.
+func (c *call) readBody() error {
+	c.hasBodyReadBegun = true
+	c.account.Progress(c.s.cfg.Now())
+	err := c.req.readBody(c.w, pacedBody{c}, c.s.cfg.MaxBody)
+	c.account.StopWaiting()
+	if c.account.IsShed() {
+		c.w.Header().Set("Connection", "close")
+		return c.memoryError()
+	}
+	return err
+}
+
 // resolveEarly checks what it can before the body is read. For a plain service it finds the plan.
 // The plan of a completion call depends on the model, which is named in the body, so here only
 // the caller's token is checked.
@@ -186,8 +205,10 @@
 	}
 	if !c.hasBodyReadBegun && c.r.ContentLength != 0 && c.r.ProtoMajor == 1 {
 		// Otherwise net/http reads the body before it sends the response, so that it can keep
-		// the connection open, and the response would wait for a body that may never arrive.
+		// the connection open, and the response would wait for a body that may never arrive. It still
+		// reads some of it before it closes the connection.
 		h.Set("Connection", "close")
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(inbound.UnreadBodyTimeout))
 	}
 	h.Set("Content-Type", ProblemType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/sassafraspost/sassafraspost/internal/memory"
 	"github.com/sassafraspost/sassafraspost/internal/peer"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
@@ -201,9 +202,11 @@
 
 	// MaxInFlight bounds the requests served at once.
 	MaxInFlight int
-	// MaxBuffered bounds the bytes of request and response bodies that all requests together
-	// keep in memory. A request that does not fit is refused at once.
-	MaxBuffered int64
+	// Memory counts the request and response bodies that all requests together keep in memory. A request that does not
+	// fit is refused. Default: a budget of DefaultMaxBuffered.
+	Memory *memory.Budget
+	// Now returns the time since some start, as the other users of Memory have it. Default: the start of the Server.
+	Now func() time.Duration
 	// MaxBody bounds a request's body, in bytes. Values above maxDispatchBody are reduced to it.
 	MaxBody int64
 	// MaxResponse bounds the body of a response that is buffered until it is complete, in bytes.
@@ -237,7 +240,7 @@
 	cfg            Config
 	counters       counters
 	activeAttempts activeAttempts
-	memory         byteBudget
+	memory         *memory.Budget
 	// backgroundFinishes is a semaphore for the outcomes that are recorded in the background.
 	backgroundFinishes chan struct{}
 
@@ -260,7 +263,7 @@
 		activeAttempts: activeAttempts{byID: make(map[wire.AttemptID]*activeAttempt)},
 		retryBudget:    NewRetryBudget(cfg.RetryRatio),
 		idle:           make(chan struct{}, 1),
-		memory:         byteBudget{available: cfg.MaxBuffered},
+		memory:         cfg.Memory,
 
 		backgroundFinishes: make(chan struct{}, maxBackgroundFinishes),
 	}
@@ -268,7 +271,12 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&c.MaxBuffered, DefaultMaxBuffered)
+	if c.Memory == nil {
+		c.Memory = memory.NewBudget(memory.Limits{Total: DefaultMaxBuffered, Connection: DefaultMaxBuffered})
+	}
+	if started := time.Now(); c.Now == nil {
+		c.Now = func() time.Duration { return time.Since(started) }
+	}
 	setDefault(&c.MaxBody, DefaultMaxBody)
 	c.MaxBody = min(c.MaxBody, maxDispatchBody)
 	setDefault(&c.MaxResponse, DefaultMaxResponse)
@@ -336,7 +344,11 @@
 	}
 	s.counters.requests.Inc(1)
 	c := newCall(s, w, r)
-	if err := s.beginRequest(); err != nil {
+	err := s.beginRequest()
+	if err != nil && s.ShedStalled() {
+		err = s.beginRequest()
+	}
+	if err != nil {
 		w.Header().Set("Connection", "close")
 		c.fail(err)
 		return
@@ -356,6 +368,17 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// ShedStalled ends the request whose caller has made the host wait for the longest. It returns false if there is
+// none.
+func (s *Server) ShedStalled() bool {
+	victim := s.memory.ShedStalled(s.cfg.Now())
+	if victim == nil {
+		return false
+	}
+	victim.Abort()
+	return true
+}
+
 // beginRequest counts a running request, or refuses it if the server drains or runs MaxInFlight
 // requests.
 func (s *Server) beginRequest() error {
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -19,13 +19,13 @@
 		s.counters.unrecorded.Inc(1)
 		return
 	}
-	reservation := byteReservation{budget: &s.memory}
-	if f.Response != nil && !reservation.grow(int64(len(f.Response.Body))) {
+	account := s.memory.Open(nil)
+	if f.Response != nil && !s.takeResponse(account, int64(len(f.Response.Body))) {
 		f.Response = nil
 	}
 	go func() {
 		defer func() { <-s.backgroundFinishes }()
-		defer reservation.release()
+		defer account.Close()
 		// The claim of an attempt that did not run may be committed only after this finish,
 		// and nothing else would release it. So the finish is sent again even if it succeeds.
 		mayClaimCommitLate := verdict.Verdict(f.Verdict) == verdict.NotRun
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -84,7 +84,7 @@
 // mayBuffer reports whether the memory budget allows buffering n more bytes. For a response that
 // must be complete before it begins, the memory was reserved before the body was read.
 func (o *output) mayBuffer(n int) bool {
-	return o.mustBeComplete || o.c.reservation.grow(int64(n))
+	return o.mustBeComplete || o.c.takeResponse(int64(n))
 }
 
 func (o *output) flushBuffered() error {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -166,10 +166,10 @@
 }
 
 // readBody reads the body, up to limit bytes, and parses it if the request is a completion call.
-func (req *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
+func (req *request) readBody(w http.ResponseWriter, from io.ReadCloser, limit int64) error {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, from, limit))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
 
@@ -17,8 +18,6 @@
 	// refusedRetryAfter is the Retry-After when upstreams have refused, which is about the time
 	// until a slot becomes free.
 	refusedRetryAfter = 300 * time.Millisecond
-	// maxUnreadBodyWait bounds the time in which the rest of a refused request's body may arrive.
-	maxUnreadBodyWait = 500 * time.Millisecond
 )
 
 // hasUnreadBody reports whether the body was not read to its end.
@@ -80,7 +79,7 @@
 	}
 	if c.hasUnreadBody() {
 		// The server reads some of the rest, so that the caller can read the response.
-		_ = c.control.SetReadDeadline(time.Now().Add(maxUnreadBodyWait))
+		_ = c.control.SetReadDeadline(time.Now().Add(inbound.UnreadBodyTimeout))
 		if code != http.StatusNotFound && code != http.StatusUnauthorized {
 			h.Set("Connection", "close")
 		}
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -153,12 +153,13 @@
 	}
 	h.Set(verdict.Header, verdict.NotRun.String())
 	h.Set("Connection", "close")
-	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(UnreadBodyTimeout))
 	http.Error(b.w, http.StatusText(status), status)
 }
 
-// unreadBodyTimeout bounds the time in which the rest of a refused request's body may arrive.
-const unreadBodyTimeout = 500 * time.Millisecond
+// UnreadBodyTimeout bounds the time in which the rest of a refused request's body may arrive. Servers read some of it,
+// so that the client can read the response.
+const UnreadBodyTimeout = 500 * time.Millisecond
 
 // Read implements [io.Reader].
 func (b *body) Read(p []byte) (int, error) {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -24,9 +24,12 @@
 	phaseActive
 	// phaseIdle means that the host waits for the first byte of another request.
 	phaseIdle
+	// phaseClosing means that the server has sent its last response and waits for a moment, so that the client can
+	// read it.
+	phaseClosing
 	// phaseDetached means that the server no longer serves the connection.
 	phaseDetached
-	phaseBits = 2
+	phaseBits = 3
 )
 
 const (
@@ -100,6 +103,8 @@
 			return 0, began, true
 		}
 		return 3, began, true
+	case phaseClosing:
+		return 0, began, true
 	case phaseIdle:
 		return 1, began, true
 	case phaseActive:
@@ -221,6 +226,15 @@
 	return n, err
 }
 
+// CloseWrite ends what is written to the connection, before the server closes it.
+func (c *conn) CloseWrite() error {
+	c.enter(phaseClosing)
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements [net.Conn].
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -68,7 +68,11 @@
 
 // Listen opens a listener on an address.
 func (g *Guard) Listen(address string, cfg ListenerConfig) (*Listener, error) {
-	lc := net.ListenConfig{Control: setReceiveBuffer}
+	size := ReceiveBuffer
+	if cfg.ReceiveBuffer > 0 {
+		size = cfg.ReceiveBuffer
+	}
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error { return setReceiveBuffer(c, size) }}
 	tcp, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -83,9 +87,9 @@
 
 // setReceiveBuffer bounds the bytes that the kernel holds for each connection of a listener. A platform that can't
 // do so keeps its own bound.
-func setReceiveBuffer(_, _ string, c syscall.RawConn) error {
+func setReceiveBuffer(c syscall.RawConn, size int) error {
 	return c.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, ReceiveBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
 	})
 }
 
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -12,6 +12,14 @@
 	// connectionBytes is the memory that a connection may use: what the kernel holds unread, the buffers and
 	// stacks of its server, and the parts of its head and body that HeadAllowance and BodyAllowance cover.
 	connectionBytes = 64 << 10
+	// http2ConnectionBytes is the same for a connection that may speak HTTP/2 and has a receive buffer of
+	// HTTP2ReceiveBuffer. HTTP2Window bounds the part of bodies that is not read yet. Requests are counted by
+	// themselves.
+	http2ConnectionBytes = 384 << 10
+	// HTTP2ReceiveBuffer and HTTP2Window are for clients that are far away: each suffices for some hundred
+	// kilobytes a second over a round trip of a tenth of a second.
+	HTTP2ReceiveBuffer = 64 << 10
+	HTTP2Window        = 128 << 10
 	// HeadAllowance is the part of a head, as HeadBytes counts it, that the share of its connection covers, so that
 	// no crowd can take it. It suffices for ordinary requests.
 	HeadAllowance = 8 << 10
@@ -39,6 +47,9 @@
 // The fractions of a process's memory for the connections of its listeners, and the numbers of connections at
 // those that only the platform uses.
 const (
+	// requestBytes is the memory of a request on a connection with others: its stack, and the parts of its head and
+	// body that HeadAllowance and BodyAllowance cover.
+	requestBytes = 32 << 10
 	mainFraction = 0.3
 	peerFraction = 0.125
 	// descriptorFraction is the fraction of the descriptors that one listener's connections may have.
@@ -48,32 +59,45 @@
 	MetricsConnections = 16
 )
 
+// Machine is what a process may use. A value that is not positive is unknown and does not limit.
+type Machine struct {
+	MemoryMB int
+	// Descriptors is the number of file descriptors for sockets and data.
+	Descriptors int
+}
+
 // Shares are the numbers of connections that listeners may have. 0 means no limit.
 type Shares struct {
 	// Main is for the listener that a process exists for: that for callers, or for upstreams and operators.
 	Main int
+	// HTTP2 is the same if its clients may speak HTTP/2, and Requests is how many requests they may have in progress.
+	HTTP2, Requests int
 	// Peer is for connections of other hosts that are no sessions yet.
 	Peer int
 }
 
-// SharesFor returns the shares of a process with the given memory in megabytes and number of descriptors. A value
-// that is not positive does not limit.
-func SharesFor(memoryMB, descriptors int) Shares {
-	return Shares{Main: share(mainFraction, memoryMB, descriptors), Peer: share(peerFraction, memoryMB, descriptors)}
+// Shares returns the shares of a process's listeners.
+func (m Machine) Shares() Shares {
+	return Shares{
+		Main: m.share(mainFraction, connectionBytes), HTTP2: m.share(mainFraction/2, http2ConnectionBytes),
+		Requests: Machine{MemoryMB: m.MemoryMB}.share(mainFraction/2, requestBytes), Peer: m.share(peerFraction, connectionBytes),
+	}
 }
 
-func share(fraction float64, memoryMB, descriptors int) int {
-	connections := 0
-	if memoryMB > 0 {
-		connections = max(1, int(fraction*float64(int64(memoryMB)<<20)/connectionBytes))
+// share returns how many times a number of bytes fits into a fraction of the memory, at most as many as there may be
+// connections.
+func (m Machine) share(fraction, bytes float64) int {
+	n := 0
+	if m.MemoryMB > 0 {
+		n = max(1, int(fraction*float64(int64(m.MemoryMB)<<20)/bytes))
 	}
-	if descriptors > 0 {
-		most := max(1, int(descriptorFraction*float64(descriptors)))
-		if connections == 0 || most < connections {
-			connections = most
+	if m.Descriptors > 0 {
+		most := max(1, int(descriptorFraction*float64(m.Descriptors)))
+		if n == 0 || most < n {
+			n = most
 		}
 	}
-	return connections
+	return n
 }
 
 // HeadBytes returns the memory that a head uses, in bytes.
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -23,6 +23,8 @@
 	// MakeRoom is called if no connection can be closed for a new one. It ends a request whose client is too slow
 	// and reports whether it has found one. It may be nil.
 	MakeRoom func() bool
+	// ReceiveBuffer replaces the default receive buffer, in bytes, unless it is 0.
+	ReceiveBuffer int
 	// SessionBuffer is the receive buffer, in bytes, of connections that the server no longer serves because
 	// their protocol was upgraded; 0 means that it is left as it is.
 	SessionBuffer int
@@ -58,8 +60,8 @@
 		if l.admit(c) {
 			return c, nil
 		}
-		_ = raw.Close()
 		l.guard.tell(l.cfg.Name, "refused", raw.RemoteAddr())
+		_ = raw.Close()
 	}
 }
 
@@ -90,8 +92,8 @@
 	return true
 }
 
-// victim returns the connection that makes room for a new one: the oldest of those that should have sent a head by
-// now, else of the idle ones, of those whose client accepts nothing, or of the rest that have not sent a head. It
+// victim returns the connection that makes room for a new one: the oldest of those that are about to be closed or
+// should have sent a head by now, else of the idle ones, of those whose client accepts nothing, or of the rest that have not sent a head. It
 // returns nil if there is none. The caller holds mu.
 func (l *Listener) victim(now time.Duration) *conn {
 	const classes = 4
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,7 +198,7 @@
 
 // shares returns how many connections the process may have at its listeners.
 func (n *Node) shares() inbound.Shares {
-	return inbound.SharesFor(n.settings.MemoryMB, n.settings.Descriptors)
+	return inbound.Machine{MemoryMB: n.settings.MemoryMB, Descriptors: n.settings.Descriptors}.Shares()
 }
 
 // serve starts an HTTP server for other hosts, upstreams, operators or the platform, with up to the given number of
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,8 @@
 const (
 	// helloTimeout bounds the exchange of Hello messages with a host that dialled.
 	helloTimeout = 3 * time.Second
+	// maxHelloBytes bounds the first message of a host that dialled. Its texts are names and addresses.
+	maxHelloBytes = 16 << 10
 	// maxConcurrentHandshakes limits the handshakes in progress. Other hosts wait for a
 	// permit, so that each handshake that has begun finishes soon, and a host that gives up
 	// while it waits costs nothing.
@@ -110,7 +112,7 @@
 		return nil
 	}
 	defer time.AfterFunc(maxPermitTime, permit.release).Stop()
-	conn.SetReadLimit(wire.MaxMessageBytes)
+	conn.SetReadLimit(maxHelloBytes)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), helloTimeout)
 	defer cancel()
 	remote, err := receiveHello(ctx, conn)
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -54,3 +54,20 @@
 	letProceed()
 	wg.Wait()
 }
+
+// Guards against a stranger's first message that takes as much memory as the largest message of a session.
+func TestHelloIsBounded(t *testing.T) {
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	discard := HandlerFunc(func(*Session, uint64, wire.Message) {})
+	host := NewPool(Config{Hello: wire.Hello{Host: "host"}, Secret: testSecret, Handler: discard})
+	t.Cleanup(host.Close)
+	mux.Handle(Path, NewServer(host))
+	for name, isAccepted := range map[string]bool{"other": true, strings.Repeat("x", 2*maxHelloBytes): false} {
+		other := NewPool(Config{Hello: wire.Hello{Host: name}, Secret: testSecret, Handler: discard})
+		t.Cleanup(other.Close)
+		_, err := other.Get(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
+		require.Equal(t, isAccepted, err == nil, "%d bytes: %v", len(name), err)
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -69,9 +69,25 @@
 		DataCentre:    inifile.Required(s, "data-centre", inifile.Name),
 		Roles:         inifile.Required(s, "roles", inifile.List(inifile.OneOf(RoleEntry, RoleControl, RoleAgent))),
 		ShutdownGrace: inifile.Optional(s, "shutdown-grace", 30*time.Second, inifile.Duration),
+		Memory:        inifile.Optional(s, "memory", 0, parseMemory),
+		Descriptors:   inifile.Optional(s, "descriptors", 0, inifile.Int(minDescriptors, maxCount)),
 	}
 }
 
+const (
+	// minMemory and minDescriptors are the least with which a process can work.
+	minMemory      = 64 * inifile.MiB
+	minDescriptors = 256
+)
+
+func parseMemory(text string) (inifile.Bytes, error) {
+	n, err := inifile.Size(text)
+	if err == nil && n < minMemory {
+		err = errors.Errorf("%q is less than %d MiB", text, minMemory/inifile.MiB)
+	}
+	return n, err
+}
+
 func parseLog(s *inifile.Section) Log {
 	return Log{
 		Format: inifile.Optional(s, "format", LogJSON, inifile.OneOf(LogJSON, LogText)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,12 @@
 	// ShutdownGrace limits how long a graceful shutdown waits for requests in progress. Default
 	// 30s.
 	ShutdownGrace time.Duration
+	// Memory is the memory that the process may use, from which the limits of what it holds for its clients follow.
+	// Default: that of the machine.
+	Memory inifile.Bytes
+	// Descriptors is the number of file descriptors that the process may use. Default: its limit in the operating
+	// system.
+	Descriptors int
 }
 
 // Log is the section [log].
--- a/test/local/system.go
+++ b/test/local/system.go
@@ -45,6 +45,9 @@
 	EngineArgs, ServiceArgs []string
 	// ShutdownGrace is the setting shutdown-grace of the daemons. Zero means 30s.
 	ShutdownGrace time.Duration
+	// MemoryMB and Descriptors are what the daemons may use, by their settings memory and descriptors. Zero means
+	// the default.
+	MemoryMB, Descriptors int
 }
 
 // Host is one process, a daemon or a stand-in, with its addresses.
--- a/test/local/usage.go
+++ b/test/local/usage.go
@@ -105,3 +105,33 @@
 	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	return len(open), err
 }
+
+// UnreadBytes returns how many bytes have arrived on the TCP connections of a process and were not read. The process
+// has the addresses for which isOwn returns true.
+func UnreadBytes(isOwn func(ip string, port int) bool) (int64, error) {
+	const (
+		localColumn, stateColumn, queueColumn = 1, 3, 4
+		listening                             = "0A"
+	)
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	var sum int64
+	for line := range strings.Lines(string(table)) {
+		columns := strings.Fields(line)
+		if len(columns) <= queueColumn || columns[stateColumn] == listening || strings.HasSuffix(columns[queueColumn], ":00000000") {
+			continue
+		}
+		var a, b, c, d byte
+		var port int
+		var sent, received int64
+		if n, _ := fmt.Sscanf(columns[localColumn], "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port); n < 5 {
+			continue
+		}
+		if n, _ := fmt.Sscanf(columns[queueColumn], "%X:%X", &sent, &received); n == 2 && isOwn(fmt.Sprintf("%d.%d.%d.%d", a, b, c, d), port) {
+			sum += received
+		}
+	}
+	return sum, nil
+}
