--- a/internal/entry/unit_test.go
+++ b/internal/entry/unit_test.go
@@ -88,8 +88,11 @@
 	}
 	first := dial()
 	require.NoError(t, ask(first))
-	second := dial()
-	require.NoError(t, ask(second))
+	var second net.Conn
+	require.Eventually(t, func() bool { // the first one is idle some time after its response
+		second = dial()
+		return ask(second) == nil
+	}, 10*time.Second, time.Millisecond)
 	require.Error(t, ask(first))
 	send(second, "/busy")
 	<-started
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	setBacklog(tcp, cfg.Limits().Connections)
 	l := &Listener{Listener: tcp, guard: g, cfg: cfg, open: make(map[*conn]struct{})}
 	metrics.NewRegisteredFunctionalGauge("inbound."+cfg.Name+".connections", g.cfg.Metrics, func() int64 { return int64(l.Connections()) })
 	g.mu.Lock()
@@ -93,6 +94,23 @@
 	})
 }
 
+// minBacklog is the least number of connections that may wait to be accepted.
+const minBacklog = 64
+
+// setBacklog lets half as many connections as a listener may have wait to be accepted, for which the kernel holds
+// unread bytes too while the process stands still. A platform that can't do so keeps its own bound.
+func setBacklog(l net.Listener, connections int) {
+	s, ok := l.(syscall.Conn)
+	if !ok || connections == 0 {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), max(connections/2, minBacklog)) })
+}
+
 // tell counts that a client was refused or its connection closed for the given reason, and logs a line if none was
 // logged lately.
 func (g *Guard) tell(listener, reason string, client net.Addr) {
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -78,7 +78,25 @@
 func (s *testServer) requireClosed(c net.Conn) {
 	_, err := c.Read(make([]byte, 1))
 	require.Error(s.t, err)
-	require.NotErrorIs(s.t, err, context.DeadlineExceeded)
+	require.NotErrorIs(s.t, err, os.ErrDeadlineExceeded)
+}
+
+// inPhase returns how many connections are in a phase.
+func (s *testServer) inPhase(p phase) int {
+	s.listener.mu.Lock()
+	defer s.listener.mu.Unlock()
+	n := 0
+	for c := range s.listener.open {
+		if c.phase() == p {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitPhase waits until all connections are in a phase.
+func (s *testServer) awaitPhase(p phase) {
+	require.Eventually(s.t, func() bool { return s.inPhase(p) == s.listener.Connections() }, testTimeout, time.Millisecond)
 }
 
 func (s *testServer) count(reason string) int64 {
@@ -97,6 +115,7 @@
 	s.now.Store(int64(2 * minAge))
 	used := s.dial()
 	require.Equal(t, 200, s.request(used, simpleRequest))
+	require.Eventually(t, func() bool { return s.inPhase(phaseIdle) == 1 }, testTimeout, time.Millisecond)
 	third := s.dial()
 	require.Equal(t, 200, s.request(third, simpleRequest))
 	s.requireClosed(silent)
@@ -111,14 +130,8 @@
 	busy := s.dial()
 	_, err := io.WriteString(busy, simpleRequest)
 	require.NoError(t, err)
-	require.Eventually(t, func() bool {
-		s.listener.mu.Lock()
-		defer s.listener.mu.Unlock()
-		for c := range s.listener.open {
-			return c.phase() == phaseActive
-		}
-		return false
-	}, testTimeout, time.Millisecond)
+	s.awaitConnections(1)
+	s.awaitPhase(phaseActive)
 	s.now.Store(int64(time.Hour))
 	s.requireClosed(s.dial())
 	require.Equal(t, int64(1), s.count("refused"))
@@ -135,14 +148,7 @@
 	}))
 	for range 20 {
 		require.Equal(t, 200, s.request(s.dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"))
-		require.Eventually(t, func() bool {
-			s.listener.mu.Lock()
-			defer s.listener.mu.Unlock()
-			for c := range s.listener.open {
-				return c.phase() == phaseClosing
-			}
-			return true
-		}, testTimeout, time.Millisecond)
+		s.awaitPhase(phaseClosing)
 	}
 	require.Zero(t, s.count("refused"))
 	require.Positive(t, s.count("displaced"))
@@ -160,33 +166,32 @@
 	slow := s.dial()
 	_, err := io.WriteString(slow, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool {
-		s.listener.mu.Lock()
-		defer s.listener.mu.Unlock()
-		for c := range s.listener.open {
-			return c.phase() == phaseActive
-		}
-		return false
-	}, testTimeout, time.Millisecond)
+	s.awaitConnections(1)
+	s.awaitPhase(phaseActive)
 	require.Equal(t, 200, s.request(s.dial(), simpleRequest))
 }
 
 // Guards against heads and idle connections that stay for ever, and against closing one before its time.
 func TestTimeoutsEndHeadsAndIdleConnections(t *testing.T) {
 	const timeout = 3 * time.Second
-	for name, begin := range map[string]func(s *testServer, c net.Conn){
-		"nothing sent": func(*testServer, net.Conn) {},
-		"part of a head": func(s *testServer, c net.Conn) {
+	for name, begin := range map[string]func(s *testServer, c net.Conn) phase{
+		"nothing sent": func(*testServer, net.Conn) phase { return phaseHead },
+		"part of a head": func(s *testServer, c net.Conn) phase {
 			_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
 			require.NoError(s.t, err)
+			return phaseHead
+		},
+		"idle": func(s *testServer, c net.Conn) phase {
+			require.Equal(s.t, 200, s.request(c, simpleRequest))
+			return phaseIdle
 		},
-		"idle": func(s *testServer, c net.Conn) { require.Equal(s.t, 200, s.request(c, simpleRequest)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startServer(t, Limits{HeadTimeout: timeout, IdleTimeout: timeout}, memory.LimitsFor(0), ok)
 			c := s.dial()
-			begin(s, c)
+			phase := begin(s, c)
 			s.awaitConnections(1)
+			s.awaitPhase(phase)
 			for range timeout / tick {
 				s.guard.sweep()
 			}
@@ -362,5 +367,5 @@
 		require.LessOrEqual(rt, float64(bytes)/float64(memoryMB<<20), max(mainFraction, float64(http2ConnectionBytes+requestBytes)/float64(memoryMB<<20)))
 	})
 	require.Equal(t, Shares{}, Machine{}.Shares())
-	require.Equal(t, Shares{Main: 45, HTTP2: 45, Peer: 45}, Machine{Descriptors: 100}.Shares())
+	require.Equal(t, Shares{Main: 45, Control: 45, HTTP2: 45, Peer: 45}, Machine{Descriptors: 100}.Shares())
 }
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -52,6 +52,8 @@
 	requestBytes = 32 << 10
 	mainFraction = 0.3
 	peerFraction = 0.125
+	// controlFraction is smaller than mainFraction, because a control host also decodes configurations.
+	controlFraction = 0.2
 	// descriptorFraction is the fraction of the descriptors that one listener's connections may have.
 	descriptorFraction = 0.45
 	// ReadyConnections and MetricsConnections are far above the few that check and read a host.
@@ -68,9 +70,9 @@
 
 // Shares are the numbers of connections that listeners may have. 0 means no limit.
 type Shares struct {
-	// Main is for the listener that a process exists for: that for callers, or for upstreams and operators.
-	Main int
-	// HTTP2 is the same if its clients may speak HTTP/2, and Requests is how many requests they may have in progress.
+	// Main is for the listener for callers, Control for that for upstreams and operators.
+	Main, Control int
+	// HTTP2 is for a listener whose clients may speak HTTP/2, and Requests is how many requests they may have in progress.
 	HTTP2, Requests int
 	// Peer is for connections of other hosts that are no sessions yet.
 	Peer int
@@ -79,7 +81,8 @@
 // Shares returns the shares of a process's listeners.
 func (m Machine) Shares() Shares {
 	return Shares{
-		Main: m.share(mainFraction, connectionBytes), HTTP2: m.share(mainFraction/2, http2ConnectionBytes),
+		Main: m.share(mainFraction, connectionBytes), Control: m.share(controlFraction, connectionBytes),
+		HTTP2:    m.share(mainFraction/2, http2ConnectionBytes),
 		Requests: Machine{MemoryMB: m.MemoryMB}.share(mainFraction/2, requestBytes), Peer: m.share(peerFraction, connectionBytes),
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -95,7 +95,7 @@
 	n.handleMessage = func(s *peer.Session, call uint64, m wire.Message) { host.HandlePeer(s, call, m) }
 	count := func(name string) { metrics.GetOrRegisterCounter("control-api."+name, n.metrics).Inc(1) }
 	handler := n.inbound.Bodies(n.platform.ControlAPI(host, set.Listen.String(), count, n.log), n.platform.MaxControlBody)
-	api, err := n.serve("control", set.Listen.String(), n.shares().Main, handler)
+	api, err := n.serve("control", set.Listen.String(), n.shares().Control, handler)
 	if err != nil {
 		return nil, errors.Wrap(err, "listener for upstreams and operators")
 	}
--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -50,10 +50,13 @@
 func Endure(ctx context.Context, p Process, isOwn func(ip string, port int) bool, crowds ...Crowd) (Usage, int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	peak := watch(ctx, p, isOwn)
+	peak := make(chan Usage, 1)
+	go func() { peak <- Watch(ctx, p, isOwn) }()
 	crowdCtx, end := context.WithTimeout(ctx, Stay)
 	defer end()
-	return peak.after(Run(crowdCtx, crowds...))
+	connections := Run(crowdCtx, crowds...)
+	cancel()
+	return <-peak, connections
 }
 
 // Run lets crowds connect until ctx ends. It returns the number of connections.
@@ -85,36 +88,16 @@
 	}
 }
 
-// peak is the highest usage of a process so far.
-type peak struct {
-	mu    sync.Mutex
-	usage Usage
-}
-
-func (p *peak) after(connections int64) (Usage, int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.usage, connections
-}
-
-func (p *peak) add(u Usage) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.usage.Memory, p.usage.Descriptors = max(p.usage.Memory, u.Memory), max(p.usage.Descriptors, u.Descriptors)
-}
-
-// watch reads the usage of a process until ctx ends.
-func watch(ctx context.Context, process Process, isOwn func(ip string, port int) bool) *peak {
-	p := &peak{}
-	go func() {
-		for ctx.Err() == nil {
-			if u, err := usageOf(process, isOwn); err == nil {
-				p.add(u)
-			}
-			pause.For(ctx, usageInterval)
+// Watch returns the highest usage of a process until ctx ends. While the process is down it has none.
+func Watch(ctx context.Context, process Process, isOwn func(ip string, port int) bool) Usage {
+	var peak Usage
+	for ctx.Err() == nil {
+		if u, err := usageOf(process, isOwn); err == nil {
+			peak.Memory, peak.Descriptors = max(peak.Memory, u.Memory), max(peak.Descriptors, u.Descriptors)
 		}
-	}()
-	return p
+		pause.For(ctx, usageInterval)
+	}
+	return peak
 }
 
 func usageOf(p Process, isOwn func(ip string, port int) bool) (Usage, error) {
