--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sassafraspost/sassafraspost/internal/control"
+	"github.com/sassafraspost/sassafraspost/internal/entry"
 	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/journal"
 	"github.com/sassafraspost/sassafraspost/internal/memory"
@@ -84,7 +85,9 @@
 	})
 	d.machine = machineOf(set.Host)
 	d.memory = memory.NewBudget(bufferLimits(d.machine.MemoryMB))
-	d.guard = inbound.NewGuard(inbound.Config{Memory: d.memory, Now: d.now, Log: d.log, Metrics: d.metrics})
+	d.guard = inbound.NewGuard(inbound.Config{
+		Memory: d.memory, Now: d.now, RetryAfter: entry.DefaultRetryAfter, Log: d.log, Metrics: d.metrics,
+	})
 	if err := d.build(); err != nil {
 		d.close()
 		return nil, err
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -86,7 +86,7 @@
 	g.counts.increment("refused." + schedule.Evacuated.Name())
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, schedule.Evacuated.String()).WithRetryAfter(refusedRetryAfter)
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, schedule.Evacuated.String()).WithRetryAfter(RefusedRetryAfter)
 	}
 	return overloadError(evacuatedDecision(deadline))
 }
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -15,9 +15,9 @@
 	// startupRetryAfter is the Retry-After of a host that has no configuration yet. If the
 	// control hosts have just started too, they first have to elect a leader.
 	startupRetryAfter = 1500 * time.Millisecond
-	// refusedRetryAfter is the Retry-After when upstreams have refused, which is about the time
+	// RefusedRetryAfter is the Retry-After when upstreams have refused, which is about the time
 	// until a slot becomes free.
-	refusedRetryAfter = 300 * time.Millisecond
+	RefusedRetryAfter = 300 * time.Millisecond
 )
 
 // hasUnreadBody reports whether the body was not read to its end.
@@ -62,7 +62,7 @@
 		e = verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "no answer in time")
 	}
 	if e.Verdict == verdict.NotRun && e.RetryAfter == 0 && e.Code != verdict.CodeQuarantined && e.Code != verdict.CodeTooLarge {
-		e = e.WithRetryAfter(refusedRetryAfter)
+		e = e.WithRetryAfter(RefusedRetryAfter)
 	}
 	c.fail(e)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraspost/sassafraspost/internal/dispatch"
 	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/memory"
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/quarantine"
 	"github.com/sassafraspost/sassafraspost/internal/retrybudget"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
@@ -214,7 +215,7 @@
 	if t := g.table.Load(); t != nil || wait <= 0 {
 		return t
 	}
-	waitClosed(c.r.Context(), g.tableKnown, wait)
+	pause.UntilClosed(c.r.Context(), g.tableKnown, wait)
 	return g.table.Load()
 }
 
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -83,7 +83,7 @@
 func (c *call) memoryError() error {
 	c.g.counts.increment("refused.memory")
 	c.w.Header().Set("Connection", "close")
-	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no memory is left for the request").WithRetryAfter(refusedRetryAfter)
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no memory is left for the request").WithRetryAfter(RefusedRetryAfter)
 }
 
 // writeWhole writes a buffered response. The caller's progress is recorded for each part of it.
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
 
@@ -38,7 +39,7 @@
 			c.retry = &r
 			return true
 		}
-		if !mayWait || !waitClosed(ctx, granted, time.Until(c.deadline)-minTimeForAttempt) {
+		if !mayWait || !pause.UntilClosed(ctx, granted, time.Until(c.deadline)-minTimeForAttempt) {
 			return false
 		}
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 	"github.com/sassafraspost/sassafraspost/internal/registry"
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
 	"github.com/sassafraspost/sassafraspost/internal/schedule"
@@ -65,7 +66,7 @@
 				wait = next - now
 			}
 		}
-		hasChanged := wait > 0 && waitClosed(ctx, changed, wait)
+		hasChanged := wait > 0 && pause.UntilClosed(ctx, changed, wait)
 		if ctx.Err() != nil || !hasChanged && !isRestricted {
 			return u, nil, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "no upstream is left")
 		}
@@ -104,19 +105,6 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, schedule.Restricted.String()).WithRetryAfter(retryAfter)
 }
 
-// waitClosed reports whether the channel is closed before ctx ends or the wait is over.
-func waitClosed(ctx context.Context, closed <-chan struct{}, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-closed:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // outcome is what the end of an attempt says about its upstream.
 type outcome uint8
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -79,9 +79,6 @@
 	return larger, nil
 }
 
-// bodyRetryAfter is the Retry-After, in seconds, of a request whose body does not fit.
-const bodyRetryAfter = "0.300"
-
 // Bodies returns a handler that reads the bodies of requests as a whole, each up to limit bytes, before h gets them.
 // Their memory is counted until h has returned. If there is none left, the slowest and largest are ended, and the
 // request is refused as not run. Body returns such a body.
@@ -149,7 +146,7 @@
 		status = http.StatusRequestEntityTooLarge
 	case memory.IsFull(err) || b.account.IsShed():
 		status = http.StatusServiceUnavailable
-		h.Set("Retry-After", bodyRetryAfter)
+		h.Set("Retry-After", b.guard.retryAfter())
 	}
 	h.Set(verdict.Header, verdict.NotRun.String())
 	h.Set("Connection", "close")
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -52,10 +52,7 @@
 		"Connection: close\r\nContent-Length: 0\r\n\r\n"
 }
 
-var (
-	refusalTooLarge = refusal("431 Request Header Fields Too Large", "")
-	refusalNoMemory = refusal("503 Service Unavailable", "Retry-After: 0.300\r\n")
-)
+var refusalTooLarge = refusal("431 Request Header Fields Too Large", "")
 
 // conn counts the heads that are read from a connection.
 type conn struct {
@@ -166,7 +163,7 @@
 		return c.refuse("head-too-large", refusalTooLarge, errHeadTooLarge)
 	}
 	if !c.hold(c.headBytes + c.fields*fieldBytes - HeadAllowance) {
-		return c.refuse("no-memory", refusalNoMemory, errNoMemory)
+		return c.refuse("no-memory", refusal("503 Service Unavailable", "Retry-After: "+c.listener.guard.retryAfter()+"\r\n"), errNoMemory)
 	}
 	return nil
 }
--- a/internal/inbound/doc.go
+++ b/internal/inbound/doc.go
@@ -8,7 +8,8 @@
 //
 // # Locks
 //
-// Guard.mu guards the list of listeners, Listener.mu the set of open connections. Each may be taken while the one
-// before is held, and the lock of the memory budget while Listener.mu is. No I/O is done while one is held. The
-// state of a connection is atomic; what is counted of a head belongs to the goroutine that reads it.
+// Guard.mu guards the list of listeners, Listener.mu the set of open connections, conn.accountMu the account of a
+// head. None of them is taken while another one is held; the locks of the memory budget and its accounts are taken
+// while accountMu is. No I/O is done while one is held. The state of a connection is atomic; what is counted of a
+// head belongs to the goroutine that reads it.
 package inbound
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,9 +27,16 @@
 	// Memory counts the heads of all listeners.
 	Memory *memory.Budget
 	// Now returns the time since some start, as the budget's other users have it.
-	Now     func() time.Duration
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	Now func() time.Duration
+	// RetryAfter is the Retry-After of a request for which no memory is left.
+	RetryAfter time.Duration
+	Log        *slog.Logger
+	Metrics    metrics.Registry
+}
+
+// retryAfter returns the value of the header Retry-After, in seconds.
+func (g *Guard) retryAfter() string {
+	return strconv.FormatFloat(g.cfg.RetryAfter.Seconds(), 'f', -1, 64)
 }
 
 // Guard has the listeners of a process. It is safe for concurrent use.
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -38,7 +38,7 @@
 func startServer(t *testing.T, limits Limits, budget memory.Limits, h http.Handler) *testServer {
 	s := &testServer{t: t, limits: limits, memory: memory.NewBudget(budget)}
 	s.guard = NewGuard(Config{
-		Memory: s.memory, Now: func() time.Duration { return time.Duration(s.now.Load()) }, Log: slog.New(slog.DiscardHandler),
+		Memory: s.memory, Now: func() time.Duration { return time.Duration(s.now.Load()) }, RetryAfter: time.Second, Log: slog.New(slog.DiscardHandler),
 		Metrics: metrics.NewRegistry(),
 	})
 	l, err := s.guard.Listen("127.0.0.1:0", ListenerConfig{
@@ -251,7 +251,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, verdict.NotRun.String(), resp.Header.Get(verdict.Header))
-	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Equal(t, "1", resp.Header.Get("Retry-After"))
 	require.Equal(t, 200, s.request(s.dial(), simpleRequest))
 	s.now.Store(int64(time.Minute))
 	require.Equal(t, http.StatusServiceUnavailable, s.request(s.dial(), long), "the first head is shed")
--- a/internal/memory/hold.go
+++ b/internal/memory/hold.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sassafraspost/sassafraspost/internal/pause"
 )
 
 const (
@@ -49,7 +51,7 @@
 		if isHeld, err := c.tryHold(use, n, now()); isHeld || err != nil {
 			return err
 		}
-		if !waitClosed(ctx, released) && ctx.Err() != nil {
+		if !pause.UntilClosed(ctx, released, checkInterval) && ctx.Err() != nil {
 			return ErrHostFull
 		}
 	}
@@ -71,18 +73,6 @@
 }
 
 // AwaitRelease waits until bytes are released, or for checkInterval, or until ctx ends.
-func (b *Budget) AwaitRelease(ctx context.Context) { waitClosed(ctx, b.Released()) }
-
-// waitClosed waits until the channel is closed, for checkInterval, or until ctx ends. It reports whether the channel
-// is closed.
-func waitClosed(ctx context.Context, closed <-chan struct{}) bool {
-	timer := time.NewTimer(checkInterval)
-	defer timer.Stop()
-	select {
-	case <-closed:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
+func (b *Budget) AwaitRelease(ctx context.Context) {
+	pause.UntilClosed(ctx, b.Released(), checkInterval)
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -1,10 +1,10 @@
-// Package memory bounds the bytes that a host holds for its callers: bodies of requests, responses
+// Package memory bounds the bytes that a host holds for its callers: heads and bodies of requests, responses
 // that are read before they are forwarded, and events that wait for a slow caller.
 //
 // A Budget counts bytes by connection and in all. If they reach the limit of the host, it chooses
 // the connection to shed: of those whose caller lets the host wait, the one with the largest
 // product of the bytes held and the time without progress. The package reads no clock and does no
-// I/O; the owner of a connection aborts it.
+// I/O; the owner of a connection aborts it. Only Hold and AwaitRelease wait.
 //
 // # Locks
 //
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,9 @@
 	started := time.Now()
 	n.now = func() time.Duration { return time.Since(started) }
 	n.memory = memory.NewBudget(memory.LimitsFor(settings.MemoryMB))
-	n.inbound = inbound.NewGuard(inbound.Config{Memory: n.memory, Now: n.now, Log: log, Metrics: n.metrics})
+	n.inbound = inbound.NewGuard(inbound.Config{
+		Memory: n.memory, Now: n.now, RetryAfter: gateway.RefusedRetryAfter, Log: log, Metrics: n.metrics,
+	})
 	r, err := n.build()
 	if err != nil {
 		return err
