Count what the messages of a completion call need once they are parsed

Cause: a message of three bytes becomes one of 32, and the list grows by copies; the budget counted three times the text. Change: the commas of the body are counted, in the same budget, before it is parsed.

A body that is refused or does not come in time no longer leaves its connection without a read deadline, and a call that is shed ends no other requests on its connection of HTTP/2.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,7 +184,10 @@
 // serve opens a listener for a handler of short requests, with up to the given number of connections. Run starts to
 // accept connections.
 func (d *Daemon) serve(name, address string, connections int, h http.Handler, t settings.TLS) (*server, error) {
-	limits := inbound.Limits{Connections: connections, HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
+	limits := inbound.Limits{
+		Connections: connections, HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		WriteTimeout: writeTimeout,
+	}
 	return d.serveWith(address, &http.Server{Handler: h, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}, t, inbound.ListenerConfig{
 		Name: name, Limits: func() inbound.Limits { return limits }, SessionBuffer: sessionReceiveBuffer,
 	})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -116,8 +116,8 @@
 		IdleTimeout: set.IdleTimeout,
 	})
 	limits := inbound.Limits{
-		Connections: atMost(set.MaxSessions, d.machine.Shares().HTTP2), HeadBytes: int64(set.MaxHeader), HeadTimeout: readHeaderTimeout, IdleTimeout: set.IdleTimeout,
-		WriteTimeout: entry.DefaultWriteTimeout,
+		Connections: atMost(set.MaxSessions, d.machine.Shares().HTTP2), HeadBytes: int64(set.MaxHeader),
+		HeadTimeout: readHeaderTimeout, IdleTimeout: set.IdleTimeout, WriteTimeout: entry.DefaultWriteTimeout,
 	}
 	r.callers, err = d.serveWith(set.Listen.String(), callers, set.TLS, inbound.ListenerConfig{
 		Name: "callers", Limits: func() inbound.Limits { return limits }, MakeRoom: r.server.ShedStalled,
--- a/internal/entry/bytebudget.go
+++ b/internal/entry/bytebudget.go
@@ -31,7 +31,11 @@
 	if body < 0 || body > c.s.cfg.MaxBody {
 		body = c.s.cfg.MaxBody
 	}
-	n := headCopies*inbound.HeadBytes(c.r.Header) + bodyCopies*body - inbound.HeadAllowance - bodyCopies*inbound.BodyAllowance
+	return c.reserve(headCopies*inbound.HeadBytes(c.r.Header) + bodyCopies*body - inbound.HeadAllowance - bodyCopies*inbound.BodyAllowance)
+}
+
+// reserve reserves n bytes for the request. Nothing is reserved if n is not positive.
+func (c *call) reserve(n int64) error {
 	if n <= 0 || c.account.Hold(c.r.Context(), memory.Body, n, c.s.cfg.Now) == nil {
 		return nil
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -87,6 +87,12 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	if err := c.reserve(req.parsedBytes() - inbound.BodyAllowance); err != nil {
+		return err
+	}
+	if err := req.parseBody(); err != nil {
+		return err
+	}
 	if err := c.resolve(); err != nil {
 		return err
 	}
@@ -110,7 +116,9 @@
 	err := c.req.readBody(c.w, pacedBody{c}, c.s.cfg.MaxBody)
 	c.account.StopWaiting()
 	if c.account.IsShed() {
-		c.w.Header().Set("Connection", "close")
+		if c.r.ProtoMajor == 1 { // with HTTP/2 it would end other requests' connection
+			c.w.Header().Set("Connection", "close")
+		}
 		return c.memoryError()
 	}
 	return err
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -13,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 	"github.com/sassafraspost/sassafraspost/internal/wire"
 )
@@ -165,12 +167,16 @@
 	return defaultUrgency, false
 }
 
-// readBody reads the body, up to limit bytes, and parses it if the request is a completion call.
+// readBody reads the body, up to limit bytes.
 func (req *request) readBody(w http.ResponseWriter, from io.ReadCloser, limit int64) error {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, from, limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	} else {
+		_ = rc.SetReadDeadline(time.Now().Add(inbound.UnreadBodyTimeout))
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return notRun(verdict.CodeTooLarge, "body is too large")
@@ -179,10 +185,27 @@
 		return notRun(verdict.CodeBadRequest, "body can't be read")
 	}
 	req.body = body
+	return nil
+}
+
+// valueBytes is the memory that a value of a list in the body may need once it is parsed, with what growing the list
+// leaves behind.
+const valueBytes = 64
+
+// parsedBytes returns at least the memory that the values of the body need beside its text, 0 if it is not parsed.
+func (req *request) parsedBytes() int64 {
+	if !req.isCompletion() {
+		return 0
+	}
+	return valueBytes * int64(bytes.Count(req.body, []byte{','}))
+}
+
+// parseBody parses the body if the request is a completion call.
+func (req *request) parseBody() error {
 	if !req.isCompletion() {
 		return nil
 	}
-	if err := json.Unmarshal(body, &req.completion); err != nil {
+	if err := json.Unmarshal(req.body, &req.completion); err != nil {
 		return notRun(verdict.CodeBadRequest, "body is not a completion call: "+err.Error())
 	}
 	if req.completion.Model == "" {
--- a/test/integration/crowd_test.go
+++ b/test/integration/crowd_test.go
@@ -97,6 +97,7 @@
 		{"ManyFields", callers, 1000, crowd.ManyFields(post, 30_000)},
 		{"SmallSlowBodiesOfUnknownCallers", callers, 300, crowd.SlowBody(func() string { return "POST / HTTP/1.1\r\nHost: a\r\n" }, 1000)},
 		{"EndlessHeads", callers, 300, crowd.EndlessHead(post)},
+		{"ManyMessages", callers, 100, manyMessages()},
 		{"RequestsAhead", callers, 300, crowd.RequestsAhead(callerHead("GET", "/none"))},
 		{"RequestsAheadAtReady", callers, 300, crowd.RequestsAhead(callerHead("GET", "/readyz"))},
 		{"IdleConnections", callers, 2000, crowd.Idle},
@@ -115,6 +116,13 @@
 	}
 }
 
+// manyMessages sends calls with as many values as their size allows.
+func manyMessages() crowd.Client {
+	body := `{"model":"drafter","messages":[` + strings.Repeat("{},", bodyLimit/3-20) + `{}]}`
+	head := callerHead("POST", "/v1/chat/completions")
+	return crowd.Text(func() string { return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head(), len(body), body) })
+}
+
 // http2Streams opens as many requests as the host allows on one connection, with heads of many fields and bodies that
 // do not end.
 func http2Streams(ctx context.Context, c net.Conn) {
