--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,12 +144,13 @@
 			Address:     p.Advertise.String(),
 			Incarnation: d.incarnation,
 		},
-		Secret:    string(p.Secret),
-		Handler:   peer.HandlerFunc(d.handlePeer),
-		OnSession: d.sessionUp,
-		TLS:       tlsConfig,
-		Metrics:   d.metrics,
-		Log:       d.log,
+		Secret:      string(p.Secret),
+		Handler:     peer.HandlerFunc(d.handlePeer),
+		OnSession:   d.sessionUp,
+		MaxSessions: d.machine.Shares().Sessions,
+		TLS:         tlsConfig,
+		Metrics:     d.metrics,
+		Log:         d.log,
 	}
 	if d.transport != nil {
 		config.Hello.Replica = string(control.ID(d.set.Host.Name, d.recovered))
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -367,5 +367,5 @@
 		require.LessOrEqual(rt, float64(bytes)/float64(memoryMB<<20), max(mainFraction, float64(http2ConnectionBytes+requestBytes)/float64(memoryMB<<20)))
 	})
 	require.Equal(t, Shares{}, Machine{}.Shares())
-	require.Equal(t, Shares{Main: 45, Control: 45, HTTP2: 45, Peer: 45}, Machine{Descriptors: 100}.Shares())
+	require.Equal(t, Shares{Main: 45, Control: 45, HTTP2: 45, Peer: 45, Sessions: 33}, Machine{Descriptors: 100}.Shares())
 }
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -74,8 +74,8 @@
 	Main, Control int
 	// HTTP2 is for a listener whose clients may speak HTTP/2, and Requests is how many requests they may have in progress.
 	HTTP2, Requests int
-	// Peer is for connections of other hosts that are no sessions yet.
-	Peer int
+	// Peer is for connections of other hosts that are no sessions yet, Sessions is how many sessions they may have.
+	Peer, Sessions int
 }
 
 // Shares returns the shares of a process's listeners.
@@ -84,6 +84,7 @@
 		Main: m.share(mainFraction, connectionBytes), Control: m.share(controlFraction, connectionBytes),
 		HTTP2:    m.share(mainFraction/2, http2ConnectionBytes),
 		Requests: Machine{MemoryMB: m.MemoryMB}.share(mainFraction/2, requestBytes), Peer: m.share(peerFraction, connectionBytes),
+		Sessions: max(m.Descriptors, 0) / 3,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 				n.onSessionUp(s)
 			}
 		},
-		PingInterval: pingInterval, ProbeTimeout: watchedSilenceLimit, DialTimeout: dialTimeout, Metrics: n.metrics, Log: n.log,
+		MaxSessions: n.shares().Sessions, PingInterval: pingInterval, ProbeTimeout: watchedSilenceLimit, DialTimeout: dialTimeout, Metrics: n.metrics, Log: n.log,
 	})
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -57,6 +57,9 @@
 	// DialTimeout bounds how long a host may take to accept a connection over TCP; zero means
 	// DefaultDialTimeout. The handshake has a timeout of its own.
 	DialTimeout time.Duration
+	// MaxSessions bounds the sessions that other hosts have dialled, with those in handshakes; 0 means no bound.
+	// Control hosts have maxControlSessions beside it.
+	MaxSessions int
 	// BeforeHandshake, if set, is called before each handshake with a host that dialled.
 	BeforeHandshake func()
 	// Metrics is the registry for the traffic counters; nil means a private one.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -21,6 +22,9 @@
 	helloTimeout = 3 * time.Second
 	// maxHelloBytes bounds the first message of a host that dialled. Its texts are names and addresses.
 	maxHelloBytes = 16 << 10
+	// maxControlSessions bounds the sessions that control hosts have dialled. It is many times their number, since
+	// a session that is lost may take a while to end.
+	maxControlSessions = 256
 	// maxConcurrentHandshakes limits the handshakes in progress. Other hosts wait for a
 	// permit, so that each handshake that has begun finishes soon, and a host that gives up
 	// while it waits costs nothing.
@@ -39,6 +43,8 @@
 	pool *Pool
 	// handshakePermits contains an element for each permit in use.
 	handshakePermits chan struct{}
+	// sessions and controlSessions count the hosts that have dialled, until their sessions end.
+	sessions, controlSessions atomic.Int64
 }
 
 // NewServer returns a Server that adds its sessions to pool, so that a host that has
@@ -55,12 +61,33 @@
 		http.Error(w, "wrong secret", http.StatusUnauthorized)
 		return
 	}
+	leave, ok := v.admit(r)
+	if !ok {
+		v.pool.traffic.refused.Inc(1)
+		http.Error(w, "too many sessions", http.StatusServiceUnavailable)
+		return
+	}
+	defer leave()
 	if s := v.handshake(w, r); s != nil {
 		v.pool.registerAccepted(s)
 		s.run(v.pool.cfg.Handler)
 	}
 }
 
+// admit counts a host that has dialled until leave is called. It returns false if there are too many.
+func (v *Server) admit(r *http.Request) (leave func(), ok bool) {
+	count, limit := &v.sessions, v.pool.cfg.MaxSessions
+	if r.Header.Get(replicaHeader) != "" {
+		count, limit = &v.controlSessions, maxControlSessions
+	}
+	leave = func() { count.Add(-1) }
+	if n := count.Add(1); limit > 0 && n > int64(limit) {
+		leave()
+		return nil, false
+	}
+	return leave, true
+}
+
 // permit is the permission for one handshake. The zero permit is that of a control host, which
 // needs none.
 type permit struct {
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -71,3 +71,35 @@
 		require.Equal(t, isAccepted, err == nil, "%d bytes: %v", len(name), err)
 	}
 }
+
+// Guards against sessions without a bound, which take all descriptors, and against control hosts that are kept out by
+// those of others.
+func TestSessionsAreBounded(t *testing.T) {
+	const limit = 3
+	mux := http.NewServeMux()
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	discard := HandlerFunc(func(*Session, uint64, wire.Message) {})
+	host := NewPool(Config{Hello: wire.Hello{Host: "host"}, Secret: testSecret, Handler: discard, MaxSessions: limit})
+	t.Cleanup(host.Close)
+	mux.Handle(Path, NewServer(host))
+	address := strings.TrimPrefix(srv.URL, "http://")
+	dial := func(replica string) (*Pool, error) {
+		pool := NewPool(Config{Hello: wire.Hello{Host: "other", Replica: replica}, Secret: testSecret, Handler: discard})
+		t.Cleanup(pool.Close)
+		_, err := pool.Get(t.Context(), address)
+		return pool, err
+	}
+	var first *Pool
+	for range limit {
+		pool, err := dial("")
+		require.NoError(t, err)
+		first = pool
+	}
+	_, err := dial("")
+	require.Error(t, err)
+	_, err = dial("replica")
+	require.NoError(t, err)
+	first.Close()
+	require.Eventually(t, func() bool { _, err := dial(""); return err == nil }, 10*time.Second, 10*time.Millisecond)
+}
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -40,8 +40,8 @@
 	// unreadable counts and logs received messages that this build can't decode, or not entirely, unsendable
 	// those that it does not send, or not entirely, because no peer of this build could decode them.
 	unreadable, unsendable *refusals
-	// rejected counts the connections with a wrong secret or Hello.
-	rejected metrics.Counter
+	// rejected counts the connections with a wrong secret or Hello, refused those beyond Config.MaxSessions.
+	rejected, refused metrics.Counter
 	// panicked counts messages whose handler panicked.
 	panicked metrics.Counter
 	// dials counts all dials, lateHandshakes those that exceeded the handshake timeout,
@@ -96,6 +96,7 @@
 		unreadable:      newRefusals("message can't be decoded", metrics.GetOrRegisterCounter("peer.messages.unreadable", reg), log),
 		unsendable:      newRefusals("message can't be encoded", metrics.GetOrRegisterCounter("peer.messages.unsendable", reg), log),
 		rejected:        metrics.GetOrRegisterCounter("peer.strangers", reg),
+		refused:         metrics.GetOrRegisterCounter("peer.refused", reg),
 		dials:           metrics.GetOrRegisterCounter("peer.dials.begun", reg),
 		lateHandshakes:  metrics.GetOrRegisterCounter("peer.dials.late", reg),
 		accepted:        metrics.GetOrRegisterCounter("peer.accepted", reg),
