Count heads until their requests end, at every listener of a process

Change: handlers count them again, in the budget, and the daemon's listeners for operators, hosts and metrics speak HTTP/1.1 only, as the requests of an HTTP/2 connection would have to be bounded there too.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	handler := d.guard.Bodies(api, adminapi.MaxBodyBytes)
-	srv, err := d.serve("administration-api", set.APIListen.String(), d.machine.Shares().HTTP2, handler, set.APITLS)
+	srv, err := d.serve("administration-api", set.APIListen.String(), d.machine.Shares().Main, handler, set.APITLS)
 	return &controlRole{host: host, api: srv}, err
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,7 +124,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", telemetry.Handler(d.metrics))
-	_, err := d.serve("metrics", d.set.Metrics.Listen.String(), inbound.MetricsConnections, mux, settings.TLS{})
+	_, err := d.serve("metrics", d.set.Metrics.Listen.String(), inbound.MetricsConnections, d.guard.Heads(mux), settings.TLS{})
 	return err
 }
 
@@ -158,7 +158,7 @@
 	d.pool = peer.NewPool(config)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, peer.NewServer(d.pool))
-	_, err = d.serve("peer", p.Listen.String(), d.machine.Shares().Peer, mux, p.TLS)
+	_, err = d.serve("peer", p.Listen.String(), d.machine.Shares().Peer, d.guard.Heads(mux), p.TLS)
 	return err
 }
 
@@ -189,7 +189,11 @@
 		Connections: connections, HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		WriteTimeout: writeTimeout,
 	}
-	return d.serveWith(address, &http.Server{Handler: h, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}, t, inbound.ListenerConfig{
+	// The requests of one connection of HTTP/2 would have to be bounded too.
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	server := &http.Server{Handler: h, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
+	return d.serveWith(address, server, t, inbound.ListenerConfig{
 		Name: name, Limits: func() inbound.Limits { return limits }, SessionBuffer: sessionReceiveBuffer,
 	})
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -79,18 +79,39 @@
 	return larger, nil
 }
 
+// Heads returns a handler that counts the memory of heads until h has returned. If there is none left, the request is
+// refused as not run.
+func (g *Guard) Heads(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := HeadBytes(r.Header) - HeadAllowance
+		if n <= 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		b := g.newBody(w, r)
+		defer b.account.Close()
+		b.account.StopWaiting()
+		if err := b.Hold(n); err != nil {
+			b.refuse(err)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Bodies returns a handler that reads the bodies of requests as a whole, each up to limit bytes, before h gets them.
-// Their memory is counted until h has returned. If there is none left, the slowest and largest are ended, and the
-// request is refused as not run. Body returns such a body.
+// The memory of heads and bodies is counted until h has returned. If there is none left, the slowest and largest are
+// ended, and the request is refused as not run. Body returns such a body.
 func (g *Guard) Bodies(h http.Handler, limit int64) http.Handler {
+	withoutBody := g.Heads(h)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
-			h.ServeHTTP(w, r)
+			withoutBody.ServeHTTP(w, r)
 			return
 		}
 		b := g.newBody(w, r)
 		defer b.account.Close()
-		data, err := ReadWhole(r.Body, r.ContentLength, limit, b)
+		data, err := b.readWhole(r, limit)
 		b.account.StopWaiting()
 		if err != nil {
 			b.refuse(err)
@@ -102,6 +123,16 @@
 	})
 }
 
+// readWhole counts the head and reads the body.
+func (b *body) readWhole(r *http.Request, limit int64) ([]byte, error) {
+	if n := HeadBytes(r.Header) - HeadAllowance; n > 0 {
+		if err := b.Hold(n); err != nil {
+			return nil, err
+		}
+	}
+	return ReadWhole(r.Body, r.ContentLength, limit, b)
+}
+
 // Body returns the body of a request that a handler of Guard.Bodies passes on, without copying it. It returns false
 // if the body was not read yet.
 func Body(r *http.Request) ([]byte, bool) {
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -305,6 +305,39 @@
 	require.Eventually(t, func() bool { return s.memory.Held() == 0 }, testTimeout, time.Millisecond)
 }
 
+// Guards against heads of many fields that are counted only while they arrive, and then held by requests that wait.
+func TestHeadsAreCountedWhileTheirRequestsAreServed(t *testing.T) {
+	const fields = 2000
+	release := make(chan struct{})
+	var guard *Guard
+	s := startServer(t, Limits{}, memory.Limits{Total: 2 * fields * fieldBytes, Connection: 2 * fields * fieldBytes}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		guard.Heads(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })).ServeHTTP(w, r)
+	}))
+	guard = s.guard
+	long := strings.TrimSuffix(simpleRequest, "\r\n") + shortFields(fields) + "\r\n"
+	first := s.dial()
+	_, err := io.WriteString(first, long)
+	require.NoError(t, err)
+	s.awaitConnections(1)
+	s.awaitPhase(phaseActive)
+	require.Eventually(t, func() bool { return s.memory.Held() > fields*fieldBytes-2*HeadAllowance }, testTimeout, time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, s.request(s.dial(), long))
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(first), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Eventually(t, func() bool { return s.memory.Held() == 0 }, testTimeout, time.Millisecond)
+}
+
+// shortFields returns that many header fields with different names.
+func shortFields(fields int) string {
+	var b strings.Builder
+	for i := range fields {
+		fmt.Fprintf(&b, "x%d:\r\n", i)
+	}
+	return b.String()
+}
+
 // countingAccount checks what ReadWhole counts.
 type countingAccount struct{ held, read int64 }
 
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -7,7 +7,7 @@
 
 const (
 	// ReceiveBuffer is the receive buffer that listeners ask the kernel for, in bytes. The kernel holds up to
-	// half as much again for a client that is not read.
+	// half as much again for a client that is not read, of larger buffers up to twice as much.
 	ReceiveBuffer = 16 << 10
 	// connectionBytes is the memory that a connection may use: what the kernel holds unread, the buffers and
 	// stacks of its server, and the parts of its head and body that HeadAllowance and BodyAllowance cover.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -82,7 +82,7 @@
 	go func() { _ = e.callers.Serve(callers) }()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath, e.serveReady)
-	e.ready, err = n.serve("readiness", n.settings.Entry.Ready.String(), inbound.ReadyConnections, mux)
+	e.ready, err = n.serve("readiness", n.settings.Entry.Ready.String(), inbound.ReadyConnections, n.inbound.Heads(mux))
 	return e, errors.Wrap(err, "listener for readiness")
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := n.serve("peers", settings.peerAddress(settings.IP), n.shares().Peer, n.peerHandler()); err != nil {
+	if _, err := n.serve("peers", settings.peerAddress(settings.IP), n.shares().Peer, n.inbound.Heads(n.peerHandler())); err != nil {
 		return errors.Wrap(err, "peer listener")
 	}
 	n.serveMetrics(r)
@@ -233,7 +233,7 @@
 		mux.Handle(quarantine.Path+"/", h)
 		mux.Handle("GET "+backpressure.Path, backpressure.Handler(r.notices))
 	}
-	if _, err := n.serve("metrics", address, inbound.MetricsConnections, mux); err != nil {
+	if _, err := n.serve("metrics", address, inbound.MetricsConnections, n.inbound.Heads(mux)); err != nil {
 		n.log.Warn("can't serve metrics", "address", address, "error", err.Error())
 	}
 }
