review: two seeds lost at the first start are never made up for

Callers: where two machines of the core may be lost at once and two of the three seeds are lost as the system starts for the first time, nothing is served, ever, although six first machines of the core and two that replace the others run.

Cause: only the seeds form the cluster, and two of them must be there, whatever faultTolerance says (chooseFirstVoters).

--- a/review/lab2/core.go
+++ b/review/lab2/core.go
@@ -30,7 +30,7 @@
 // at the end, or is older than the newest acknowledged one.
 func replaceCoreMachines(ctx context.Context, l *lab, hasTrouble bool) (bool, error) {
 	for i := range coreMachines {
-		l.addCore(zones[i%len(zones)])
+		l.add(classCore, zones[i%len(zones)])
 	}
 	for _, m := range l.machines {
 		if err := l.start(m, l.machines, true); err != nil {
@@ -65,9 +65,9 @@
 		l.kill(m)
 	}
 	wait(ctx, replacementDelay)
-	seeds := l.running()
+	seeds := l.running(classCore)
 	for _, m := range lost {
-		if err := l.start(l.addCore(m.zone), seeds, false); err != nil {
+		if err := l.start(l.add(classCore, m.zone), seeds, false); err != nil {
 			return err
 		}
 	}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -19,9 +19,18 @@
 const (
 	portPeer = iota
 	portControl
+	portFront
+	portReady
+	portWorker
 	portCount
 )
 
+// The classes of machines that run the program, and what their roles serve.
+const (
+	classCore  = "core"
+	classFront = "front"
+)
+
 // lab has the processes of one deployment. Each machine has a loopback address of its own, and all have
 // the same ports.
 type lab struct {
@@ -35,11 +44,11 @@
 	out *os.File
 }
 
-// machine is a machine of the core with its process.
+// machine is a machine with its process.
 type machine struct {
-	name, ip, zone string
-	cmd            *exec.Cmd
-	isRunning      bool
+	name, ip, zone, class string
+	cmd                   *exec.Cmd
+	isRunning             bool
 }
 
 func newLab(dir, record string) (*lab, error) {
@@ -94,23 +103,24 @@
 	fmt.Print(line)
 }
 
-// addCore adds a machine of the core in a zone, with an address of its own, and does not start it yet.
-func (l *lab) addCore(zone string) *machine {
+// add adds a machine in a zone, with an address of its own, and does not start it yet.
+func (l *lab) add(class, zone string) *machine {
 	number := len(l.machines) + 1
-	m := &machine{name: fmt.Sprintf("core-%s-%d", zone, number), ip: address(number), zone: zone}
+	m := &machine{name: fmt.Sprintf("%s-%s-%d", class, zone, number), ip: address(number), zone: zone, class: class}
 	l.machines = append(l.machines, m)
 	return m
 }
 
-// running returns the machines whose processes run.
-func (l *lab) running() []*machine {
-	return slices.DeleteFunc(slices.Clone(l.machines), func(m *machine) bool { return !m.isRunning })
+// running returns the machines of a class whose processes run.
+func (l *lab) running(class string) []*machine {
+	return slices.DeleteFunc(slices.Clone(l.machines), func(m *machine) bool { return !m.isRunning || m.class != class })
 }
 
+// at returns the address of one of the ports of a machine.
+func (l *lab) at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, l.firstPort+port) }
+
 // controlAddress is where a machine serves operators and workers.
-func (l *lab) controlAddress(m *machine) string {
-	return fmt.Sprintf("%s:%d", m.ip, l.firstPort+portControl)
-}
+func (l *lab) controlAddress(m *machine) string { return l.at(m.ip, portControl) }
 
 // seedCount is how many seeds the platform names.
 const seedCount = 3
@@ -137,22 +147,34 @@
 	return nil
 }
 
-// settings returns the settings file of a machine of the core, as DEPLOY.md has it, with the values of
-// Trotro's grown deployment.
+// roleLines returns the settings that differ between the classes of machines.
+func (l *lab) roleLines(m *machine) []string {
+	if m.class == classFront {
+		return []string{
+			"serves=front", "countsTowardTolerance=false",
+			"listenAddresses.front=" + l.at(m.ip, portFront), "listenAddresses.ready=" + l.at(m.ip, portReady),
+			"limits.cpuShare=0.384", "limits.memoryMb=184", "limits.fileDescriptors=4100", "limits.linkMbps=40.0", "limits.diskMb=0",
+		}
+	}
+	return []string{
+		"serves=control", "countsTowardTolerance=true", "listenAddresses.control=" + l.controlAddress(m),
+		"dataDirectory=" + filepath.Join(l.dir, m.name+"-data"),
+		"limits.cpuShare=0.48", "limits.memoryMb=280", "limits.fileDescriptors=4096", "limits.linkMbps=1000.0", "limits.diskMb=128",
+	}
+}
+
+// settings returns the settings file of a machine, as DEPLOY.md has it, with the values of Trotro's grown
+// deployment.
 func (l *lab) settings(m *machine, seeds []*machine, isFirst bool) string {
 	var addresses []string
 	for _, s := range seeds {
 		addresses = append(addresses, l.controlAddress(s))
 	}
 	lines := []string{
-		"nodeName=" + m.name, "role=control", "machineClass=core", "serves=control", "ipAddress=" + m.ip,
-		"zone=" + m.zone, "region=accra",
-		"listenAddresses.control=" + l.controlAddress(m),
+		"nodeName=" + m.name, "machineClass=" + m.class, "ipAddress=" + m.ip, "zone=" + m.zone, "region=accra",
 		fmt.Sprintf("internalPortRange=%d,%d", l.firstPort+portPeer, l.firstPort+portPeer),
-		"seeds=" + strings.Join(addresses, ","), fmt.Sprintf("firstStart=%t", isFirst), "countsTowardTolerance=true",
-		"dataDirectory=" + filepath.Join(l.dir, m.name+"-data"),
-		"limits.cpuShare=0.48", "limits.cpuCores=1", "limits.memoryMb=280", "limits.fileDescriptors=4096",
-		"limits.linkMbps=1000.0", "limits.diskMb=128", "discovery=registry", "entry=virtual_ip",
+		"seeds=" + strings.Join(addresses, ","), fmt.Sprintf("firstStart=%t", isFirst),
+		"limits.cpuCores=1", "discovery=registry", "entry=virtual_ip",
 		"heartbeatIntervalMs=1200", "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,experts",
 		"faultTolerance.machines=2", "faultTolerance.zones=1", "faultTolerance.regions=0",
 		"bounds.seedLagS=3", "bounds.reuseAfterS=2", "bounds.contactMs=4000", "bounds.ackTimeoutMs=5000",
@@ -165,7 +187,7 @@
 	for _, zone := range zones {
 		lines = append(lines, "zones."+zone+"=accra")
 	}
-	return strings.Join(lines, "\n") + "\n"
+	return strings.Join(append(lines, l.roleLines(m)...), "\n") + "\n"
 }
 
 // kill ends the process of a machine, as the loss of the machine does.
@@ -181,7 +203,7 @@
 
 // close ends all processes.
 func (l *lab) close() {
-	for _, m := range l.running() {
+	for _, m := range l.machines {
 		l.kill(m)
 	}
 	_ = l.out.Close()
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -25,6 +25,7 @@
 // cases has the function of each case. It returns whether the rule was broken.
 var cases = map[string]func(context.Context, *lab, bool) (bool, error){
 	"4": replaceCoreMachines,
+	"5": loseSeedsAtFirstStart,
 }
 
 func main() {
--- a/review/lab2/operator.go
+++ b/review/lab2/operator.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for i := 0; ctx.Err() == nil; i++ {
-		running := l.running()
+		running := l.running(classCore)
 		if f(ctx, running[i%len(running)]) {
 			return true
 		}
