Replace each of several silent voters

Cause: a leader replaced a silent voter only if exactly one was silent. With two the successors stayed learners, which had the whole log, for ever. Shown by the status and the log of a leader 20 s after the loss, on.

Change: each learner that asks replaces the voter that has been silent for longest, of those whose place its data centre may take; one after the other, as before. Why it is safe: without a silent voter the same replicas are heard and the majority is not larger, so no step lowers how many further losses are borne; a leader that hears no majority can't commit a change.

Ruled out: a joint change of several voters, which protects no more here.

--- a/internal/control/lost_disk_soak_test.go
+++ b/internal/control/lost_disk_soak_test.go
@@ -38,14 +38,14 @@
 	maxShortFault = 100 * time.Millisecond
 )
 
-// lostDiskSeeds returns the seeds of the soak: those of every run, or as many as LOST_DISK_SEEDS says, from
-// LOST_DISK_FIRST on.
-func lostDiskSeeds() []uint64 {
-	count, err := strconv.Atoi(os.Getenv("LOST_DISK_SEEDS"))
+// soakSeeds returns the seeds of a soak: those of every run, or as many as the variable NAME_SEEDS says, from
+// NAME_FIRST on.
+func soakSeeds(name string) []uint64 {
+	count, err := strconv.Atoi(os.Getenv(name + "_SEEDS"))
 	if err != nil {
 		return []uint64{1, 2}
 	}
-	first, err := strconv.ParseUint(os.Getenv("LOST_DISK_FIRST"), 10, 64)
+	first, err := strconv.ParseUint(os.Getenv(name+"_FIRST"), 10, 64)
 	if err != nil {
 		first = 1
 	}
@@ -68,7 +68,7 @@
 		voters, spares, maxLost int
 	}{{"three voters", 3, 0, 1}, {"a spare", 3, 1, 1}, {"five voters", 5, 0, 2}}
 	for _, l := range layouts {
-		for _, seed := range lostDiskSeeds() {
+		for _, seed := range soakSeeds("LOST_DISK") {
 			t.Run(fmt.Sprint(l.name, "/", seed), func(t *testing.T) {
 				t.Parallel()
 				s := &lostDiskSoak{random: rand.New(rand.NewPCG(seed, 65)), targets: rand.New(rand.NewPCG(seed, 66)), maxLost: l.maxLost}
@@ -288,40 +288,40 @@
 	s.endFault(h)
 }
 
-func (s *lostDiskSoak) beginFault(h *clusterHost, kind string) {
+func (c *testCluster) beginFault(h *clusterHost, kind string) {
 	frozen := faultproxy.Fault{Frozen: true}
 	switch kind {
 	case "kill":
 		h.kill()
 	case "power off":
-		s.powerOff(h)
+		c.powerOff(h)
 	case "lose disk":
 		h.kill()
 		h.disks++
 	case "power off and lose disk":
-		s.powerOff(h)
+		c.powerOff(h)
 		h.disks++
 	case "disk hangs":
 		h.disk.hang()
 	case "frozen":
 		h.disk.hang()
-		s.eachLink(h, func(out, in *clusterLink) { out.Freeze(); in.Freeze() })
+		c.eachLink(h, func(out, in *clusterLink) { out.Freeze(); in.Freeze() })
 	case "cut":
-		s.eachLink(h, func(out, in *clusterLink) { out.Cut(); in.Cut() })
+		c.eachLink(h, func(out, in *clusterLink) { out.Cut(); in.Cut() })
 	case "silent":
-		s.eachLink(h, func(out, in *clusterLink) { out.Freeze(); in.Freeze() })
+		c.eachLink(h, func(out, in *clusterLink) { out.Freeze(); in.Freeze() })
 	case "mute":
-		s.eachLink(h, func(out, in *clusterLink) {
+		c.eachLink(h, func(out, in *clusterLink) {
 			out.SetFault(faultproxy.Forward, frozen)
 			in.SetFault(faultproxy.Backward, frozen)
 		})
 	case "deaf":
-		s.eachLink(h, func(out, in *clusterLink) {
+		c.eachLink(h, func(out, in *clusterLink) {
 			out.SetFault(faultproxy.Backward, frozen)
 			in.SetFault(faultproxy.Forward, frozen)
 		})
 	case "undialled":
-		s.eachLink(h, func(out, in *clusterLink) {
+		c.eachLink(h, func(out, in *clusterLink) {
 			for _, l := range []*clusterLink{out, in} {
 				l.isUnanswered.Store(true)
 				l.Cut()
@@ -331,23 +331,23 @@
 }
 
 // powerOff ends a host's process. Its connections do not end.
-func (s *lostDiskSoak) powerOff(h *clusterHost) {
-	s.eachLink(h, func(out, in *clusterLink) { out.Vanish(); in.Vanish() })
+func (c *testCluster) powerOff(h *clusterHost) {
+	c.eachLink(h, func(out, in *clusterLink) { out.Vanish(); in.Vanish() })
 	h.kill()
 }
 
 // eachLink calls f for the links from a host to each other one and back.
-func (s *lostDiskSoak) eachLink(h *clusterHost, f func(out, in *clusterLink)) {
-	for _, other := range s.hosts {
+func (c *testCluster) eachLink(h *clusterHost, f func(out, in *clusterLink)) {
+	for _, other := range c.hosts {
 		if other != h {
 			f(h.links[other], other.links[h])
 		}
 	}
 }
 
-func (s *lostDiskSoak) endFault(h *clusterHost) {
+func (c *testCluster) endFault(h *clusterHost) {
 	h.disk.resume()
-	s.eachLink(h, func(out, in *clusterLink) {
+	c.eachLink(h, func(out, in *clusterLink) {
 		for _, l := range []*clusterLink{out, in} {
 			l.isUnanswered.Store(false)
 			l.Heal()
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -172,22 +173,36 @@
 	return verdict.New(verdict.NotRun, verdict.CodeConflict, "replica "+string(old)+" of the same host is alive").WithRetryAfter(joinInterval)
 }
 
-// replaceSilentVoter replaces a silent voter by a learner. If no voter is silent, the
-// replica remains a learner. If two or more are silent, nothing is changed, because a
-// membership change that fails halfway could cost the cluster its quorum.
+// replaceSilentVoter replaces one silent voter by a learner, the one that has been silent for longest among
+// those whose place the learner may take. If there is none, the replica remains a learner.
+//
+// Several voters may be silent. Each is replaced by another learner, one after the other, and no step lowers
+// how many further losses the quorum bears: without a silent voter, the same voters are heard and the majority
+// is not larger, and the learner is heard. A leader without a majority can't commit a change.
 func (h *Host) replaceSilentVoter(ctx context.Context, id consensus.ReplicaID) error {
-	var silent []consensus.ReplicaID
 	st := h.replica.Status()
-	for _, v := range st.Membership.Voters {
-		if v != h.id && !h.hasRecentContact(st, v) {
-			silent = append(silent, v)
+	for _, silent := range h.silentVoters(st) {
+		if h.placeVoters(st, silent).mayVote(id) {
+			h.cfg.Log.Info("voter is replaced", "silent", silent, "by", id)
+			return h.replica.ReplaceVoter(ctx, silent, id)
 		}
 	}
-	if len(silent) != 1 || !h.placeVoters(st, silent[0]).mayVote(id) {
-		return nil
+	return nil
+}
+
+// silentVoters returns the voters that this host, as the leader, has not heard within ReplicaSilenceTimeout,
+// the one that has been silent for longest first.
+func (h *Host) silentVoters(st consensus.Status) []consensus.ReplicaID {
+	silences := make(map[consensus.ReplicaID]int)
+	var silent []consensus.ReplicaID
+	for _, p := range st.Peers {
+		if st.Membership.IsVoter(p.ID) && !h.hasRecentContact(st, p.ID) {
+			silent = append(silent, p.ID)
+			silences[p.ID] = p.TicksSinceContact
+		}
 	}
-	h.cfg.Log.Info("voter is replaced", "silent", silent[0], "by", id)
-	return h.replica.ReplaceVoter(ctx, silent[0], id)
+	slices.SortStableFunc(silent, func(a, b consensus.ReplicaID) int { return cmp.Compare(silences[b], silences[a]) })
+	return silent
 }
 
 // predecessor returns the voter that belongs to the same host as id.
