Spread the voters again once a data centre is back

Callers would see: after a data centre was cut off and came back, the loss of another one ends the quorum for good.

Cause: while it is lost, spares elsewhere take its votes, also beyond what one data centre may hold. Hosts that come back got a vote only in the place of a silent voter, and none is silent then. To replace each of several silent voters moves more votes and so makes this more likely.

Change: a host whose data centre may hold one more voter, while another holds too many, becomes a voter in addition; the leader then makes a voter of the fullest data centre a learner. Added first, so f losses are borne all the time; a new leader finishes what the one before has begun.

TestPlacementSettlesAfterCuts: the moves end.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -50,6 +50,7 @@
 		shouldJoin := h.shouldJoin()
 		voter.Update(int64(boolToInt(h.replica.Status().Membership.IsVoter(h.id))))
 		joining.Update(int64(h.joins.count()))
+		h.removeSurplusVoter(ctx)
 		if !shouldJoin {
 			continue
 		}
@@ -137,17 +138,15 @@
 }
 
 // makeVoter makes a learner that has caught up a voter. It replaces a voter that the same host had on
-// another disk. If there are already Config.Voters voters, it replaces one that is silent. The replica
-// remains a learner if none is, or if its data centre has enough voters.
+// another disk. If there are already Config.Voters voters, it replaces one that is silent, or one in a data
+// centre with too many voters. The replica remains a learner if there is none, or if its data centre has
+// enough voters.
 func (h *Host) makeVoter(ctx context.Context, id consensus.ReplicaID) error {
-	select {
-	case h.voterChange <- struct{}{}:
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "wait for another change of the voters")
+	ctx, release, err := h.beginVoterChange(ctx)
+	if err != nil {
+		return err
 	}
-	defer func() { <-h.voterChange }()
-	ctx, cancel := context.WithTimeout(ctx, voterChangeTimeout)
-	defer cancel()
+	defer release()
 	st := h.replica.Status()
 	if err := h.checkPredecessor(st, id); err != nil {
 		return err
@@ -155,15 +154,62 @@
 	if old, ok := h.predecessor(st, id); ok {
 		return h.replica.ReplaceVoter(ctx, old, id)
 	}
-	if h.cfg.Voters > 0 && len(st.Membership.Voters) >= h.cfg.Voters {
-		return h.replaceSilentVoter(ctx, id)
+	placement := h.placeVoters(st, "")
+	if n := len(st.Membership.Voters); h.cfg.Voters == 0 || n < h.cfg.Voters {
+		if !placement.mayVote(id) {
+			return nil
+		}
+		return h.replica.PromoteLearner(ctx, id)
+	} else if n > h.cfg.Voters {
+		return nil
+	}
+	if silent := h.replaceable(st, id); silent != "" {
+		h.cfg.Log.Info("voter is replaced", "silent", silent, "by", id)
+		return h.replica.ReplaceVoter(ctx, silent, id)
 	}
-	if !h.placeVoters(st, "").mayVote(id) {
+	if !placement.improves(id) {
 		return nil
 	}
+	h.cfg.Log.Info("replica votes in place of one in a data centre with too many voters", "replica", id)
 	return h.replica.PromoteLearner(ctx, id)
 }
 
+// beginVoterChange waits until no other change of the voters is in progress. The returned context bounds
+// this one, and release ends it.
+func (h *Host) beginVoterChange(ctx context.Context) (changeCtx context.Context, release func(), err error) {
+	select {
+	case h.voterChange <- struct{}{}:
+	case <-ctx.Done():
+		return nil, nil, errors.Wrap(ctx.Err(), "wait for another change of the voters")
+	}
+	changeCtx, cancel := context.WithTimeout(ctx, voterChangeTimeout)
+	return changeCtx, func() { cancel(); <-h.voterChange }, nil
+}
+
+// removeSurplusVoter makes a voter a learner if this host leads and there are more than Config.Voters. With an
+// even number of voters, that does not lower how many losses the quorum bears.
+func (h *Host) removeSurplusVoter(ctx context.Context) {
+	st := h.replica.Status()
+	if h.cfg.Voters == 0 || st.Role != consensus.Leader || len(st.Membership.Voters) <= h.cfg.Voters {
+		return
+	}
+	ctx, release, err := h.beginVoterChange(ctx)
+	if err != nil {
+		return
+	}
+	defer release()
+	st = h.replica.Status()
+	id := h.placeVoters(st, "").surplus(h.id, h.silentVoters(st))
+	if id == "" {
+		return
+	}
+	if err := h.replica.DemoteVoter(ctx, id); err != nil {
+		h.cfg.Log.Warn("voter could not be made a learner", "replica", id, "error", err)
+		return
+	}
+	h.cfg.Log.Info("voter becomes a learner", "replica", id)
+}
+
 // checkPredecessor returns an error if the same host has another voter that was heard recently.
 func (h *Host) checkPredecessor(st consensus.Status, id consensus.ReplicaID) error {
 	old, ok := h.predecessor(st, id)
@@ -173,21 +219,19 @@
 	return verdict.New(verdict.NotRun, verdict.CodeConflict, "replica "+string(old)+" of the same host is alive").WithRetryAfter(joinInterval)
 }
 
-// replaceSilentVoter replaces one silent voter by a learner, the one that has been silent for longest among
-// those whose place the learner may take. If there is none, the replica remains a learner.
+// replaceable returns the voter that a learner should replace, the one that has been silent for longest among
+// those whose place the learner may take; empty if there is none.
 //
 // Several voters may be silent. Each is replaced by another learner, one after the other, and no step lowers
 // how many further losses the quorum bears: without a silent voter, the same voters are heard and the majority
 // is not larger, and the learner is heard. A leader without a majority can't commit a change.
-func (h *Host) replaceSilentVoter(ctx context.Context, id consensus.ReplicaID) error {
-	st := h.replica.Status()
+func (h *Host) replaceable(st consensus.Status, id consensus.ReplicaID) consensus.ReplicaID {
 	for _, silent := range h.silentVoters(st) {
 		if h.placeVoters(st, silent).mayVote(id) {
-			h.cfg.Log.Info("voter is replaced", "silent", silent, "by", id)
-			return h.replica.ReplaceVoter(ctx, silent, id)
+			return silent
 		}
 	}
-	return nil
+	return ""
 }
 
 // silentVoters returns the voters that this host, as the leader, has not heard within ReplicaSilenceTimeout,
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -57,6 +57,18 @@
 	})
 }
 
+// DemoteVoter makes a voter a learner. It does nothing if id is no voter.
+func (r *Replica) DemoteVoter(ctx context.Context, id consensus.ReplicaID) error {
+	return r.changeMembership(ctx, func(m consensus.Membership) (consensus.Membership, bool) {
+		if !m.IsVoter(id) {
+			return m, false
+		}
+		m.Voters = withoutID(m.Voters, id)
+		m.Learners = append(m.Learners, id)
+		return m, true
+	})
+}
+
 // RemoveMember removes a voter or learner from the membership.
 func (r *Replica) RemoveMember(ctx context.Context, id consensus.ReplicaID) error {
 	return r.changeMembership(ctx, func(m consensus.Membership) (consensus.Membership, bool) {
