Answer requests that come late in a planned stop of an entry host

Cause: the host only waited; nothing looked at the time that was left, and nobody answered what was left at the end.

Change: while the host drains, a request is read on, queued or passed on only while more time is left than 95 in 100 attempts of its route took (or its operator aims at, where there were none, or its own deadline leaves). Others are refused at once as not run. 0.2 s before the end, what was passed on gets 504.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,10 @@
 
 // sendToOne is send for one choice of an upstream. If it was withheld, c.last wraps errWithheld.
 func (c *call) sendToOne(ctx context.Context, resume string) (*dispatch.Response, *reservation, bool) {
+	if c.g.drain.enter(c, stageWaiting) != nil {
+		c.last, c.isFinal = drainingError(), true
+		return nil, nil, false
+	}
 	u, reserved, err := c.reserve(ctx, resume != "")
 	if err != nil {
 		c.last, c.isFinal = err, true
@@ -78,6 +82,11 @@
 		c.last, c.isFinal = c.refuseQuarantined(), true
 		return nil, nil, false
 	}
+	if c.g.drain.enter(c, stageSent) != nil {
+		reserved.release(outcomeNeutral)
+		c.last, c.isFinal = drainingError(), true
+		return nil, nil, false
+	}
 	c.attempts++
 	c.sentAt = time.Now()
 	c.tried = append(c.tried, u.ID)
@@ -339,6 +348,10 @@
 
 // reply forwards a buffered response.
 func (c *call) reply(resp *dispatch.Response, body []byte) {
+	_ = c.g.drain.enter(c, stageAnswered)
+	if resp.Status < http.StatusInternalServerError {
+		c.g.drain.recordServiceTime(c.route.Name, time.Since(c.sentAt))
+	}
 	c.copyHeader(resp)
 	if bodyAllowed(resp.Status) && c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sassafraspost/sassafraspost/internal/inbound"
 	"github.com/sassafraspost/sassafraspost/internal/verdict"
 )
@@ -53,6 +55,9 @@
 	if c.mayHaveRun() && e.Verdict == verdict.NotRun {
 		e = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "an attempt failed, and no other was possible")
 	}
+	if e.Verdict == verdict.NotRun && errors.Is(context.Cause(ctx), errDraining) {
+		e = drainingError()
+	}
 	if c.r.Context().Err() != nil {
 		c.g.counts.callersGone.Inc(1)
 		c.log("caller disconnected", "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(), "verdict", e.Verdict.String())
@@ -69,6 +74,7 @@
 
 // fail sends an error response on behalf of this host.
 func (c *call) fail(err error) {
+	_ = c.g.drain.enter(c, stageAnswered)
 	e := verdict.FromError(err)
 	code := statusOf(e)
 	h := c.w.Header()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 //
 // Gateway.mu guards the view of upstreams, their statements, the evacuations, the scheduler and what
 // is kept for its decisions: queued requests, cancel functions and cold upstreams. It is never held during I/O; messages to other hosts are only queued. The quarantine's lock may be taken
-// while mu is held, not the other way round. The locks of the memory budget, of a stream's backlog and
+// while mu is held, not the other way round; that of drain too. The locks of the memory budget, of a stream's backlog and
 // of the watch over writes are taken while no other lock is held. The configuration is published as an
 // immutable value.
 package gateway
@@ -110,8 +110,10 @@
 	writes *writeWatch
 	// tableKnown is closed when the first configuration is set.
 	tableKnown chan struct{}
-	// draining is set once the host no longer wants new connections.
+	// draining is set once the host no longer wants new connections. drain ends the requests that it can't
+	// serve in time then.
 	draining atomic.Bool
+	drain    *drain
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -163,7 +165,7 @@
 	}
 	g := &Gateway{
 		cfg: cfg, counts: newCounters(cfg.Metrics), tableKnown: make(chan struct{}),
-		memory: cfg.Memory, writes: newWriteWatch(),
+		memory: cfg.Memory, writes: newWriteWatch(), drain: newDrain(),
 		view: registry.NewView(), statements: backpressure.NewTable(),
 		scheduler: schedule.New(schedule.Config{
 			DataCentre: cfg.DataCentre, DataCentreRegions: cfg.DataCentreRegions, RetryBudget: cfg.RetryBudget,
@@ -198,6 +200,7 @@
 	}
 	// Before the table is used, since requests must keep its limits.
 	g.setColdParams(t)
+	g.drain.retainRoutes(t)
 	g.table.Store(t)
 	if current == nil {
 		close(g.tableKnown)
@@ -205,8 +208,13 @@
 	return true
 }
 
-// StartDraining makes the gateway close each caller's connection after its next response.
-func (g *Gateway) StartDraining() { g.draining.Store(true) }
+// StartDraining makes the gateway close each caller's connection after its next response. Until ctx ends, by when the
+// host shuts down, it refuses what it can't serve in time, as not run, and gives each request that has no response
+// by then a final one.
+func (g *Gateway) StartDraining(ctx context.Context) {
+	g.draining.Store(true)
+	go g.drain.run(ctx)
+}
 
 // Merge applies what a control host reports about upstreams. The change has taken effect when
 // Merge returns, except for records that registry.ErrAmbiguous is returned for.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -85,6 +85,10 @@
 	isBodyWhole bool
 	// stop cancels the request for the given reason.
 	stop context.CancelCauseFunc
+	// stage is how far the request has come, and isDrained is set once it is to end because the host shuts
+	// down. Gateway.drain guards both.
+	stage     stage
+	isDrained bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -114,11 +118,13 @@
 	}
 	ctx, stop := context.WithCancelCause(r.Context())
 	c.stop, c.memory = stop, g.memory.Open(c.abort)
+	g.drain.add(c)
 	return c, ctx
 }
 
 // close releases what the request holds.
 func (c *call) close() {
+	c.g.drain.remove(c)
 	c.returnRetry()
 	c.memory.Close()
 	c.stop(nil)
@@ -234,6 +240,9 @@
 	}
 	if c.r.ContentLength != 0 {
 		_ = c.control.SetReadDeadline(c.deadline)
+		if c.g.drain.enter(c, stageBody) != nil {
+			return drainingError()
+		}
 	}
 	c.memory.Progress(c.g.now())
 	body, err := inbound.ReadWhole(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, useAccount{c, ctx, memory.Body})
@@ -249,6 +258,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is too large")
 	case memory.IsFull(err), c.memory.IsShed():
 		return c.memoryError()
+	case errors.Is(context.Cause(ctx), errDraining):
+		return drainingError()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.g.counts.increment("refused.slow-body")
 		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the body did not come in time")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,6 +162,7 @@
 	c := r.c
 	r.reserved.release(outcomeGood)
 	c.recordAnswered(r.resp.Status)
+	c.g.drain.recordServiceTime(c.route.Name, time.Since(c.sentAt))
 	c.g.counts.recordResponse(r.resp.Status, time.Since(c.began))
 	c.log("request answered", "status", r.resp.Status, "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(),
 		"event", r.last, "first_ms", r.firstEventDelay.Milliseconds(), "gap_ms", r.eventGap.Milliseconds())
@@ -369,6 +370,7 @@
 		return
 	}
 	r.isHeaderSent = true
+	_ = r.c.g.drain.enter(r.c, stageAnswered)
 	r.c.copyHeader(r.resp)
 	r.c.w.WriteHeader(r.resp.Status)
 	r.c.g.counts.firstEvent.AddSince(r.c.began)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -136,7 +136,7 @@
 // progress have ended.
 func (e *entryRole) drain(ctx context.Context) {
 	e.isDraining.Store(true)
-	e.gateway.StartDraining()
+	e.gateway.StartDraining(ctx)
 	pause.For(ctx, drainDelay)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.n.log.Warn("requests were aborted at shutdown", "error", err.Error())
