sassafraspostd: answer what a shutdown leaves, refuse bodies that are late

Callers saw: a call whose body came late was passed on during a shutdown and held it up, and at the end of shutdown-grace connections closed without a response, of calls that must not be repeated too.

Cause: Drain refused new calls only and waited for all others; at its end the servers were closed.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -52,6 +52,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline())
 	defer cancel()
+	defer context.AfterFunc(c.s.drain.ending, cancel)()
 	if c.s.cfg.Settle != nil {
 		c.s.cfg.Settle(ctx)
 	}
@@ -113,8 +114,12 @@
 func (c *call) readBody() error {
 	c.hasBodyReadBegun = true
 	c.account.Progress(c.s.cfg.Now())
-	err := c.req.readBody(c.w, pacedBody{c}, c.s.cfg.MaxBody)
+	err := c.req.readBody(c.w, pacedBody{c}, c.s.cfg.MaxBody, &c.s.drain)
 	c.account.StopWaiting()
+	if err != nil && c.s.drain.leaving.Err() != nil {
+		c.w.Header().Set("Connection", "close")
+		return c.s.drainingError()
+	}
 	if c.account.IsShed() {
 		if c.r.ProtoMajor == 1 { // with HTTP/2 it would end other requests' connection
 			c.w.Header().Set("Connection", "close")
@@ -190,7 +195,7 @@
 
 // fail sends an error response. It must not be called once a response has begun.
 func (c *call) fail(err error) {
-	e := verdict.FromError(err)
+	e := c.s.explainEnd(verdict.FromError(err))
 	if e.RetryAfter == 0 && mayRetryLater(e) {
 		e = e.WithRetryAfter(c.s.cfg.RetryAfter)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sassafraspost/sassafraspost/internal/memory"
@@ -241,6 +240,7 @@
 	counters       counters
 	activeAttempts activeAttempts
 	memory         *memory.Budget
+	drain          drainStages
 	// backgroundFinishes is a semaphore for the outcomes that are recorded in the background.
 	backgroundFinishes chan struct{}
 
@@ -264,6 +264,7 @@
 		retryBudget:    NewRetryBudget(cfg.RetryRatio),
 		idle:           make(chan struct{}, 1),
 		memory:         cfg.Memory,
+		drain:          newDrainStages(),
 
 		backgroundFinishes: make(chan struct{}, maxBackgroundFinishes),
 	}
@@ -385,7 +386,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
-		return notRun(verdict.CodeDraining, "entry host is shutting down").WithRetryAfter(s.cfg.RetryAfter)
+		return s.drainingError()
 	}
 	if s.running >= s.cfg.MaxInFlight {
 		return notRun(verdict.CodeOverloaded, "entry host is full").WithRetryAfter(s.cfg.RetryAfter)
@@ -422,29 +423,6 @@
 	s.notReady = !ready
 }
 
-// Drain refuses new requests with the verdict NotRun and waits until all running requests,
-// streams included, have ended. If ctx ends first, Drain returns its error. Drain is needed in
-// addition to http.Server.Shutdown, since requests still arrive on connections that are kept
-// alive.
-func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	for {
-		s.mu.Lock()
-		n := s.running
-		s.mu.Unlock()
-		if n == 0 {
-			return nil
-		}
-		select {
-		case <-s.idle:
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "entry: %d requests are still running", n)
-		}
-	}
-}
-
 func notRun(code verdict.Code, text string) *verdict.Error {
 	return verdict.New(verdict.NotRun, code, text)
 }
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -27,6 +27,7 @@
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
+	defer context.AfterFunc(c.s.drain.ending, cancel)()
 
 	a := newAttempt(c, wire.Upstream{})
 	reply, err := c.claim(ctx, a)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -167,11 +167,13 @@
 	return defaultUrgency, false
 }
 
-// readBody reads the body, up to limit bytes.
-func (req *request) readBody(w http.ResponseWriter, from io.ReadCloser, limit int64) error {
+// readBody reads the body, up to limit bytes, as long as the server does not leave.
+func (req *request) readBody(w http.ResponseWriter, from io.ReadCloser, limit int64, drain *drainStages) error {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	stop := drain.limitReading(rc)
 	body, err := io.ReadAll(http.MaxBytesReader(w, from, limit))
+	stop()
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	} else {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -34,14 +34,12 @@
 // errDraining is the reason for ending a request whose response would come after the end of the shutdown.
 var errDraining = errors.New("the host shuts down")
 
-// stage is how far a request has come.
+// stage is how far a request has come; zero until its route is known.
 type stage uint8
 
 const (
-	// stageHead means that the body is not read yet.
-	stageHead stage = iota
 	// stageBody means that the body is being read.
-	stageBody
+	stageBody stage = iota + 1
 	// stageWaiting means that no attempt is in progress.
 	stageWaiting
 	// stageSent means that the request was passed on and has no response.
