Don't wait for the end of a refusal, nor long for that of an earlier response

Cause: these bodies were bounded in bytes and not in time.

Change: 0.1 s for the body of a refusal, 2 s for a skipped response, after which the connection is closed. Found on the walk of all places that read responses.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -27,6 +27,10 @@
 // maxRefusalBytes is how much of a refusal's body is read so that its connection can be reused.
 const maxRefusalBytes = 4 << 10
 
+// refusalBodyTime limits the time for it. The request has not run, so another upstream can have it: it does not wait
+// for the rest of a body, which usually comes with the header.
+const refusalBodyTime = 100 * time.Millisecond
+
 // Target is the upstream that an attempt is sent to.
 type Target struct {
 	// ID identifies the expected incarnation of the upstream, which is one start of its
@@ -155,6 +159,7 @@
 	resp.stopCancel = stopCancel
 	if err := c.refusalError(r, resp); err != nil {
 		// Once the body was read to its end, the connection can be reused.
+		resp.SetReadDeadline(time.Now().Add(refusalBodyTime))
 		_, _ = resp.ReadAll(maxRefusalBytes)
 		resp.Close()
 		return nil, err
@@ -221,7 +226,7 @@
 			return nil, errors.New("response to another request")
 		}
 		conn.input.unlimit()
-		if err := skipBody(resp); err != nil {
+		if err := conn.skipBody(resp); err != nil {
 			return nil, err
 		}
 		conn.input.limit(maxHeadBytes)
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -116,6 +116,44 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
 }
 
+// Guards against a refusal whose body does not end and that holds its request until the deadline, although the
+// request has not run and another upstream could serve it.
+func TestRefusalWithoutEndIsNotAwaited(t *testing.T) {
+	address := serveUpstream(t, func(c net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-A: a\r\nX-N: 1\r\nContent-Length: 100\r\n\r\nbu")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
+	defer cancel()
+	client, began := newTestClient(), time.Now()
+	_, err := client.Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("a"))
+	require.Equal(t, verdict.NotRun, verdict.FromError(err).Verdict)
+	require.Less(t, time.Since(began), time.Second)
+	require.Zero(t, client.pool.open[address], "the connection is closed")
+}
+
+// Guards against a late copy of an earlier response whose body does not end and that holds the next request on its
+// connection until the deadline.
+func TestEarlierResponseWithoutEndIsNotAwaited(t *testing.T) {
+	address := serveUpstream(t, func(c net.Conn, _ *http.Request, n int) {
+		if n == 0 {
+			writeResponse(c, "earlier", "")
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A: earlier\r\nContent-Length: 100\r\n\r\nla")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
+	defer cancel()
+	client := newTestClient()
+	_, err := send(t, client, address, "earlier")
+	require.NoError(t, err)
+	_, err = client.Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("a"))
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "ended before the deadline")
+	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
+}
+
 // countingConn counts the bytes that are read from it.
 type countingConn struct {
 	net.Conn
--- a/internal/dispatch/head.go
+++ b/internal/dispatch/head.go
@@ -15,8 +15,10 @@
 	// maxHeadTime limits the time from the first byte of a header to its end. The first byte may come as
 	// late as the deadline of the request.
 	maxHeadTime = 2 * time.Second
-	// maxStaleBytes limits the body of a response to an earlier attempt that is skipped.
+	// maxStaleBytes and maxStaleTime limit the body of a response to an earlier attempt that is skipped. The
+	// next request on its connection waits for it.
 	maxStaleBytes = 256 << 10
+	maxStaleTime  = maxHeadTime
 )
 
 // errHeadTooLong and errStaleTooLong are faults of the upstream.
@@ -72,8 +74,12 @@
 	return bytes.Contains(received, []byte("\r\n\r\n"))
 }
 
-// skipBody reads the body of a response that nobody waits for.
-func skipBody(resp *http.Response) error {
+// skipBody reads the body of a response that nobody waits for, within maxStaleTime.
+func (c *conn) skipBody(resp *http.Response) error {
+	if err := c.SetReadDeadline(time.Now().Add(maxStaleTime)); err != nil {
+		return err
+	}
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	n, err := io.CopyN(io.Discard, resp.Body, maxStaleBytes+1)
 	switch {
 	case err == io.EOF:
