--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -207,7 +207,7 @@
 // readResponse reads responses until one carries the attempt's id. On a reused connection it
 // skips late responses to the previous attempt.
 func (c *Client) readResponse(conn *conn, r *Request, attempt string) (*http.Response, error) {
-	conn.input.limit(maxHeadBytes)
+	conn.input.limit(maxHeadBytes, maxHeadLines)
 	defer conn.input.unlimit()
 	for range 1 + maxStaleResponses {
 		resp, err := conn.readHead(r.Method)
@@ -229,7 +229,7 @@
 		if err := conn.skipBody(resp); err != nil {
 			return nil, err
 		}
-		conn.input.limit(maxHeadBytes)
+		conn.input.limit(maxHeadBytes, maxHeadLines)
 	}
 	return nil, errors.New("too many responses to other requests")
 }
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -116,6 +117,33 @@
 	require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
 }
 
+// Guards against heads of very many short fields, each of which needs many times its bytes once it is parsed, that
+// fill the memory of the host while their upstreams send no more.
+func TestHeadsOfManyFieldsNeedBoundedMemory(t *testing.T) {
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\nX-A: a\r\n")
+	for i := 0; head.Len() < maxHeadBytes-1<<10; i++ {
+		fmt.Fprintf(&head, "%x:\r\n", i)
+	}
+	address := serveUpstream(t, func(c net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(c, head.String())
+		_, _ = io.Copy(io.Discard, c)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), endlessPatience)
+	defer cancel()
+	client, grown := newTestClient(), endless.WatchHeap(ctx, maxHeapGrowth, cancel)
+	var attempts sync.WaitGroup
+	for range 4 * endlessCount {
+		attempts.Go(func() {
+			_, err := client.Send(ctx, Target{ID: "i1", Address: address}, endlessRequest("a"))
+			require.Equal(t, verdict.MayHaveRun, verdict.FromError(err).Verdict)
+		})
+	}
+	attempts.Wait()
+	require.NoError(t, ctx.Err(), "ended before the deadline and within %d MB", maxHeapGrowth>>20)
+	require.LessOrEqual(t, grown(), int64(maxHeapGrowth))
+}
+
 // Guards against a refusal whose body does not end and that holds its request until the deadline, although the
 // request has not run and another upstream could serve it.
 func TestRefusalWithoutEndIsNotAwaited(t *testing.T) {
--- a/internal/dispatch/head.go
+++ b/internal/dispatch/head.go
@@ -12,6 +12,8 @@
 const (
 	// maxHeadBytes limits the header of a response, with the informational responses before it.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits its lines. A parsed field needs many times the bytes of a short line.
+	maxHeadLines = 512
 	// maxHeadTime limits the time from the first byte of a header to its end. The first byte may come as
 	// late as the deadline of the request.
 	maxHeadTime = 2 * time.Second
@@ -27,17 +29,19 @@
 	errStaleTooLong = errors.New("a response to an earlier request is too long")
 )
 
-// limitedReader reads from a connection until its limit, if it has one, is reached.
+// limitedReader reads from a connection until one of its limits, if it has any, is reached.
 type limitedReader struct {
-	from      io.Reader
-	isLimited bool
-	left      int
+	from            io.Reader
+	isLimited       bool
+	left, linesLeft int
 }
 
-// limit allows n more bytes.
-func (r *limitedReader) limit(n int) { r.isLimited, r.left = true, n }
+// limit allows that many more bytes and lines.
+func (r *limitedReader) limit(bytes, lines int) {
+	r.isLimited, r.left, r.linesLeft = true, bytes, lines
+}
 
-// unlimit allows any number of bytes.
+// unlimit allows any number of bytes and lines.
 func (r *limitedReader) unlimit() { r.isLimited = false }
 
 // Read implements io.Reader.
@@ -45,11 +49,12 @@
 	if !r.isLimited {
 		return r.from.Read(p)
 	}
-	if r.left <= 0 {
+	if r.left <= 0 || r.linesLeft <= 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := r.from.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
