Read the upstream and the class of an attempt without data races

Cause: Ticket.ID read the record of the upstream, and Ticket.ClassRank the list of classes, outside the lock. Change: the id is kept in the ticket like the start time and the address; the rank is asked for under the lock.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -322,7 +322,7 @@
 	if resume != "" {
 		h.Set(d.ResumeHeader, resume)
 	}
-	if rank, ok := reserved.ClassRank(); ok && d.PriorityHeader != "" {
+	if rank, ok := reserved.classRank(); ok && d.PriorityHeader != "" {
 		h.Set(d.PriorityHeader, strconv.Itoa(min(rank, maxUpstreamPriority)))
 	}
 	h.Set(d.UpstreamHeaders.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -158,6 +158,13 @@
 	return errWithheld
 }
 
+// classRank returns the rank of the request's priority class; see [schedule.Ticket.ClassRank].
+func (r *reservation) classRank() (int, bool) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	return r.ClassRank()
+}
+
 // lastReport returns what the host was last told of the upstream of an attempt, and how long ago the
 // control host that told it was heard, or NoSession.
 func (g *Gateway) lastReport(r *reservation) (registry.Report, time.Duration) {
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -38,8 +38,10 @@
 	// class is the priority class of the request; nil for plain services.
 	class     *class
 	workspace string
-	born      int64
-	address   string
+	// id, born and address are those of the upstream when the slot was reserved.
+	id      string
+	born    int64
+	address string
 	// EstimatedLoad is the number of requests that the upstream was assumed to have when the
 	// slot was reserved. LoadAge is the age of the load report used for that; it is negative if
 	// there was none.
@@ -63,7 +65,7 @@
 }
 
 // ID returns the id of the upstream.
-func (t *Ticket) ID() string { return t.upstream.ID }
+func (t *Ticket) ID() string { return t.id }
 
 // StartedAt returns when the upstream's process started.
 func (t *Ticket) StartedAt() int64 { return t.born }
@@ -296,7 +298,7 @@
 
 // reserve counts an attempt at an upstream and returns its reservation.
 func (s *Scheduler) reserve(u *upstream, now time.Duration) *Ticket {
-	t := &Ticket{upstream: u, service: u.service, born: u.StartedAt, address: u.Address, EstimatedLoad: s.estimatedLoad(u, now), LoadAge: -1, began: now}
+	t := &Ticket{upstream: u, service: u.service, id: u.ID, born: u.StartedAt, address: u.Address, EstimatedLoad: s.estimatedLoad(u, now), LoadAge: -1, began: now}
 	if u.load.isKnown {
 		t.LoadAge = now - u.load.receivedAt
 	}
