Look for the leader at the hosts that have a session first

Callers would see: after several control hosts were replaced, a call that looks for the leader asks the ones that are gone, which stay in the address book, for 0.8 s each; with six of them a claim fails after 3 s though the leader is there.

Cause: the hosts were asked in the order in which they became known.

Change: a host with a live session comes first, unless the last one asked has just named the leader. Each host keeps sessions with all control hosts, so one without a session is gone or cut off.

TestClientFindsLeaderAmongHostsThatAreGone fails before (3 s, no leader). Left: the addresses themselves are never forgotten.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -184,7 +184,7 @@
 		if c.isLeader != nil && c.isLeader() {
 			return nil, noLeaderError(mayHaveRun, errOwnHostLeads)
 		}
-		address := search.choose(c.target())
+		address := search.choose(c.target(), func(a string) bool { return c.pool.LiveSession(a) != nil })
 		reply, sent, err := c.callHost(ctx, address, m)
 		if err == nil {
 			return reply, nil
@@ -204,6 +204,7 @@
 		case isFailure && !shouldAskAnotherHost(err, policy):
 			return nil, withPossibleRun(err, mayHaveRun)
 		case isFailure && c.isKnown(failure.Leader) && failure.Leader != address:
+			search.named = failure.Leader
 			c.setLeader(failure.Leader)
 		default:
 			c.skipHost(address)
@@ -221,21 +222,35 @@
 	hosts []string
 	// answered has the hosts that the call has asked, and whether they answered the last time.
 	answered map[string]bool
+	// named is the leader that a host has named last; empty if none has.
+	named string
 }
 
 // choose returns the host to ask next: the one proposed, or one that this call has not asked yet
-// if the proposed one did not answer it. All calls share the proposal, so that others may bring a
-// host that is gone back into it.
-func (s *leaderSearch) choose(proposed string) string {
-	if hasAnswered, isAsked := s.answered[proposed]; !isAsked || hasAnswered {
+// if the proposed one did not answer it or has no session. Hosts with a session come first, unless another
+// host has just named the leader: those that are gone have none, and to ask one takes attemptTimeout. All
+// calls share the proposal, so that others may bring a host that is gone back into it.
+func (s *leaderSearch) choose(proposed string, hasSession func(string) bool) string {
+	hasAnswered, isAsked := s.answered[proposed]
+	if hasAnswered || !isAsked && (proposed == s.named || hasSession(proposed)) {
 		return proposed
 	}
+	next := ""
 	for _, host := range s.hosts {
-		if _, isAsked := s.answered[host]; !isAsked {
+		if _, isAsked := s.answered[host]; isAsked {
+			continue
+		}
+		if hasSession(host) {
 			return host
 		}
+		if next == "" {
+			next = host
+		}
+	}
+	if !isAsked || next == "" {
+		return proposed
 	}
-	return proposed
+	return next
 }
 
 // isOver reports whether to give up after the given time: after electionWait, or earlier once every
