Remove learners that are gone from the membership

Operators would see: each control host that was a learner and was replaced by another one stays in the membership, and in `cluster`, for ever.

Cause: a learner was removed only when its own host joined again with another disk. Change: the leader removes a learner that has been silent for 20 silence timeouts; a host that is back asks to be added, as ever.

--- a/internal/control/gone_hosts_test.go
+++ b/internal/control/gone_hosts_test.go
@@ -15,7 +15,9 @@
 // Guards against a search for the leader that waits for one control host after the other that is gone for good and
 // still known, while those that are there have sessions: after several replacements no call would find the leader.
 func TestClientFindsLeaderAmongHostsThatAreGone(t *testing.T) {
-	leader := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) { _ = s.Reply(call, &wire.ClaimReply{State: wire.ClaimGranted}) })
+	leader := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
+		_ = s.Reply(call, &wire.ClaimReply{State: wire.ClaimGranted})
+	})
 	follower := startPeer(t, func(s *peer.Session, call uint64, _ wire.Message) {
 		f := noLeader()
 		f.Leader = leader
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -29,6 +29,9 @@
 	// voterChangeTimeout bounds a change of the voters once the new one has caught up. It takes a few round
 	// trips and syncs; a replica that fails in that time asks again.
 	voterChangeTimeout = 3 * time.Second
+	// learnerSilences is after how many times Config.ReplicaSilenceTimeout a silent learner is removed. If it
+	// is there again, it asks to be added again.
+	learnerSilences = 20
 	// joinReportInterval is how often a replica that is refused logs it.
 	joinReportInterval = 10 * time.Second
 	// DefaultReplicaSilenceTimeout is the time without contact after which a replica counts
@@ -51,6 +54,7 @@
 		voter.Update(int64(boolToInt(h.replica.Status().Membership.IsVoter(h.id))))
 		joining.Update(int64(h.joins.count()))
 		h.removeSurplusVoter(ctx)
+		h.removeSilentLearners(ctx)
 		if !shouldJoin {
 			continue
 		}
@@ -210,6 +214,25 @@
 	h.cfg.Log.Info("voter becomes a learner", "replica", id)
 }
 
+// removeSilentLearners removes the learners whose hosts are gone, if this host leads. Otherwise the membership would
+// grow with each host that was a learner and was replaced by another one.
+func (h *Host) removeSilentLearners(ctx context.Context) {
+	st := h.replica.Status()
+	for _, p := range st.Peers {
+		silence := time.Duration(p.TicksSinceContact) * h.cfg.Tick
+		if !st.Membership.IsLearner(p.ID) || silence < learnerSilences*h.cfg.ReplicaSilenceTimeout {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, voterChangeTimeout)
+		err := h.replica.RemoveLearner(ctx, p.ID)
+		cancel()
+		if err != nil {
+			return
+		}
+		h.cfg.Log.Info("learner is removed", "replica", p.ID, "silent_ms", silence.Milliseconds())
+	}
+}
+
 // checkPredecessor returns an error if the same host has another voter that was heard recently.
 func (h *Host) checkPredecessor(st consensus.Status, id consensus.ReplicaID) error {
 	old, ok := h.predecessor(st, id)
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -136,3 +136,23 @@
 	}
 	require.Zero(t, leader.host.joins.count())
 }
+
+// Guards against a membership that grows with each control host that was a learner and is gone.
+func TestLearnerThatIsGoneIsRemoved(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 3, 2, nil)
+	for _, spare := range c.hosts[3:] {
+		require.Eventually(t, func() bool { return c.leader().host.replica.Status().Membership.IsLearner(spare.host.id) }, conditionTimeout, time.Millisecond, "not added")
+	}
+	gone, back := c.hosts[3].host.id, c.hosts[4]
+	c.hosts[3].kill()
+	back.isDeaf.Store(true)
+	isLearner := func(h *clusterHost) bool {
+		return h.host != nil && c.leader().host.replica.Status().Membership.IsLearner(h.host.id)
+	}
+	require.Eventually(t, func() bool {
+		return !c.leader().host.replica.Status().Membership.IsLearner(gone)
+	}, 2*learnerSilences*clusterSilenceTimeout, 10*time.Millisecond, "not removed")
+	back.isDeaf.Store(false)
+	require.Eventually(t, func() bool { return isLearner(back) }, conditionTimeout, time.Millisecond, "a learner that is back is not added again")
+}
