--- a/internal/control/replacements_test.go
+++ b/internal/control/replacements_test.go
@@ -114,13 +114,21 @@
 // claim makes an attempt claim a key and returns the outcome that the leader acknowledges.
 func (c *testCluster) claim(round, i int, attempt string) state.ClaimOutcome {
 	c.t.Helper()
-	var result state.ClaimResult
+	var outcome state.ClaimOutcome
 	require.Eventually(c.t, func() bool {
-		ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
-		defer cancel()
-		var err error
-		result, err = c.leader().host.commands.Claim(ctx, state.Claim{Workspace: "w", Key: fmt.Sprintf("%d-%d", round, i), Attempt: attempt, Host: "h", Incarnation: 1, Deadline: 1 << 30})
-		return err == nil
+		outcome = c.claimAt(c.leader(), round, i, attempt)
+		return outcome != 0
 	}, conditionTimeout, time.Millisecond, "no claim is acknowledged")
+	return outcome
+}
+
+// claimAt makes an attempt claim a key at a host and returns the outcome, 0 if none is acknowledged.
+func (c *testCluster) claimAt(h *clusterHost, round, i int, attempt string) state.ClaimOutcome {
+	ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
+	defer cancel()
+	result, err := h.host.commands.Claim(ctx, state.Claim{Workspace: "w", Key: fmt.Sprintf("%d-%d", round, i), Attempt: attempt, Host: "h", Incarnation: 1, Deadline: 1 << 30})
+	if err != nil {
+		return 0
+	}
 	return result.Outcome
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -86,6 +86,7 @@
 	if c.stage == stageAnswered {
 		return nil
 	}
+	// A request is passed on under the same condition under which it may wait for that.
 	if s != stageAnswered && (c.isDrained || d.isOver(c, min(s, stageWaiting), time.Now())) {
 		return errDraining
 	}
