Set the end of a drain before StartDraining returns

Traced: the goroutine that StartDraining starts set the end, so a request that came at once was served as if there was none. Callers would notice nothing, since the time that is left is long then.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -148,15 +148,16 @@
 	return false
 }
 
-// run ends the requests whose time is over, until ctx ends, by when all responses must have been sent.
-func (d *drain) run(ctx context.Context) {
-	endsAt, ok := ctx.Deadline()
-	if !ok {
-		return
-	}
+// begin sets the end, which is the deadline of ctx if it has one. From then on requests that can't be served in time
+// are refused.
+func (d *drain) begin(ctx context.Context) {
 	d.mu.Lock()
-	d.endsAt = endsAt
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	d.endsAt, _ = ctx.Deadline()
+}
+
+// run ends the requests whose time is over, until ctx ends.
+func (d *drain) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, c := range d.takeOver() {
 			c.endDrained()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,6 +213,7 @@
 // by then a final one.
 func (g *Gateway) StartDraining(ctx context.Context) {
 	g.draining.Store(true)
+	g.drain.begin(ctx)
 	go g.drain.run(ctx)
 }
 
