Answer requests whose body became whole just as its reading was ended

Found by reading the diff, not seen: a host that drains ends the reading of a body by a deadline in the past. If the body becomes whole in that moment, the server's next read fails, which it takes for a disconnect of the caller, and the request would end without a response; in sassafraspostd the request would go on and be cancelled.

Change: what was ended for the shutdown is answered whatever the server thinks of the caller; in sassafraspostd such a request is refused too.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -14,6 +14,9 @@
 // responses.
 const drainMargin = 500 * time.Millisecond
 
+// errLeaving is the reason for not reading a body.
+var errLeaving = errors.New("entry: the server leaves")
+
 // drainStages are contexts that end as the server shuts down.
 type drainStages struct {
 	// leaving ends when Drain is called, ending drainMargin before it gives up.
@@ -38,8 +41,8 @@
 	return func() { timer.Stop() }
 }
 
-// limitReading makes the reading of a body fail once the server leaves: its request would be refused anyway. stop
-// ends this and reports whether the server has not left yet.
+// limitReading makes the reading of a body fail once the server leaves, since its request would be refused anyway.
+// stop ends that; it returns false if the server leaves already.
 func (d *drainStages) limitReading(rc *http.ResponseController) (stop func() bool) {
 	return context.AfterFunc(d.leaving, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -173,7 +173,10 @@
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	stop := drain.limitReading(rc)
 	body, err := io.ReadAll(http.MaxBytesReader(w, from, limit))
-	stop()
+	if !stop() && err == nil {
+		// The deadline may be set at any time now.
+		err = errLeaving
+	}
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	} else {
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sassafraspost/sassafraspost/internal/routetable"
@@ -107,3 +111,37 @@
 	require.Len(t, d.serviceTimes, 1)
 	require.Contains(t, d.serviceTimes, "b")
 }
+
+// Guards against connections that end without a response because the body became whole just as its reading was ended.
+func TestBodiesThatEndAsTheirRequestsAreRefusedGetResponses(t *testing.T) {
+	env := newTestEnv(t)
+	env.setTable(nil)
+	env.addUpstream("u1", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	const requests, spread = 400, 60 * time.Millisecond
+	var conns []net.Conn
+	for range requests {
+		conn, err := net.Dial("tcp", env.front.Listener.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST /unsafe/ HTTP/1.1\r\nHost: 127.0.0.1\r\nX-A: a\r\nX-K: key\r\nContent-Length: 2\r\n\r\na")
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	// The reading ends when the time that the operator aims at is left.
+	endsAt := env.drainFor(1600 * time.Millisecond)
+	first := endsAt.Add(-drainMargin - time.Second - spread/2)
+	var wg sync.WaitGroup
+	for i, conn := range conns {
+		wg.Go(func() {
+			time.Sleep(time.Until(first.Add(spread * time.Duration(i) / requests)))
+			_, _ = io.WriteString(conn, "b")
+			_ = conn.SetReadDeadline(endsAt.Add(time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if assert.NoError(t, err, "no response") {
+				assert.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, resp.StatusCode)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -55,10 +55,12 @@
 	if c.mayHaveRun() && e.Verdict == verdict.NotRun {
 		e = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "an attempt failed, and no other was possible")
 	}
-	if e.Verdict == verdict.NotRun && errors.Is(context.Cause(ctx), errDraining) {
+	isDrained := errors.Is(context.Cause(ctx), errDraining)
+	if e.Verdict == verdict.NotRun && isDrained {
 		e = drainingError()
 	}
-	if c.r.Context().Err() != nil {
+	// The server takes the end of the reading of a body for a disconnect if the body became whole just then.
+	if c.r.Context().Err() != nil && !isDrained {
 		c.g.counts.callersGone.Inc(1)
 		c.log("caller disconnected", "sends", c.attempts, "elapsed_ms", time.Since(c.began).Milliseconds(), "verdict", e.Verdict.String())
 		panic(http.ErrAbortHandler)
